--- /dev/null
+++ b/cmd/wasabictl/main.go
@@ -0,0 +1,4 @@
+// Command wasabictl is part of wasabiridge.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/wasabirouter/main.go
@@ -0,0 +1,4 @@
+// Command wasabirouter is part of wasabiridge.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/wasabistandin/main.go
@@ -0,0 +1,4 @@
+// Command wasabistandin is part of wasabiridge.
+package main
+
+func main() {}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,185 @@
+package wasabiridge
+
+// BackendKind tells what a backend server is.
+type BackendKind string
+
+// Kinds of backend servers.
+const (
+	// BackendEngine is a model engine with a prefix cache.
+	BackendEngine BackendKind = "engine"
+	// BackendService is a plain HTTP service.
+	BackendService BackendKind = "service"
+)
+
+// Objective names what the placement of a request minimises first.
+type Objective string
+
+// Objectives of a rule.
+const (
+	// ObjectiveFirstToken minimises the time to the first token.
+	ObjectiveFirstToken Objective = "first_token"
+	// ObjectiveRecompute minimises tokens that are computed again.
+	ObjectiveRecompute Objective = "recompute"
+)
+
+// Priority orders requests that wait for the same pool. Higher goes first.
+type Priority int
+
+// BackendServer is a model engine or a plain service to which requests go.
+type BackendServer struct {
+	ID   BackendServerID  `json:"id"`
+	Kind BackendKind      `json:"kind"`
+	Zone AvailabilityZone `json:"zone"`
+	// URL is the base address, such as "http://127.0.0.1:9001".
+	URL string `json:"url"`
+	// Slots is how many requests the server runs at once. Zero means that
+	// the limit is learned.
+	Slots int `json:"slots,omitempty"`
+	// ChecksFencing says that the server refuses orders with an old fencing
+	// number.
+	ChecksFencing bool `json:"checks_fencing,omitempty"`
+}
+
+// Pool is a set of backend servers that serve the same work.
+type Pool struct {
+	ID       PoolID          `json:"id"`
+	Backends []BackendServer `json:"backends"`
+	// BlockTokens is the size of one cache block. Zero means 2048.
+	BlockTokens int `json:"block_tokens,omitempty"`
+	// MinServing is how many replicas must serve while weights are loaded.
+	MinServing int `json:"min_serving,omitempty"`
+}
+
+// ClientAccount is a customer with its keys and the pools it may use.
+type ClientAccount struct {
+	ID ClientAccountID `json:"id"`
+	// KeyHashes are hexadecimal SHA-256 hashes of the keys of callers.
+	KeyHashes []string `json:"key_hashes"`
+	// Pools are the pools that requests of the account may reach.
+	Pools []PoolID `json:"pools"`
+	// Share is the weight of the account when capacity is short. Zero
+	// means 1.
+	Share float64 `json:"share,omitempty"`
+}
+
+// Condition says which requests a rule matches. Empty fields match all
+// requests; all fields that are set must match.
+type Condition struct {
+	Accounts []ClientAccountID `json:"accounts,omitempty"`
+	Methods  []string          `json:"methods,omitempty"`
+	// Path matches exactly, or as a prefix when it ends with "*".
+	Path   string    `json:"path,omitempty"`
+	Models []ModelID `json:"models,omitempty"`
+	// Header and HeaderValue match one request header. An empty value
+	// matches any value of a header that is present.
+	Header      string `json:"header,omitempty"`
+	HeaderValue string `json:"header_value,omitempty"`
+	// MinPromptTokens and MaxPromptTokens bound the estimated length of the
+	// prompt, both inclusive. A zero maximum is no bound.
+	MinPromptTokens int `json:"min_prompt_tokens,omitempty"`
+	MaxPromptTokens int `json:"max_prompt_tokens,omitempty"`
+	// PriorityClass matches the header X-Priority-Class.
+	PriorityClass string `json:"priority_class,omitempty"`
+}
+
+// Action says how a request that a rule matches is served.
+type Action struct {
+	Pool    PoolID    `json:"pool,omitempty"`
+	Model   ModelID   `json:"model,omitempty"`
+	Adapter AdapterID `json:"adapter,omitempty"`
+	// Weights is the lowest version of the weights that may answer.
+	Weights  WeightsVersion `json:"weights,omitempty"`
+	Priority Priority       `json:"priority,omitempty"`
+	// NonIdempotent marks requests that run at most once.
+	NonIdempotent bool `json:"non_idempotent,omitempty"`
+	// Objective defaults to ObjectiveFirstToken.
+	Objective Objective `json:"objective,omitempty"`
+	// RecomputeWeight is how many milliseconds of waiting one recomputed
+	// block is worth beyond the time it takes.
+	RecomputeWeight float64 `json:"recompute_weight,omitempty"`
+	Retry           bool    `json:"retry,omitempty"`
+	Hedge           bool    `json:"hedge,omitempty"`
+	Resume          bool    `json:"resume,omitempty"`
+	// QueueLimit is how many requests of the rule may wait. Zero means 256.
+	QueueLimit int `json:"queue_limit,omitempty"`
+	// Deadline bounds the wait before the first byte. Zero means 30 s.
+	Deadline Millis `json:"deadline_ms,omitempty"`
+	// Fallback is the pool to use when no server of Pool is alive.
+	Fallback PoolID `json:"fallback,omitempty"`
+	// Refuse turns the request down with this text.
+	Refuse string `json:"refuse,omitempty"`
+}
+
+// Rule is one line of the ordered list that decides how a request is served.
+type Rule struct {
+	ID   RuleID    `json:"id"`
+	When Condition `json:"when"`
+	Then Action    `json:"then"`
+}
+
+// Target is one figure that a quarter is measured against.
+type Target struct {
+	// Measure is one of "hit_rate", "ttft_p50", "ttft_p95", "ttft_p99",
+	// "recomputed_share", "refused_share", "doubled" or "cut".
+	Measure string `json:"measure"`
+	// Account limits the target to one client account. Empty means all.
+	Account ClientAccountID `json:"account,omitempty"`
+	// AtMost and AtLeast bound the figure; a nil bound is no bound. Times
+	// are in milliseconds.
+	AtMost  *float64 `json:"at_most,omitempty"`
+	AtLeast *float64 `json:"at_least,omitempty"`
+}
+
+// Config is one whole configuration. It is an immutable value.
+type Config struct {
+	Version ConfigVersion `json:"version"`
+	// OperatorKeyHashes are hexadecimal SHA-256 hashes of operators' keys.
+	OperatorKeyHashes []string        `json:"operator_key_hashes,omitempty"`
+	Accounts          []ClientAccount `json:"accounts"`
+	Pools             []Pool          `json:"pools"`
+	Rules             []Rule          `json:"rules"`
+	Targets           []Target        `json:"targets,omitempty"`
+}
+
+// WithVersion returns a copy of the configuration under another version.
+func (c Config) WithVersion(v ConfigVersion) Config {
+	c.Version = v
+	return c
+}
+
+// WithRules returns a copy of the configuration with other rules.
+func (c Config) WithRules(rules ...Rule) Config {
+	c.Rules = append([]Rule(nil), rules...)
+	return c
+}
+
+// Pool returns the pool of that name. It reports false when there is none.
+func (c Config) Pool(id PoolID) (Pool, bool) {
+	for _, p := range c.Pools {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return Pool{}, false
+}
+
+// Account returns the client account of that name. It reports false when
+// there is none.
+func (c Config) Account(id ClientAccountID) (ClientAccount, bool) {
+	for _, a := range c.Accounts {
+		if a.ID == id {
+			return a, true
+		}
+	}
+	return ClientAccount{}, false
+}
+
+// MayUse reports whether the account may reach the pool.
+func (a ClientAccount) MayUse(pool PoolID) bool {
+	for _, p := range a.Pools {
+		if p == pool {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/decision.go
@@ -0,0 +1,240 @@
+package wasabiridge
+
+// Event is something that a Decider is told. The concrete types are listed in
+// this file; a Decider ignores types that it does not know.
+type Event interface{ isEvent() }
+
+// Effect is something that a Decider wants done. The caller carries out
+// effects in the order in which they were returned.
+type Effect interface{ isEffect() }
+
+// Decider is a deterministic state machine. It is not safe for concurrent
+// use; one goroutine owns it.
+type Decider interface {
+	// Handle takes one event and returns what has to be done. The returned
+	// slice is valid until the next call.
+	Handle(now Millis, e Event) []Effect
+}
+
+// RequestArrived says that a request passed authentication and rules.
+type RequestArrived struct{ Request Request }
+
+// CallerGone says that the caller closed its connection.
+type CallerGone struct{ Request RequestID }
+
+// AttemptSent says that the first byte of an attempt is about to be handed to
+// a connection of the backend server. From here on the request may have run.
+type AttemptSent struct {
+	Request RequestID
+	Attempt AttemptID
+}
+
+// AttemptFirstToken says that the first token of an attempt arrived.
+type AttemptFirstToken struct {
+	Request RequestID
+	Attempt AttemptID
+}
+
+// AttemptResult tells how an attempt ended.
+type AttemptResult uint8
+
+// Results of an attempt.
+const (
+	// AttemptCompleted means that the whole answer arrived.
+	AttemptCompleted AttemptResult = iota
+	// AttemptNotRun means that nothing was executed: no byte was sent, or
+	// the backend server said so in a trusted form.
+	AttemptNotRun
+	// AttemptBroken means that the connection or the stream ended early.
+	AttemptBroken
+	// AttemptCancelled means that this router gave the attempt up.
+	AttemptCancelled
+)
+
+// AttemptEnded says that an attempt is over. Exactly one such event follows
+// every Dispatch.
+type AttemptEnded struct {
+	Request RequestID
+	Attempt AttemptID
+	Backend BackendServerID
+	Result  AttemptResult
+	// Overloaded says that the backend server refused for lack of room.
+	Overloaded bool
+	// RetryAfter is when the backend server asked to be tried again.
+	RetryAfter Millis
+	// Delivered counts output tokens that already reached the caller.
+	Delivered int
+	Usage     Usage
+}
+
+// LoadReported carries a load report.
+type LoadReported struct{ Report LoadReport }
+
+// CacheChanged carries entries of one model engine's cache event stream, in
+// the order in which they came.
+type CacheChanged struct{ Events []CacheEvent }
+
+// BackendLost says that a backend server cannot be reached.
+type BackendLost struct{ Backend BackendServerID }
+
+// BackendLeaving says that a backend server must get no new work.
+type BackendLeaving struct{ Backend BackendServerID }
+
+// ConfigAdopted says that a configuration is in force at this instance.
+type ConfigAdopted struct{ Config Config }
+
+// Ticked says that time has passed. The driver sends one at least every
+// 50 ms.
+type Ticked struct{}
+
+func (RequestArrived) isEvent()    {}
+func (CallerGone) isEvent()        {}
+func (AttemptSent) isEvent()       {}
+func (AttemptFirstToken) isEvent() {}
+func (AttemptEnded) isEvent()      {}
+func (LoadReported) isEvent()      {}
+func (CacheChanged) isEvent()      {}
+func (BackendLost) isEvent()       {}
+func (BackendLeaving) isEvent()    {}
+func (ConfigAdopted) isEvent()     {}
+func (Ticked) isEvent()            {}
+
+// Dispatch asks for an attempt of a request at a backend server.
+type Dispatch struct {
+	Request RequestID
+	Attempt AttemptID
+	Backend BackendServer
+	// Weights is the version the answer must come from. Zero means any.
+	Weights WeightsVersion
+	// Incarnation is the life of the engine whose cache was counted on.
+	Incarnation Incarnation
+	// ClaimedTokens counts prompt tokens expected to be cached.
+	ClaimedTokens int
+	// ResumeFrom counts output tokens that the caller already has.
+	ResumeFrom int
+	// Hedge marks a second attempt beside one that still runs.
+	Hedge bool
+}
+
+// Cancel asks to give up an attempt. An AttemptEnded event still follows.
+type Cancel struct {
+	Request RequestID
+	Attempt AttemptID
+}
+
+// RefuseReason says why a request is turned down.
+type RefuseReason string
+
+// Reasons of a refusal.
+const (
+	// RefusedByRule means that the matching rule refuses.
+	RefusedByRule RefuseReason = "rule"
+	// RefusedOverload means that the queue is full or the wait too long.
+	RefusedOverload RefuseReason = "overload"
+	// RefusedDeadline means that the deadline passed while waiting.
+	RefusedDeadline RefuseReason = "deadline"
+	// RefusedNoBackend means that no backend server may serve the request.
+	RefusedNoBackend RefuseReason = "no_backend"
+	// RefusedBroken means that attempts failed and no further one is allowed.
+	RefusedBroken RefuseReason = "broken"
+)
+
+// Refuse asks to give the caller a final negative answer at once.
+type Refuse struct {
+	Request     RequestID
+	Reason      RefuseReason
+	Disposition Disposition
+	// RetryAfter tells the caller when to come back. Zero means no advice.
+	RetryAfter Millis
+}
+
+// Record asks to write an event to the time line.
+type Record struct{ Event TimelineEvent }
+
+func (Dispatch) isEffect() {}
+func (Cancel) isEffect()   {}
+func (Refuse) isEffect()   {}
+func (Record) isEffect()   {}
+
+// PlaceQuery asks for a backend server. Slices are owned by the caller and
+// valid during the call only.
+type PlaceQuery struct {
+	Request Request
+	Pool    Pool
+	// Excluded lists servers that must not be chosen, such as those that
+	// this request already failed at.
+	Excluded []BackendServerID
+}
+
+// Placement is the choice of a backend server.
+type Placement struct {
+	Backend     BackendServer
+	Incarnation Incarnation
+	// ClaimedTokens counts prompt tokens expected to be cached.
+	ClaimedTokens int
+	// ExpectedWait estimates the time to the first token.
+	ExpectedWait Millis
+	// Why names what decided, for the time line, such as "holder" or "home".
+	Why string
+	// Join asks to wait until the named time because the prefix is being
+	// computed right now. Zero means to go at once.
+	Join Millis
+}
+
+// Placer chooses backend servers. Implementations are deterministic and not
+// safe for concurrent use.
+type Placer interface {
+	// Place chooses a server of the pool. It reports false when none is
+	// eligible.
+	Place(now Millis, q PlaceQuery) (Placement, bool)
+	// Sent tells that an attempt goes to the placement's server.
+	Sent(now Millis, r Request, a AttemptID, p Placement)
+	// Observe takes every event that the decider takes.
+	Observe(now Millis, e Event)
+}
+
+// Verdict is the answer of a Limiter.
+type Verdict uint8
+
+// Verdicts of a Limiter.
+const (
+	// Admitted lets the request be placed now.
+	Admitted Verdict = iota
+	// Queued keeps the request until Next returns it.
+	Queued
+	// Rejected turns the request down.
+	Rejected
+)
+
+// Admission tells what becomes of an offered request.
+type Admission struct {
+	Verdict Verdict
+	// RetryAfter tells a rejected caller when to come back.
+	RetryAfter Millis
+	Reason     RefuseReason
+}
+
+// Limiter decides when requests may be sent, in which order they leave the
+// queue and which are turned down early. Implementations are deterministic
+// and not safe for concurrent use.
+type Limiter interface {
+	// Offer presents a new request.
+	Offer(now Millis, r Request) Admission
+	// Next returns a queued request that may go now. It reports false when
+	// none may.
+	Next(now Millis) (Request, bool)
+	// Expired returns a queued request whose deadline passed. It reports
+	// false when there is none.
+	Expired(now Millis) (Request, bool)
+	// Withdraw takes a request out of the queue, because its caller left.
+	Withdraw(id RequestID)
+	// HasRoom reports whether a backend server may get one more attempt.
+	HasRoom(now Millis, b BackendServer) bool
+	// Sent counts an attempt against its backend server.
+	Sent(now Millis, r Request, a AttemptID, b BackendServerID)
+	// Observe takes every event that the decider takes.
+	Observe(now Millis, e Event)
+	// MayRetry reports whether the retry budget allows one more attempt and
+	// spends it when it does.
+	MayRetry(now Millis, r Request) bool
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,93 @@
+package wasabiridge
+
+// Disposition says what is known of the execution of a request. It only
+// moves forward, in the order in which the constants stand.
+type Disposition uint8
+
+// Dispositions of a request.
+const (
+	// NotRun means that no byte was handed to a backend server, or that the
+	// backend server itself said in a trusted form that it did not run it.
+	NotRun Disposition = iota
+	// MaybeRun means that bytes were handed to a backend server and no whole
+	// answer came back.
+	MaybeRun
+	// Ran means that a backend server answered.
+	Ran
+)
+
+// String returns the disposition as callers see it: "not_run", "maybe_run" or
+// "ran".
+func (d Disposition) String() string {
+	switch d {
+	case NotRun:
+		return "not_run"
+	case MaybeRun:
+		return "maybe_run"
+	default:
+		return "ran"
+	}
+}
+
+// Advance returns the later of both dispositions.
+func (d Disposition) Advance(to Disposition) Disposition {
+	if to > d {
+		return to
+	}
+	return d
+}
+
+// CacheRoot separates prefix caches. Blocks under different roots are never
+// shared.
+type CacheRoot struct {
+	Account ClientAccountID
+	Model   ModelID
+	Adapter AdapterID
+	Weights WeightsVersion
+}
+
+// Chain is a prompt as a chain of cache blocks. Blocks[i] covers the prompt
+// up to and including block i and the root.
+type Chain struct {
+	Root   CacheRoot
+	Blocks []BlockHash
+	// BlockTokens is the size of one block in tokens.
+	BlockTokens int
+	// Tokens is the estimated length of the whole prompt. The part after the
+	// last full block is never cached.
+	Tokens int
+}
+
+// Request is what the decisions need to know of a caller's request. It holds
+// no prompt text.
+type Request struct {
+	ID      RequestID
+	Account ClientAccountID
+	Rule    RuleID
+	Action  Action
+	Method  string
+	Path    string
+	Model   ModelID
+	Chain   Chain
+	// MaxTokens bounds the answer. Zero means that the caller set no bound.
+	MaxTokens int
+	Stream    bool
+	// IdempotencyKey is the caller's key, for requests that run at most once.
+	IdempotencyKey string
+	Arrived        Millis
+	// Deadline is the point in time at which waiting ends.
+	Deadline Millis
+}
+
+// WithRule returns a copy of the request with the rule that matched it.
+func (r Request) WithRule(rule Rule) Request {
+	r.Rule = rule.ID
+	r.Action = rule.Then
+	return r
+}
+
+// WithChain returns a copy of the request with its chain of cache blocks.
+func (r Request) WithChain(c Chain) Request {
+	r.Chain = c
+	return r
+}
