--- /dev/null
+++ b/attempt.go
@@ -0,0 +1,57 @@
+package wasabiridge
+
+import (
+	"context"
+	"net/http"
+)
+
+// Attempt is one try of a request at one backend server, with all that has to
+// be sent.
+type Attempt struct {
+	ID      AttemptID
+	Request RequestID
+	Account ClientAccountID
+	Backend BackendServer
+	Method  string
+	// Path is the path with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	Stream bool
+	// NonIdempotent forbids every repetition below the caller of the
+	// AttemptRunner, on whatever connection.
+	NonIdempotent bool
+	Priority      Priority
+	// CacheSalt separates prefix caches inside an engine. It is derived from
+	// the CacheRoot of the request.
+	CacheSalt string
+	// Weights and Incarnation must be the engine's own; an engine that
+	// differs refuses as not run. Zero matches any.
+	Weights     WeightsVersion
+	Incarnation Incarnation
+	// ResumeFrom counts output tokens that must not be sent again.
+	ResumeFrom int
+}
+
+// AttemptSink takes what comes back of an attempt. Its methods are called by
+// one goroutine. An error returned by a method ends the attempt.
+type AttemptSink interface {
+	// Sent is called before the first byte is handed to a connection.
+	Sent()
+	// Head is called once, with the status and the header of the answer.
+	Head(status int, h http.Header) error
+	// Chunk is called for each payload of an event stream, or for each piece
+	// of an answer that is not a stream. Tokens counts the output tokens in
+	// data; it is zero when data holds none. The slice is valid during the
+	// call only.
+	Chunk(tokens int, data []byte) error
+}
+
+// AttemptRunner sends attempts to backend servers. Implementations are safe
+// for concurrent use.
+type AttemptRunner interface {
+	// Run carries out an attempt and returns after its end. The result is
+	// AttemptCompleted only when the whole answer arrived; for a stream that
+	// includes its end marker.
+	Run(ctx context.Context, a Attempt, sink AttemptSink) AttemptEnded
+}
