--- /dev/null
+++ b/internal/wasabicontract/table.go
@@ -0,0 +1,226 @@
+package wasabicontract
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifault"
+)
+
+// TableSubject is an empty table under test.
+type TableSubject struct {
+	Table  wasabiridge.Table
+	Script Script
+}
+
+// Table returns the contract of wasabiridge.Table. The function makes an
+// empty table for each check.
+func Table(fresh func() TableSubject) Checks {
+	run := func(check func(t tableSteps) error) func(context.Context) error {
+		return func(ctx context.Context) error {
+			s := fresh()
+			if s.Script == nil {
+				s.Script = func(wasabifault.Op, ...wasabifault.Fate) {}
+			}
+			return check(tableSteps{TableSubject: s, ctx: ctx})
+		}
+	}
+	checks := Checks{}
+	for name, check := range tableChecks {
+		checks[name] = run(check)
+	}
+	if fresh().Script == nil {
+		return checks
+	}
+	for name, check := range tableFaultChecks {
+		checks[name] = run(check)
+	}
+	return checks
+}
+
+var tableChecks = map[string]func(t tableSteps) error{
+	"a missing row has revision zero": func(t tableSteps) error {
+		return t.revisionIs("a", 0)
+	},
+	"a row is made only when it is missing": func(t tableSteps) error {
+		return first(
+			t.commit("w1", nil, change("a", 0, "1")),
+			t.commit("w2", wasabiridge.ErrConflict, change("a", 0, "2")),
+			t.holds("a", "1", "w1"),
+		)
+	},
+	"a change needs the current revision": func(t tableSteps) error {
+		return first(
+			t.commit("w1", nil, change("a", 0, "1")),
+			t.replace("w2", nil, "a", "2"),
+			t.commit("w3", wasabiridge.ErrConflict, change("a", 1<<40, "3")),
+			t.holds("a", "2", "w2"),
+		)
+	},
+	"all changes of a transaction or none": func(t tableSteps) error {
+		return first(
+			t.commit("w1", nil, change("a", 0, "1")),
+			t.commit("w2", wasabiridge.ErrConflict, change("b", 0, "2"), change("a", 0, "2")),
+			func() error { return t.revisionIs("b", 0) },
+			t.commit("w3", nil, change("b", 0, "3"), change("c", 0, "3")),
+			t.holds("b", "3", "w3"),
+			t.holds("c", "3", "w3"),
+		)
+	},
+	"a deleted row never shows an old revision": func(t tableSteps) error {
+		var old wasabiridge.Row
+		return first(
+			t.commit("w1", nil, change("a", 0, "1")),
+			t.get("a", &old),
+			func() error {
+				return t.commit("w2", nil, wasabiridge.RowChange{Key: "a", IfRevision: old.Revision, Delete: true})()
+			},
+			func() error { return t.revisionIs("a", 0) },
+			t.commit("w3", nil, change("a", 0, "3")),
+			func() error { return t.commit("w4", wasabiridge.ErrConflict, change("a", old.Revision, "4"))() },
+			t.holds("a", "3", "w3"),
+		)
+	},
+	"a list is ordered and bounded": func(t tableSteps) error {
+		return first(
+			t.commit("w1", nil, change("p/2", 0, ""), change("p/1", 0, ""), change("p/3", 0, ""), change("q/1", 0, "")),
+			t.lists("p/", "", 2, "p/1", "p/2"),
+			t.lists("p/", "p/2", 2, "p/3"),
+			t.lists("r/", "", 2),
+		)
+	},
+	"values keep every byte": func(t tableSteps) error {
+		value := string([]byte{0, 255, '\n', '"', 0xc3, 0x28})
+		return first(
+			t.commit("w/1 ?#%", nil, change("k/ä ?#%&+", 0, value)),
+			t.holds("k/ä ?#%&+", value, "w/1 ?#%"),
+			t.lists("k/ä ", "", 2, "k/ä ?#%&+"),
+		)
+	},
+	"a transaction without an identifier is invalid": func(t tableSteps) error {
+		return t.commit("", wasabiridge.ErrInvalid, change("a", 0, "1"))()
+	},
+	"a row named twice is invalid": func(t tableSteps) error {
+		return t.commit("w1", wasabiridge.ErrInvalid, change("a", 0, "1"), change("a", 0, "2"))()
+	},
+	"an ended context fails": func(t tableSteps) error {
+		ctx, cancel := context.WithCancel(t.ctx)
+		cancel()
+		_, err := t.Table.Get(ctx, "a")
+		return expect(err != nil, "a read under an ended context worked")
+	},
+}
+
+var tableFaultChecks = map[string]func(t tableSteps) error{
+	"unavailable means that nothing took effect": func(t tableSteps) error {
+		t.Script(wasabifault.Write, wasabifault.Fate{Kind: wasabifault.Unavailable})
+		return first(
+			t.commit("w1", wasabiridge.ErrUnavailable, change("a", 0, "1")),
+			func() error { return t.revisionIs("a", 0) },
+		)
+	},
+	"a lost answer is an unknown outcome that took effect": func(t tableSteps) error {
+		t.Script(wasabifault.Write, wasabifault.Fate{Kind: wasabifault.LostAnswer})
+		return first(
+			t.commit("w1", wasabiridge.ErrOutcomeUnknown, change("a", 0, "1")),
+			t.holds("a", "1", "w1"),
+		)
+	},
+	"a lost request is an unknown outcome without effect": func(t tableSteps) error {
+		t.Script(wasabifault.Write, wasabifault.Fate{Kind: wasabifault.LostRequest})
+		return first(
+			t.commit("w1", wasabiridge.ErrOutcomeUnknown, change("a", 0, "1")),
+			func() error { return t.revisionIs("a", 0) },
+		)
+	},
+	"a late copy of a write that took effect changes nothing": func(t tableSteps) error {
+		t.Script(wasabifault.Write, wasabifault.Fate{Kind: wasabifault.LateEffect}, wasabifault.Fate{})
+		return first(
+			t.commit("w1", wasabiridge.ErrOutcomeUnknown, change("a", 0, "1")),
+			t.commit("w1", wasabiridge.ErrConflict, change("a", 0, "1")),
+			t.holds("a", "1", "w1"),
+		)
+	},
+	"a race is a conflict": func(t tableSteps) error {
+		t.Script(wasabifault.Write, wasabifault.Fate{}, wasabifault.Fate{Kind: wasabifault.Race})
+		return first(
+			t.commit("w1", nil, change("a", 0, "1")),
+			t.replace("w2", wasabiridge.ErrConflict, "a", "2"),
+		)
+	},
+	"a failed read says so": func(t tableSteps) error {
+		t.Script(wasabifault.Read, wasabifault.Fate{Kind: wasabifault.Unavailable})
+		_, err := t.Table.Get(t.ctx, "a")
+		return expectType("read", err, wasabiridge.ErrUnavailable)
+	},
+}
+
+type tableSteps struct {
+	TableSubject
+	ctx context.Context
+}
+
+func change(key string, ifRevision uint64, value string) wasabiridge.RowChange {
+	return wasabiridge.RowChange{Key: key, IfRevision: ifRevision, Value: []byte(value)}
+}
+
+func (t tableSteps) commit(id wasabiridge.WriteID, want *errorx.Type, changes ...wasabiridge.RowChange) func() error {
+	return func() error {
+		err := t.Table.Commit(t.ctx, wasabiridge.Transaction{ID: id, Changes: changes})
+		return expectType("write "+string(id), err, want)
+	}
+}
+
+func (t tableSteps) get(key string, row *wasabiridge.Row) func() error {
+	return func() error {
+		var err error
+		*row, err = t.Table.Get(t.ctx, key)
+		return expectType("read of "+key, err, nil)
+	}
+}
+
+func (t tableSteps) replace(id wasabiridge.WriteID, want *errorx.Type, key, value string) func() error {
+	return func() error {
+		var row wasabiridge.Row
+		if err := t.get(key, &row)(); err != nil {
+			return err
+		}
+		return t.commit(id, want, change(key, row.Revision, value))()
+	}
+}
+
+func (t tableSteps) revisionIs(key string, want uint64) error {
+	var row wasabiridge.Row
+	if err := t.get(key, &row)(); err != nil {
+		return err
+	}
+	return expect(row.Revision == want, "row %q has revision %d, not %d", key, row.Revision, want)
+}
+
+func (t tableSteps) holds(key, value string, id wasabiridge.WriteID) func() error {
+	return func() error {
+		var row wasabiridge.Row
+		if err := t.get(key, &row)(); err != nil {
+			return err
+		}
+		ok := bytes.Equal(row.Value, []byte(value)) && row.LastWrite == id && row.Key == key && row.Revision != 0
+		return expect(ok, "row %q is %+v, not %q by %q", key, row, value, id)
+	}
+}
+
+func (t tableSteps) lists(prefix, after string, limit int, want ...string) func() error {
+	return func() error {
+		rows, err := t.Table.List(t.ctx, prefix, after, limit)
+		if err != nil {
+			return ErrBroken.Wrap(err, "list of %q failed", prefix)
+		}
+		ok := len(rows) == len(want)
+		for i := 0; ok && i < len(want); i++ {
+			ok = rows[i].Key == want[i] && rows[i].Revision != 0
+		}
+		return expect(ok, "list of %q after %q is %+v, not %q", prefix, after, rows, want)
+	}
+}
