Backend attempts: runner over net/http and an engine stand-in

Cause: the caller side needs something to send to and something that sends. Attempts may name the prompt's blocks, so that an engine's cache events speak of the same hashes.

--- a/attempt.go
+++ b/attempt.go
@@ -29,6 +29,9 @@
 	// differs refuses as not run. Zero matches any.
 	Weights     WeightsVersion
 	Incarnation Incarnation
+	// Blocks names the prompt's cache blocks to an engine, so that its cache
+	// events speak of the same blocks. They may be left out.
+	Blocks []BlockHash
 	// ResumeFrom counts output tokens that must not be sent again.
 	ResumeFrom int
 }
@@ -41,7 +44,8 @@
 	// Head is called once, with the status and the header of the answer.
 	Head(status int, h http.Header) error
 	// Chunk is called for each payload of an event stream, or for each piece
-	// of an answer that is not a stream. Tokens counts the output tokens in
+	// of an answer that is not a stream. The end marker of a stream is not
+	// handed over: AttemptCompleted stands for it. Tokens counts the output tokens in
 	// data; it is zero when data holds none. The slice is valid during the
 	// call only.
 	Chunk(tokens int, data []byte) error
--- /dev/null
+++ b/internal/wasabibackend/chunk.go
@@ -0,0 +1,95 @@
+package wasabibackend
+
+import (
+	"github.com/tidwall/gjson"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// endMarker is the payload of the last event of a whole stream.
+const endMarker = "[DONE]"
+
+// chunk is what the router needs to know of one payload of an engine.
+type chunk struct {
+	// tokens counts output tokens in the payload.
+	tokens int
+	// choices says that the payload holds at least one choice.
+	choices bool
+	// failed says that the engine reports an error instead of an answer.
+	failed bool
+	// hasUsage says that usage is set.
+	hasUsage bool
+	usage    wasabiridge.Usage
+}
+
+// decodeChunk reads one payload. It reports false when the payload is not a
+// JSON object.
+func decodeChunk(payload string) (chunk, bool) {
+	if !gjson.Valid(payload) {
+		return chunk{}, false
+	}
+	root := gjson.Parse(payload)
+	if !root.IsObject() {
+		return chunk{}, false
+	}
+	var c chunk
+	root.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "choices":
+			c.readChoices(value)
+		case "usage":
+			c.readUsage(value)
+		case "error":
+			c.failed = value.Type != gjson.Null
+		}
+		return true
+	})
+	return c, true
+}
+
+func (c *chunk) readChoices(list gjson.Result) {
+	list.ForEach(func(_, choice gjson.Result) bool {
+		c.choices = true
+		c.tokens += countTokens(choice)
+		return true
+	})
+}
+
+// countTokens counts the output tokens of one choice. Without token ids a
+// choice that holds any text counts as one token.
+func countTokens(choice gjson.Result) int {
+	if ids := choice.Get("token_ids"); ids.IsArray() {
+		return int(ids.Get("#").Int())
+	}
+	for _, path := range [...]string{"delta.content", "text", "delta.reasoning_content"} {
+		if choice.Get(path).Str != "" {
+			return 1
+		}
+	}
+	if choice.Get("delta.tool_calls").IsArray() {
+		return 1
+	}
+	return 0
+}
+
+func (c *chunk) readUsage(v gjson.Result) {
+	if !v.IsObject() {
+		return
+	}
+	c.hasUsage = true
+	c.usage.PromptTokens = count(v.Get("prompt_tokens"))
+	c.usage.OutputTokens = count(v.Get("completion_tokens"))
+	c.usage.CachedTokens = min(c.usage.PromptTokens, count(v.Get("prompt_tokens_details.cached_tokens")))
+}
+
+// maxCount bounds counters that a backend server states.
+const maxCount = 1 << 30
+
+// count reads a counter. What is no number or out of range counts as the
+// nearest bound, so that a broken engine cannot upset sums.
+func count(v gjson.Result) int {
+	if v.Type != gjson.Number {
+		return 0
+	}
+	return int(max(0, min(v.Num, maxCount)))
+}
--- /dev/null
+++ b/internal/wasabibackend/request.go
@@ -0,0 +1,140 @@
+package wasabibackend
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// hopHeaders belong to one connection and are never handed on.
+var hopHeaders = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// callerHeaders are meant for the router alone: the key of the caller, and
+// what the router itself says to a backend server.
+var callerHeaders = [...]string{
+	"Authorization", "Accept-Encoding", "Content-Length", "Expect", "Host",
+	wasabiridge.HeaderDisposition, wasabiridge.HeaderWeights,
+	wasabiridge.HeaderIncarnation, wasabiridge.HeaderResumedFrom,
+}
+
+// idempotencyHeaders name the caller's idempotency key. Engines do not know
+// it, and net/http takes it as leave to send a request twice.
+var idempotencyHeaders = [...]string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// forwardable returns a copy of a header without what belongs to one
+// connection.
+func forwardable(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = make(http.Header)
+	}
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// newRequest builds the HTTP request of an attempt.
+func newRequest(ctx context.Context, a wasabiridge.Attempt, body []byte) (*http.Request, error) {
+	url := strings.TrimSuffix(a.Backend.URL, "/") + a.Path
+	var req *http.Request
+	var err error
+	if req, err = http.NewRequestWithContext(ctx, a.Method, url, bytes.NewReader(body)); err != nil {
+		return nil, wasabiridge.ErrInvalid.Wrap(err, "backend: request to %s", a.Backend.ID)
+	}
+	if a.NonIdempotent {
+		req.GetBody = nil
+	}
+	req.Header = forwardable(a.Header)
+	for _, name := range callerHeaders {
+		req.Header.Del(name)
+	}
+	if a.Backend.Kind == wasabiridge.BackendEngine {
+		for _, name := range idempotencyHeaders {
+			req.Header.Del(name)
+		}
+		setVersion(req.Header, wasabiridge.HeaderWeights, uint64(a.Weights))
+		setVersion(req.Header, wasabiridge.HeaderIncarnation, uint64(a.Incarnation))
+	}
+	if req.Header.Get("User-Agent") == "" {
+		req.Header.Set("User-Agent", "wasabirouter")
+	}
+	return req, nil
+}
+
+func setVersion(h http.Header, name string, v uint64) {
+	if v != 0 {
+		h.Set(name, strconv.FormatUint(v, 10))
+	}
+}
+
+// engineBody is the body of a completion call with the router's fields.
+type engineBody struct {
+	data []byte
+	// wantsUsage says that the caller asked for the usage event of a stream.
+	wantsUsage bool
+}
+
+// routerFields are set by the router alone. A caller that could set them
+// would read another account's cache or overtake others.
+var routerFields = map[string]bool{
+	"cache_salt": true, "priority": true, "resume_from": true,
+	"return_token_ids": true, "stream_options": true,
+}
+
+// extendBody replaces the router's fields of a completion call. It reports
+// false when the body is not a JSON object; the body then goes out unchanged.
+func extendBody(a wasabiridge.Attempt) (engineBody, bool) {
+	root := gjson.ParseBytes(a.Body)
+	if a.Backend.Kind != wasabiridge.BackendEngine || !root.IsObject() {
+		return engineBody{data: a.Body}, false
+	}
+	var b engineBody
+	out := make([]byte, 0, len(a.Body)+256)
+	out = append(out, '{')
+	root.ForEach(func(key, value gjson.Result) bool {
+		if key.Str == "stream_options" {
+			b.wantsUsage = value.Get("include_usage").Bool()
+		}
+		if !routerFields[key.Str] {
+			out = append(out, key.Raw...)
+			out = append(out, ':')
+			out = append(out, value.Raw...)
+			out = append(out, ',')
+		}
+		return true
+	})
+	if a.Stream {
+		out = append(out, `"stream_options":{"include_usage":true},`...)
+	}
+	if a.CacheSalt != "" {
+		out = append(out, `"cache_salt":`...)
+		out = strconv.AppendQuote(out, a.CacheSalt)
+		out = append(out, ',')
+	}
+	if a.ResumeFrom > 0 {
+		out = append(out, `"resume_from":`...)
+		out = strconv.AppendInt(out, int64(a.ResumeFrom), 10)
+		out = append(out, ',')
+	}
+	// Engines of this API take lower values first, the router higher ones.
+	out = append(out, `"priority":`...)
+	out = strconv.AppendInt(out, -int64(a.Priority), 10)
+	out = append(out, `,"return_token_ids":true}`...)
+	b.data = out
+	return b, true
+}
--- /dev/null
+++ b/internal/wasabibackend/runner.go
@@ -0,0 +1,137 @@
+// Package wasabibackend sends attempts to backend servers over HTTP and hands
+// back what they answer.
+//
+// A Runner never retries on its own where that could run a request twice, and
+// it reports an answer as completed only when it is whole. What it sends and
+// what it expects is written down in docs/BACKENDS.md.
+//
+// # Usage
+//
+//	runner := wasabibackend.New(wasabibackend.Options{})
+//	defer runner.Close()
+//	ended := runner.Run(ctx, attempt, sink)
+//	if ended.Result == wasabiridge.AttemptNotRun {
+//		// Nothing ran; another backend server may be tried.
+//	}
+package wasabibackend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// Defaults of Options.
+const (
+	defaultDialTimeout   = 2 * wasabiridge.Second
+	defaultIdlePerServer = 256
+	defaultEventBytes    = 1 << 20
+	defaultAnswerBytes   = 16 << 20
+	idleTimeout          = 60 * time.Second
+	maxHeaderBytes       = 64 << 10
+)
+
+// Options are the limits of a Runner. Zero values mean the defaults.
+type Options struct {
+	// DialTimeout bounds how long a connection may take to open. Zero means
+	// two seconds.
+	DialTimeout wasabiridge.Millis
+	// IdlePerServer bounds the idle connections kept to one backend server.
+	// Zero means 256.
+	IdlePerServer int
+	// EventBytes bounds one event of a stream. Zero means 1 MiB.
+	EventBytes int
+	// AnswerBytes bounds an engine's answer that is not a stream, which is
+	// held in memory until it is whole. Zero means 16 MiB.
+	AnswerBytes int
+}
+
+// Runner implements wasabiridge.AttemptRunner over net/http. It keeps a pool
+// of idle connections for each backend server. It is safe for concurrent use.
+type Runner struct {
+	opts   Options
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+var _ wasabiridge.AttemptRunner = (*Runner)(nil)
+
+// New returns a runner.
+func New(o Options) *Runner {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.IdlePerServer == 0 {
+		o.IdlePerServer = defaultIdlePerServer
+	}
+	if o.EventBytes == 0 {
+		o.EventBytes = defaultEventBytes
+	}
+	if o.AnswerBytes == 0 {
+		o.AnswerBytes = defaultAnswerBytes
+	}
+	pooled := newTransport(o)
+	// The transport of the standard library sends a request a second time
+	// when a kept connection turns out to be closed and the request looks
+	// replayable, which an Idempotency-Key header is enough for. A backend
+	// server that had already read the first one would run a booking twice.
+	// The transport never does so on a connection that was not used before,
+	// so non-idempotent attempts get connections that are never reused.
+	fresh := newTransport(o)
+	fresh.DisableKeepAlives = true
+	return &Runner{opts: o, pooled: pooled, fresh: fresh}
+}
+
+func newTransport(o Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout.Duration()}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		TLSHandshakeTimeout:    o.DialTimeout.Duration(),
+		MaxIdleConnsPerHost:    o.IdlePerServer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// Close drops the idle connections. Attempts that run are not touched.
+func (r *Runner) Close() {
+	r.pooled.CloseIdleConnections()
+	r.fresh.CloseIdleConnections()
+}
+
+// Run carries out an attempt and returns after its end. After the context is
+// done or a method of the sink reported an error, the sink is not called any
+// more and the backend server's connection is closed.
+func (r *Runner) Run(ctx context.Context, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+	own, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x := &exchange{
+		ctx:     own,
+		cancel:  cancel,
+		opts:    r.opts,
+		attempt: a,
+		sink:    sink,
+		ended: wasabiridge.AttemptEnded{
+			Request:   a.Request,
+			Attempt:   a.ID,
+			Backend:   a.Backend.ID,
+			Delivered: a.ResumeFrom,
+		},
+	}
+	x.ended.Result = x.run(r.transport(a))
+	if x.ended.Result != wasabiridge.AttemptCompleted && (ctx.Err() != nil || x.sinkFailed) {
+		x.ended.Result = wasabiridge.AttemptCancelled
+	}
+	return x.ended
+}
+
+func (r *Runner) transport(a wasabiridge.Attempt) http.RoundTripper {
+	if a.NonIdempotent {
+		return r.fresh
+	}
+	return r.pooled
+}
--- /dev/null
+++ b/internal/wasabibackend/suite_test.go
@@ -0,0 +1,105 @@
+package wasabibackend_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/tidwall/gjson"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestBackend(t *testing.T) {
+	wasabitest.Run(t, "backend")
+}
+
+// sink keeps what it is handed. It is safe for concurrent use.
+type sink struct {
+	mu     sync.Mutex
+	sent   int
+	status int
+	header http.Header
+	ids    []int64
+	data   strings.Builder
+	chunks int
+	// onChunk runs at each chunk, without the lock.
+	onChunk func() error
+}
+
+func (s *sink) Sent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+}
+
+func (s *sink) Head(status int, h http.Header) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status, s.header = status, h
+	return nil
+}
+
+func (s *sink) Chunk(_ int, data []byte) error {
+	s.mu.Lock()
+	s.chunks++
+	for _, id := range gjson.GetBytes(data, "choices.0.token_ids").Array() {
+		s.ids = append(s.ids, id.Int())
+	}
+	s.data.Write(data)
+	s.mu.Unlock()
+	if s.onChunk != nil {
+		return s.onChunk()
+	}
+	return nil
+}
+
+func (s *sink) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chunks
+}
+
+// newEngine starts an engine that ends with the spec.
+func newEngine(o wasabiengine.Options) *wasabiengine.Engine {
+	GinkgoHelper()
+	if o.Clock == nil {
+		o.Clock = wasabiclock.System()
+	}
+	if o.ID == "" {
+		o.ID = "answer-1"
+	}
+	e := wasabiengine.New(o)
+	Expect(e.Start("127.0.0.1:0")).To(Succeed())
+	DeferCleanup(e.Close)
+	return e
+}
+
+func newRunner(o wasabibackend.Options) *wasabibackend.Runner {
+	r := wasabibackend.New(o)
+	DeferCleanup(r.Close)
+	return r
+}
+
+// streamOf is an attempt of a streamed chat of ten tokens.
+func streamOf(b wasabiridge.BackendServer) wasabiridge.Attempt {
+	return wasabiridge.Attempt{
+		ID: 1, Request: "r1", Backend: b, Method: http.MethodPost, Path: "/v1/chat/completions",
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   []byte(`{"model":"m","stream":true,"max_tokens":10,"messages":[{"role":"user","content":"code E4?"}]}`),
+		Stream: true, CacheSalt: "salt",
+	}
+}
+
+func run(r *wasabibackend.Runner, a wasabiridge.Attempt) (wasabiridge.AttemptEnded, *sink) {
+	s := &sink{}
+	return r.Run(context.Background(), a, s), s
+}
--- /dev/null
+++ b/internal/wasabiengine/protocol.go
@@ -0,0 +1,137 @@
+package wasabiengine
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// defaultMaxTokens is the length of an answer when the request sets none.
+const defaultMaxTokens = 16
+
+// message is one message of a chat.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// completionRequest is the body of both completion calls.
+type completionRequest struct {
+	Model               string    `json:"model"`
+	Messages            []message `json:"messages"`
+	Prompt              string    `json:"prompt"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	Stream              bool      `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	ReturnTokenIDs bool   `json:"return_token_ids"`
+	Priority       int    `json:"priority"`
+	CacheSalt      string `json:"cache_salt"`
+	// ResumeFrom counts output tokens that are left out of the answer.
+	ResumeFrom int `json:"resume_from"`
+}
+
+// text returns the prompt as one text.
+func (r completionRequest) text() string {
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	var b strings.Builder
+	for _, m := range r.Messages {
+		var s string
+		if err := json.Unmarshal(m.Content, &s); err != nil {
+			s = string(m.Content)
+		}
+		b.WriteString(s)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// outputTokens returns the length of the answer.
+func (r completionRequest) outputTokens() int {
+	if r.MaxCompletionTokens > 0 {
+		return r.MaxCompletionTokens
+	}
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
+	}
+	return defaultMaxTokens
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// choice is the one choice of an answer, whole or in part.
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        *delta  `json:"delta,omitempty"`
+	Message      *delta  `json:"message,omitempty"`
+	Text         *string `json:"text,omitempty"`
+	TokenIDs     []int   `json:"token_ids,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type usage struct {
+	PromptTokens        int           `json:"prompt_tokens"`
+	CompletionTokens    int           `json:"completion_tokens"`
+	TotalTokens         int           `json:"total_tokens"`
+	PromptTokensDetails promptDetails `json:"prompt_tokens_details"`
+}
+
+// completion is a whole answer or one event of a stream.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+var vocabulary = [...]string{
+	" check", " the", " seat", " rail", " sensor", " then", " reset", " code",
+	" and", " test", " footrest", " swivel", " lock", " before", " next", " run",
+}
+
+// token is one made-up output token. Its id is different at each position, so
+// that a token that comes twice or is missing always shows.
+type token struct {
+	id   int
+	text string
+}
+
+// answer makes up the tokens of answers to one prompt.
+type answer struct{ seed uint64 }
+
+func newAnswer(prompt string, w wasabiridge.WeightsVersion) answer {
+	return answer{seed: xxhash.Sum64String(prompt) + uint64(w)*0x9e3779b97f4a7c15}
+}
+
+func (a answer) token(i int) token {
+	x := a.seed + uint64(i)*0xbf58476d1ce4e5b9
+	x ^= x >> 31
+	x *= 0x94d049bb133111eb
+	word := int((x >> 33) % uint64(len(vocabulary)))
+	return token{id: i*len(vocabulary) + word, text: vocabulary[word]}
+}
