--- a/internal/wasabibackend/suite_test.go
+++ b/internal/wasabibackend/suite_test.go
@@ -62,12 +62,6 @@
 	return nil
 }
 
-func (s *sink) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.chunks
-}
-
 // newEngine starts an engine that ends with the spec.
 func newEngine(o wasabiengine.Options) *wasabiengine.Engine {
 	GinkgoHelper()
