Placement says how much of the prompt any engine is believed to hold

Cause: wasted recomputation is what an answer computed although a live engine still held it; the router can only count it when the decision says what was held.

--- a/decision.go
+++ b/decision.go
@@ -110,6 +110,9 @@
 	Incarnation Incarnation
 	// ClaimedTokens counts prompt tokens expected to be cached.
 	ClaimedTokens int
+	// HeldTokens counts prompt tokens that some engine of the pool is
+	// believed to hold. What the answer reuses less than this was wasted.
+	HeldTokens int
 	// ResumeFrom counts output tokens that the caller already has.
 	ResumeFrom int
 	// Hedge marks a second attempt beside one that still runs.
@@ -172,6 +175,9 @@
 	Incarnation Incarnation
 	// ClaimedTokens counts prompt tokens expected to be cached.
 	ClaimedTokens int
+	// HeldTokens counts prompt tokens that some server of the pool is
+	// believed to hold, whether it was chosen or not.
+	HeldTokens int
 	// ExpectedWait estimates the time to the first token.
 	ExpectedWait Millis
 	// Why names what decided, for the time line, such as "holder" or "home".
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -106,6 +106,7 @@
 		Weights:       c.wantedWeights(en),
 		Incarnation:   p.Incarnation,
 		ClaimedTokens: p.ClaimedTokens,
+		HeldTokens:    p.HeldTokens,
 		ResumeFrom:    en.delivered,
 		Hedge:         why == placeHedge,
 	})
