Measure decisions: modelled engines, baselines, checked promises

Cause: nothing could tell a better decision from a worse one. Added: internal/wasabifake (engine model in virtual time), internal/wasabibaseline (round robin, least loaded, two rendezvous, oracle), internal/wasabimeasure (the run, its faults and its checked promises) and wasabistandin measure.

--- a/cmd/wasabistandin/main.go
+++ b/cmd/wasabistandin/main.go
@@ -1,4 +1,18 @@
-// Command wasabistandin is part of wasabiridge.
+// Command wasabistandin holds stand-ins for tests and measurements.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "wasabistandin", Short: "Stand-ins for tests and measurements"}
+	root.AddCommand(newMeasureCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
