--- a/claim.go
+++ b/claim.go
@@ -32,7 +32,8 @@
 	ClaimUnknown
 	// ClaimMismatch says that the key was used for another request.
 	ClaimMismatch
-	// ClaimUnavailable says that no claim could be decided. Nothing ran.
+	// ClaimUnavailable says that no claim was granted and that nothing ever
+	// ran under the key.
 	ClaimUnavailable
 )
 
@@ -48,6 +49,10 @@
 	State ClaimState
 	// Answer is set when State is ClaimAnswered.
 	Answer Answer
+	// NotSent goes with ClaimUnknown. It says that the request of the query
+	// itself was not sent anywhere and will not be; an earlier request with
+	// the key may have run. Asking again with the same key is safe.
+	NotSent bool
 }
 
 // ClaimResult tells how a claimed request ended.
