--- a/internal/wasabiclaim/rowbook.go
+++ b/internal/wasabiclaim/rowbook.go
@@ -47,6 +47,8 @@
 	due  wasabiridge.Millis
 	// busy is true while the row is queued, written or read.
 	busy bool
+	// readNumber is the number of the read under way, or zero.
+	readNumber uint64
 	// dirty is true while a write with a lost answer may still take effect.
 	dirty bool
 	// gaveUp says that the owner left before the claim was decided.
@@ -70,14 +72,26 @@
 	flyingID wasabiridge.WriteID
 	lastSent wasabiridge.Millis
 	writes   uint64
+	reads    uint64
 	kept     *answerRing
 	// unsettled lists entries in stageEnding and stageReleasing.
 	unsettled *list.List
 	dropped   uint64
-	horizon   horizon
-	effects   []rowEffect
+	// stalls counts calls to the table that failed since the last that
+	// worked, and probeAt is when the next may be tried for old work.
+	stalls  int
+	probeAt wasabiridge.Millis
+	horizon horizon
+	effects []rowEffect
 }
 
+const (
+	// retryReads is how many old rows are asked about in one tick.
+	retryReads = 4
+	// maxBackoff bounds the doubling of the pause between probes.
+	maxBackoff = 5
+)
+
 func newRowBook(self wasabiridge.InstanceID, life wasabiridge.Incarnation, limits Limits) *rowBook {
 	b := &rowBook{
 		limits:    limits,
@@ -219,11 +233,22 @@
 }
 
 // retry asks the table again about ends and releases that it did not take.
+// While the table is down it asks about one row at a time, more and more
+// seldom, so that many instances do not storm the table when it comes back.
 func (b *rowBook) retry(now wasabiridge.Millis) {
-	for el := b.unsettled.Front(); el != nil; el = el.Next() {
+	room := retryReads
+	if b.stalls > 0 {
+		room = 1
+		if now < b.probeAt {
+			return
+		}
+		b.probeAt = now + b.limits.RetryInterval<<min(b.stalls, maxBackoff)
+	}
+	for el := b.unsettled.Front(); el != nil && room > 0; el = el.Next() {
 		e := el.Value.(*rowEntry)
 		if !e.busy && now >= e.retryAt {
 			b.startRead(e)
+			room--
 		}
 	}
 }
@@ -232,8 +257,9 @@
 	if e.busy {
 		return
 	}
-	e.busy = true
-	b.effects = append(b.effects, readRow{Key: e.key})
+	b.reads++
+	e.busy, e.readNumber = true, b.reads
+	b.effects = append(b.effects, readRow{Key: e.key, Number: b.reads})
 }
 
 func (b *rowBook) reply(a asker, out wasabiridge.ClaimOutcome) {
@@ -256,31 +282,13 @@
 	switch {
 	case r.State == recordAnswered:
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimAnswered, Answer: r.answer()}
-	case r.State == recordRunning && now-r.Written <= b.limits.RunLimit && !b.isLost(r):
+	case r.State == recordRunning && now-r.Written <= b.limits.RunLimit:
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimRunning}
 	default:
 		return unknownNotSent()
 	}
 }
 
-// isLost reports whether a running record belongs to this instance although
-// nothing here holds it: to a former life, or to a dropped entry.
-func (b *rowBook) isLost(r record) bool {
-	if r.Holder != b.self {
-		return false
-	}
-	return r.Incarnation != b.life || !b.holds(r)
-}
-
-func (b *rowBook) holds(r record) bool {
-	for _, e := range b.entries {
-		if e.stage == stageHeld && e.owner.query.Request == r.Request {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *rowBook) isOwn(e *rowEntry, r record) bool {
 	return r.Holder == b.self && r.Incarnation == b.life && r.Request == e.owner.query.Request
 }
--- a/internal/wasabiclaim/rowevents.go
+++ b/internal/wasabiclaim/rowevents.go
@@ -25,9 +25,10 @@
 
 // rowRead answers a readRow.
 type rowRead struct {
-	Key string
-	Row wasabiridge.Row
-	Err error
+	Key    string
+	Number uint64
+	Row    wasabiridge.Row
+	Err    error
 }
 
 // rowTicked says that time has passed.
@@ -47,7 +48,10 @@
 type commitBatch struct{ Transaction wasabiridge.Transaction }
 
 // readRow asks to read a row.
-type readRow struct{ Key string }
+type readRow struct {
+	Key    string
+	Number uint64
+}
 
 // replyClaim answers a caller of Claim.
 type replyClaim struct {
--- a/internal/wasabiclaim/rowtable.go
+++ b/internal/wasabiclaim/rowtable.go
@@ -22,6 +22,10 @@
 	n := min(len(b.queue), b.limits.BatchRows)
 	tx := wasabiridge.Transaction{ID: b.nextWriteID()}
 	for _, e := range b.queue[:n] {
+		if b.entries[e.key] != e {
+			// The entry was dropped while it was queued.
+			continue
+		}
 		if e.stage == stageClaiming && e.gaveUp {
 			b.gaveUpBeforeWrite(e, now)
 			continue
@@ -94,6 +98,9 @@
 	b.flying, b.flyingID = nil, ""
 	for _, e := range flying {
 		e.busy = false
+		if b.entries[e.key] != e {
+			continue
+		}
 		switch {
 		case c.Err == nil:
 			b.written(e, now)
@@ -112,7 +119,7 @@
 // written goes on after a write that took effect. It raised the revision, so
 // earlier writes of the entry that are still on their way cannot take effect.
 func (b *rowBook) written(e *rowEntry, now wasabiridge.Millis) {
-	e.dirty = false
+	e.dirty, b.stalls = false, 0
 	switch e.stage {
 	case stageClaiming:
 		b.granted(e, now)
@@ -158,6 +165,7 @@
 // once. Whether an earlier request with the key ran cannot be told, so the
 // refusal does not say "not run".
 func (b *rowBook) stalled(e *rowEntry, now wasabiridge.Millis) {
+	b.stalls++
 	b.refuseAll(e)
 	if e.stage != stageClaiming {
 		e.retryAt = now + b.limits.RetryInterval
@@ -176,14 +184,15 @@
 
 func (b *rowBook) read(now wasabiridge.Millis, rr rowRead) {
 	e := b.entries[rr.Key]
-	if e == nil || !e.busy {
+	if e == nil || e.readNumber != rr.Number {
 		return
 	}
-	e.busy = false
+	e.busy, e.readNumber = false, 0
 	if rr.Err != nil {
 		b.stalled(e, now)
 		return
 	}
+	b.stalls = 0
 	var r record
 	if rr.Row.Revision == 0 {
 		r.State = recordFree
@@ -227,6 +236,11 @@
 
 // taken goes on when the row belongs to another request.
 func (b *rowBook) taken(e *rowEntry, now wasabiridge.Millis, r record) {
+	if r.State == recordRunning && r.Holder == b.self {
+		// The row names this instance, yet nothing here holds it: it was
+		// claimed in a former life, or its release was dropped.
+		r.State = recordUnknown
+	}
 	if !e.gaveUp {
 		b.reply(e.owner, b.judge(now, r, e.owner.query))
 	}
