--- a/internal/wasabiplatform/platform_test.go
+++ b/internal/wasabiplatform/platform_test.go
@@ -75,7 +75,7 @@
 		Expect(put(ctx, url+"/standin/faults/table", `{"unavailable":1}`)).To(Equal(http.StatusOK))
 		_, err := platform.Table.Get(ctx, "a/b")
 		Expect(errorx.IsOfType(err, wasabiridge.ErrUnavailable)).To(BeTrue(), "%v", err)
-		Expect(put(ctx, url+"/standin/faults/table", `{"unavailble":1}`)).To(Equal(http.StatusBadRequest))
+		Expect(put(ctx, url+"/standin/faults/table", `{"unavailable_share":1}`)).To(Equal(http.StatusBadRequest))
 		Expect(put(ctx, url+"/standin/faults/tabel", `{}`)).To(Equal(http.StatusNotFound))
 	})
 
