--- /dev/null
+++ b/internal/wasabiplace/load.go
@@ -0,0 +1,129 @@
+package wasabiplace
+
+import "github.com/wasabiridge/wasabiridge"
+
+const (
+	// sendsKept is how many sends a server's load remembers, to add those
+	// that a late report does not show yet.
+	sendsKept = 32
+	// costFall and costRise move the learned cost of a token. Samples hold
+	// hidden waiting, which only makes them longer, so the cost follows short
+	// samples fast and long ones slowly.
+	costFall = 0.2
+	costRise = 0.01
+	// holdRate moves the learned time for which an answer holds a slot.
+	holdRate = 0.05
+	// firstHold is the time for which an answer holds a slot before any is
+	// learned, in milliseconds.
+	firstHold = 2000
+)
+
+type send struct {
+	at wasabiridge.Millis
+	// tokens is how many prompt tokens were expected to be computed.
+	tokens float64
+}
+
+// load is what is known of the work inside one server.
+type load struct {
+	taken    wasabiridge.Millis
+	reported bool
+	running  int
+	// idleAt is when the prompts known of will be computed, in milliseconds.
+	idleAt float64
+	sends  [sendsKept]send
+	sent   int
+	// open counts the attempts of this instance that did not end yet.
+	open int
+	// cost is the time to compute one token in milliseconds. Zero means that
+	// none was learned.
+	cost float64
+	// hold is the time for which an answer holds a slot.
+	hold float64
+	// refusedUntil is when a server that had no room asked to be tried again.
+	refusedUntil wasabiridge.Millis
+	leaving      bool
+	// drained says that the news of the leaving came from elsewhere than the
+	// server's own reports.
+	drained bool
+	lost    bool
+	lostAt  wasabiridge.Millis
+}
+
+// report takes a load report. Reports lag, so what was sent after the report
+// was taken is added again.
+func (l *load) report(r wasabiridge.LoadReport, cost, usualTokens float64) {
+	if l.reported && r.Taken < l.taken {
+		return
+	}
+	l.taken, l.reported = r.Taken, true
+	l.running = r.Running + r.Waiting
+	tokens := float64(r.WaitingTokens)
+	if tokens == 0 {
+		tokens = float64(r.Waiting) * usualTokens
+	}
+	l.idleAt = float64(r.Taken) + tokens*cost
+	kept := min(l.sent, sendsKept)
+	for i := l.sent - kept; i < l.sent; i++ {
+		s := l.sends[i%sendsKept]
+		if s.at > r.Taken {
+			l.add(s.at, s.tokens*cost)
+			l.running++
+		}
+	}
+}
+
+func (l *load) add(at wasabiridge.Millis, work float64) {
+	l.idleAt = max(l.idleAt, float64(at)) + work
+}
+
+// sentTokens counts an attempt of this instance.
+func (l *load) sentTokens(now wasabiridge.Millis, tokens, cost float64) {
+	l.sends[l.sent%sendsKept] = send{at: now, tokens: tokens}
+	l.sent++
+	l.running++
+	l.open++
+	l.add(now, tokens*cost)
+}
+
+// ended counts the end of an attempt of this instance.
+func (l *load) ended() {
+	l.open = max(0, l.open-1)
+	l.running = max(l.open, l.running-1)
+}
+
+// wait estimates the time until a new prompt is begun.
+func (l *load) wait(now wasabiridge.Millis, slots int) float64 {
+	wait := max(0, l.idleAt-float64(now), float64(l.refusedUntil-now))
+	if slots > 0 && l.running >= slots {
+		wait = max(wait, float64(l.running-slots+1)*l.held()/float64(slots))
+	}
+	return wait
+}
+
+func (l *load) held() float64 {
+	if l.hold == 0 {
+		return firstHold
+	}
+	return l.hold
+}
+
+// learnCost takes the time that a prompt took for each computed token.
+func learnCost(cost *float64, sample float64) {
+	switch {
+	case *cost == 0:
+		*cost = sample
+	case sample < *cost:
+		*cost += costFall * (sample - *cost)
+	default:
+		*cost += costRise * (sample - *cost)
+	}
+}
+
+func (l *load) learnHold(sample float64) {
+	if l.hold == 0 {
+		l.hold = sample
+		return
+	}
+	l.hold += holdRate * (sample - l.hold)
+}
--- /dev/null
+++ b/internal/wasabiplace/place.go
@@ -0,0 +1,275 @@
+package wasabiplace
+
+import (
+	"math/rand/v2"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicache"
+)
+
+// randomCandidates is how many servers of a large pool are weighed at random.
+const randomCandidates = 2
+
+// Reasons of a placement, as the time line shows them.
+const (
+	WhyHolder = "holder"
+	WhyHome   = "home"
+	WhyLoad   = "load"
+)
+
+// candidate is a server that is being weighed.
+type candidate struct {
+	member int32
+	// tokens is the expected number of cached tokens, firm the number of
+	// blocks that are rather cached than not.
+	tokens float64
+	firm   int
+	mark   int
+	score  float64
+	wait   float64
+}
+
+// Placer implements wasabiridge.Placer. See the package comment.
+type Placer struct {
+	opts       Options
+	random     *rand.Rand
+	picture    *wasabicache.Picture
+	tables     map[wasabiridge.PoolID]*table
+	loads      []load
+	attempts   map[wasabiridge.AttemptID]attempt
+	cost       float64
+	usual      float64
+	homeBlocks [maxMarks]float64
+	round      uint64
+	// held is the most blocks of the chain that any server holds.
+	held       int
+	candidates []candidate
+	markBuffer []mark
+}
+
+var _ wasabiridge.Placer = (*Placer)(nil)
+
+// New returns a Placer that knows nothing yet.
+func New(o Options) *Placer {
+	o = o.withDefaults()
+	p := &Placer{
+		opts:     o,
+		random:   rand.New(rand.NewPCG(o.Seed, 0)),
+		picture:  wasabicache.New(o.Cache),
+		tables:   make(map[wasabiridge.PoolID]*table),
+		attempts: make(map[wasabiridge.AttemptID]attempt),
+	}
+	for i := range p.homeBlocks {
+		p.homeBlocks[i] = firstHomeTrust
+	}
+	return p
+}
+
+// server returns the number of a server and makes room for its load.
+func (p *Placer) server(id wasabiridge.BackendServerID) wasabicache.ServerIndex {
+	s := p.picture.Server(id)
+	for len(p.loads) <= int(s) {
+		p.loads = append(p.loads, load{})
+	}
+	return s
+}
+
+// Place chooses a server of the pool. It reports false when none is eligible.
+func (p *Placer) Place(now wasabiridge.Millis, q wasabiridge.PlaceQuery) (wasabiridge.Placement, bool) {
+	t := p.table(q.Pool)
+	p.round++
+	p.candidates = p.candidates[:0]
+	p.gather(now, t, q)
+	best := p.choose(now, t, q)
+	if best < 0 {
+		return wasabiridge.Placement{}, false
+	}
+	return p.placement(now, t, q.Request, p.candidates[best]), true
+}
+
+// gather collects the candidates of a decision.
+func (p *Placer) gather(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) {
+	chain := q.Request.Chain
+	p.held = 0
+	for _, hit := range p.picture.Hits(now, chain) {
+		if i := t.position(hit.Server); i >= 0 {
+			p.held = max(p.held, hit.Firm)
+			if c := p.consider(now, t, q, i); c != nil {
+				c.tokens, c.firm = hit.Tokens, hit.Firm
+			}
+		}
+	}
+	for _, m := range p.marks(now, t, chain) {
+		p.considerHomes(now, t, q, m)
+	}
+	if len(t.members) <= p.opts.SmallPool {
+		p.considerAll(now, t, q)
+		return
+	}
+	for range randomCandidates {
+		p.consider(now, t, q, int32(p.random.IntN(len(t.members))))
+	}
+	if len(p.candidates) == 0 {
+		p.considerAll(now, t, q)
+	}
+}
+
+func (p *Placer) considerAll(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) {
+	for i := range t.members {
+		p.consider(now, t, q, int32(i))
+	}
+}
+
+// considerHomes adds the homes of a marked level. Homes that are not eligible
+// are passed over, so their successors stand in for them.
+func (p *Placer) considerHomes(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery, m mark) {
+	left := m.homes
+	for _, i := range t.homesOf(q.Request.Chain.Blocks[m.depth-1]) {
+		if i < 0 || left == 0 {
+			return
+		}
+		c := p.consider(now, t, q, i)
+		if c == nil {
+			continue
+		}
+		left--
+		// A whole event stream that does not name the server as a holder
+		// says that it holds nothing; the home then counts for little.
+		unseen := 1 - p.picture.Trust(now, t.members[i].server)
+		tokens := max(unseen, homePull) * p.homeTrust(m) * float64(q.Request.Chain.BlockTokens)
+		if tokens > c.tokens {
+			c.tokens, c.mark = tokens, m.index
+		}
+	}
+}
+
+// homePull is the least share of the trust in homes. It makes instances that
+// know of no holder choose the same server.
+const homePull = 0.1
+
+// consider makes a member a candidate unless it is one. It returns nil when
+// the member is not eligible.
+func (p *Placer) consider(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery, i int32) *candidate {
+	m := &t.members[i]
+	if m.round == p.round {
+		return &p.candidates[m.candidate]
+	}
+	if !p.eligible(now, m, q) {
+		return nil
+	}
+	m.round, m.candidate = p.round, int32(len(p.candidates))
+	p.candidates = append(p.candidates, candidate{member: i, mark: -1})
+	return &p.candidates[m.candidate]
+}
+
+func (p *Placer) eligible(now wasabiridge.Millis, m *member, q wasabiridge.PlaceQuery) bool {
+	l := &p.loads[m.server]
+	if l.leaving || l.isLost(now, p.opts.LostRetry) {
+		return false
+	}
+	// An engine that still serves older weights than the rule asks for would
+	// answer with them.
+	if w := p.picture.Weights(m.server); w != 0 && w < q.Request.Action.Weights {
+		return false
+	}
+	for _, id := range q.Excluded {
+		if id == m.backend.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// choose scores all candidates and returns the number of the best, or -1.
+func (p *Placer) choose(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) int {
+	best := -1
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		p.score(now, t, q.Request, c)
+		if best < 0 || c.score < p.candidates[best].score {
+			best = i
+		}
+	}
+	if best < 0 {
+		return best
+	}
+	limit := p.candidates[best].score + float64(p.opts.Near)
+	near := 0
+	for i := range p.candidates {
+		if p.candidates[i].score > limit {
+			continue
+		}
+		near++
+		if p.random.IntN(near) == 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *Placer) score(now wasabiridge.Millis, t *table, r wasabiridge.Request, c *candidate) {
+	m := &t.members[c.member]
+	l := &p.loads[m.server]
+	computed := max(0, float64(r.Chain.Tokens)-c.tokens)
+	work := computed * p.costOf(l)
+	c.wait = float64(m.distance) + l.wait(now, m.backend.Slots) + work
+	c.score = c.wait + p.priceOf(r, computed, work)
+}
+
+// priceOf is what computing the tokens costs beyond its time.
+func (p *Placer) priceOf(r wasabiridge.Request, computed, work float64) float64 {
+	share := p.opts.FirstTokenPrice
+	if r.Action.Objective == wasabiridge.ObjectiveRecompute {
+		share = p.opts.RecomputePrice
+	}
+	extra := share * work
+	if w := r.Action.RecomputeWeight; w > 0 && r.Chain.BlockTokens > 0 {
+		extra += w * computed / float64(r.Chain.BlockTokens)
+	}
+	return extra
+}
+
+// costOf is the time to compute one token, in milliseconds.
+func (p *Placer) costOf(l *load) float64 {
+	switch {
+	case l.cost > 0:
+		return l.cost
+	case p.cost > 0:
+		return p.cost
+	default:
+		return DefaultTokenMicros / 1000.0
+	}
+}
+
+func (p *Placer) placement(now wasabiridge.Millis, t *table, r wasabiridge.Request, c candidate) wasabiridge.Placement {
+	m := &t.members[c.member]
+	out := wasabiridge.Placement{
+		Backend:       m.backend,
+		Incarnation:   p.picture.Incarnation(m.server),
+		ClaimedTokens: c.firm * r.Chain.BlockTokens,
+		HeldTokens:    p.held * r.Chain.BlockTokens,
+		ExpectedWait:  wasabiridge.Millis(c.wait + 0.5),
+		Why:           WhyLoad,
+	}
+	switch {
+	case c.firm > 0:
+		out.Why = WhyHolder
+	case c.mark >= 0:
+		out.Why = WhyHome
+	}
+	out.Join = p.join(now, m.server, r.Chain)
+	return out
+}
+
+// join returns the time until which a request is held back because its prefix
+// is being computed, or zero.
+func (p *Placer) join(now wasabiridge.Millis, s wasabicache.ServerIndex, c wasabiridge.Chain) wasabiridge.Millis {
+	if p.opts.JoinLimit <= 0 || len(c.Blocks) == 0 {
+		return 0
+	}
+	ready := p.computing(s, c)
+	if ready <= now {
+		return 0
+	}
+	return min(ready, now+p.opts.JoinLimit)
+}
