--- a/internal/wasabibackend/suite_test.go
+++ b/internal/wasabibackend/suite_test.go
@@ -15,7 +15,6 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
-	"github.com/wasabiridge/wasabiridge/internal/wasabiservice"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
 
@@ -69,8 +68,8 @@
 	if o.Clock == nil {
 		o.Clock = wasabiclock.System()
 	}
-	if o.Spec.ID == "" {
-		o.Spec.ID = "answer-1"
+	if o.ID == "" {
+		o.ID = "answer-1"
 	}
 	e := wasabiengine.New(o)
 	Expect(e.Start("127.0.0.1:0")).To(Succeed())
@@ -78,14 +77,6 @@
 	return e
 }
 
-func newService() *wasabiservice.Service {
-	GinkgoHelper()
-	s := wasabiservice.New("bookings")
-	Expect(s.Start("127.0.0.1:0")).To(Succeed())
-	DeferCleanup(s.Close)
-	return s
-}
-
 func newRunner(o wasabibackend.Options) *wasabibackend.Runner {
 	r := wasabibackend.New(o)
 	DeferCleanup(r.Close)
@@ -102,16 +93,6 @@
 	}
 }
 
-// bookingOf is an attempt of a booking with an idempotency key.
-func bookingOf(b wasabiridge.BackendServer, key string) wasabiridge.Attempt {
-	return wasabiridge.Attempt{
-		ID: 2, Request: "r2", Backend: b, Method: http.MethodPost, Path: "/bookings",
-		Header:        http.Header{"Idempotency-Key": {key}},
-		Body:          []byte(`{"house":"12 Frederick St"}`),
-		NonIdempotent: true,
-	}
-}
-
 func run(r *wasabibackend.Runner, a wasabiridge.Attempt) (wasabiridge.AttemptEnded, *sink) {
 	s := &sink{}
 	return r.Run(context.Background(), a, s), s
