--- a/internal/wasabiclaim/cluster_test.go
+++ b/internal/wasabiclaim/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 
@@ -13,50 +14,75 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabitable"
 )
 
-// network joins keepers by plain calls. A cut instance takes no calls, and a
-// lost answer is one whose call took effect.
+// callFate is what happens to one call between instances.
+type callFate struct {
+	delay      time.Duration
+	lostCall   bool
+	lostAnswer bool
+	// lateCopy delivers the call again, after that time.
+	lateCopy time.Duration
+}
+
+// network joins keepers by plain calls. An instance that crashed takes none.
 type network struct {
 	wasabiridge.PeerClient
-	mu          sync.Mutex
-	keepers     map[string]*wasabiclaim.Keeper
-	loseAnswers int
-	loseCalls   int
+	mu      sync.Mutex
+	keepers map[string]*wasabiclaim.Keeper
+	// fate decides on each call. It is called with mu held.
+	fate func() callFate
 }
 
-func (n *network) reach(address string) (keeper *wasabiclaim.Keeper, lost bool, err error) {
+func (n *network) keeper(address string) *wasabiclaim.Keeper {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	k := n.keepers[address]
-	if k == nil || n.loseCalls > 0 {
-		n.loseCalls = max(0, n.loseCalls-1)
-		return nil, false, wasabiridge.ErrUnavailable.New("cut")
-	}
-	lost = n.loseAnswers > 0
-	n.loseAnswers = max(0, n.loseAnswers-1)
-	return k, lost, nil
+	return n.keepers[address]
 }
 
-func (n *network) Claim(ctx context.Context, address string, q wasabiridge.ClaimQuery) (wasabiridge.ClaimOutcome, error) {
-	k, lost, err := n.reach(address)
-	if err != nil {
-		return wasabiridge.ClaimOutcome{}, err
+func (n *network) call(address string, deliver func(*wasabiclaim.Keeper) error) error {
+	var f callFate
+	n.mu.Lock()
+	if n.fate != nil {
+		f = n.fate()
 	}
-	out, err := k.HandleClaim(ctx, q)
-	if lost {
-		return wasabiridge.ClaimOutcome{}, wasabiridge.ErrOutcomeUnknown.New("answer lost")
+	n.mu.Unlock()
+	time.Sleep(f.delay)
+	k := n.keeper(address)
+	if k == nil || f.lostCall {
+		return wasabiridge.ErrUnavailable.New("cut")
 	}
-	return out, err
-}
-
-func (n *network) FinishClaim(ctx context.Context, address string, r wasabiridge.ClaimResult) error {
-	k, lost, err := n.reach(address)
-	if err != nil {
+	if f.lateCopy > 0 {
+		time.AfterFunc(f.lateCopy, func() {
+			if k := n.keeper(address); k != nil {
+				_ = deliver(k)
+			}
+		})
+	}
+	if err := deliver(k); err != nil {
 		return err
 	}
-	if err = k.HandleFinishClaim(ctx, r); lost {
+	if f.lostAnswer {
 		return wasabiridge.ErrOutcomeUnknown.New("answer lost")
 	}
-	return err
+	return nil
+}
+
+func (n *network) Claim(ctx context.Context, address string, q wasabiridge.ClaimQuery) (wasabiridge.ClaimOutcome, error) {
+	var mu sync.Mutex
+	var out wasabiridge.ClaimOutcome
+	err := n.call(address, func(k *wasabiclaim.Keeper) error {
+		mu.Lock()
+		defer mu.Unlock()
+		var err error
+		out, err = k.HandleClaim(ctx, q)
+		return err
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	return out, err
+}
+
+func (n *network) FinishClaim(ctx context.Context, address string, r wasabiridge.ClaimResult) error {
+	return n.call(address, func(k *wasabiclaim.Keeper) error { return k.HandleFinishClaim(ctx, r) })
 }
 
 // cluster is a few instances before one table.
--- a/internal/wasabiclaim/keeper.go
+++ b/internal/wasabiclaim/keeper.go
@@ -153,18 +153,24 @@
 	return k.gate.pass(request)
 }
 
+// SendNotRun says that the last send of the request did not run, by the word
+// of its backend server.
+func (k *Keeper) SendNotRun(request wasabiridge.RequestID) {
+	k.gate.takeBack(request)
+}
+
 // Finish records the end of a granted request. It returns before the end is
 // written to the table; Drain waits for that.
 func (k *Keeper) Finish(ctx context.Context, r wasabiridge.ClaimResult) error {
 	r.Query.Holder, r.Query.Incarnation = k.options.Self, k.options.Incarnation
-	// The gate closes before the claim is released. A send that comes later
-	// than this line is refused; one that came earlier has made the
-	// disposition of its request at least "maybe run".
-	asked, ok := k.gate.close(r.Query.Request)
-	if !ok {
+	held := k.gate.close(r.Query.Request)
+	if held == nil {
 		return wasabiridge.ErrConflict.New("claim: request %s holds no claim", r.Query.Request)
 	}
-	r.Query.Request = asked
+	r.Query.Request = held.asked
+	if held.sends > 0 {
+		r.Disposition = r.Disposition.Advance(wasabiridge.MaybeRun)
+	}
 	if isTicket(r.Query.Key) {
 		return k.finishTicket(ctx, r)
 	}
--- a/internal/wasabiclaim/keeper_test.go
+++ b/internal/wasabiclaim/keeper_test.go
@@ -120,10 +120,18 @@
 		b.ask(b.a, wasabiridge.ClaimGranted)
 		Expect(b.a.BeginSend(b.last.Request)).To(Succeed())
 		b.finish(b.a, wasabiridge.NotRun)
+		b.ask(b.b, wasabiridge.ClaimUnknown)
 		Expect(errorx.IsOfType(b.a.BeginSend(b.last.Request), wasabiridge.ErrConflict)).To(BeTrue())
 		again := wasabiridge.ClaimResult{Query: b.last, Disposition: wasabiridge.NotRun}
 		Expect(errorx.IsOfType(b.a.Finish(context.Background(), again), wasabiridge.ErrConflict)).To(BeTrue())
 	},
+	"a backend server that says it did not run": func(b *booking) {
+		b.ask(b.a, wasabiridge.ClaimGranted)
+		Expect(b.a.BeginSend(b.last.Request)).To(Succeed())
+		b.a.SendNotRun(b.last.Request)
+		b.finish(b.a, wasabiridge.NotRun)
+		b.eventually(b.b, wasabiridge.ClaimGranted)
+	},
 	// A router is paused for an hour between its claim and its send. The
 	// caller repeats meanwhile. Nobody may take the claim over, because the
 	// paused router wakes up and sends.
