--- a/internal/wasabibackend/request.go
+++ b/internal/wasabibackend/request.go
@@ -92,7 +92,7 @@
 // routerFields are set by the router alone. A caller that could set them
 // would read another account's cache or overtake others.
 var routerFields = map[string]bool{
-	"cache_salt": true, "priority": true, "resume_from": true,
+	"block_hashes": true, "cache_salt": true, "priority": true, "resume_from": true,
 	"return_token_ids": true, "stream_options": true,
 }
 
@@ -131,6 +131,7 @@
 		out = strconv.AppendInt(out, int64(a.ResumeFrom), 10)
 		out = append(out, ',')
 	}
+	out = appendBlocks(out, a.Blocks)
 	// Engines of this API take lower values first, the router higher ones.
 	out = append(out, `"priority":`...)
 	out = strconv.AppendInt(out, -int64(a.Priority), 10)
@@ -138,3 +139,21 @@
 	b.data = out
 	return b, true
 }
+
+// appendBlocks appends the names of the prompt's cache blocks. They are texts,
+// because JSON numbers of 64 bits lose digits in many decoders.
+func appendBlocks(out []byte, blocks []wasabiridge.BlockHash) []byte {
+	if len(blocks) == 0 {
+		return out
+	}
+	out = append(out, `"block_hashes":[`...)
+	for i, b := range blocks {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = append(out, '"')
+		out = strconv.AppendUint(out, uint64(b), 16)
+		out = append(out, '"')
+	}
+	return append(out, `],`...)
+}
--- a/internal/wasabibackend/suite_test.go
+++ b/internal/wasabibackend/suite_test.go
@@ -15,6 +15,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiservice"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
 
@@ -68,8 +69,8 @@
 	if o.Clock == nil {
 		o.Clock = wasabiclock.System()
 	}
-	if o.ID == "" {
-		o.ID = "answer-1"
+	if o.Spec.ID == "" {
+		o.Spec.ID = "answer-1"
 	}
 	e := wasabiengine.New(o)
 	Expect(e.Start("127.0.0.1:0")).To(Succeed())
@@ -77,6 +78,14 @@
 	return e
 }
 
+func newService() *wasabiservice.Service {
+	GinkgoHelper()
+	s := wasabiservice.New("bookings")
+	Expect(s.Start("127.0.0.1:0")).To(Succeed())
+	DeferCleanup(s.Close)
+	return s
+}
+
 func newRunner(o wasabibackend.Options) *wasabibackend.Runner {
 	r := wasabibackend.New(o)
 	DeferCleanup(r.Close)
@@ -93,6 +102,16 @@
 	}
 }
 
+// bookingOf is an attempt of a booking with an idempotency key.
+func bookingOf(b wasabiridge.BackendServer, key string) wasabiridge.Attempt {
+	return wasabiridge.Attempt{
+		ID: 2, Request: "r2", Backend: b, Method: http.MethodPost, Path: "/bookings",
+		Header:        http.Header{"Idempotency-Key": {key}},
+		Body:          []byte(`{"house":"12 Frederick St"}`),
+		NonIdempotent: true,
+	}
+}
+
 func run(r *wasabibackend.Runner, a wasabiridge.Attempt) (wasabiridge.AttemptEnded, *sink) {
 	s := &sink{}
 	return r.Run(context.Background(), a, s), s
--- /dev/null
+++ b/internal/wasabibackend/trap_test.go
@@ -0,0 +1,301 @@
+package wasabibackend_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifake"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiserver"
+)
+
+// cutAfterRun makes the service run a booking and then close the connection
+// without a byte of answer, as a server does that dies at that moment.
+var cutAfterRun = wasabiserver.Fault{Point: wasabiserver.BeforeHeaders, Manner: wasabiserver.Abort}
+
+var _ = Describe("non-idempotent attempts", func() {
+	// Story: a dispatcher books a visit once and two vans drive. The router
+	// holds a kept connection to the booking service; the service executes
+	// the booking and dies before it answers. net/http takes the closed
+	// connection for a stale one and, because of the Idempotency-Key header,
+	// sends the booking again on a new connection.
+	It("net/http alone runs a booking twice", func() {
+		service := newService()
+		transport := &http.Transport{}
+		defer transport.CloseIdleConnections()
+		send := func(key string) error {
+			req, err := http.NewRequest(http.MethodPost, service.URL()+"/bookings", bytes.NewReader([]byte("{}")))
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Idempotency-Key", key)
+			resp, err := transport.RoundTrip(req)
+			if err != nil {
+				return err
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			return err
+		}
+		Expect(send("warm-up")).To(Succeed())
+		service.Inject(cutAfterRun)
+		Expect(send("visit")).To(Succeed())
+		Expect(service.Executions("visit")).To(Equal(2), "the trap that the runner must avoid")
+	})
+
+	DescribeTable("run once when the service dies after running them", func(change func(*wasabiridge.Attempt)) {
+		service := newService()
+		runner := newRunner(wasabibackend.Options{})
+		warm := bookingOf(service.Backend(), "warm-up")
+		warm.NonIdempotent = false
+		first, _ := run(runner, warm)
+		Expect(first.Result).To(Equal(wasabiridge.AttemptCompleted))
+
+		service.Inject(cutAfterRun)
+		visit := bookingOf(service.Backend(), "visit")
+		change(&visit)
+		ended, s := run(runner, visit)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken), "it may have run")
+		Expect(s.sent).To(Equal(1))
+		Expect(service.Total()).To(Equal(2), "warm-up and visit")
+	},
+		Entry("with a body", func(*wasabiridge.Attempt) {}),
+		Entry("without a body", func(a *wasabiridge.Attempt) { a.Body = nil }),
+		Entry("with the other key header", func(a *wasabiridge.Attempt) {
+			a.Header = http.Header{"X-Idempotency-Key": {"visit"}}
+		}),
+	)
+
+	It("believes a refusal that says not run", func() {
+		service := newService()
+		service.Refuse(1)
+		ended, s := run(newRunner(wasabibackend.Options{}), bookingOf(service.Backend(), "visit"))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
+		Expect(ended.Overloaded).To(BeTrue())
+		Expect(ended.RetryAfter).To(Equal(2 * wasabiridge.Second))
+		Expect(s.status).To(BeZero(), "nothing of a refused attempt reaches the caller")
+		Expect(service.Total()).To(BeZero())
+	})
+
+	// Story: a caller writes the header of a trusted refusal into its own
+	// request, and a service that echoes headers sends it back after running
+	// the booking. The header must not reach the service.
+	It("does not let a caller forge the refusal", func() {
+		var got http.Header
+		url := serve(func(w http.ResponseWriter, r *http.Request) { got = r.Header.Clone() })
+		b := wasabiridge.BackendServer{ID: "echo", Kind: wasabiridge.BackendService, URL: url}
+		a := bookingOf(b, "visit")
+		a.Header.Set(wasabiridge.HeaderDisposition, "not_run")
+		a.Header.Set("Authorization", "Bearer caller-key")
+		ended, _ := run(newRunner(wasabibackend.Options{}), a)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
+		Expect(got.Get(wasabiridge.HeaderDisposition)).To(BeEmpty())
+		Expect(got.Get("Authorization")).To(BeEmpty(), "the caller's key stays here")
+		Expect(got.Get("Idempotency-Key")).To(Equal("visit"))
+	})
+})
+
+// serve starts a server for one handler that ends with the spec.
+func serve(h http.HandlerFunc) string {
+	GinkgoHelper()
+	s := wasabiserver.New(h)
+	Expect(s.Start("127.0.0.1:0")).To(Succeed())
+	DeferCleanup(s.Crash)
+	return s.URL()
+}
+
+// Story: a technician reads an answer whose last sentences are missing and
+// does not know it. The engine died on the way, and what had arrived by then
+// was taken for the whole answer.
+var _ = Describe("an engine that dies on the way", func() {
+	type want struct {
+		fault     wasabiserver.Fault
+		delivered int
+		head      bool
+	}
+	cases := map[string]want{
+		"before headers":             {wasabiserver.Fault{Point: wasabiserver.BeforeHeaders}, 0, false},
+		"after headers":              {wasabiserver.Fault{Point: wasabiserver.AfterHeaders}, 0, true},
+		"mid-stream":                 {wasabiserver.Fault{Point: wasabiserver.AtToken, Token: 4}, 4, true},
+		"before the end marker":      {wasabiserver.Fault{Point: wasabiserver.BeforeEndMarker}, 10, true},
+		"cleanly after headers":      {wasabiserver.Fault{Point: wasabiserver.AfterHeaders, Manner: wasabiserver.CleanEnd}, 0, true},
+		"cleanly mid-stream":         {wasabiserver.Fault{Point: wasabiserver.AtToken, Token: 4, Manner: wasabiserver.CleanEnd}, 4, true},
+		"cleanly before the marker":  {wasabiserver.Fault{Point: wasabiserver.BeforeEndMarker, Manner: wasabiserver.CleanEnd}, 10, true},
+		"with broken chunking":       {wasabiserver.Fault{Point: wasabiserver.AtToken, Token: 4, Manner: wasabiserver.BrokenChunking}, 4, true},
+		"with an event without end":  {wasabiserver.Fault{Point: wasabiserver.AtToken, Token: 4, Manner: wasabiserver.OversizeLine}, 4, true},
+		"with broken chunking later": {wasabiserver.Fault{Point: wasabiserver.BeforeEndMarker, Manner: wasabiserver.BrokenChunking}, 10, true},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		w := cases[name]
+		It("leaves a broken attempt: "+name, func() {
+			e := newEngine(wasabiengine.Options{})
+			e.Inject(w.fault)
+			ended, s := run(newRunner(wasabibackend.Options{}), streamOf(e.Backend()))
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+			Expect(ended.Delivered).To(Equal(w.delivered))
+			Expect(s.ids).To(HaveLen(w.delivered))
+			Expect(s.status != 0).To(Equal(w.head))
+			Expect(s.sent).To(Equal(1))
+		})
+	}
+
+	It("leaves nothing at the caller when the answer is not a stream", func() {
+		url := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte(`{"choices":[{"text":"half`))
+		})
+		a := streamOf(wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url})
+		a.Stream = false
+		ended, s := run(newRunner(wasabibackend.Options{}), a)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+		Expect(s.status).To(BeZero())
+	})
+
+	// Story: a dispatcher's browser shows half a list of bookings as if it
+	// were whole. The service spoke HTTP/1.0 and died; without a length the
+	// end of the connection looks like the end of the answer.
+	It("is noticed at a plain service without a length", func() {
+		service := newService()
+		service.Inject(wasabiserver.Fault{Point: wasabiserver.AfterHeaders, Manner: wasabiserver.CleanEnd})
+		ended, _ := run(newRunner(wasabibackend.Options{}), bookingOf(service.Backend(), "visit"))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+	})
+
+	It("is noticed at a plain service with a length", func() {
+		service := newService()
+		service.Inject(wasabiserver.Fault{Point: wasabiserver.AfterHeaders})
+		ended, _ := run(newRunner(wasabibackend.Options{}), bookingOf(service.Backend(), "visit"))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+	})
+})
+
+var _ = Describe("attempts that did not run", func() {
+	It("are those without a connection", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		url := "http://" + listener.Addr().String()
+		listener.Close()
+		ended, s := run(newRunner(wasabibackend.Options{}), streamOf(
+			wasabiridge.BackendServer{ID: "gone", Kind: wasabiridge.BackendEngine, URL: url}))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
+		Expect(s.sent).To(BeZero())
+	})
+
+	DescribeTable("are those an engine refuses for its versions", func(change func(*wasabiridge.Attempt)) {
+		e := newEngine(wasabiengine.Options{})
+		a := streamOf(e.Backend())
+		change(&a)
+		ended, s := run(newRunner(wasabibackend.Options{}), a)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
+		Expect(ended.Usage.Weights).To(BeEquivalentTo(1))
+		Expect(s.status).To(BeZero())
+		Expect(e.Served()).To(BeZero())
+	},
+		Entry("other weights", func(a *wasabiridge.Attempt) { a.Weights = 2 }),
+		Entry("an earlier life", func(a *wasabiridge.Attempt) { a.Incarnation = 9 }),
+	)
+
+	// Story: a proxy of the operator's own stands before an engine and
+	// answers 503 after the engine had begun. Without the trusted form the
+	// request may have run.
+	DescribeTable("are not those with a plain refusal", func(status int) {
+		url := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(status)
+		})
+		ended, s := run(newRunner(wasabibackend.Options{}), streamOf(
+			wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url}))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+		Expect(ended.Overloaded).To(BeTrue())
+		Expect(ended.RetryAfter).To(Equal(3 * wasabiridge.Second))
+		Expect(s.status).To(BeZero())
+	},
+		Entry("503", http.StatusServiceUnavailable),
+		Entry("429", http.StatusTooManyRequests),
+	)
+})
+
+// Story: a technician's answer repeats its first half after an engine died.
+// The second engine did not know how to resume and began from the first
+// token; or it had newer weights, and the second half belongs to another
+// answer.
+var _ = Describe("a resumed stream", func() {
+	eventStream := func(header http.Header) string {
+		return serve(func(w http.ResponseWriter, _ *http.Request) {
+			for name, values := range header {
+				w.Header()[name] = values
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, `data: {"choices":[{"token_ids":[1]}]}`+"\n\ndata: [DONE]\n\n")
+		})
+	}
+	DescribeTable("is refused unless engine and weights confirm it", func(header http.Header) {
+		a := streamOf(wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: eventStream(header)})
+		a.ResumeFrom, a.Weights = 4, 7
+		ended, s := run(newRunner(wasabibackend.Options{}), a)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+		Expect(ended.Delivered).To(Equal(4))
+		Expect(s.status).To(BeZero())
+	},
+		Entry("neither", http.Header{}),
+		Entry("no resume point", http.Header{wasabiridge.HeaderWeights: {"7"}}),
+		Entry("another resume point", http.Header{wasabiridge.HeaderWeights: {"7"}, wasabiridge.HeaderResumedFrom: {"3"}}),
+		Entry("no weights", http.Header{wasabiridge.HeaderResumedFrom: {"4"}}),
+		Entry("other weights", http.Header{wasabiridge.HeaderWeights: {"8"}, wasabiridge.HeaderResumedFrom: {"4"}}),
+	)
+})
+
+var _ = Describe("an attempt that is given up", func() {
+	// Story: a caller hangs up, but the engine goes on computing for nobody
+	// while others wait. The cancel did not reach it.
+	It("is cancelled at the engine at once", func() {
+		e := newEngine(wasabiengine.Options{Spec: wasabifake.Spec{Decode: 20}})
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &sink{}
+		s.onChunk = func() error {
+			if len(s.ids) == 3 {
+				cancel()
+			}
+			return nil
+		}
+		ended := newRunner(wasabibackend.Options{}).Run(ctx, streamOf(e.Backend()), s)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptCancelled))
+		Expect(ended.Delivered).To(Equal(3))
+		Eventually(e.Cancelled, 10*time.Second).Should(Equal(1), "the engine saw the cancel")
+	})
+
+	It("ends when its sink reports an error", func() {
+		e := newEngine(wasabiengine.Options{})
+		s := &sink{onChunk: func() error { return wasabiridge.ErrUnavailable.New("caller gone") }}
+		ended := newRunner(wasabibackend.Options{}).Run(context.Background(), streamOf(e.Backend()), s)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptCancelled))
+		Expect(ended.Delivered).To(BeZero())
+		Expect(s.chunks).To(Equal(1))
+	})
+
+	// Story: a request is retried at a second engine, and a word of the first
+	// engine's late answer turns up in the middle. The first attempt had been
+	// given up, but its bytes were already on the way.
+	It("hands nothing over that was already on the way", func() {
+		url := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, strings.Repeat(`data: {"choices":[{"token_ids":[1]}]}`+"\n\n", 50)+"data: [DONE]\n\n")
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &sink{onChunk: func() error { cancel(); return nil }}
+		ended := newRunner(wasabibackend.Options{}).Run(ctx, streamOf(
+			wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url}), s)
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptCancelled))
+		Expect(s.chunks).To(Equal(1))
+	})
+})
--- a/internal/wasabicontract/contract.go
+++ b/internal/wasabicontract/contract.go
@@ -5,13 +5,9 @@
 //
 // A suite runs each check as a spec of its own, against a fresh subject:
 //
-//	checks := wasabicontract.Table(func() wasabicontract.TableSubject {
-//		m := wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock})
-//		return wasabicontract.TableSubject{Table: m, Script: m.Faults().Script}
-//	})
-//	for _, name := range checks.Names() {
-//		It(name, func(ctx SpecContext) { Expect(checks[name](ctx)).To(Succeed()) })
-//	}
+//	wasabicontract.Specs(wasabicontract.Table(func() wasabicontract.TableSubject {
+//		return wasabicontract.TableSubject{Table: newAdapter()}
+//	}))
 package wasabicontract
 
 import (
@@ -19,6 +15,7 @@
 	"sort"
 
 	"github.com/joomcode/errorx"
+	"github.com/onsi/ginkgo/v2"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifault"
@@ -40,11 +37,20 @@
 	return names
 }
 
-// Script sets the fates of the next operations of a subject. A subject whose
-// faults cannot be set has a nil Script, and the checks of faults are left
-// out.
+// Script sets the fates of the next operations of a subject.
 type Script func(op wasabifault.Op, fates ...wasabifault.Fate)
 
+// Specs makes a Ginkgo spec of each check. Call it inside a container node.
+func Specs(checks Checks) {
+	for _, name := range checks.Names() {
+		ginkgo.It(name, func(ctx ginkgo.SpecContext) {
+			if err := checks[name](ctx); err != nil {
+				ginkgo.Fail(err.Error())
+			}
+		})
+	}
+}
+
 // expectType reports ErrBroken unless the error is of the wanted type. A nil
 // type stands for no error.
 func expectType(what string, err error, want *errorx.Type) error {
--- a/internal/wasabicontract/table.go
+++ b/internal/wasabicontract/table.go
@@ -18,25 +18,18 @@
 
 // Table returns the contract of wasabiridge.Table. The function makes an
 // empty table for each check.
-func Table(fresh func() TableSubject) Checks {
-	run := func(check func(t tableSteps) error) func(context.Context) error {
-		return func(ctx context.Context) error {
-			s := fresh()
-			if s.Script == nil {
-				s.Script = func(wasabifault.Op, ...wasabifault.Fate) {}
-			}
-			return check(tableSteps{TableSubject: s, ctx: ctx})
-		}
-	}
+func Table(fresh func() TableSubject) Checks { return tableContract(fresh, tableChecks) }
+
+// TableFaults returns what a table must do when the platform fails. The
+// subject needs a Script.
+func TableFaults(fresh func() TableSubject) Checks { return tableContract(fresh, tableFaultChecks) }
+
+func tableContract(fresh func() TableSubject, steps map[string]func(t tableSteps) error) Checks {
 	checks := Checks{}
-	for name, check := range tableChecks {
-		checks[name] = run(check)
-	}
-	if fresh().Script == nil {
-		return checks
-	}
-	for name, check := range tableFaultChecks {
-		checks[name] = run(check)
+	for name, check := range steps {
+		checks[name] = func(ctx context.Context) error {
+			return check(tableSteps{TableSubject: fresh(), ctx: ctx})
+		}
 	}
 	return checks
 }
--- a/internal/wasabiengine/handler.go
+++ b/internal/wasabiengine/handler.go
@@ -6,9 +6,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifake"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiserver"
 )
 
 const maxBodyBytes = 32 << 20
@@ -28,9 +29,9 @@
 func (e *Engine) handleText(w http.ResponseWriter, r *http.Request) { e.complete(w, r, textForm) }
 
 func (e *Engine) handleModels(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]any{
-		"object": "list",
-		"data":   []map[string]any{{"id": e.opts.Model, "object": "model", "owned_by": "wasabiridge"}},
+	writeJSON(w, http.StatusOK, modelList{
+		Object: "list",
+		Data:   []modelEntry{{ID: string(e.opts.Model), Object: "model", OwnedBy: "wasabiridge"}},
 	})
 }
 
@@ -40,57 +41,62 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+func writeError(w http.ResponseWriter, status int, message, kind string) {
+	writeJSON(w, status, errorBody{Error: errorDetail{Message: message, Type: kind}})
+}
+
 // refuse answers that the request did not run.
 func refuse(w http.ResponseWriter, status int, reason string) {
 	w.Header().Set(wasabiridge.HeaderDisposition, wasabiridge.NotRun.String())
-	writeJSON(w, status, errorBody{Error: errorDetail{Message: reason, Type: "not_run"}})
-}
-
-// matches checks the versions that a request asks for and names its own.
-func (e *Engine) matches(w http.ResponseWriter, r *http.Request) bool {
-	e.mu.Lock()
-	own := map[string]uint64{
-		wasabiridge.HeaderWeights:     uint64(e.weights),
-		wasabiridge.HeaderIncarnation: uint64(e.incarnation),
-	}
-	e.mu.Unlock()
-	same := true
-	for name, version := range own {
-		text := strconv.FormatUint(version, 10)
-		w.Header().Set(name, text)
-		if want := r.Header.Get(name); want != "" && want != text {
-			same = false
-		}
-	}
-	return same
+	writeError(w, status, reason, "not_run")
+}
+
+// asked reports whether a request accepts the version that serves, and names
+// that version on the answer.
+func asked(w http.ResponseWriter, r *http.Request, name string, own uint64) bool {
+	text := strconv.FormatUint(own, 10)
+	w.Header().Set(name, text)
+	want := r.Header.Get(name)
+	return want == "" || want == text
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request, f form) {
 	var body completionRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body); err != nil {
-		writeJSON(w, http.StatusBadRequest, errorBody{Error: errorDetail{Message: "broken body", Type: "invalid_request_error"}})
+		writeError(w, http.StatusBadRequest, "broken body", "invalid_request_error")
 		return
 	}
-	if !e.matches(w, r) {
+	life, weights := e.core.versions()
+	sameWeights := asked(w, r, wasabiridge.HeaderWeights, uint64(weights))
+	sameLife := asked(w, r, wasabiridge.HeaderIncarnation, uint64(life))
+	if !sameWeights || !sameLife {
 		refuse(w, http.StatusConflict, "another weights version or incarnation")
 		return
 	}
-	fault := e.takeFault()
-	if fault.strikes(BeforeHeaders, 0) {
-		fault.perform(w, r)
+	chain := body.chain(e.opts.Spec.BlockTokens)
+	waiter, ok := e.core.submit(wasabifake.Job{
+		Priority:     wasabiridge.Priority(-body.Priority),
+		Chain:        chain,
+		OutputTokens: body.outputTokens(),
+		ResumeFrom:   body.ResumeFrom,
+	}, body.names(chain))
+	if !ok {
+		w.Header().Set("Retry-After", "1")
+		refuse(w, http.StatusServiceUnavailable, "queue full or loading weights")
 		return
 	}
-	e.countServed()
+	defer e.core.release(waiter)
 	if body.ResumeFrom > 0 {
 		w.Header().Set(wasabiridge.HeaderResumedFrom, strconv.Itoa(body.ResumeFrom))
 	}
-	e.mu.Lock()
-	weights := e.weights
-	e.mu.Unlock()
 	s := &stream{
-		engine: e, w: w, r: r, form: f, body: body, fault: fault,
+		engine: e, w: w, r: r, form: f, body: body, fault: e.Take(), waiter: waiter,
 		answer: newAnswer(body.text(), weights),
-		id:     fmt.Sprintf("cmpl-%d", e.Served()),
+		id:     fmt.Sprintf("cmpl-%d", e.served.Add(1)),
+	}
+	if s.fault.Strikes(wasabiserver.BeforeHeaders, 0) {
+		s.fault.Perform(w, r)
+		return
 	}
 	if body.Stream {
 		s.run()
@@ -106,15 +112,48 @@
 	r      *http.Request
 	form   form
 	body   completionRequest
-	fault  *Fault
+	fault  *wasabiserver.Fault
+	waiter *waiter
 	answer answer
 	id     string
 }
 
+// awaitFirst waits until the prompt is computed. It reports false when the
+// caller is gone.
+func (s *stream) awaitFirst() bool {
+	select {
+	case <-s.waiter.first:
+		return true
+	case <-s.r.Context().Done():
+		s.engine.cancelled.Add(1)
+		return false
+	}
+}
+
+// await waits until more tokens than written are there and returns how many.
+// It reports false when the caller is gone.
+func (s *stream) await(written, end int) (int, bool) {
+	for {
+		if s.r.Context().Err() != nil {
+			s.engine.cancelled.Add(1)
+			return 0, false
+		}
+		if n := s.engine.core.available(s.waiter, end); n > written {
+			return n, true
+		}
+		sleep(s.r, max(1, s.engine.opts.Spec.Decode))
+	}
+}
+
 func (s *stream) usage() *usage {
-	prompt := (len(s.body.text()) + 3) / 4
 	output := s.body.outputTokens()
-	return &usage{PromptTokens: prompt, CompletionTokens: output, TotalTokens: prompt + output}
+	u := s.waiter.usage
+	return &usage{
+		PromptTokens:        u.PromptTokens,
+		CompletionTokens:    output,
+		TotalTokens:         u.PromptTokens + output,
+		PromptTokensDetails: promptDetails{CachedTokens: u.CachedTokens},
+	}
 }
 
 func (s *stream) envelope(object string) completion {
@@ -125,12 +164,19 @@
 }
 
 func (s *stream) whole() {
-	var text strings.Builder
-	var ids []int
-	for i := s.body.ResumeFrom; i < s.body.outputTokens(); i++ {
-		if !s.pause() {
+	end := s.body.outputTokens()
+	if !s.awaitFirst() {
+		return
+	}
+	for n := 0; n < end; {
+		var ok bool
+		if n, ok = s.await(n, end); !ok {
 			return
 		}
+	}
+	var text strings.Builder
+	var ids []int
+	for i := s.body.ResumeFrom; i < end; i++ {
 		t := s.answer.token(i)
 		text.WriteString(t.text)
 		if s.body.ReturnTokenIDs {
@@ -160,44 +206,19 @@
 	return c
 }
 
-// pause waits for the next token. It reports false when the caller is gone.
-func (s *stream) pause() bool {
-	if s.engine.opts.Decode > 0 {
-		timer := time.NewTimer(s.engine.opts.Decode.Duration())
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-s.r.Context().Done():
-		}
-	}
-	if s.r.Context().Err() != nil {
-		s.engine.countCancelled()
-		return false
-	}
-	return true
-}
-
 func (s *stream) run() {
 	s.w.Header().Set("Content-Type", "text/event-stream")
 	s.w.WriteHeader(http.StatusOK)
 	s.flush()
-	if s.fault.strikes(AfterHeaders, 0) {
-		s.fault.perform(s.w, s.r)
+	if s.fault.Strikes(wasabiserver.AfterHeaders, 0) {
+		s.fault.Perform(s.w, s.r)
 		return
 	}
-	end := s.body.outputTokens()
-	for i := s.body.ResumeFrom; i < end; i++ {
-		if s.fault.strikes(AtToken, i) {
-			s.fault.perform(s.w, s.r)
-			return
-		}
-		if !s.pause() {
-			return
-		}
-		s.writeToken(i, i == end-1)
+	if !s.awaitFirst() || !s.writeTokens() {
+		return
 	}
-	if s.fault.strikes(BeforeEndMarker, 0) {
-		s.fault.perform(s.w, s.r)
+	if s.fault.Strikes(wasabiserver.BeforeEndMarker, 0) {
+		s.fault.Perform(s.w, s.r)
 		return
 	}
 	if s.body.StreamOptions.IncludeUsage {
@@ -209,6 +230,29 @@
 	s.flush()
 }
 
+// writeTokens writes all tokens. It reports false when the answer ended early.
+func (s *stream) writeTokens() bool {
+	end := s.body.outputTokens()
+	for i := s.body.ResumeFrom; i < end; {
+		ready, ok := s.await(i, end)
+		if !ok {
+			return false
+		}
+		for ; i < ready; i++ {
+			if s.fault.Strikes(wasabiserver.AtToken, i) {
+				s.fault.Perform(s.w, s.r)
+				return false
+			}
+			if s.r.Context().Err() != nil {
+				s.engine.cancelled.Add(1)
+				return false
+			}
+			s.writeToken(i, i == end-1)
+		}
+	}
+	return true
+}
+
 func (s *stream) writeToken(i int, last bool) {
 	t := s.answer.token(i)
 	var ids []int
--- a/internal/wasabiengine/protocol.go
+++ b/internal/wasabiengine/protocol.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
 )
 
 // defaultMaxTokens is the length of an answer when the request sets none.
@@ -34,6 +36,32 @@
 	CacheSalt      string `json:"cache_salt"`
 	// ResumeFrom counts output tokens that are left out of the answer.
 	ResumeFrom int `json:"resume_from"`
+	// BlockHashes name the blocks of the prompt, in hexadecimal.
+	BlockHashes []string `json:"block_hashes"`
+}
+
+// chain returns the cache blocks of the prompt, rooted in the salt, so that
+// requests of different salts never share a block.
+func (r completionRequest) chain(blockTokens int) wasabiridge.Chain {
+	root := wasabiridge.CacheRoot{Adapter: wasabiridge.AdapterID(r.CacheSalt)}
+	return wasabiprefix.Of(root, []byte(r.text()), blockTokens)
+}
+
+// names returns the caller's names of the chain's blocks, for cache events. It
+// is nil when the request names none or another number.
+func (r completionRequest) names(c wasabiridge.Chain) []wasabiridge.BlockHash {
+	if len(r.BlockHashes) != len(c.Blocks) {
+		return nil
+	}
+	out := make([]wasabiridge.BlockHash, len(c.Blocks))
+	for i, text := range r.BlockHashes {
+		named, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			return nil
+		}
+		out[i] = wasabiridge.BlockHash(named)
+	}
+	return out
 }
 
 // text returns the prompt as one text.
@@ -100,6 +128,17 @@
 	Usage   *usage   `json:"usage,omitempty"`
 }
 
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
 type errorDetail struct {
 	Message string `json:"message"`
 	Type    string `json:"type"`
--- a/internal/wasabifault/injector.go
+++ b/internal/wasabifault/injector.go
@@ -1,21 +1,20 @@
 package wasabifault
 
 import (
-	"context"
 	"math/rand/v2"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wasabiridge/wasabiridge"
 )
 
-// Injector draws the fates of calls after a plan. It is safe for concurrent
+// Injector draws the fates of calls after a plan and carries them out. It is safe for concurrent
 // use.
 type Injector struct {
 	clock wasabiridge.Clock
+	sleep SleepFunc
 
 	mu      sync.Mutex
 	plan    Plan
@@ -24,9 +23,13 @@
 	buckets map[Op]*bucket
 }
 
-// NewInjector returns an injector that follows the plan.
-func NewInjector(plan Plan, clock wasabiridge.Clock) *Injector {
-	i := &Injector{clock: clock, calls: map[string]uint64{}, scripts: map[Op][]Fate{}}
+// NewInjector returns an injector that follows the plan. A nil sleep waits in
+// real time.
+func NewInjector(plan Plan, clock wasabiridge.Clock, sleep SleepFunc) *Injector {
+	if sleep == nil {
+		sleep = Sleep
+	}
+	i := &Injector{clock: clock, sleep: sleep, calls: map[string]uint64{}, scripts: map[Op][]Fate{}}
 	i.SetPlan(plan)
 	return i
 }
@@ -133,18 +136,3 @@
 	b.tokens--
 	return true
 }
-
-// Sleep waits in real time. It reports false when the context ended first.
-func Sleep(ctx context.Context, span wasabiridge.Millis) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- /dev/null
+++ b/internal/wasabimetrics/definition.go
@@ -0,0 +1,116 @@
+package wasabimetrics
+
+import "github.com/wasabiridge/wasabiridge"
+
+// Name names a metric. Parts are separated by dots, and the last part of a
+// name carries no unit: Definition.Unit does.
+type Name string
+
+// Kind tells how a metric behaves.
+type Kind string
+
+// Kinds of metrics.
+const (
+	// KindCounter only rises while the process lives.
+	KindCounter Kind = "counter"
+	// KindGauge is a current value.
+	KindGauge Kind = "gauge"
+	// KindHistogram is a sample of values of the last minutes.
+	KindHistogram Kind = "histogram"
+)
+
+// Names of metrics that parts set by themselves.
+const (
+	RequestsOpen    Name = "requests.open"
+	FirstToken      Name = "requests.first_token"
+	ConfigVersion   Name = "config.version"
+	MembersKnown    Name = "members.known"
+	MembersSuspect  Name = "members.suspect"
+	BackendsLost    Name = "backends.lost"
+	TimelineEvents  Name = "timeline.events"
+	TimelineDropped Name = "timeline.dropped"
+	TimelineLost    Name = "timeline.unpublished"
+	TimelineUnread  Name = "timeline.unreadable"
+	TimelineSkews   Name = "timeline.refused_skews"
+	OutcomeSeries   Name = "outcomes.series"
+	OutcomeFolded   Name = "outcomes.folded"
+	OutcomeWrites   Name = "outcomes.writes"
+	OutcomeFailures Name = "outcomes.write_failures"
+	OutcomePending  Name = "outcomes.unwritten_age"
+	OutcomeDropped  Name = "outcomes.dropped_days"
+	ProcessRoutines Name = "process.goroutines"
+	ProcessHeap     Name = "process.heap"
+)
+
+// Definition documents one metric.
+type Definition struct {
+	Name Name
+	Kind Kind
+	// Unit is what one step of the value means.
+	Unit string
+	Help string
+}
+
+// eventKinds are the time line kinds that are counted, with their meaning.
+var eventKinds = []struct {
+	kind wasabiridge.TimelineKind
+	help string
+}{
+	{wasabiridge.EventArrived, "Requests that passed authentication."},
+	{wasabiridge.EventMatched, "Requests that a rule matched."},
+	{wasabiridge.EventClaimed, "Decisions on claims of non-idempotent requests."},
+	{wasabiridge.EventQueued, "Requests that waited for room."},
+	{wasabiridge.EventPlaced, "Choices of a backend server."},
+	{wasabiridge.EventSent, "Attempts whose first byte was handed to a connection."},
+	{wasabiridge.EventFirstToken, "Attempts that gave a first token."},
+	{wasabiridge.EventBroken, "Attempts that broke."},
+	{wasabiridge.EventResumed, "Streams resumed at another backend server."},
+	{wasabiridge.EventRetried, "Requests tried again."},
+	{wasabiridge.EventHedged, "Second attempts beside one that still ran."},
+	{wasabiridge.EventRefused, "Requests that were turned down."},
+	{wasabiridge.EventEnded, "Requests that ended, whatever the result."},
+	{wasabiridge.EventConfigAdopted, "Configurations that came into force here."},
+	{wasabiridge.EventBackendLost, "Backend servers that stopped answering."},
+	{wasabiridge.EventBackendLeaving, "Backend servers that began to leave."},
+	{wasabiridge.EventBackendReborn, "Backend servers that came back with an empty cache."},
+	{wasabiridge.EventMemberChanged, "Changes of what is known of other instances."},
+	{wasabiridge.EventLease, "Leases that were taken, renewed or lost."},
+	{wasabiridge.EventOrder, "Orders to backend servers."},
+	{wasabiridge.EventRollout, "Steps of rollouts."},
+	{wasabiridge.EventStore, "Changes of the platform's store between reachable and not."},
+	{wasabiridge.EventLifecycle, "Starts, drains and ends of this process."},
+}
+
+func eventCounter(k wasabiridge.TimelineKind) Name { return Name("events." + string(k)) }
+
+// RequestsArrived counts requests that passed authentication.
+var RequestsArrived = eventCounter(wasabiridge.EventArrived)
+
+// Definitions returns all metrics in the order in which they are documented.
+func Definitions() []Definition {
+	defined := []Definition{
+		{RequestsOpen, KindGauge, "requests", "Requests that are being served now."},
+		{FirstToken, KindHistogram, "ms", "Time from arrival to the first token."},
+		{ConfigVersion, KindGauge, "version", "Configuration in force here. 0 means none."},
+		{MembersKnown, KindGauge, "instances", "Other instances that are known."},
+		{MembersSuspect, KindGauge, "instances", "Other instances that did not answer lately."},
+		{BackendsLost, KindGauge, "backend servers", "Backend servers that cannot be reached from here."},
+		{TimelineEvents, KindGauge, "events", "Time line events recorded since the start."},
+		{TimelineDropped, KindGauge, "events", "Time line events overwritten since the start. It rises for ever once the ring is full; its rate tells how far back the ring reaches."},
+		{TimelineLost, KindCounter, "events", "Time line events overwritten before subscribers in the process saw them. The event counters below miss them."},
+		{TimelineUnread, KindCounter, "messages", "Messages of the time line that could not be decoded."},
+		{TimelineSkews, KindGauge, "messages", "Messages whose clock was too far ahead to be followed."},
+		{OutcomeSeries, KindGauge, "series", "Series of account, rule and model held for the current day."},
+		{OutcomeFolded, KindGauge, "requests", "Requests counted under the account ~other for lack of room, since the start."},
+		{OutcomeWrites, KindGauge, "objects", "Outcome objects written since the start."},
+		{OutcomeFailures, KindGauge, "objects", "Outcome writes that failed or whose end is unknown."},
+		{OutcomePending, KindGauge, "ms", "Age of the oldest outcome that is not in the store: what would be lost if this process died now."},
+		{OutcomeDropped, KindGauge, "days", "Days of outcomes given up because the store was away for too long."},
+		{ProcessRoutines, KindGauge, "goroutines", "Goroutines of the process."},
+		{ProcessHeap, KindGauge, "bytes", "Heap in use."},
+	}
+	for _, k := range eventKinds {
+		defined = append(defined, Definition{eventCounter(k.kind), KindCounter, "events", k.help})
+	}
+	return defined
+}
--- /dev/null
+++ b/internal/wasabimetrics/metrics_test.go
@@ -0,0 +1,64 @@
+package wasabimetrics_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabimetrics"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
+)
+
+func TestMetrics(t *testing.T) { wasabitest.Run(t, "metrics") }
+
+var _ = Describe("Set", func() {
+	It("registers what is defined, and docs/METRICS.md lists it", func() {
+		var defined []wasabimetrics.Name
+		for _, d := range wasabimetrics.Definitions() {
+			Expect(d.Unit).NotTo(BeEmpty(), string(d.Name))
+			Expect(d.Help).To(HaveSuffix("."), string(d.Name))
+			defined = append(defined, d.Name)
+		}
+		Expect(wasabimetrics.New().Names()).To(ConsistOf(defined))
+		page, err := os.ReadFile("../../docs/METRICS.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(Equal(wasabimetrics.Page()), "write wasabimetrics.Page() to docs/METRICS.md")
+	})
+
+	It("counts the events of the time line and what is missing", func() {
+		set := wasabimetrics.New()
+		events := []wasabiridge.TimelineEvent{{Kind: wasabiridge.EventArrived}, {Kind: wasabiridge.EventFirstToken, Value: 212}, {Kind: "unheard_of"}}
+		good, err := wasabitimeline.Encode(events, 3)
+		Expect(err).NotTo(HaveOccurred())
+		messages := make(chan *message.Message, 2)
+		messages <- good
+		messages <- message.NewMessage("x", []byte("{"))
+		close(messages)
+		set.Watch(context.Background(), messages)
+		Expect(set.Counter(wasabimetrics.RequestsArrived).Count()).To(Equal(int64(1)))
+		Expect(set.Counter(wasabimetrics.TimelineLost).Count()).To(Equal(int64(3)))
+		Expect(set.Counter(wasabimetrics.TimelineUnread).Count()).To(Equal(int64(1)))
+		Expect(set.Histogram(wasabimetrics.FirstToken).Max()).To(Equal(int64(212)))
+	})
+
+	It("asks functions for gauges and writes JSON", func() {
+		set := wasabimetrics.New()
+		Expect(set.GaugeFunc(wasabimetrics.RequestsOpen, func() int64 { return 42 })).To(Succeed())
+		Expect(set.GaugeFunc("unheard.of", func() int64 { return 1 })).NotTo(Succeed())
+		Expect(set.GaugeFunc(wasabimetrics.FirstToken, func() int64 { return 1 })).NotTo(Succeed())
+		var out bytes.Buffer
+		Expect(set.WriteMetrics(&out)).To(Succeed())
+		var values map[string]map[string]any
+		Expect(json.Unmarshal(out.Bytes(), &values)).To(Succeed())
+		Expect(values["requests.open"]["value"]).To(BeNumerically("==", 42))
+		Expect(values).To(HaveLen(len(wasabimetrics.Definitions())))
+	})
+})
--- /dev/null
+++ b/internal/wasabimetrics/page.go
@@ -0,0 +1,29 @@
+package wasabimetrics
+
+import (
+	"fmt"
+	"strings"
+)
+
+const pageHead = `# Metrics
+
+` + "`GET /metrics`" + ` on the operators' listener answers one JSON object keyed by the
+names below; ` + "`wasabictl metrics`" + ` prints it. Counters start at zero with the
+process. A histogram gives count, min, max, mean and percentiles of a sample of
+the last minutes; figures over longer spans come from the outcomes
+(` + "`wasabictl outcomes`" + `). This page is made from the table in
+internal/wasabimetrics, and a test compares both.
+
+| name | kind | unit | meaning |
+| --- | --- | --- | --- |
+`
+
+// Page returns docs/METRICS.md as it has to be.
+func Page() string {
+	var b strings.Builder
+	b.WriteString(pageHead)
+	for _, d := range Definitions() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.Name, d.Kind, d.Unit, d.Help)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/wasabioperator/body.go
@@ -0,0 +1,156 @@
+package wasabioperator
+
+import (
+	"net/http"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
+)
+
+// Code names the kind of an error for programs.
+type Code string
+
+// Codes of errors.
+const (
+	CodeInvalid        Code = "invalid"
+	CodeUnauthorized   Code = "unauthorized"
+	CodeNotFound       Code = "not_found"
+	CodeConflict       Code = "conflict"
+	CodeUnavailable    Code = "unavailable"
+	CodeOutcomeUnknown Code = "outcome_unknown"
+	CodeNotImplemented Code = "not_implemented"
+	CodeInternal       Code = "internal"
+)
+
+// ErrorAnswer is the body of every answer that is an error.
+type ErrorAnswer struct {
+	Error ErrorBody `json:"error"`
+}
+
+// ErrorBody tells what went wrong.
+type ErrorBody struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Theirs is the configuration that an operator lost a race against.
+	Theirs *DocumentBody `json:"theirs,omitempty"`
+}
+
+// DocumentBody is a configuration as it was accepted.
+type DocumentBody struct {
+	Version wasabiridge.ConfigVersion `json:"version"`
+	Author  string                    `json:"author"`
+	At      wasabiridge.Millis        `json:"at_ms"`
+	// Text is JSON with comments, as the operator wrote it.
+	Text string `json:"text"`
+}
+
+// HistoryBody lists accepted configurations, newest first.
+type HistoryBody struct {
+	Documents []DocumentBody `json:"documents"`
+}
+
+// VersionBody answers an accepted configuration.
+type VersionBody struct {
+	Version wasabiridge.ConfigVersion `json:"version"`
+}
+
+// ConfigStatusBody tells where which configuration is in force.
+type ConfigStatusBody struct {
+	// Version is the one in force at the instance that answers.
+	Version   wasabiridge.ConfigVersion    `json:"version"`
+	Instances []wasabiridge.InstanceConfig `json:"instances"`
+}
+
+// ExplainBody describes a request for which the matching rule is asked.
+type ExplainBody struct {
+	Account wasabiridge.ClientAccountID `json:"account"`
+	Method  string                      `json:"method"`
+	Path    string                      `json:"path"`
+	Model   wasabiridge.ModelID         `json:"model,omitempty"`
+	// Headers holds one value for each header.
+	Headers      map[string]string `json:"headers,omitempty"`
+	PromptTokens int               `json:"prompt_tokens,omitempty"`
+}
+
+// ExplanationBody tells which rule decides on a request.
+type ExplanationBody struct {
+	Version wasabiridge.ConfigVersion `json:"version"`
+	// Rule is the first rule that matches. Empty means that none does and
+	// the request is refused.
+	Rule  wasabiridge.RuleID       `json:"rule,omitempty"`
+	Then  *wasabiridge.Action      `json:"then,omitempty"`
+	Lines []wasabirule.Explanation `json:"lines"`
+	// Notes say what else stands in the way, such as a pool that the account
+	// may not use.
+	Notes []string `json:"notes,omitempty"`
+}
+
+// AccountBody shows a client account without its keys.
+type AccountBody struct {
+	ID    wasabiridge.ClientAccountID `json:"id"`
+	Pools []wasabiridge.PoolID        `json:"pools"`
+	Share float64                     `json:"share"`
+	Keys  int                         `json:"keys"`
+}
+
+// AccountsBody lists the client accounts of the configuration in force.
+type AccountsBody struct {
+	Version  wasabiridge.ConfigVersion `json:"version"`
+	Accounts []AccountBody             `json:"accounts"`
+}
+
+// BackendsBody lists backend servers as the answering instance sees them.
+type BackendsBody struct {
+	Backends []wasabiridge.BackendStatus `json:"backends"`
+}
+
+// RolloutsBody lists rollouts.
+type RolloutsBody struct {
+	Rollouts []wasabiridge.Rollout `json:"rollouts"`
+}
+
+// DrainBody answers the order to drain.
+type DrainBody struct {
+	Leaving bool `json:"leaving"`
+}
+
+func documentBody(d wasabiridge.ConfigDocument) *DocumentBody {
+	return &DocumentBody{Version: d.Version, Author: d.Author, At: d.At, Text: string(d.Text)}
+}
+
+// errorKind ties an error type to its code and HTTP status.
+type errorKind struct {
+	is     *errorx.Type
+	code   Code
+	status int
+}
+
+var errorKinds = []errorKind{
+	{wasabiridge.ErrInvalid, CodeInvalid, http.StatusBadRequest},
+	{wasabiridge.ErrNotFound, CodeNotFound, http.StatusNotFound},
+	{wasabiridge.ErrConflict, CodeConflict, http.StatusConflict},
+	{wasabiridge.ErrUnavailable, CodeUnavailable, http.StatusServiceUnavailable},
+	{wasabiridge.ErrOutcomeUnknown, CodeOutcomeUnknown, http.StatusGatewayTimeout},
+}
+
+func describeError(err error) (int, ErrorBody) {
+	for _, k := range errorKinds {
+		if errorx.IsOfType(err, k.is) {
+			return k.status, ErrorBody{Code: k.code, Message: messageOf(err)}
+		}
+	}
+	return http.StatusInternalServerError, ErrorBody{Code: CodeInternal, Message: err.Error()}
+}
+
+// messageOf leaves out the name of the error's type, which the code tells.
+func messageOf(err error) string {
+	if typed := errorx.Cast(err); typed != nil && typed.Message() != "" {
+		if cause := typed.Cause(); cause != nil {
+			return typed.Message() + ": " + cause.Error()
+		}
+		return typed.Message()
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/wasabioperator/handlers.go
@@ -0,0 +1,271 @@
+package wasabioperator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
+)
+
+// Bounds of queries.
+const (
+	defaultHistory = 20
+	maxHistory     = 1000
+	maxTimeline    = 100_000
+	maxSmallBody   = 1 << 20
+)
+
+func (s *server) getConfig(w http.ResponseWriter, _ *http.Request) (any, error) {
+	document, _ := s.Config.Current()
+	if document.Version == 0 {
+		return nil, wasabiridge.ErrNotFound.New("operator: no configuration is known here")
+	}
+	w.Header().Set("ETag", FormatTag(document.Version))
+	return documentBody(document), nil
+}
+
+func (s *server) putConfig(w http.ResponseWriter, r *http.Request) (any, error) {
+	var (
+		base    wasabiridge.ConfigVersion
+		text    []byte
+		version wasabiridge.ConfigVersion
+		err     error
+	)
+	if base, err = ParseTag(r.Header.Get("If-Match")); err != nil {
+		return nil, err
+	}
+	if text, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes)); err != nil {
+		return nil, wasabiridge.ErrInvalid.Wrap(err, "operator: read configuration")
+	}
+	if version, err = s.Config.Put(r.Context(), base, text, author(r)); err != nil {
+		return nil, err
+	}
+	s.Log.Info().Uint64("version", uint64(version)).Str("author", author(r)).Msg("Configuration accepted.")
+	w.Header().Set("ETag", FormatTag(version))
+	return VersionBody{Version: version}, nil
+}
+
+// FormatTag writes a version as an entity tag.
+func FormatTag(v wasabiridge.ConfigVersion) string {
+	return strconv.Quote(strconv.FormatUint(uint64(v), 10))
+}
+
+// ParseTag reads the base version of a change from an If-Match header. The
+// version of the first configuration is "0".
+func ParseTag(tag string) (wasabiridge.ConfigVersion, error) {
+	if tag == "" {
+		return 0, wasabiridge.ErrInvalid.New("operator: the base version is missing; send it as If-Match: \"7\"")
+	}
+	var (
+		version uint64
+		err     error
+	)
+	if version, err = strconv.ParseUint(strings.Trim(tag, `"`), 10, 64); err != nil {
+		return 0, wasabiridge.ErrInvalid.New("operator: If-Match holds no version: %q", tag)
+	}
+	return wasabiridge.ConfigVersion(version), nil
+}
+
+func (s *server) configHistory(_ http.ResponseWriter, r *http.Request) (any, error) {
+	var (
+		limit     int
+		documents []wasabiridge.ConfigDocument
+		err       error
+	)
+	if limit, err = intParameter(r, "limit", defaultHistory, maxHistory); err != nil {
+		return nil, err
+	}
+	if documents, err = s.Config.History(r.Context(), limit); err != nil {
+		return nil, err
+	}
+	body := HistoryBody{Documents: []DocumentBody{}}
+	for _, d := range documents {
+		body.Documents = append(body.Documents, *documentBody(d))
+	}
+	return body, nil
+}
+
+func (s *server) configStatus(_ http.ResponseWriter, r *http.Request) (any, error) {
+	var (
+		instances []wasabiridge.InstanceConfig
+		err       error
+	)
+	if instances, err = s.Config.Status(r.Context()); err != nil {
+		return nil, err
+	}
+	document, _ := s.Config.Current()
+	return ConfigStatusBody{Version: document.Version, Instances: instances}, nil
+}
+
+func (s *server) explainRules(w http.ResponseWriter, r *http.Request) (any, error) {
+	var q ExplainBody
+	if err := readJSON(w, r, &q); err != nil {
+		return nil, err
+	}
+	document, cfg := s.Config.Current()
+	if document.Version == 0 {
+		return nil, wasabiridge.ErrNotFound.New("operator: no configuration is known here")
+	}
+	return Explain(cfg, q), nil
+}
+
+// Explain tells which rule of a configuration decides on a request.
+func Explain(cfg wasabiridge.Config, q ExplainBody) ExplanationBody {
+	view := wasabirule.View{
+		Account: q.Account, Method: q.Method, Path: q.Path, Model: q.Model,
+		PromptTokens: q.PromptTokens, Header: headersOf(q.Headers),
+	}
+	body := ExplanationBody{Version: cfg.Version, Lines: wasabirule.Explain(cfg, view)}
+	account, known := cfg.Account(q.Account)
+	if !known {
+		body.Notes = append(body.Notes, "the client account "+string(q.Account)+" is not in the configuration: its callers are turned away before any rule")
+	}
+	rule, matched := wasabirule.Match(cfg, view)
+	if !matched {
+		body.Notes = append(body.Notes, "no rule matches: the request is refused as not run")
+		return body
+	}
+	body.Rule, body.Then = rule.ID, &rule.Then
+	if known && rule.Then.Pool != "" && !account.MayUse(rule.Then.Pool) {
+		body.Notes = append(body.Notes, "the account may not use pool "+string(rule.Then.Pool)+": the request is refused as not run")
+	}
+	return body
+}
+
+func headersOf(values map[string]string) func(string) []string {
+	header := http.Header{}
+	for name, value := range values {
+		header.Set(name, value)
+	}
+	return header.Values
+}
+
+func (s *server) accounts(http.ResponseWriter, *http.Request) (any, error) {
+	document, cfg := s.Config.Current()
+	body := AccountsBody{Version: document.Version, Accounts: []AccountBody{}}
+	for _, a := range cfg.Accounts {
+		body.Accounts = append(body.Accounts, AccountBody{ID: a.ID, Pools: a.Pools, Share: a.Share, Keys: len(a.KeyHashes)})
+	}
+	return body, nil
+}
+
+func (s *server) timeline(_ http.ResponseWriter, r *http.Request) (any, error) {
+	values := r.URL.Query()
+	q := wasabiridge.TimelineQuery{
+		Request: wasabiridge.RequestID(values.Get("request")),
+		Account: wasabiridge.ClientAccountID(values.Get("account")),
+		Backend: wasabiridge.BackendServerID(values.Get("backend")),
+	}
+	var err error
+	if q.Since, err = ParseTime(values.Get("since"), s.Clock.Now()); err != nil {
+		return nil, err
+	}
+	if q.Until, err = ParseTime(values.Get("until"), s.Clock.Now()); err != nil {
+		return nil, err
+	}
+	if q.Limit, err = intParameter(r, "limit", 0, maxTimeline); err != nil {
+		return nil, err
+	}
+	return s.Timeline.ReadTimeline(r.Context(), q)
+}
+
+// ParseTime reads a point in time: a length such as "5m" before now,
+// milliseconds since the epoch, or RFC 3339. Empty text is zero.
+func ParseTime(text string, now wasabiridge.Millis) (wasabiridge.Millis, error) {
+	if text == "" {
+		return 0, nil
+	}
+	if millis, err := strconv.ParseInt(text, 10, 64); err == nil && millis >= 0 {
+		return wasabiridge.Millis(millis), nil
+	}
+	if ago, err := time.ParseDuration(text); err == nil && ago >= 0 {
+		return now - wasabiridge.MillisOf(ago), nil
+	}
+	if at, err := time.Parse(time.RFC3339Nano, text); err == nil {
+		return wasabiridge.MillisAt(at), nil
+	}
+	return 0, wasabiridge.ErrInvalid.New("operator: %q is no point in time; write 5m, milliseconds or 2026-12-02T15:04:05Z", text)
+}
+
+func (s *server) outcomes(_ http.ResponseWriter, r *http.Request) (any, error) {
+	return s.Outcomes.ReadOutcomes(r.Context(), wasabiridge.OutcomeQuery{
+		Quarter: r.URL.Query().Get("quarter"),
+		Account: wasabiridge.ClientAccountID(r.URL.Query().Get("account")),
+	})
+}
+
+func (s *server) backends(http.ResponseWriter, *http.Request) (any, error) {
+	return BackendsBody{Backends: append([]wasabiridge.BackendStatus{}, s.Status.Backends()...)}, nil
+}
+
+func (s *server) status(http.ResponseWriter, *http.Request) (any, error) {
+	return s.Status.Status(), nil
+}
+
+func (s *server) drain(_ http.ResponseWriter, r *http.Request) (any, error) {
+	s.Log.Info().Str("author", author(r)).Msg("Drain ordered.")
+	if err := s.Drainer.Drain(r.Context()); err != nil {
+		return nil, err
+	}
+	return DrainBody{Leaving: true}, nil
+}
+
+func (s *server) listRollouts(_ http.ResponseWriter, r *http.Request) (any, error) {
+	var (
+		rollouts []wasabiridge.Rollout
+		err      error
+	)
+	if rollouts, err = s.Rollouts.List(r.Context()); err != nil {
+		return nil, err
+	}
+	return RolloutsBody{Rollouts: append([]wasabiridge.Rollout{}, rollouts...)}, nil
+}
+
+func (s *server) startRollout(w http.ResponseWriter, r *http.Request) (any, error) {
+	var rollout wasabiridge.Rollout
+	if err := readJSON(w, r, &rollout); err != nil {
+		return nil, err
+	}
+	return s.Rollouts.Start(r.Context(), rollout)
+}
+
+func (s *server) steerRollout(_ http.ResponseWriter, r *http.Request) (any, error) {
+	action := chi.URLParam(r, "action")
+	switch action {
+	case "pause", "resume", "rollback":
+		return s.Rollouts.Steer(r.Context(), chi.URLParam(r, "id"), action)
+	default:
+		return nil, wasabiridge.ErrInvalid.New("operator: %q is no action of a rollout; use pause, resume or rollback", action)
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return wasabiridge.ErrInvalid.Wrap(err, "operator: read body")
+	}
+	return nil
+}
+
+func intParameter(r *http.Request, name string, standard, most int) (int, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return standard, nil
+	}
+	var (
+		value int
+		err   error
+	)
+	if value, err = strconv.Atoi(text); err != nil || value < 0 || value > most {
+		return 0, wasabiridge.ErrInvalid.New("operator: %s must be between 0 and %d", name, most)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/wasabioperator/operator_test.go
@@ -0,0 +1,257 @@
+package wasabioperator_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabioperator"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestOperator(t *testing.T) { wasabitest.Run(t, "operator") }
+
+const (
+	now = 10 * wasabiridge.Hour
+	key = "operator-key"
+)
+
+// parts stands for everything behind the handlers. err is what every call
+// reports.
+type parts struct {
+	err     error
+	query   wasabiridge.TimelineQuery
+	steered string
+	author  string
+	base    wasabiridge.ConfigVersion
+	config  wasabiridge.Config
+}
+
+func (p *parts) Current() (wasabiridge.ConfigDocument, wasabiridge.Config) {
+	return wasabiridge.ConfigDocument{Version: 7, Text: []byte("{}"), Author: "ann"}, p.config
+}
+
+func (p *parts) Put(_ context.Context, base wasabiridge.ConfigVersion, _ []byte, author string) (wasabiridge.ConfigVersion, error) {
+	p.base, p.author = base, author
+	return base + 1, p.err
+}
+
+func (p *parts) History(context.Context, int) ([]wasabiridge.ConfigDocument, error) {
+	return []wasabiridge.ConfigDocument{{Version: 8, Text: []byte("{/* theirs */}"), Author: "bob"}}, nil
+}
+
+type configStatus struct{ *parts }
+
+func (c configStatus) Status(context.Context) ([]wasabiridge.InstanceConfig, error) {
+	return []wasabiridge.InstanceConfig{{Instance: "a", Version: 7, Reached: true}}, c.err
+}
+
+func (p *parts) Start(_ context.Context, r wasabiridge.Rollout) (wasabiridge.Rollout, error) {
+	return r, p.err
+}
+
+func (p *parts) Steer(_ context.Context, id, action string) (wasabiridge.Rollout, error) {
+	p.steered = id + " " + action
+	return wasabiridge.Rollout{ID: id}, p.err
+}
+
+func (p *parts) List(context.Context) ([]wasabiridge.Rollout, error) { return nil, p.err }
+
+func (p *parts) ReadTimeline(_ context.Context, q wasabiridge.TimelineQuery) (wasabiridge.TimelineReport, error) {
+	p.query = q
+	return wasabiridge.TimelineReport{}, p.err
+}
+
+func (p *parts) ReadOutcomes(_ context.Context, q wasabiridge.OutcomeQuery) (wasabiridge.OutcomeReport, error) {
+	return wasabiridge.OutcomeReport{Quarter: q.Quarter}, p.err
+}
+
+func (p *parts) Status() wasabiridge.InstanceStatus {
+	return wasabiridge.InstanceStatus{Instance: "a"}
+}
+
+func (p *parts) Backends() []wasabiridge.BackendStatus {
+	return []wasabiridge.BackendStatus{{Backend: "answer-1"}}
+}
+
+func (p *parts) Drain(context.Context) error { return p.err }
+
+func (p *parts) WriteMetrics(w io.Writer) error {
+	_, err := io.WriteString(w, "{}")
+	return err
+}
+
+func handler(p *parts) http.Handler {
+	return wasabioperator.New(wasabioperator.Options{
+		Clock:     wasabiclock.NewVirtual(now),
+		KeyHashes: func() []string { return []string{wasabioperator.HashKey("other"), wasabioperator.HashKey(key)} },
+		Config:    configStatus{p}, Rollouts: p, Timeline: p, Outcomes: p, Status: p, Drainer: p, Metrics: p,
+	})
+}
+
+func call(h http.Handler, method, path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+var endpoints = map[string]struct{ method, path, body string }{
+	"config":          {"GET", "/v1/config", ""},
+	"put config":      {"PUT", "/v1/config", "{}"},
+	"history":         {"GET", "/v1/config/history", ""},
+	"config status":   {"GET", "/v1/config/status", ""},
+	"explain":         {"POST", "/v1/rules/explain", `{"account":"a","method":"GET","path":"/"}`},
+	"accounts":        {"GET", "/v1/accounts", ""},
+	"timeline":        {"GET", "/v1/timeline?since=5m", ""},
+	"outcomes":        {"GET", "/v1/outcomes?quarter=2026Q4", ""},
+	"backends":        {"GET", "/v1/backends", ""},
+	"status":          {"GET", "/v1/status", ""},
+	"drain":           {"POST", "/v1/drain", ""},
+	"rollouts":        {"GET", "/v1/rollouts", ""},
+	"start rollout":   {"POST", "/v1/rollouts", `{"pool":"p","model":"m","weights":2}`},
+	"steer a rollout": {"POST", "/v1/rollouts/r1/pause", ""},
+	"metrics":         {"GET", "/metrics", ""},
+}
+
+var _ = Describe("The operators' listener", func() {
+	for _, name := range slices.Sorted(maps.Keys(endpoints)) {
+		e := endpoints[name]
+		It("serves "+name+", guards it, and says when the part is missing", func() {
+			good := call(handler(&parts{}), e.method, e.path, e.body, "If-Match", `"7"`)
+			Expect(good.Code).To(Equal(http.StatusOK), good.Body.String())
+			Expect(json.Valid(good.Body.Bytes())).To(BeTrue())
+			for _, wrong := range []string{"Bearer wrong", "Bearer ", "", "Basic " + key} {
+				refused := call(handler(&parts{}), e.method, e.path, e.body, "Authorization", wrong)
+				Expect(refused.Code).To(Equal(http.StatusUnauthorized))
+			}
+			empty := wasabioperator.New(wasabioperator.Options{
+				Clock: wasabiclock.NewVirtual(now), KeyHashes: func() []string { return []string{wasabioperator.HashKey(key)} },
+			})
+			missing := call(empty, e.method, e.path, e.body)
+			Expect(missing.Code).To(Equal(http.StatusNotImplemented))
+			Expect(missing.Body.String()).To(ContainSubstring("built without its part"))
+		})
+	}
+
+	errorsOf := map[string]struct {
+		err    error
+		status int
+		code   wasabioperator.Code
+	}{
+		"invalid":     {wasabiridge.ErrInvalid.New("1:2: wrong"), 400, wasabioperator.CodeInvalid},
+		"not found":   {wasabiridge.ErrNotFound.New("none"), 404, wasabioperator.CodeNotFound},
+		"conflict":    {wasabiridge.ErrConflict.New("taken"), 409, wasabioperator.CodeConflict},
+		"unavailable": {wasabiridge.ErrUnavailable.New("store"), 503, wasabioperator.CodeUnavailable},
+		"unknown":     {wasabiridge.ErrOutcomeUnknown.New("lost"), 504, wasabioperator.CodeOutcomeUnknown},
+		"other":       {io.ErrUnexpectedEOF, 500, wasabioperator.CodeInternal},
+	}
+	for _, name := range slices.Sorted(maps.Keys(errorsOf)) {
+		want := errorsOf[name]
+		It("answers the error "+name+" with its code", func() {
+			w := call(handler(&parts{err: want.err}), "POST", "/v1/drain", "")
+			var answer wasabioperator.ErrorAnswer
+			Expect(json.Unmarshal(w.Body.Bytes(), &answer)).To(Succeed())
+			Expect(w.Code).To(Equal(want.status))
+			Expect(answer.Error.Code).To(Equal(want.code))
+		})
+	}
+
+	// Two operators edit version 7. The second one to send is refused and must
+	// see whose change stands now, or would overwrite it unseen.
+	It("shows the loser of a race what stands now", func() {
+		w := call(handler(&parts{err: wasabiridge.ErrConflict.New("config: base 7 is not the newest")}), "PUT", "/v1/config", "{}", "If-Match", `"7"`)
+		var answer wasabioperator.ErrorAnswer
+		Expect(json.Unmarshal(w.Body.Bytes(), &answer)).To(Succeed())
+		Expect(answer.Error.Theirs.Version).To(Equal(wasabiridge.ConfigVersion(8)))
+		Expect(answer.Error.Theirs.Author).To(Equal("bob"))
+		Expect(answer.Error.Theirs.Text).To(ContainSubstring("theirs"))
+	})
+
+	It("refuses a change without a base version", func() {
+		for _, tag := range []string{"", "*", "seven", "-1"} {
+			Expect(call(handler(&parts{}), "PUT", "/v1/config", "{}", "If-Match", tag).Code).To(Equal(http.StatusBadRequest), tag)
+		}
+	})
+
+	It("names the author by the given name and the key's fingerprint", func() {
+		p := &parts{}
+		call(handler(p), "PUT", "/v1/config", "{}", "If-Match", `"7"`, wasabioperator.OperatorHeader, "ann\n")
+		Expect(p.author).To(Equal("ann (key " + wasabioperator.HashKey(key)[:8] + ")"))
+		Expect(p.base).To(Equal(wasabiridge.ConfigVersion(7)))
+	})
+
+	times := map[string]struct {
+		text string
+		want wasabiridge.Millis
+		bad  bool
+	}{
+		"empty":   {"", 0, false},
+		"ago":     {"5m", now - 5*wasabiridge.Minute, false},
+		"millis":  {"1234", 1234, false},
+		"rfc":     {"1970-01-01T00:00:01Z", 1000, false},
+		"words":   {"yesterday", 0, true},
+		"forward": {"-5m", 0, true},
+	}
+	for _, name := range slices.Sorted(maps.Keys(times)) {
+		want := times[name]
+		It("reads a point in time: "+name, func() {
+			got, err := wasabioperator.ParseTime(want.text, now)
+			Expect(err != nil).To(Equal(want.bad))
+			Expect(got).To(Equal(want.want))
+		})
+	}
+
+	It("refuses an unknown action of a rollout and passes on a known one", func() {
+		p := &parts{}
+		Expect(call(handler(p), "POST", "/v1/rollouts/r1/explode", "").Code).To(Equal(http.StatusBadRequest))
+		Expect(call(handler(p), "POST", "/v1/rollouts/r1/rollback", "").Code).To(Equal(http.StatusOK))
+		Expect(p.steered).To(Equal("r1 rollback"))
+	})
+})
+
+var _ = Describe("Explain", func() {
+	cfg := wasabiridge.Config{
+		Accounts: []wasabiridge.ClientAccount{{ID: "liftwell", Pools: []wasabiridge.PoolID{"answers"}}},
+		Rules: []wasabiridge.Rule{
+			{ID: "tags", When: wasabiridge.Condition{Accounts: []wasabiridge.ClientAccountID{"selam"}}, Then: wasabiridge.Action{Pool: "tagging"}},
+			{ID: "long", When: wasabiridge.Condition{MinPromptTokens: 1000, Header: "X-Tool"}, Then: wasabiridge.Action{Pool: "answers"}},
+			{ID: "foreign", When: wasabiridge.Condition{Path: "/tags"}, Then: wasabiridge.Action{Pool: "tagging"}},
+		},
+	}
+	cases := map[string]struct {
+		query wasabioperator.ExplainBody
+		rule  wasabiridge.RuleID
+		note  string
+	}{
+		"matches":         {wasabioperator.ExplainBody{Account: "liftwell", PromptTokens: 2000, Headers: map[string]string{"x-tool": "1"}}, "long", ""},
+		"matches none":    {wasabioperator.ExplainBody{Account: "liftwell"}, "", "no rule matches"},
+		"unknown account": {wasabioperator.ExplainBody{Account: "nobody"}, "", "not in the configuration"},
+		"foreign pool":    {wasabioperator.ExplainBody{Account: "liftwell", Path: "/tags"}, "foreign", "may not use pool tagging"},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		want := cases[name]
+		It("tells what decides: "+name, func() {
+			got := wasabioperator.Explain(cfg, want.query)
+			Expect(got.Rule).To(Equal(want.rule))
+			Expect(strings.Join(got.Notes, "\n")).To(ContainSubstring(want.note))
+			Expect(got.Lines[0].Matches).To(BeFalse())
+			Expect(got.Lines[0].Why).NotTo(BeEmpty())
+		})
+	}
+})
--- a/internal/wasabiengine/fault.go
+++ b/internal/wasabiserver/fault.go
@@ -1,17 +1,19 @@
-package wasabiengine
+package wasabiserver
 
 import (
+	"bytes"
 	"net/http"
+	"sync"
 )
 
-// FaultPoint is a place in an answer at which an engine can fail.
-type FaultPoint uint8
+// Point is a place in an answer at which a stand-in can fail.
+type Point uint8
 
 // Points of failure, in the order of an answer.
 const (
-	// BeforeHeaders is after the request was read.
-	BeforeHeaders FaultPoint = iota
-	// AfterHeaders is before the first token.
+	// BeforeHeaders is after the request was read and run.
+	BeforeHeaders Point = iota
+	// AfterHeaders is before the first token or byte of the answer.
 	AfterHeaders
 	// AtToken is before the token whose number is in Fault.Token.
 	AtToken
@@ -19,14 +21,14 @@
 	BeforeEndMarker
 )
 
-// FaultManner is the way in which an engine fails.
-type FaultManner uint8
+// Manner is the way in which a stand-in fails.
+type Manner uint8
 
 // Manners of failing.
 const (
 	// Abort cuts the connection.
-	Abort FaultManner = iota
-	// CleanEnd ends the answer as if it were whole, without an end marker.
+	Abort Manner = iota
+	// CleanEnd ends the answer as if it were whole.
 	CleanEnd
 	// BrokenChunking writes bytes that are not a valid HTTP chunk.
 	BrokenChunking
@@ -36,55 +38,33 @@
 	Stall
 )
 
-// Fault is one failure that an engine is to have. It is used up when it
-// strikes.
+const oversizeBytes = 4 << 20
+
+// Fault is one failure of one answer. It is an immutable value.
 type Fault struct {
-	Point  FaultPoint
-	Manner FaultManner
+	Point  Point
+	Manner Manner
 	// Token counts output tokens of the whole answer, for AtToken.
 	Token int
 }
 
-const oversizeBytes = 4 << 20
-
-// Inject adds failures. Each answer takes at most the first one that waits.
-func (e *Engine) Inject(f ...Fault) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults = append(e.faults, f...)
-}
-
-// takeFault hands the first waiting failure to an answer.
-func (e *Engine) takeFault() *Fault {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.faults) == 0 {
-		return nil
-	}
-	f := e.faults[0]
-	e.faults = e.faults[1:]
-	return &f
-}
-
-// strikes reports whether the failure is due at this point.
-func (f *Fault) strikes(p FaultPoint, token int) bool {
+// Strikes reports whether the failure is due at this point. A nil fault never
+// strikes.
+func (f *Fault) Strikes(p Point, token int) bool {
 	return f != nil && f.Point == p && (p != AtToken || f.Token == token)
 }
 
-// perform carries the failure out. Only CleanEnd returns.
-func (f *Fault) perform(w http.ResponseWriter, r *http.Request) {
+// Perform carries the failure out. It returns only for CleanEnd; for the
+// others it aborts the handler that calls it.
+func (f *Fault) Perform(w http.ResponseWriter, r *http.Request) {
 	switch f.Manner {
 	case CleanEnd:
 		return
 	case Stall:
 		<-r.Context().Done()
 	case OversizeLine:
-		line := make([]byte, oversizeBytes)
-		for i := range line {
-			line[i] = 'x'
-		}
 		_, _ = w.Write([]byte("data: "))
-		_, _ = w.Write(line)
+		_, _ = w.Write(bytes.Repeat([]byte{'x'}, oversizeBytes))
 		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
 	case BrokenChunking:
@@ -106,3 +86,29 @@
 	_ = buffer.Flush()
 	_ = conn.Close()
 }
+
+// Faults is a list of failures that wait for answers. It is safe for
+// concurrent use. The zero value is empty.
+type Faults struct {
+	mu      sync.Mutex
+	waiting []Fault
+}
+
+// Inject adds failures. Each answer takes at most the first one that waits.
+func (l *Faults) Inject(f ...Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = append(l.waiting, f...)
+}
+
+// Take hands the first waiting failure to an answer, or nil.
+func (l *Faults) Take() *Fault {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 {
+		return nil
+	}
+	f := l.waiting[0]
+	l.waiting = l.waiting[1:]
+	return &f
+}
--- a/internal/wasabitable/memory.go
+++ b/internal/wasabitable/memory.go
@@ -34,7 +34,7 @@
 	Plan  wasabifault.Plan
 	// Sleep waits out injected delays and reports false when the context
 	// ended first. Nil waits in real time.
-	Sleep func(ctx context.Context, span wasabiridge.Millis) bool
+	Sleep wasabifault.SleepFunc
 }
 
 // Stats counts calls that reached the table, turned away or not.
@@ -49,8 +49,8 @@
 // use. Revisions come from one counter for all rows, so that a row that is
 // deleted and made again never shows an old revision.
 type Memory struct {
-	options MemoryOptions
-	faults  *wasabifault.Injector
+	clock  wasabiridge.Clock
+	faults *wasabifault.Injector
 
 	mu       sync.Mutex
 	rows     map[string]wasabiridge.Row
@@ -68,13 +68,10 @@
 
 // NewMemory returns an empty table.
 func NewMemory(o MemoryOptions) *Memory {
-	if o.Sleep == nil {
-		o.Sleep = wasabifault.Sleep
-	}
 	return &Memory{
-		options: o,
-		faults:  wasabifault.NewInjector(o.Plan, o.Clock),
-		rows:    map[string]wasabiridge.Row{},
+		clock:  o.Clock,
+		faults: wasabifault.NewInjector(o.Plan, o.Clock, o.Sleep),
+		rows:   map[string]wasabiridge.Row{},
 	}
 }
 
@@ -121,18 +118,9 @@
 	return rows[:min(limit, len(rows))], nil
 }
 
-// read carries out the fate of a read. Every failure of a read is
-// ErrUnavailable, because a read has no effect.
 func (m *Memory) read(ctx context.Context, key string) error {
-	fate := m.faults.Draw(wasabifault.Read, key)
 	m.count(func(s *Stats) { s.Reads++ })
-	if !m.options.Sleep(ctx, fate.Before+fate.After) {
-		return wasabiridge.ErrUnavailable.New("read of %q timed out", key)
-	}
-	if fate.Kind != wasabifault.Delivered && fate.Kind != wasabifault.Race {
-		return wasabiridge.ErrUnavailable.New("read of %q failed: %s", key, fate.Kind)
-	}
-	return nil
+	return m.faults.Read(ctx, key)
 }
 
 // Commit carries out a transaction.
@@ -140,27 +128,10 @@
 	if err := CheckTransaction(tx); err != nil {
 		return err
 	}
-	fate := m.faults.Draw(wasabifault.Write, tx.Changes[0].Key)
 	m.count(func(s *Stats) { s.Writes++ })
-	if fate.Kind == wasabifault.Unavailable {
-		return wasabiridge.ErrUnavailable.New("write %q turned away", tx.ID)
-	}
-	if !m.options.Sleep(ctx, fate.Before) {
-		return unknownOutcome(tx.ID)
-	}
-	err := m.carryOut(tx, fate)
-	if !m.options.Sleep(ctx, fate.After) || hidesOutcome(fate.Kind) {
-		return unknownOutcome(tx.ID)
-	}
-	return err
-}
-
-func hidesOutcome(k wasabifault.Kind) bool {
-	return k == wasabifault.LostRequest || k == wasabifault.LostAnswer || k == wasabifault.LateEffect
-}
-
-func unknownOutcome(id wasabiridge.WriteID) error {
-	return wasabiridge.ErrOutcomeUnknown.New("no answer to write %q", id)
+	return m.faults.Write(ctx, tx.Changes[0].Key, func(f wasabifault.Fate) error {
+		return m.carryOut(tx, f)
+	})
 }
 
 func (m *Memory) carryOut(tx wasabiridge.Transaction, fate wasabifault.Fate) error {
@@ -168,10 +139,8 @@
 	defer m.mu.Unlock()
 	m.arrive()
 	switch fate.Kind {
-	case wasabifault.LostRequest:
-		return nil
 	case wasabifault.LateEffect:
-		m.late = append(m.late, lateTransaction{due: m.options.Clock.Now() + fate.Late, tx: copyTransaction(tx)})
+		m.late = append(m.late, lateTransaction{due: m.clock.Now() + fate.Late, tx: copyTransaction(tx)})
 		return nil
 	case wasabifault.Race:
 		m.touch(tx)
@@ -179,10 +148,18 @@
 	return m.apply(tx)
 }
 
+// peek reads a row past the injected faults.
+func (m *Memory) peek(key string) wasabiridge.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.arrive()
+	return copyRow(m.rows[key])
+}
+
 // arrive carries out late transactions that are due. Their conditions are
 // tested now, not when they were sent.
 func (m *Memory) arrive() {
-	now := m.options.Clock.Now()
+	now := m.clock.Now()
 	var waiting []lateTransaction
 	for _, l := range m.late {
 		if l.due > now {
--- a/internal/wasabitable/table_test.go
+++ b/internal/wasabitable/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"testing"
@@ -31,13 +32,12 @@
 }
 
 var _ = Describe("The table in memory", func() {
-	checks := wasabicontract.Table(func() wasabicontract.TableSubject {
+	fresh := func() wasabicontract.TableSubject {
 		m, _ := virtualTable(wasabifault.Plan{})
 		return wasabicontract.TableSubject{Table: m, Script: m.Faults().Script}
-	})
-	for _, name := range checks.Names() {
-		It(name, func(ctx SpecContext) { Expect(checks[name](ctx)).To(Succeed()) })
 	}
+	wasabicontract.Specs(wasabicontract.Table(fresh))
+	wasabicontract.Specs(wasabicontract.TableFaults(fresh))
 
 	It("turns calls away above the rate of the store", func(ctx SpecContext) {
 		m, _ := virtualTable(wasabifault.Plan{ReadsPerSecond: 3})
@@ -49,6 +49,44 @@
 	})
 })
 
+var _ = Describe("The table over HTTP", func() {
+	fresh := func() wasabicontract.TableSubject {
+		m, _ := virtualTable(wasabifault.Plan{})
+		server := httptest.NewServer(wasabitable.Handler(m))
+		DeferCleanup(server.Close)
+		return wasabicontract.TableSubject{Table: newClient(server.URL), Script: m.Faults().Script}
+	}
+	wasabicontract.Specs(wasabicontract.Table(fresh))
+	wasabicontract.Specs(wasabicontract.TableFaults(fresh))
+
+	It("has nothing in effect when no connection was made", func(ctx SpecContext) {
+		server := httptest.NewServer(nil)
+		server.Close()
+		err := newClient(server.URL).Commit(ctx, wasabiridge.Transaction{ID: "w", Changes: []wasabiridge.RowChange{{Key: "a"}}})
+		Expect(errorx.IsOfType(err, wasabiridge.ErrUnavailable)).To(BeTrue(), "%v", err)
+	})
+
+	// A store that hangs must not hold its caller for ever, and the caller
+	// must not believe that nothing happened.
+	It("gives up on a store that hangs, with an unknown outcome", func(ctx SpecContext) {
+		m := wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: wasabiclock.System()})
+		m.Faults().Script(wasabifault.Write, wasabifault.Fate{After: wasabiridge.Minute})
+		server := httptest.NewServer(wasabitable.Handler(m))
+		DeferCleanup(server.Close)
+		client := newClient(server.URL)
+		err := client.Commit(ctx, wasabiridge.Transaction{ID: "w", Changes: []wasabiridge.RowChange{{Key: "a"}}})
+		Expect(errorx.IsOfType(err, wasabiridge.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
+		Expect(client.Get(ctx, "a")).To(HaveField("LastWrite", BeEquivalentTo("w")))
+	})
+})
+
+func newClient(url string) *wasabitable.Client {
+	return wasabitable.NewClient(wasabitable.ClientOptions{
+		URL: url, Table: "wasabiridge", Region: "local", AccessKey: "test", SecretKey: "test",
+		Clock: wasabiclock.System(), Timeout: 500,
+	})
+}
+
 // counter is a row whose value counts effects.
 const counter = "counter"
 
--- a/internal/wasabitable/writer.go
+++ b/internal/wasabitable/writer.go
@@ -14,7 +14,7 @@
 // Defaults of a Writer.
 const (
 	defaultAttempts = 4
-	defaultPause    = 50 * wasabiridge.Millis(1)
+	defaultPause    = wasabiridge.Millis(50)
 )
 
 // WriterOptions set up a Writer.
@@ -29,7 +29,7 @@
 	Pause wasabiridge.Millis
 	// Sleep waits and reports false when the context ended first. Nil waits
 	// in real time.
-	Sleep func(ctx context.Context, span wasabiridge.Millis) bool
+	Sleep wasabifault.SleepFunc
 }
 
 // Write is a set of changes that a Writer carries out at most once.
--- a/showing.go
+++ b/showing.go
@@ -90,42 +90,6 @@
 	Drain(ctx context.Context) error
 }
 
-// ExplainQuery describes a request for which the matching rule is asked.
-type ExplainQuery struct {
-	Account ClientAccountID `json:"account"`
-	Method  string          `json:"method"`
-	Path    string          `json:"path"`
-	Model   ModelID         `json:"model,omitempty"`
-	// Headers holds one value for each header.
-	Headers      map[string]string `json:"headers,omitempty"`
-	PromptTokens int               `json:"prompt_tokens,omitempty"`
-}
-
-// ExplainLine tells whether one rule matches a request, and why not.
-type ExplainLine struct {
-	Rule    RuleID `json:"rule"`
-	Matches bool   `json:"matches"`
-	// Reason names the first condition that does not hold.
-	Reason string `json:"reason,omitempty"`
-}
-
-// Explanation tells which rule decides on a request.
-type Explanation struct {
-	// Rule is the first rule that matches. Empty means that none does.
-	Rule RuleID `json:"rule,omitempty"`
-	// Then is what the rule asks for.
-	Then  Action        `json:"then"`
-	Lines []ExplainLine `json:"lines"`
-	// Note says what else stands in the way, such as a pool that the account
-	// may not use.
-	Note string `json:"note,omitempty"`
-}
-
-// RuleExplainer tells which rule of a configuration decides on a request.
-type RuleExplainer interface {
-	ExplainRules(c Config, q ExplainQuery) Explanation
-}
-
 // OutcomeReport shows the outcomes of a quarter against its targets.
 type OutcomeReport struct {
 	Quarter string          `json:"quarter"`
