Gateway keeps the claim gate; daemon test follows the engine stand-in

Cause: a claim that is given up while its request waits must not be sent, and a send that the backend server did not run is told to the gate. Conclusion: the gateway calls BeginSend before and SendNotRun after a send.

--- a/internal/wasabidaemon/daemon_test.go
+++ b/internal/wasabidaemon/daemon_test.go
@@ -19,6 +19,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabidaemon"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifake"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
@@ -90,7 +91,7 @@
 
 var _ = Describe("a router", func() {
 	It("streams an answer from settings to the time line", func() {
-		engine := startEngine(wasabiengine.Options{ID: "e1"})
+		engine := startEngine(wasabiengine.Options{Spec: wasabifake.Spec{ID: "e1"}})
 		d := startDaemon(wasabidaemon.Options{Settings: wasabisettings.Settings{
 			ConfigFile: writeConfig(engine),
 			Drain:      wasabisettings.Drain{AnswerLifetime: 1},
--- a/internal/wasabigateway/exchange.go
+++ b/internal/wasabigateway/exchange.go
@@ -122,10 +122,7 @@
 // run carries out an attempt and tells the decisions how it ended.
 func (x *exchange) run(ctx context.Context, d wasabiridge.Dispatch) {
 	s := &sink{exchange: x, ctx: ctx, dispatch: d}
-	end := endOf(d, wasabiridge.AttemptNotRun)
-	if x.maySend() {
-		end = x.gateway.options.Runner.Run(ctx, x.attempt(d), s)
-	}
+	end := x.send(ctx, x.attempt(d), s)
 	end.Request = d.Request
 	end.Attempt = d.Attempt
 	end.Backend = d.Backend.ID
@@ -137,11 +134,22 @@
 	wake(x.out.ready)
 }
 
-// maySend asks for the last time whether a claimed request may be sent. A
-// claim may have been given up while the request waited.
-func (x *exchange) maySend() bool {
+// send hands an attempt to the runner. A claim may have been given up while
+// the request waited, so a claimed request asks for the last time whether it
+// may be sent.
+func (x *exchange) send(ctx context.Context, a wasabiridge.Attempt, s *sink) wasabiridge.AttemptEnded {
 	gate, ok := x.gateway.options.Claimer.(wasabiridge.ClaimGate)
-	return !ok || !x.request.Action.NonIdempotent || gate.BeginSend(x.request.ID) == nil
+	if !ok || !a.NonIdempotent {
+		return x.gateway.options.Runner.Run(ctx, a, s)
+	}
+	if gate.BeginSend(a.Request) != nil {
+		return endOf(s.dispatch, wasabiridge.AttemptNotRun)
+	}
+	end := x.gateway.options.Runner.Run(ctx, a, s)
+	if end.Result == wasabiridge.AttemptNotRun {
+		gate.SendNotRun(a.Request)
+	}
+	return end
 }
 
 func (x *exchange) attempt(d wasabiridge.Dispatch) wasabiridge.Attempt {
