--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -85,11 +85,19 @@
 // maxCount bounds counters that a backend server states.
 const maxCount = 1 << 30
 
-// count reads a counter. What is no number or out of range counts as the
-// nearest bound, so that a broken engine cannot upset sums.
+// count reads a counter. What is no number counts as zero.
 func count(v gjson.Result) int {
 	if v.Type != gjson.Number {
 		return 0
 	}
-	return int(max(0, min(v.Num, maxCount)))
+	return clamp(v.Num)
+}
+
+// clamp brings a stated counter into range, so that a broken engine cannot
+// upset sums. What is not a number counts as zero.
+func clamp(v float64) int {
+	if !(v > 0) {
+		return 0
+	}
+	return int(min(v, maxCount))
 }
--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -40,7 +40,10 @@
 
 // run sends the attempt and relays its answer.
 func (x *exchange) run(transport http.RoundTripper) wasabiridge.AttemptResult {
-	body, _ := extendBody(x.attempt)
+	body, ok := extendBody(x.attempt)
+	if !ok {
+		return wasabiridge.AttemptNotRun
+	}
 	x.wantsUsage = body.wantsUsage
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.markSent() }}
 	var req *http.Request
@@ -174,6 +177,12 @@
 	if !x.head(resp, false) {
 		return wasabiridge.AttemptBroken
 	}
+	// An engine that hangs keeps its connection open and would leave the
+	// caller waiting for ever. The silence is timed from event to event; the
+	// time in which the caller reads does not count.
+	silence := time.AfterFunc(x.opts.Silence.Duration(), x.cancel)
+	silence.Stop()
+	defer silence.Stop()
 	var buffer []byte
 	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: x.opts.EventBytes}) {
 		if err != nil {
@@ -195,9 +204,11 @@
 			continue
 		}
 		buffer = appendLine(buffer[:0], event.Data)
+		silence.Stop()
 		if !x.chunk(c.tokens, buffer) {
 			return wasabiridge.AttemptBroken
 		}
+		silence.Reset(x.opts.Silence.Duration())
 	}
 	return wasabiridge.AttemptBroken
 }
@@ -225,7 +236,9 @@
 }
 
 // relayWhole holds an engine's answer back until it is whole, so that an
-// engine that dies on the way leaves nothing that the caller has seen.
+// engine that dies on the way leaves nothing that the caller has seen. A
+// success must be a JSON object: an engine that ends its handler before it
+// wrote a byte leaves an empty 200 that net/http takes as whole.
 func (x *exchange) relayWhole(resp *http.Response) wasabiridge.AttemptResult {
 	if closeDelimited(resp) {
 		return wasabiridge.AttemptBroken
@@ -235,7 +248,11 @@
 		return wasabiridge.AttemptBroken
 	}
 	tokens := 0
-	if c, ok := decodeChunk(string(data)); ok && resp.StatusCode == http.StatusOK {
+	if resp.StatusCode == http.StatusOK {
+		c, ok := decodeChunk(string(data))
+		if !ok || c.failed || x.attempt.Stream {
+			return wasabiridge.AttemptBroken
+		}
 		x.takeUsage(c)
 		tokens = c.usage.OutputTokens
 	}
--- /dev/null
+++ b/internal/wasabibackend/export_test.go
@@ -0,0 +1,47 @@
+package wasabibackend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// What follows opens the decoders to the tests of this package.
+var (
+	DecodeLoad  = decodeLoad
+	DecodeBatch = decodeBatch
+)
+
+// DecodeChunk returns the output tokens and the usage in a payload.
+func DecodeChunk(payload string) (int, wasabiridge.Usage, bool) {
+	c, ok := decodeChunk(payload)
+	return c.tokens, c.usage, ok
+}
+
+// ExtendBody returns what an engine is sent for a body.
+func ExtendBody(a wasabiridge.Attempt) ([]byte, bool) {
+	b, ok := extendBody(a)
+	return b.data, ok
+}
+
+// Waits returns the first waits of a backoff.
+func Waits(seed uint64, name string, count int) []wasabiridge.Millis {
+	b := newBackoff(seed, name)
+	var out []wasabiridge.Millis
+	for range count {
+		out = append(out, b.next())
+	}
+	return out
+}
+
+// RelayEvents relays an event stream as if an engine had sent it.
+func RelayEvents(stream []byte, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	x := &exchange{ctx: ctx, cancel: cancel, opts: Options{EventBytes: 1 << 10}.withDefaults(), sink: sink}
+	x.ended.Result = x.relayEvents(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(stream))})
+	return x.ended
+}
--- a/internal/wasabibackend/request.go
+++ b/internal/wasabibackend/request.go
@@ -90,27 +90,34 @@
 }
 
 // routerFields are set by the router alone. A caller that could set them
-// would read another account's cache or overtake others.
+// would read another account's cache or overtake others. Names are compared in
+// lower case, because some decoders take any case.
 var routerFields = map[string]bool{
 	"block_hashes": true, "cache_salt": true, "priority": true, "resume_from": true,
 	"return_token_ids": true, "stream_options": true,
 }
 
-// extendBody replaces the router's fields of a completion call. It reports
-// false when the body is not a JSON object; the body then goes out unchanged.
+// extendBody replaces the router's fields of a completion call. Bodies of other
+// calls go out unchanged. It reports false when the body of a completion call
+// is not a JSON object: a lenient engine might read fields in it that were
+// not replaced.
 func extendBody(a wasabiridge.Attempt) (engineBody, bool) {
+	if a.Backend.Kind != wasabiridge.BackendEngine || len(a.Body) == 0 {
+		return engineBody{data: a.Body}, true
+	}
 	root := gjson.ParseBytes(a.Body)
-	if a.Backend.Kind != wasabiridge.BackendEngine || !root.IsObject() {
-		return engineBody{data: a.Body}, false
+	if !gjson.ValidBytes(a.Body) || !root.IsObject() {
+		return engineBody{}, false
 	}
 	var b engineBody
 	out := make([]byte, 0, len(a.Body)+256)
 	out = append(out, '{')
 	root.ForEach(func(key, value gjson.Result) bool {
-		if key.Str == "stream_options" {
+		name := strings.ToLower(key.Str)
+		if name == "stream_options" {
 			b.wantsUsage = value.Get("include_usage").Bool()
 		}
-		if !routerFields[key.Str] {
+		if !routerFields[name] {
 			out = append(out, key.Raw...)
 			out = append(out, ':')
 			out = append(out, value.Raw...)
--- a/internal/wasabibackend/runner.go
+++ b/internal/wasabibackend/runner.go
@@ -28,12 +28,18 @@
 const (
 	defaultDialTimeout   = 2 * wasabiridge.Second
 	defaultIdlePerServer = 256
+	defaultSilence       = 20 * wasabiridge.Second
 	defaultEventBytes    = 1 << 20
 	defaultAnswerBytes   = 16 << 20
 	idleTimeout          = 60 * time.Second
 	maxHeaderBytes       = 64 << 10
 )
 
+// keepAlive ends a connection whose other end vanished without a word, such as
+// a machine without power. It shows as a stream that stands still; a few
+// probes without an answer break it within about ten seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
+
 // Options are the limits of a Runner. Zero values mean the defaults.
 type Options struct {
 	// DialTimeout bounds how long a connection may take to open. Zero means
@@ -47,6 +53,9 @@
 	// AnswerBytes bounds an engine's answer that is not a stream, which is
 	// held in memory until it is whole. Zero means 16 MiB.
 	AnswerBytes int
+	// Silence is how long a stream may stop between two events after its
+	// first one. Zero means 20 seconds.
+	Silence wasabiridge.Millis
 }
 
 // Runner implements wasabiridge.AttemptRunner over net/http. It keeps a pool
@@ -59,8 +68,7 @@
 
 var _ wasabiridge.AttemptRunner = (*Runner)(nil)
 
-// New returns a runner.
-func New(o Options) *Runner {
+func (o Options) withDefaults() Options {
 	if o.DialTimeout == 0 {
 		o.DialTimeout = defaultDialTimeout
 	}
@@ -73,6 +81,15 @@
 	if o.AnswerBytes == 0 {
 		o.AnswerBytes = defaultAnswerBytes
 	}
+	if o.Silence == 0 {
+		o.Silence = defaultSilence
+	}
+	return o
+}
+
+// New returns a runner.
+func New(o Options) *Runner {
+	o = o.withDefaults()
 	pooled := newTransport(o)
 	// The transport of the standard library sends a request a second time
 	// when a kept connection turns out to be closed and the request looks
@@ -86,7 +103,7 @@
 }
 
 func newTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout.Duration()}
+	dialer := &net.Dialer{Timeout: o.DialTimeout.Duration(), KeepAliveConfig: keepAlive}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		TLSHandshakeTimeout:    o.DialTimeout.Duration(),
--- a/internal/wasabibackend/suite_test.go
+++ b/internal/wasabibackend/suite_test.go
@@ -31,9 +31,12 @@
 	header http.Header
 	ids    []int64
 	data   strings.Builder
+	text   strings.Builder
 	chunks int
 	// onChunk runs at each chunk, without the lock.
 	onChunk func() error
+	// check sees each payload.
+	check func(data []byte)
 }
 
 func (s *sink) Sent() {
@@ -56,7 +59,11 @@
 		s.ids = append(s.ids, id.Int())
 	}
 	s.data.Write(data)
+	s.text.WriteString(gjson.GetBytes(data, "choices.0.text").Str)
 	s.mu.Unlock()
+	if s.check != nil {
+		s.check(data)
+	}
 	if s.onChunk != nil {
 		return s.onChunk()
 	}
--- a/internal/wasabibackend/trap_test.go
+++ b/internal/wasabibackend/trap_test.go
@@ -125,6 +125,7 @@
 	}
 	cases := map[string]want{
 		"before headers":             {wasabiserver.Fault{Point: wasabiserver.BeforeHeaders}, 0, false},
+		"before headers, as empty":   {wasabiserver.Fault{Point: wasabiserver.BeforeHeaders, Manner: wasabiserver.CleanEnd}, 0, false},
 		"after headers":              {wasabiserver.Fault{Point: wasabiserver.AfterHeaders}, 0, true},
 		"mid-stream":                 {wasabiserver.Fault{Point: wasabiserver.AtToken, Token: 4}, 4, true},
 		"before the end marker":      {wasabiserver.Fault{Point: wasabiserver.BeforeEndMarker}, 10, true},
@@ -149,6 +150,16 @@
 		})
 	}
 
+	// Story: an answer stops in the middle of a sentence and never ends. The
+	// engine hangs with its connection open.
+	It("shows as a silence", func() {
+		e := newEngine(wasabiengine.Options{})
+		e.Inject(wasabiserver.Fault{Point: wasabiserver.AtToken, Token: 4, Manner: wasabiserver.Stall})
+		ended, _ := run(newRunner(wasabibackend.Options{Silence: 100}), streamOf(e.Backend()))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken), "not given up by the router's caller")
+		Expect(ended.Delivered).To(Equal(4))
+	})
+
 	It("leaves nothing at the caller when the answer is not a stream", func() {
 		url := serve(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
@@ -255,6 +266,43 @@
 	)
 })
 
+var _ = Describe("a slow reader", func() {
+	// Story: one caller on a bad line reads a long answer slowly. The router
+	// would buffer the whole answer, or the engine's other answers would wait
+	// behind it.
+	It("holds up its own engine's answer and nobody else's", func() {
+		e := newEngine(wasabiengine.Options{})
+		runner := newRunner(wasabibackend.Options{Silence: 100})
+		long := streamOf(e.Backend())
+		long.Path = "/v1/completions"
+		long.Body = []byte(`{"model":"m","stream":true,"max_tokens":100000,"prompt":"p"}`)
+		blocked, release := make(chan struct{}), make(chan struct{})
+		s := &sink{}
+		s.onChunk = func() error {
+			if s.chunks == 1 {
+				close(blocked)
+				<-release
+			}
+			return nil
+		}
+		done := make(chan wasabiridge.AttemptEnded)
+		go func() { done <- runner.Run(context.Background(), long, s) }()
+		Eventually(blocked, patience).Should(BeClosed())
+		Eventually(func() bool { n := e.Written(); time.Sleep(20 * time.Millisecond); return e.Written() == n }, patience).
+			Should(BeTrue(), "the engine waits for the reader")
+		Expect(e.Written()).To(BeNumerically("<", 90000), "the rest is not in this process")
+		for range 5 {
+			ended, _ := run(runner, streamOf(e.Backend()))
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
+		}
+		close(release)
+		var ended wasabiridge.AttemptEnded
+		Eventually(done, patience).Should(Receive(&ended))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted), "reading slowly is not the engine's silence")
+		Expect(ended.Delivered).To(Equal(100000))
+	})
+})
+
 var _ = Describe("an attempt that is given up", func() {
 	// Story: a caller hangs up, but the engine goes on computing for nobody
 	// while others wait. The cancel did not reach it.
--- a/internal/wasabiengine/engine.go
+++ b/internal/wasabiengine/engine.go
@@ -66,6 +66,7 @@
 	report    atomic.Pointer[wasabiridge.LoadReport]
 	served    atomic.Int64
 	cancelled atomic.Int64
+	written   atomic.Int64
 }
 
 // New returns an engine that does not listen yet. It must be closed.
@@ -152,6 +153,9 @@
 // Cancelled counts the answers that their caller gave up.
 func (e *Engine) Cancelled() int { return int(e.cancelled.Load()) }
 
+// Written counts the tokens that were written to streams.
+func (e *Engine) Written() int { return int(e.written.Load()) }
+
 // LoseEvents makes the next cache events be lost on their way.
 func (e *Engine) LoseEvents(count int) {
 	e.core.mu.Lock()
@@ -173,7 +177,7 @@
 	r := e.loadReport()
 	writeJSON(w, http.StatusOK, loadBody{
 		Incarnation:   uint64(r.Incarnation),
-		TakenMillis:   int64(r.Taken),
+		AgeMillis:     int64(e.opts.Clock.Now() - r.Taken),
 		Running:       r.Running,
 		Waiting:       r.Waiting,
 		WaitingTokens: r.WaitingTokens,
--- a/internal/wasabiengine/events.go
+++ b/internal/wasabiengine/events.go
@@ -14,7 +14,7 @@
 // loadBody is the answer to GET /load.
 type loadBody struct {
 	Incarnation   uint64 `json:"incarnation"`
-	TakenMillis   int64  `json:"taken_ms"`
+	AgeMillis     int64  `json:"age_ms"`
 	Running       int    `json:"running"`
 	Waiting       int    `json:"waiting"`
 	WaitingTokens int    `json:"waiting_tokens"`
--- a/internal/wasabiengine/handler.go
+++ b/internal/wasabiengine/handler.go
@@ -262,6 +262,7 @@
 	c := s.envelope(s.form.chunkObject)
 	c.Choices = []choice{s.choice(t.text, ids, last)}
 	s.writeEvent(c)
+	s.engine.written.Add(1)
 }
 
 func (s *stream) writeEvent(c completion) {
