--- a/internal/wasabidaemon/daemon.go
+++ b/internal/wasabidaemon/daemon.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabilimit"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
 )
@@ -115,7 +117,7 @@
 		o.Runner = wasabibackend.New(wasabibackend.Options{})
 	}
 	if o.Placer == nil {
-		o.Placer = &spread{}
+		o.Placer = wasabiplace.New(wasabiplace.Options{Seed: o.seed(), Zone: o.Settings.Zone})
 	}
 	if o.Limiter == nil {
 		o.Limiter = wasabilimit.New(wasabilimit.Options{Instances: 1})
@@ -123,6 +125,14 @@
 	return o
 }
 
+// seed returns the start of the random choices.
+func (o Options) seed() uint64 {
+	if o.Settings.Seed != 0 {
+		return uint64(o.Settings.Seed)
+	}
+	return rand.Uint64()
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	o := listenerOptions{settings: d.options.Settings.Caller, clock: d.options.Clock, log: wasabilog.Part(d.log, "caller")}
--- /dev/null
+++ b/internal/wasabigateway/claim_test.go
@@ -0,0 +1,156 @@
+package wasabigateway_test
+
+import (
+	"context"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabigateway"
+)
+
+func booking(key string) call {
+	return call{path: "/bookings", body: `{"lift":7}`, header: map[string]string{"Idempotency-Key": key}}
+}
+
+var _ = Describe("requests that run at most once", func() {
+	It("give a repeat the first answer", func() {
+		r := specRig(nil)
+		r.runner.set(whole(http.StatusCreated, `{"number":1}`))
+		Expect(r.do(booking("k")).text).To(Equal(`{"number":1}`))
+		Eventually(r.claims.finished).Should(HaveLen(1))
+		got := r.do(booking("k"))
+		Expect(got.status).To(Equal(http.StatusCreated))
+		Expect(got.text).To(Equal(`{"number":1}`))
+		Expect(got.header.Get(wasabigateway.ReplayedHeader)).To(Equal("true"))
+		Expect(got.header.Get(wasabigateway.DispositionHeader)).To(Equal("ran"))
+		Expect(r.runner.seen()).To(HaveLen(1))
+	})
+
+	// The service dies after it read the booking. Whether a van is booked is
+	// not known, so neither the router nor the repeat may book again.
+	It("are not sent again when they may have run", func() {
+		r := specRig(nil)
+		r.runner.set(func(_ context.Context, _ int, _ wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+			sink.Sent()
+			return end(wasabiridge.AttemptBroken)
+		})
+		got := r.do(booking("k"))
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+		Expect(got.header.Get(wasabigateway.DispositionHeader)).To(Equal("maybe_run"))
+		Eventually(r.claims.finished).Should(HaveLen(1))
+		again := r.do(booking("k"))
+		Expect(again.code()).To(Equal("outcome_unknown"))
+		Expect(again.header.Get(wasabigateway.DispositionHeader)).To(Equal("maybe_run"))
+		Expect(r.runner.seen()).To(HaveLen(1))
+	})
+
+	It("go to another server when the first says that it did not run", func() {
+		r := specRig(nil)
+		r.runner.set(func(ctx context.Context, n int, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+			if n == 1 {
+				sink.Sent()
+				return end(wasabiridge.AttemptNotRun)
+			}
+			return whole(http.StatusCreated, "{}")(ctx, n, a, sink)
+		})
+		Expect(r.do(booking("k")).status).To(Equal(http.StatusCreated))
+		seen := r.runner.seen()
+		Expect(seen).To(HaveLen(2))
+		Expect(seen[0].NonIdempotent).To(BeTrue())
+	})
+
+	It("release their claim when nothing ran", func() {
+		r := specRig(nil)
+		r.runner.set(func(context.Context, int, wasabiridge.Attempt, wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+			return end(wasabiridge.AttemptNotRun)
+		})
+		got := r.do(booking("k"))
+		Expect(got.header.Get(wasabigateway.DispositionHeader)).To(Equal("not_run"))
+		Eventually(r.claims.finished).Should(HaveLen(1))
+		Expect(r.claims.finished()[0].Disposition).To(Equal(wasabiridge.NotRun))
+	})
+
+	// The caller's connection breaks while the booking runs. Cancelling it
+	// would leave a booking of which nobody knows; the repeat must get its
+	// number.
+	It("go on when their caller leaves, and keep the answer", func() {
+		for _, body := range []call{booking("k"), {body: `{"model":"review","stream":true}`, header: map[string]string{"Idempotency-Key": "k"}}} {
+			r := specRig(nil)
+			begun, proceed := make(chan struct{}), make(chan struct{})
+			r.runner.set(func(ctx context.Context, n int, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+				sink.Sent()
+				close(begun)
+				<-proceed
+				if ctx.Err() != nil {
+					return end(wasabiridge.AttemptCancelled)
+				}
+				_ = sink.Head(http.StatusCreated, http.Header{"Content-Type": {"application/json"}})
+				_ = sink.Chunk(0, []byte(`{"number":1}`))
+				return end(wasabiridge.AttemptCompleted)
+			})
+			ctx, leave := context.WithCancel(context.Background())
+			go func() {
+				defer GinkgoRecover()
+				<-begun
+				leave()
+			}()
+			_, err := r.server.Client().Do(body.request(r.server.URL).WithContext(ctx))
+			Expect(err).To(HaveOccurred())
+			Expect(r.do(body).code()).To(Equal("still_running"))
+			close(proceed)
+			Eventually(r.claims.finished).Should(HaveLen(1))
+			Expect(r.do(body).text).To(Equal(`{"number":1}`))
+			Expect(r.runner.seen()).To(HaveLen(1))
+		}
+	})
+
+	// The service hangs. The caller must hear at its deadline that the booking
+	// may have run, and the repeat must still get the number once it is there.
+	It("answer at the deadline and keep what comes after it", func() {
+		r := specRig(func(o *wasabigateway.Options) {
+			cfg := testConfig()
+			cfg.Rules = []wasabiridge.Rule{{ID: "booking", Then: wasabiridge.Action{Pool: "bookings", NonIdempotent: true, Deadline: 50}}}
+			o.Config = func() wasabiridge.Config { return cfg }
+		})
+		proceed := make(chan struct{})
+		r.runner.set(func(ctx context.Context, n int, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+			sink.Sent()
+			<-proceed
+			return whole(http.StatusCreated, `{"number":1}`)(ctx, n, a, sink)
+		})
+		got := r.do(booking("k"))
+		Expect(got.code()).To(Equal("deadline"))
+		Expect(got.header.Get(wasabigateway.DispositionHeader)).To(Equal("maybe_run"))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		close(proceed)
+		Eventually(r.claims.finished).Should(HaveLen(1))
+		Expect(r.do(booking("k")).text).To(Equal(`{"number":1}`))
+	})
+
+	states := map[string]struct {
+		state       wasabiridge.ClaimState
+		status      int
+		code        string
+		disposition string
+	}{
+		"still running":             {wasabiridge.ClaimRunning, 409, "still_running", "maybe_run"},
+		"outcome unknown":           {wasabiridge.ClaimUnknown, 409, "outcome_unknown", "maybe_run"},
+		"key of another request":    {wasabiridge.ClaimMismatch, 422, "idempotency_key_reused", "not_run"},
+		"no claim could be decided": {wasabiridge.ClaimUnavailable, 503, "claims_unavailable", "not_run"},
+	}
+	for _, name := range sortedNames(states) {
+		c := states[name]
+		It("answer a claim that is not granted: "+name, func() {
+			r := specRig(nil)
+			r.claims.state["k"] = wasabiridge.ClaimOutcome{State: c.state}
+			got := r.do(booking("k"))
+			Expect(got.status).To(Equal(c.status))
+			Expect(got.code()).To(Equal(c.code))
+			Expect(got.header.Get(wasabigateway.DispositionHeader)).To(Equal(c.disposition))
+			Expect(r.runner.seen()).To(BeEmpty())
+		})
+	}
+})
--- /dev/null
+++ b/internal/wasabisettings/settings_test.go
@@ -0,0 +1,70 @@
+package wasabisettings_test
+
+import (
+	"path/filepath"
+	"sort"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestSettings(t *testing.T) { wasabitest.Run(t, "settings") }
+
+const start = `{"instance":"a","zone":"z","caller":{"listen":"127.0.0.1:1"}`
+
+var _ = Describe("settings", func() {
+	wrong := map[string]struct {
+		text string
+		want []string
+	}{
+		"nothing set":              {`{}`, []string{"/instance: must be set", "/zone: must be set", "/caller/listen: must be set"}},
+		"unknown field":            {start + `,"drian":{}}`, []string{"/drian: unknown field", "1:"}},
+		"several unknown fields":   {start + ",\n\"a\":1,\n\"b\":2}", []string{"2:", "/a", "3:", "/b"}},
+		"wrong kind":               {start + `,"limits":{"requests":"many"}}`, []string{"/limits/requests"}},
+		"name instead of a number": {`{"instance":"a","zone":"z","caller":{"listen":"localhost:1"}}`, []string{"/caller/listen: must be an IP address and a port"}},
+		"platform without scheme":  {start + `,"platform":{"table":"127.0.0.1:9"}}`, []string{"/platform/table: must be a URL"}},
+		"certificate without key":  {start + `,"operator":{"listen":"127.0.0.1:2","tls":{"certificate_file":"c"}}}`, []string{"/operator/tls/key_file: must be set"}},
+		"unknown level":            {start + `,"log_level":"loud"}`, []string{"/log_level"}},
+		"negative limit":           {start + `,"limits":{"ring":-1}}`, []string{"/limits/ring: must not be negative"}},
+		"drain shorter than the answers": {start + `,"drain":{"answer_lifetime_ms":5000,"limit_ms":4000}}`,
+			[]string{"/drain/limit_ms: must not be shorter"}},
+		"no JSON": {`{"instance"`, []string{"document"}},
+	}
+	names := make([]string, 0, len(wrong))
+	for name := range wrong {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		c := wrong[name]
+		It("are refused with the place: "+name, func() {
+			_, err := wasabisettings.Parse([]byte(c.text))
+			for _, want := range c.want {
+				Expect(err).To(MatchError(ContainSubstring(want)))
+			}
+		})
+	}
+
+	It("get their defaults", func() {
+		s, err := wasabisettings.Parse([]byte(start + "}"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Caller.URL).To(Equal("http://127.0.0.1:1"))
+		Expect(s.Drain.AnswerLifetime).To(Equal(10 * wasabiridge.Second))
+		Expect(s.Limits.BodyBytes).To(Equal(int64(8 << 20)))
+	})
+
+	It("stand as examples for both deployments", func() {
+		files, err := filepath.Glob("../../examples/settings/*.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).To(HaveLen(2))
+		for _, file := range files {
+			_, err := wasabisettings.Load(file)
+			Expect(err).NotTo(HaveOccurred(), file)
+		}
+	})
+})
