--- /dev/null
+++ b/internal/wasabioutcome/recorder_test.go
@@ -0,0 +1,119 @@
+package wasabioutcome_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifault"
+	"github.com/wasabiridge/wasabiridge/internal/wasabioutcome"
+)
+
+var _ = Describe("Recorder", func() {
+	// An instance is drained in the middle of an interval. What it counted
+	// since its last write has to be in the store when the process ends.
+	It("writes what is left at a graceful end", func() {
+		w := newWorld(wasabifault.Plan{})
+		r := wasabioutcome.New(wasabioutcome.Options{Instance: "a", Incarnation: 1, Clock: w.clock, Store: w.store})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- r.Run(ctx) }()
+		for range 1000 {
+			r.RecordOutcome(wasabiridge.Outcome{Account: "liftwell", At: noon, Disposition: wasabiridge.Ran})
+		}
+		stop()
+		Eventually(done, "20s").Should(Receive(BeNil()))
+		Expect(w.report().Total.Completed).To(Equal(uint64(1000)))
+	})
+
+	// Outcomes come faster than they are counted. The request path must not
+	// wait; what found no room is counted as lost and shows in the coverage.
+	It("counts what finds the ring full", func() {
+		w := newWorld(wasabifault.Plan{})
+		r := wasabioutcome.New(wasabioutcome.Options{Instance: "a", Incarnation: 1, Clock: w.clock, Store: w.store})
+		for range 5000 {
+			r.RecordOutcome(wasabiridge.Outcome{Account: "liftwell", At: noon})
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		Expect(r.Run(ctx)).To(Succeed())
+		report := w.report()
+		Expect(report.Coverage.LostOutcomes).To(Equal(uint64(5000) - report.Total.Requests))
+		Expect(report.Coverage.LostOutcomes).To(BeNumerically(">", 0))
+	})
+})
+
+func FuzzDecodeWindow(f *testing.F) {
+	good, err := wasabioutcome.EncodeWindow(wasabioutcome.Window{
+		Format: 1, Instance: "a", Day: "2026-12-02", From: noon, To: noon + 1,
+		Series: []wasabioutcome.SeriesData{{FirstToken: []wasabioutcome.Bucket{{200, 3}}}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte("broken"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w, err := wasabioutcome.DecodeWindow(data)
+		if err != nil {
+			return
+		}
+		if w.From > w.To || w.Day == "" {
+			t.Fatalf("accepted a window that cannot be: %+v", w)
+		}
+		if err := wasabioutcome.CheckWindow(w); err != nil {
+			return
+		}
+		if _, err := wasabioutcome.EncodeWindow(w); err != nil {
+			t.Fatalf("cannot write what was read: %v", err)
+		}
+	})
+}
+
+func filled(accounts int, requests int) *wasabioutcome.Ledger {
+	random := rand.New(rand.NewPCG(1, 2))
+	l := wasabioutcome.NewLedger(wasabioutcome.Options{Instance: "a", Incarnation: 1, MaxSeries: accounts}, noon, random)
+	for i := range requests {
+		l.Add(wasabiridge.Outcome{
+			Account: wasabiridge.ClientAccountID(fmt.Sprintf("account-%05d", i%accounts)), Rule: "manuals", Model: "m", At: noon,
+			FirstToken: wasabiridge.Millis(50 + random.ExpFloat64()*100), BetweenMicros: int64(20_000 + random.ExpFloat64()*5000),
+			PromptTokens: 30_000, CachedTokens: 28_000, OutputTokens: 236, Disposition: wasabiridge.Ran,
+		})
+	}
+	return l
+}
+
+func BenchmarkAdd(b *testing.B) {
+	l := filled(100, 10_000)
+	o := wasabiridge.Outcome{Account: "account-00001", Rule: "manuals", Model: "m", At: noon, FirstToken: 120, BetweenMicros: 21_000}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Add(o)
+	}
+}
+
+// BenchmarkWrite is what a node spends on one write, by the accounts that it
+// served since midnight. 200 requests each are half a day's at the target.
+func BenchmarkWrite(b *testing.B) {
+	for _, accounts := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			l := filled(accounts, accounts*200)
+			size := 0
+			for b.Loop() {
+				l.Seal(noon + wasabiridge.Hour)
+				job, ready := l.Next(noon + wasabiridge.Hour)
+				if !ready {
+					b.Fatal("nothing to write")
+				}
+				size = len(job.Data)
+				l.Done(noon+wasabiridge.Hour, wasabioutcome.Result{Job: job, Err: context.Canceled})
+			}
+			b.ReportMetric(float64(size), "B/object")
+		})
+	}
+}
--- a/showing.go
+++ b/showing.go
@@ -157,15 +157,22 @@
 	// Share is the covered part of the time in which instances are known to
 	// have been alive, between 0 and 1.
 	Share float64 `json:"share"`
-	// Objects counts what was read; Unreadable names what was not.
-	Objects    int      `json:"objects"`
-	Unreadable []string `json:"unreadable,omitempty"`
+	// Objects counts what was read.
+	Objects int `json:"objects"`
+	// UnreadableObjects counts what could not be read; Unreadable names the
+	// first of them.
+	UnreadableObjects int      `json:"unreadable_objects,omitempty"`
+	Unreadable        []string `json:"unreadable,omitempty"`
 	// MissingDays are days of the quarter so far without any object.
 	MissingDays []string `json:"missing_days,omitempty"`
 	// MissingInstances were seen by others and left no object.
 	MissingInstances []InstanceID `json:"missing_instances,omitempty"`
-	// Gaps are spans between two objects of an instance.
-	Gaps []OutcomeGap `json:"gaps,omitempty"`
+	// GapCount counts spans in which an instance ran and nothing of it is
+	// known; Gaps names the first of them.
+	GapCount int          `json:"gap_count,omitempty"`
+	Gaps     []OutcomeGap `json:"gaps,omitempty"`
+	// LostOutcomes counts outcomes that an instance could not take.
+	LostOutcomes uint64 `json:"lost_outcomes,omitempty"`
 	// Folded counts requests that were counted under the account "~other"
 	// because an instance had no room for a series of their own.
 	Folded uint64 `json:"folded,omitempty"`
