--- /dev/null
+++ b/internal/wasabidemo/stage.go
@@ -0,0 +1,264 @@
+package wasabidemo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclaim"
+	"github.com/wasabiridge/wasabiridge/internal/wasabidaemon"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifake"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiserver"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiservice"
+	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
+)
+
+const (
+	loopback    = "127.0.0.1:0"
+	liftwellKey = "liftwell-demo-key"
+	selamKey    = "selam-demo-key"
+	blockTokens = 256
+	engineCount = 4
+	// answerLifetime is how long a leaving router still accepts requests.
+	answerLifetime = wasabiridge.Second / 2
+	drainLimit     = 5 * wasabiridge.Second
+)
+
+var zones = [...]wasabiridge.AvailabilityZone{"port-of-spain", "san-fernando"}
+
+// engineSpec makes a cold manual take about a third of a second.
+var engineSpec = wasabifake.Spec{
+	BlockTokens: blockTokens, CacheBlocks: 64, Slots: 16, QueueLimit: 64, Prefill: 25, Decode: 8,
+}
+
+// stage holds everything that the demo runs.
+type stage struct {
+	clock    wasabiridge.Clock
+	folder   string
+	engines  []*wasabiengine.Engine
+	service  *wasabiservice.Service
+	platform *wasabiserver.Server
+	store    wasabiridge.Table
+	ended    chan error
+	stop     context.CancelFunc
+
+	// mu guards routers, which the routers themselves read.
+	mu      sync.Mutex
+	routers []*wasabidaemon.Daemon
+}
+
+// newStage starts all parts. On an error nothing is left running.
+func newStage(clock wasabiridge.Clock) (*stage, error) {
+	s := &stage{clock: clock, ended: make(chan error, len(zones))}
+	for _, step := range []func() error{s.startBackends, s.startPlatform, s.startRouters} {
+		if err := step(); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *stage) startBackends() error {
+	for i := range engineCount {
+		spec := engineSpec
+		spec.ID = wasabiridge.BackendServerID(fmt.Sprintf("answer-%d", i+1))
+		e := wasabiengine.New(wasabiengine.Options{Spec: spec, Model: "stairlift", Clock: s.clock})
+		s.engines = append(s.engines, e)
+		if err := e.Start(loopback); err != nil {
+			return err
+		}
+	}
+	s.service = wasabiservice.New("bookings-1")
+	return s.service.Start(loopback)
+}
+
+func (s *stage) startPlatform() error {
+	standIn := wasabiplatform.NewStandIn(wasabiplatform.StandInOptions{Clock: s.clock})
+	s.platform = wasabiserver.New(standIn.Handler())
+	if err := s.platform.Start(loopback); err != nil {
+		return err
+	}
+	s.store = wasabiplatform.Connect(standIn.Settings(s.platform.URL()), s.clock).Table
+	return nil
+}
+
+// startRouters writes the configuration and starts one router in each zone.
+func (s *stage) startRouters() error {
+	var err error
+	if s.folder, err = os.MkdirTemp("", "wasabiridge-demo-"); err != nil {
+		return wasabiridge.ErrUnavailable.Wrap(err, "demo: folder for the configuration")
+	}
+	var text []byte
+	if text, err = json.MarshalIndent(s.config(), "", "  "); err != nil {
+		return wasabiridge.ErrInvalid.Wrap(err, "demo: configuration")
+	}
+	file := filepath.Join(s.folder, "config.jsonc")
+	if err = os.WriteFile(file, text, 0o600); err != nil {
+		return wasabiridge.ErrUnavailable.Wrap(err, "demo: configuration")
+	}
+	var ctx context.Context
+	ctx, s.stop = context.WithCancel(context.Background())
+	for i := range zones {
+		if err = s.startRouter(ctx, i, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *stage) startRouter(ctx context.Context, i int, file string) error {
+	id := wasabiridge.InstanceID(fmt.Sprintf("router-%d", i+1))
+	claims := wasabiclaim.New(wasabiclaim.Options{
+		Self: id, Incarnation: wasabiridge.Incarnation(s.clock.Now()),
+		Secret: []byte("demo"), Table: s.store, Clock: s.clock,
+	})
+	go claims.Run(ctx)
+	var d *wasabidaemon.Daemon
+	var err error
+	d, err = wasabidaemon.New(wasabidaemon.Options{
+		Settings: wasabisettings.Settings{
+			Instance: id, Zone: zones[i], ConfigFile: file,
+			Caller: wasabisettings.Listener{Listen: loopback},
+			Drain:  wasabisettings.Drain{AnswerLifetime: answerLifetime, Limit: drainLimit},
+		},
+		Clock:   s.clock,
+		Claimer: claims,
+		Members: func() []wasabiridge.Member { return s.membersBeside(i) },
+	})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.routers = append(s.routers, d)
+	s.mu.Unlock()
+	go func() { s.ended <- d.Run() }()
+	return nil
+}
+
+// membersBeside lists the other routers.
+func (s *stage) membersBeside(self int) []wasabiridge.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var members []wasabiridge.Member
+	for i, d := range s.routers {
+		if i != self {
+			members = append(members, wasabiridge.Member{
+				InstanceEntry: wasabiridge.InstanceEntry{
+					ID: wasabiridge.InstanceID(fmt.Sprintf("router-%d", i+1)), Zone: zones[i], CallerURL: d.URL(),
+				},
+				Heard: s.clock.Now(),
+			})
+		}
+	}
+	return members
+}
+
+// drain makes the routers leave and waits for them.
+func (s *stage) drain() error {
+	for _, d := range s.routers {
+		if err := d.Drain(context.Background()); err != nil {
+			return err
+		}
+	}
+	for range s.routers {
+		if err := <-s.ended; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// close ends everything behind the routers.
+func (s *stage) close() {
+	if s.stop != nil {
+		s.stop()
+	}
+	for _, e := range s.engines {
+		e.Close()
+	}
+	if s.service != nil {
+		s.service.Close()
+	}
+	if s.platform != nil {
+		s.platform.Crash()
+	}
+	if s.folder != "" {
+		_ = os.RemoveAll(s.folder)
+	}
+}
+
+// explain prints what a newcomer needs to try the routers by hand.
+func (s *stage) explain(out io.Writer) {
+	fmt.Fprintf(out, "\nEverything stays up until you interrupt it.\n\n")
+	for i, d := range s.routers {
+		fmt.Fprintf(out, "router-%d   %s   zone %s\n", i+1, d.URL(), zones[i])
+	}
+	for _, e := range s.engines {
+		fmt.Fprintf(out, "%s   %s   engine\n", e.Backend().ID, e.URL())
+	}
+	fmt.Fprintf(out, "%s %s   plain service\n", s.service.Backend().ID, s.service.URL())
+	fmt.Fprintf(out, "platform   %s   table, objects, weights, instances\n", s.platform.URL())
+	fmt.Fprintf(out, "\nKeys: %s (liftwell), %s (selam-mix). Configuration: %s\n", liftwellKey, selamKey, s.folder)
+	fmt.Fprintf(out, curlLines, s.routers[0].URL(), liftwellKey)
+}
+
+// curlLines takes the address of a router and the key of a client account.
+const curlLines = `
+curl -N %[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -H 'Content-Type: application/json' \
+  -d '{"model":"stairlift","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Code E4?"}]}'
+curl -i %[1]s/bookings -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: visit-1' -d '{"house":"12 Frederick St"}'
+curl %[1]s/v1/addresses?zone=san-fernando -H 'Authorization: Bearer %[2]s'
+curl %[1]s/v1/models -H 'Authorization: Bearer %[2]s'
+`
+
+func (s *stage) config() wasabiridge.Config {
+	pools := []wasabiridge.Pool{{ID: "answer", BlockTokens: blockTokens}, {ID: "bookings"}}
+	for i, e := range s.engines {
+		b := e.Backend()
+		b.Zone = zones[i%len(zones)]
+		pools[0].Backends = append(pools[0].Backends, b)
+	}
+	service := s.service.Backend()
+	service.Zone = zones[0]
+	pools[1].Backends = append(pools[1].Backends, service)
+	return wasabiridge.Config{
+		Version: 1,
+		Accounts: []wasabiridge.ClientAccount{
+			{ID: "liftwell", KeyHashes: []string{hashOf(liftwellKey)}, Pools: []wasabiridge.PoolID{"answer", "bookings"}},
+			{ID: "selam-mix", KeyHashes: []string{hashOf(selamKey)}, Pools: []wasabiridge.PoolID{"answer"}},
+		},
+		Pools: pools,
+		Rules: []wasabiridge.Rule{
+			{
+				ID:   "bookings",
+				When: wasabiridge.Condition{Methods: []string{"POST"}, Path: "/bookings"},
+				Then: wasabiridge.Action{Pool: "bookings", NonIdempotent: true},
+			},
+			{
+				ID:   "catalogue",
+				When: wasabiridge.Condition{Methods: []string{"GET"}, Path: "/catalogue/*"},
+				Then: wasabiridge.Action{Pool: "bookings", Retry: true},
+			},
+			{
+				ID:   "answers",
+				When: wasabiridge.Condition{Path: "/v1/*"},
+				Then: wasabiridge.Action{Pool: "answer", Model: "stairlift", Retry: true, Resume: true},
+			},
+		},
+	}
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
