Placement: price work by the queue that it delays, strong homes for unknown prefixes

Cause: with a fixed price the pool collapsed. Requests went to the shortest queue, prefixes were computed everywhere, and the pool never caught up. The cost of a token was also learned over all pools together.

Conclusion: work that duplicates a prefix has to cost more the longer the queue is; the first copy has to meet at the home.

--- a/internal/wasabimeasure/policy.go
+++ b/internal/wasabimeasure/policy.go
@@ -7,10 +7,12 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabibaseline"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilimit"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
 )
 
 // policies makes the Placer of each policy.
 var policies = map[string]func(seed uint64, w *world) wasabiridge.Placer{
+	"ours":              func(seed uint64, _ *world) wasabiridge.Placer { return wasabiplace.New(wasabiplace.Options{Seed: seed}) },
 	"round_robin":       func(seed uint64, _ *world) wasabiridge.Placer { return wasabibaseline.NewRoundRobin(seed) },
 	"least_loaded":      func(seed uint64, _ *world) wasabiridge.Placer { return wasabibaseline.NewLeastLoaded(seed) },
 	"rendezvous_prompt": func(seed uint64, _ *world) wasabiridge.Placer { return wasabibaseline.NewRendezvousPrompt(seed) },
--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -14,19 +14,21 @@
 	first  wasabiridge.Millis
 	// ready is when the prompt is expected to be computed.
 	ready wasabiridge.Millis
-	// idle says that the server was expected to begin the prompt at once.
-	idle bool
+	// ahead is the expected wait when it was sent, in tokens to compute.
+	ahead float64
 	// mark is the marked level whose home the server is, or -1.
 	mark int
 }
 
 const (
-	// idleWait is the expected wait up to which a prompt counts as begun at
-	// once, in milliseconds.
-	idleWait = 2
 	// sampleTokens is the least number of computed tokens from which the cost
 	// of a token is learned.
 	sampleTokens = 512
+	// sampleAhead bounds the work known to be ahead of a prompt, as a share of
+	// its own, for the cost of a token to be learned from it.
+	sampleAhead = 0.25
+	// enoughSamples is how many samples make a server's own cost count.
+	enoughSamples = 16
 	// usualRate moves the usual number of computed tokens.
 	usualRate = 0.02
 )
@@ -43,12 +45,12 @@
 		before: p.picture.Believe(now, s, r.Chain),
 		sent:   now,
 		mark:   -1,
-		idle:   l.wait(now, pl.Backend.Slots) <= idleWait,
+		ahead:  max(0, l.idleAt-float64(now)) / cost,
 	}
 	tokens := float64(max(0, r.Chain.Tokens-a.before.Depth()*r.Chain.BlockTokens))
 	l.sentTokens(now, tokens, cost)
 	a.ready = wasabiridge.Millis(l.idleAt)
-	if t := p.tables[r.Action.Pool]; t != nil {
+	if t := l.pool; t != nil {
 		t.requests = p.requests(now, t) + 1
 		a.mark = p.homeMark(t, s, r.Chain)
 	}
@@ -100,6 +102,7 @@
 	}
 	a.first = now
 	p.attempts[id] = a
+	p.loads[a.server].began()
 	// The answer may come from an incarnation that is over by now. What it
 	// computed is gone with it.
 	if !p.picture.Alive(a.server, a.before) {
@@ -148,10 +151,14 @@
 		p.learnHome(a.mark, blocks)
 	}
 	computed := float64(a.chain.Tokens) - cached
-	p.usual += usualRate * (computed - p.usual)
-	if a.idle && computed >= sampleTokens {
-		sample := float64(a.first-a.sent) / computed
+	if l.pool == nil {
+		return
+	}
+	l.pool.usual += usualRate * (computed - l.pool.usual)
+	if computed >= sampleTokens && a.ahead <= sampleAhead*computed {
+		sample := float64(a.first-a.sent) / (a.ahead + computed)
 		learnCost(&l.cost, sample)
-		learnCost(&p.cost, sample)
+		learnCost(&l.pool.cost, sample)
+		l.samples++
 	}
 }
--- a/internal/wasabiplace/homes.go
+++ b/internal/wasabiplace/homes.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicache"
 )
 
 const (
@@ -11,9 +12,10 @@
 	maxMarks = 9
 	// homeRate moves the learned trust in homes.
 	homeRate = 0.03
-	// firstHomeTrust is the number of blocks that the home of a marked level
-	// is expected to hold before anything is learned.
-	firstHomeTrust = 0.5
+	// firstHomeTrust is the chance that the home of a marked level holds it,
+	// before anything is learned. leastHomeTrust bounds what is learned.
+	firstHomeTrust = 0.9
+	leastHomeTrust = 0.02
 	// heatHeadroom is how much more than its share of the pool a hot level is
 	// given.
 	heatHeadroom = 1.25
@@ -57,13 +59,22 @@
 	return t.requests
 }
 
-// homeTrust returns the blocks that a home of the mark is expected to hold
-// although this instance knows nothing of it.
-func (p *Placer) homeTrust(m mark) float64 {
-	return p.homeBlocks[m.index]
+// homeTokens returns the tokens of the mark that a home is expected to hold
+// although this instance does not know of it, because other instances sent the
+// prefix there. When a holder of the level is known, the home would be known
+// too if its event stream is whole.
+func (p *Placer) homeTokens(now wasabiridge.Millis, m mark, s wasabicache.ServerIndex, blockTokens int) float64 {
+	tokens := p.homeTrust[m.index] * float64(m.depth*blockTokens)
+	if p.held >= m.depth {
+		tokens *= 1 - p.picture.Trust(now, s)
+	}
+	return tokens
 }
 
-// learnHome takes what a home was found to hold.
+// learnHome takes how many blocks a home was found to hold.
 func (p *Placer) learnHome(index int, blocks int) {
-	p.homeBlocks[index] += homeRate * (float64(blocks) - p.homeBlocks[index])
+	depth := 1 << index
+	found := float64(min(blocks, depth)) / float64(depth)
+	t := &p.homeTrust[index]
+	*t = max(leastHomeTrust, *t+homeRate*(found-*t))
 }
--- a/internal/wasabiplace/load.go
+++ b/internal/wasabiplace/load.go
@@ -6,11 +6,12 @@
 	// sendsKept is how many sends a server's load remembers, to add those
 	// that a late report does not show yet.
 	sendsKept = 32
-	// costFall and costRise move the learned cost of a token. Samples hold
-	// hidden waiting, which only makes them longer, so the cost follows short
-	// samples fast and long ones slowly.
-	costFall = 0.2
-	costRise = 0.01
+	// costFall and costRise are the factors by which a short and a long
+	// sample move the learned cost of a token. Samples hold hidden waiting,
+	// which only makes them longer, so the cost settles where a quarter of
+	// the samples are shorter.
+	costFall = 0.94
+	costRise = 1.02
 	// holdRate moves the learned time for which an answer holds a slot.
 	holdRate = 0.05
 	// firstHold is the time for which an answer holds a slot before any is
@@ -28,16 +29,19 @@
 type load struct {
 	taken    wasabiridge.Millis
 	reported bool
-	running  int
+	// running counts requests inside, queued those of them that wait.
+	running int
+	queued  int
 	// idleAt is when the prompts known of will be computed, in milliseconds.
 	idleAt float64
 	sends  [sendsKept]send
 	sent   int
 	// open counts the attempts of this instance that did not end yet.
 	open int
-	// cost is the time to compute one token in milliseconds. Zero means that
-	// none was learned.
-	cost float64
+	// cost is the time to compute one token in milliseconds, learned from so
+	// many samples.
+	cost    float64
+	samples int
 	// hold is the time for which an answer holds a slot.
 	hold float64
 	// refusedUntil is when a server that had no room asked to be tried again.
@@ -48,6 +52,8 @@
 	drained bool
 	lost    bool
 	lostAt  wasabiridge.Millis
+	// pool is the prepared pool that holds the server.
+	pool *table
 }
 
 // report takes a load report. Reports lag, so what was sent after the report
@@ -57,7 +63,7 @@
 		return
 	}
 	l.taken, l.reported = r.Taken, true
-	l.running = r.Running + r.Waiting
+	l.running, l.queued = r.Running+r.Waiting, r.Waiting
 	tokens := float64(r.WaitingTokens)
 	if tokens == 0 {
 		tokens = float64(r.Waiting) * usualTokens
@@ -69,6 +75,7 @@
 		if s.at > r.Taken {
 			l.add(s.at, s.tokens*cost)
 			l.running++
+			l.queued++
 		}
 	}
 }
@@ -82,6 +89,7 @@
 	l.sends[l.sent%sendsKept] = send{at: now, tokens: tokens}
 	l.sent++
 	l.running++
+	l.queued++
 	l.open++
 	l.add(now, tokens*cost)
 }
@@ -92,6 +100,13 @@
 	l.running = max(l.open, l.running-1)
 }
 
+// waiting counts the requests that wait. Without reports all requests of this
+// instance that have no first token count.
+func (l *load) waiting() int { return l.queued }
+
+// began counts the first token of an attempt of this instance.
+func (l *load) began() { l.queued = max(0, l.queued-1) }
+
 // wait estimates the time until a new prompt is begun.
 func (l *load) wait(now wasabiridge.Millis, slots int) float64 {
 	wait := max(0, l.idleAt-float64(now), float64(l.refusedUntil-now))
@@ -114,9 +129,9 @@
 	case *cost == 0:
 		*cost = sample
 	case sample < *cost:
-		*cost += costFall * (sample - *cost)
+		*cost = max(sample, *cost*costFall)
 	default:
-		*cost += costRise * (sample - *cost)
+		*cost = min(sample, *cost*costRise)
 	}
 }
 
--- a/internal/wasabiplace/observe.go
+++ b/internal/wasabiplace/observe.go
@@ -51,7 +51,11 @@
 		}
 	}
 	l.leaving = r.Leaving || l.drained
-	l.report(r, p.costOf(l), p.usual)
+	usual := 0.0
+	if l.pool != nil {
+		usual = l.pool.usual
+	}
+	l.report(r, p.costOf(l), usual)
 }
 
 // backendLost takes a server out of all decisions until it reports its load
--- a/internal/wasabiplace/options.go
+++ b/internal/wasabiplace/options.go
@@ -13,7 +13,7 @@
 	DefaultMaxHomes = 8
 	// DefaultFirstTokenPrice and DefaultRecomputePrice are what one computed
 	// token costs beyond the time that it takes, as a share of that time.
-	DefaultFirstTokenPrice = 0.25
+	DefaultFirstTokenPrice = 1
 	DefaultRecomputePrice  = 2
 	// DefaultNear is the difference in score that counts as none.
 	DefaultNear = 1 * wasabiridge.Millis(1)
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -37,9 +37,7 @@
 	tables     map[wasabiridge.PoolID]*table
 	loads      []load
 	attempts   map[wasabiridge.AttemptID]attempt
-	cost       float64
-	usual      float64
-	homeBlocks [maxMarks]float64
+	homeTrust  [maxMarks]float64
 	round      uint64
 	// held is the most blocks of the chain that any server holds.
 	held       int
@@ -59,8 +57,8 @@
 		tables:   make(map[wasabiridge.PoolID]*table),
 		attempts: make(map[wasabiridge.AttemptID]attempt),
 	}
-	for i := range p.homeBlocks {
-		p.homeBlocks[i] = firstHomeTrust
+	for i := range p.homeTrust {
+		p.homeTrust[i] = firstHomeTrust
 	}
 	return p
 }
@@ -133,20 +131,13 @@
 			continue
 		}
 		left--
-		// A whole event stream that does not name the server as a holder
-		// says that it holds nothing; the home then counts for little.
-		unseen := 1 - p.picture.Trust(now, t.members[i].server)
-		tokens := max(unseen, homePull) * p.homeTrust(m) * float64(q.Request.Chain.BlockTokens)
+		tokens := p.homeTokens(now, m, t.members[i].server, q.Request.Chain.BlockTokens)
 		if tokens > c.tokens {
 			c.tokens, c.mark = tokens, m.index
 		}
 	}
 }
 
-// homePull is the least share of the trust in homes. It makes instances that
-// know of no holder choose the same server.
-const homePull = 0.1
-
 // consider makes a member a candidate unless it is one. It returns nil when
 // the member is not eligible.
 func (p *Placer) consider(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery, i int32) *candidate {
@@ -213,10 +204,14 @@
 	computed := max(0, float64(r.Chain.Tokens)-c.tokens)
 	work := computed * p.costOf(l)
 	c.wait = float64(m.distance) + l.wait(now, m.backend.Slots) + work
-	c.score = c.wait + p.priceOf(r, computed, work)
+	c.score = c.wait + p.priceOf(r, computed, work*float64(1+l.waiting()))
 }
 
-// priceOf is what computing the tokens costs beyond its time.
+// priceOf is what computing the tokens costs beyond its time. The work delays
+// those who come while the queue lasts, about as many as wait now, so a token
+// computed again costs the more the fuller the server is. Without this, a
+// pool with long queues would send everything to the shortest one, compute
+// every prefix everywhere and never catch up.
 func (p *Placer) priceOf(r wasabiridge.Request, computed, work float64) float64 {
 	share := p.opts.FirstTokenPrice
 	if r.Action.Objective == wasabiridge.ObjectiveRecompute {
@@ -229,13 +224,14 @@
 	return extra
 }
 
-// costOf is the time to compute one token, in milliseconds.
+// costOf is the time to compute one token, in milliseconds. Until enough was
+// learned of the server itself, it is that of its pool.
 func (p *Placer) costOf(l *load) float64 {
 	switch {
-	case l.cost > 0:
+	case l.samples >= enoughSamples:
 		return l.cost
-	case p.cost > 0:
-		return p.cost
+	case l.pool != nil && l.pool.cost > 0:
+		return l.pool.cost
 	default:
 		return DefaultTokenMicros / 1000.0
 	}
@@ -246,7 +242,7 @@
 	out := wasabiridge.Placement{
 		Backend:       m.backend,
 		Incarnation:   p.picture.Incarnation(m.server),
-		ClaimedTokens: c.firm * r.Chain.BlockTokens,
+		ClaimedTokens: p.claim(m.server, c) * r.Chain.BlockTokens,
 		HeldTokens:    p.held * r.Chain.BlockTokens,
 		ExpectedWait:  wasabiridge.Millis(c.wait + 0.5),
 		Why:           WhyLoad,
@@ -273,3 +269,13 @@
 	}
 	return min(ready, now+p.opts.JoinLimit)
 }
+
+// claim is the number of blocks that are claimed to the server. Nothing is
+// claimed to a server whose incarnation is not known, because nobody could
+// tell whether the claim is about an earlier one.
+func (p *Placer) claim(s wasabicache.ServerIndex, c candidate) int {
+	if p.picture.Incarnation(s) == 0 {
+		return 0
+	}
+	return c.firm
+}
--- a/internal/wasabiplace/pool.go
+++ b/internal/wasabiplace/pool.go
@@ -41,6 +41,11 @@
 	// requests is a count that cools like the heat of levels.
 	requests float64
 	counted  wasabiridge.Millis
+	// cost is the time to compute one token in milliseconds, and usual the
+	// usual number of computed tokens, over all servers of the pool. Zero
+	// means that none was learned.
+	cost  float64
+	usual float64
 }
 
 func (p *Placer) newTable(pool wasabiridge.Pool) *table {
@@ -61,6 +66,7 @@
 			t.positions = append(t.positions, -1)
 		}
 		t.positions[m.server] = int32(i)
+		p.loads[m.server].pool = t
 	}
 	return t
 }
@@ -75,6 +81,7 @@
 	next := p.newTable(pool)
 	if t != nil {
 		next.requests, next.counted = t.requests, t.counted
+		next.cost, next.usual = t.cost, t.usual
 	}
 	p.tables[pool.ID] = next
 	return next
