--- a/internal/wasabimeasure/policy.go
+++ b/internal/wasabimeasure/policy.go
@@ -12,7 +12,9 @@
 
 // policies makes the Placer of each policy.
 var policies = map[string]func(seed uint64, w *world) wasabiridge.Placer{
-	"ours":              func(seed uint64, _ *world) wasabiridge.Placer { return wasabiplace.New(wasabiplace.Options{Seed: seed}) },
+	"ours": func(seed uint64, _ *world) wasabiridge.Placer {
+		return wasabiplace.New(wasabiplace.Options{Seed: seed})
+	},
 	"round_robin":       func(seed uint64, _ *world) wasabiridge.Placer { return wasabibaseline.NewRoundRobin(seed) },
 	"least_loaded":      func(seed uint64, _ *world) wasabiridge.Placer { return wasabibaseline.NewLeastLoaded(seed) },
 	"rendezvous_prompt": func(seed uint64, _ *world) wasabiridge.Placer { return wasabibaseline.NewRendezvousPrompt(seed) },
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -31,14 +31,14 @@
 
 // Placer implements wasabiridge.Placer. See the package comment.
 type Placer struct {
-	opts       Options
-	random     *rand.Rand
-	picture    *wasabicache.Picture
-	tables     map[wasabiridge.PoolID]*table
-	loads      []load
-	attempts   map[wasabiridge.AttemptID]attempt
-	homeTrust  [maxMarks]float64
-	round      uint64
+	opts      Options
+	random    *rand.Rand
+	picture   *wasabicache.Picture
+	tables    map[wasabiridge.PoolID]*table
+	loads     []load
+	attempts  map[wasabiridge.AttemptID]attempt
+	homeTrust [maxMarks]float64
+	round     uint64
 	// held is the most blocks of the chain that any server holds.
 	held       int
 	candidates []candidate
