Placement: heirs for new parts of known prefixes, price by the pool's mean queue

Cause: with a price by each server's own queue, work looked cheap at short queues and prefixes spread to them. Instances that met the same new question at once computed it twice. The cost of a token was learned from prompts whose wait was not known; now it is the median over all, with the work ahead counted.

--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -18,15 +18,14 @@
 	ahead float64
 	// mark is the marked level whose home the server is, or -1.
 	mark int
+	// heir says that the server was chosen as the heir of the chain.
+	heir bool
 }
 
 const (
 	// sampleTokens is the least number of computed tokens from which the cost
 	// of a token is learned.
-	sampleTokens = 512
-	// sampleAhead bounds the work known to be ahead of a prompt, as a share of
-	// its own, for the cost of a token to be learned from it.
-	sampleAhead = 0.25
+	sampleTokens = 2048
 	// enoughSamples is how many samples make a server's own cost count.
 	enoughSamples = 16
 	// usualRate moves the usual number of computed tokens.
@@ -45,6 +44,7 @@
 		before: p.picture.Believe(now, s, r.Chain),
 		sent:   now,
 		mark:   -1,
+		heir:   pl.Why == WhyHeir,
 		ahead:  max(0, l.idleAt-float64(now)) / cost,
 	}
 	tokens := float64(max(0, r.Chain.Tokens-a.before.Depth()*r.Chain.BlockTokens))
@@ -151,12 +151,15 @@
 		p.learnHome(a.mark, blocks)
 	}
 	computed := float64(a.chain.Tokens) - cached
+	if unknown := len(a.chain.Blocks) - a.before.Depth(); a.heir && unknown > 0 && blocks >= a.before.Depth() {
+		p.learnHeir(blocks-a.before.Depth(), unknown)
+	}
 	if l.pool == nil {
 		return
 	}
 	l.pool.usual += usualRate * (computed - l.pool.usual)
-	if computed >= sampleTokens && a.ahead <= sampleAhead*computed {
-		sample := float64(a.first-a.sent) / (a.ahead + computed)
+	if work := a.ahead + computed; work >= sampleTokens {
+		sample := float64(a.first-a.sent) / work
 		learnCost(&l.cost, sample)
 		learnCost(&l.pool.cost, sample)
 		l.samples++
--- a/internal/wasabiplace/homes.go
+++ b/internal/wasabiplace/homes.go
@@ -16,6 +16,9 @@
 	// before anything is learned. leastHomeTrust bounds what is learned.
 	firstHomeTrust = 0.9
 	leastHomeTrust = 0.02
+	// firstHeirTrust is the chance that the heir of a chain holds the part
+	// that nobody is known to hold, before anything is learned.
+	firstHeirTrust = 0.5
 	// heatHeadroom is how much more than its share of the pool a hot level is
 	// given.
 	heatHeadroom = 1.25
@@ -78,3 +81,36 @@
 	t := &p.homeTrust[index]
 	*t = max(leastHomeTrust, *t+homeRate*(found-*t))
 }
+
+// preferHeir picks one of the servers that hold the most of the chain, by
+// rendezvous hashing of the whole chain. Every instance with the same picture
+// picks the same heir, so that two instances which get the same new question
+// about a known document compute it once.
+func (p *Placer) preferHeir(t *table, c wasabiridge.Chain) {
+	held := 0
+	for i := range p.candidates {
+		held = max(held, p.candidates[i].firm)
+	}
+	if held == 0 || held >= len(c.Blocks) {
+		return
+	}
+	last := uint64(c.Blocks[len(c.Blocks)-1])
+	best, weight := -1, uint64(0)
+	for i := range p.candidates {
+		if p.candidates[i].firm < held {
+			continue
+		}
+		if w := mix(last, t.members[p.candidates[i].member].seed); best < 0 || w > weight {
+			best, weight = i, w
+		}
+	}
+	p.candidates[best].heir = true
+	p.candidates[best].tokens += p.heirTrust * float64((len(c.Blocks)-held)*c.BlockTokens)
+}
+
+// learnHeir takes how many of the blocks that nobody was known to hold an heir
+// was found to hold.
+func (p *Placer) learnHeir(found, unknown int) {
+	share := float64(max(0, found)) / float64(unknown)
+	p.heirTrust = max(leastHomeTrust, p.heirTrust+homeRate*(share-p.heirTrust))
+}
--- a/internal/wasabiplace/load.go
+++ b/internal/wasabiplace/load.go
@@ -6,12 +6,10 @@
 	// sendsKept is how many sends a server's load remembers, to add those
 	// that a late report does not show yet.
 	sendsKept = 32
-	// costFall and costRise are the factors by which a short and a long
-	// sample move the learned cost of a token. Samples hold hidden waiting,
-	// which only makes them longer, so the cost settles where a quarter of
-	// the samples are shorter.
-	costFall = 0.94
-	costRise = 1.02
+	// costStep is the factor by which a sample moves the learned cost of a
+	// token up or down. The cost settles at the median of the samples, which
+	// a few prompts that waited for unknown others do not move.
+	costStep = 1.02
 	// holdRate moves the learned time for which an answer holds a slot.
 	holdRate = 0.05
 	// firstHold is the time for which an answer holds a slot before any is
@@ -63,7 +61,8 @@
 		return
 	}
 	l.taken, l.reported = r.Taken, true
-	l.running, l.queued = r.Running+r.Waiting, r.Waiting
+	l.running = r.Running + r.Waiting
+	queued := r.Waiting
 	tokens := float64(r.WaitingTokens)
 	if tokens == 0 {
 		tokens = float64(r.Waiting) * usualTokens
@@ -75,9 +74,19 @@
 		if s.at > r.Taken {
 			l.add(s.at, s.tokens*cost)
 			l.running++
-			l.queued++
+			queued++
 		}
 	}
+	l.setQueued(queued)
+}
+
+// setQueued keeps the sum over the pool, which tells how full the pool is
+// without a look at every server.
+func (l *load) setQueued(n int) {
+	if l.pool != nil {
+		l.pool.queued += n - l.queued
+	}
+	l.queued = n
 }
 
 func (l *load) add(at wasabiridge.Millis, work float64) {
@@ -89,7 +98,7 @@
 	l.sends[l.sent%sendsKept] = send{at: now, tokens: tokens}
 	l.sent++
 	l.running++
-	l.queued++
+	l.setQueued(l.queued + 1)
 	l.open++
 	l.add(now, tokens*cost)
 }
@@ -100,18 +109,14 @@
 	l.running = max(l.open, l.running-1)
 }
 
-// waiting counts the requests that wait. Without reports all requests of this
-// instance that have no first token count.
-func (l *load) waiting() int { return l.queued }
-
 // began counts the first token of an attempt of this instance.
-func (l *load) began() { l.queued = max(0, l.queued-1) }
+func (l *load) began() { l.setQueued(max(0, l.queued-1)) }
 
 // wait estimates the time until a new prompt is begun.
 func (l *load) wait(now wasabiridge.Millis, slots int) float64 {
 	wait := max(0, l.idleAt-float64(now), float64(l.refusedUntil-now))
-	if slots > 0 && l.running >= slots {
-		wait = max(wait, float64(l.running-slots+1)*l.held()/float64(slots))
+	if slots > 0 && l.running-l.queued >= slots {
+		wait = max(wait, float64(l.queued+1)*l.held()/float64(slots))
 	}
 	return wait
 }
@@ -123,15 +128,16 @@
 	return l.hold
 }
 
-// learnCost takes the time that a prompt took for each computed token.
+// learnCost takes the time that a prompt took for each token that was computed
+// before its first token.
 func learnCost(cost *float64, sample float64) {
 	switch {
 	case *cost == 0:
 		*cost = sample
 	case sample < *cost:
-		*cost = max(sample, *cost*costFall)
+		*cost = max(sample, *cost/costStep)
 	default:
-		*cost = min(sample, *cost*costRise)
+		*cost = min(sample, *cost*costStep)
 	}
 }
 
--- a/internal/wasabiplace/observe.go
+++ b/internal/wasabiplace/observe.go
@@ -66,6 +66,7 @@
 	l := &p.loads[s]
 	l.lost, l.lostAt = true, now
 	l.idleAt, l.running = 0, l.open
+	l.setQueued(0)
 	if !l.reported {
 		p.picture.Clear(s)
 	}
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -14,6 +14,7 @@
 const (
 	WhyHolder = "holder"
 	WhyHome   = "home"
+	WhyHeir   = "heir"
 	WhyLoad   = "load"
 )
 
@@ -25,6 +26,7 @@
 	tokens float64
 	firm   int
 	mark   int
+	heir   bool
 	score  float64
 	wait   float64
 }
@@ -38,6 +40,7 @@
 	loads     []load
 	attempts  map[wasabiridge.AttemptID]attempt
 	homeTrust [maxMarks]float64
+	heirTrust float64
 	round     uint64
 	// held is the most blocks of the chain that any server holds.
 	held       int
@@ -57,6 +60,7 @@
 		tables:   make(map[wasabiridge.PoolID]*table),
 		attempts: make(map[wasabiridge.AttemptID]attempt),
 	}
+	p.heirTrust = firstHeirTrust
 	for i := range p.homeTrust {
 		p.homeTrust[i] = firstHomeTrust
 	}
@@ -100,6 +104,7 @@
 	for _, m := range p.marks(now, t, chain) {
 		p.considerHomes(now, t, q, m)
 	}
+	p.preferHeir(t, chain)
 	if len(t.members) <= p.opts.SmallPool {
 		p.considerAll(now, t, q)
 		return
@@ -204,14 +209,14 @@
 	computed := max(0, float64(r.Chain.Tokens)-c.tokens)
 	work := computed * p.costOf(l)
 	c.wait = float64(m.distance) + l.wait(now, m.backend.Slots) + work
-	c.score = c.wait + p.priceOf(r, computed, work*float64(1+l.waiting()))
+	c.score = c.wait + p.priceOf(r, computed, work*(1+t.waiting()))
 }
 
 // priceOf is what computing the tokens costs beyond its time. The work delays
 // those who come while the queue lasts, about as many as wait now, so a token
-// computed again costs the more the fuller the server is. Without this, a
-// pool with long queues would send everything to the shortest one, compute
-// every prefix everywhere and never catch up.
+// computed again costs the more the fuller the pool is. Without this, a pool
+// with long queues would send everything to the shortest one, compute every
+// prefix everywhere and never catch up.
 func (p *Placer) priceOf(r wasabiridge.Request, computed, work float64) float64 {
 	share := p.opts.FirstTokenPrice
 	if r.Action.Objective == wasabiridge.ObjectiveRecompute {
@@ -248,6 +253,8 @@
 		Why:           WhyLoad,
 	}
 	switch {
+	case c.heir:
+		out.Why = WhyHeir
 	case c.firm > 0:
 		out.Why = WhyHolder
 	case c.mark >= 0:
--- a/internal/wasabiplace/pool.go
+++ b/internal/wasabiplace/pool.go
@@ -46,6 +46,8 @@
 	// means that none was learned.
 	cost  float64
 	usual float64
+	// queued counts the requests that wait at all servers.
+	queued int
 }
 
 func (p *Placer) newTable(pool wasabiridge.Pool) *table {
@@ -66,7 +68,9 @@
 			t.positions = append(t.positions, -1)
 		}
 		t.positions[m.server] = int32(i)
-		p.loads[m.server].pool = t
+		l := &p.loads[m.server]
+		l.pool = t
+		t.queued += l.queued
 	}
 	return t
 }
@@ -133,6 +137,11 @@
 	homes[at], weights[at] = i, w
 }
 
+// waiting is how many requests wait at a server of the pool on average.
+func (t *table) waiting() float64 {
+	return float64(t.queued) / float64(max(1, len(t.members)))
+}
+
 // mix joins the number of a bucket and the seed of a server into a weight
 // (the finaliser of SplitMix64).
 func mix(bucket, seed uint64) uint64 {
