Placement: learn the cost of a token only where its own prompt dominates

Cause: prompts of high priority pass long queues, so their samples made one server look twelve times as fast as it is; everything went there. The server's own cost is now also bounded to twice that of its pool.

--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -158,8 +158,10 @@
 		return
 	}
 	l.pool.usual += usualRate * (computed - l.pool.usual)
-	if work := a.ahead + computed; work >= sampleTokens {
-		sample := float64(a.first-a.sent) / work
+	// Behind a long queue a prompt of high priority is begun early and one of
+	// low priority late, so neither tells what a token costs.
+	if computed >= sampleTokens && a.ahead <= computed {
+		sample := float64(a.first-a.sent) / (a.ahead + computed)
 		learnCost(&l.cost, sample)
 		learnCost(&l.pool.cost, sample)
 		l.samples++
--- a/internal/wasabiplace/load.go
+++ b/internal/wasabiplace/load.go
@@ -10,6 +10,9 @@
 	// token up or down. The cost settles at the median of the samples, which
 	// a few prompts that waited for unknown others do not move.
 	costStep = 1.02
+	// costSpread bounds how far the cost at one server may be from that of its
+	// pool.
+	costSpread = 2
 	// holdRate moves the learned time for which an answer holds a slot.
 	holdRate = 0.05
 	// firstHold is the time for which an answer holds a slot before any is
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -229,17 +229,16 @@
 	return extra
 }
 
-// costOf is the time to compute one token, in milliseconds. Until enough was
-// learned of the server itself, it is that of its pool.
+// costOf is the time to compute one token, in milliseconds. It is that of the
+// pool, until enough was learned of the server itself.
 func (p *Placer) costOf(l *load) float64 {
-	switch {
-	case l.samples >= enoughSamples:
-		return l.cost
-	case l.pool != nil && l.pool.cost > 0:
-		return l.pool.cost
-	default:
+	if l.pool == nil || l.pool.cost == 0 {
 		return DefaultTokenMicros / 1000.0
 	}
+	if l.samples < enoughSamples {
+		return l.pool.cost
+	}
+	return min(max(l.cost, l.pool.cost/costSpread), l.pool.cost*costSpread)
 }
 
 func (p *Placer) placement(now wasabiridge.Millis, t *table, r wasabiridge.Request, c candidate) wasabiridge.Placement {
