Leases with fencing numbers

One instance at a time gives orders. A contender takes a lease over only after it saw the row unchanged for longer than the holder believes, counted by readings, so that no clocks are compared and a jump of one clock does no harm.

--- a/internal/wasabiclaim/keeper_test.go
+++ b/internal/wasabiclaim/keeper_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"strconv"
 	"testing"
 	"time"
@@ -154,12 +153,7 @@
 }
 
 var _ = Describe("Claims", func() {
-	names := make([]string, 0, len(both))
-	for name := range both {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range wasabitest.Names(both) {
 		It("by ticket: "+name, func() {
 			b := newBooking(wasabiclaim.Limits{})
 			b.key = b.a.Ticket("lifts")
--- /dev/null
+++ b/internal/wasabilease/lease.go
@@ -0,0 +1,114 @@
+package wasabilease
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// Options set up a Lease.
+type Options struct {
+	// Name of the lease, such as "rollout/answers".
+	Name string
+	Self wasabiridge.InstanceID
+	// Incarnation must differ between all lives of the instance.
+	Incarnation wasabiridge.Incarnation
+	Table       wasabiridge.Table
+	Clock       wasabiridge.Clock
+	// Recorder takes time line events. Nil records nothing.
+	Recorder wasabiridge.Recorder
+	Timing   Timing
+}
+
+// Lease contends for one lease of the platform's table. It is safe for
+// concurrent use.
+type Lease struct {
+	options Options
+	wanted  atomic.Bool
+	grant   atomic.Pointer[Grant]
+}
+
+// New returns a lease that is not contended for.
+func New(o Options) *Lease {
+	o.Timing = o.Timing.withDefaults()
+	l := &Lease{options: o}
+	l.grant.Store(&Grant{})
+	return l
+}
+
+// Contend says whether this instance wants the lease. A holder that no longer
+// wants it must have no order on its way: the next holder may begin at once.
+func (l *Lease) Contend(wanted bool) {
+	l.wanted.Store(wanted)
+}
+
+// Grant returns the current grant. Callers compare it with the clock; it may
+// have ended.
+func (l *Lease) Grant() Grant {
+	return *l.grant.Load()
+}
+
+// Run keeps the lease until the context ends. One goroutine calls the table
+// and decides in turn; a call that hangs cannot prolong a belief, because a
+// Grant carries its end.
+func (l *Lease) Run(ctx context.Context) {
+	o := l.options
+	m := newMachine(o.Name, o.Self, o.Incarnation, o.Timing)
+	ticker := time.NewTicker(max(o.Timing.Renew/10, 1).Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		l.handle(ctx, m, contended{Wanted: l.wanted.Load()})
+	}
+}
+
+// handle feeds an event to the machine, carries out the effects, and goes on
+// with their results.
+func (l *Lease) handle(ctx context.Context, m *machine, e event) {
+	queue := []event{e}
+	for len(queue) > 0 {
+		effects := append([]effect(nil), m.handle(l.options.Clock.Now(), queue[0])...)
+		queue = queue[1:]
+		for _, effect := range effects {
+			if result := l.carryOut(ctx, effect); result != nil {
+				queue = append(queue, result)
+			}
+		}
+	}
+}
+
+func (l *Lease) carryOut(ctx context.Context, e effect) event {
+	ctx, cancel := context.WithTimeout(ctx, (l.options.Timing.Renew / 2).Duration())
+	defer cancel()
+	switch e := e.(type) {
+	case readRow:
+		row, err := l.options.Table.Get(ctx, e.Key)
+		return rowRead{Row: row, Err: err}
+	case commitRow:
+		return committed{Err: l.options.Table.Commit(ctx, e.Transaction)}
+	case granted:
+		l.publish(e.Grant)
+	}
+	return nil
+}
+
+func (l *Lease) publish(g Grant) {
+	before := l.grant.Swap(&g)
+	if l.options.Recorder == nil || before.Fencing == g.Fencing {
+		return
+	}
+	cause := "held"
+	if g.Fencing == 0 {
+		cause = "lost"
+	}
+	l.options.Recorder.Record(wasabiridge.TimelineEvent{
+		At: l.options.Clock.Now(), Instance: l.options.Self, Kind: wasabiridge.EventLease,
+		Cause: cause + " " + l.options.Name, Value: int64(max(before.Fencing, g.Fencing)),
+	})
+}
--- /dev/null
+++ b/internal/wasabilease/lease_test.go
@@ -0,0 +1,182 @@
+package wasabilease_test
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifault"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitable"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestLease(t *testing.T) { wasabitest.Run(t, "lease") }
+
+const (
+	ttl   = 15 * wasabiridge.Second
+	drift = wasabiridge.Second
+)
+
+// contender is one instance of a lease, driven step by step.
+type contender struct {
+	machine *wasabilease.Machine
+	table   *wasabitable.Memory
+	clock   wasabiridge.Clock
+	grant   wasabilease.Grant
+	reads   int
+}
+
+func (c *contender) feed(e wasabilease.Event) {
+	queue := []wasabilease.Event{e}
+	for len(queue) > 0 {
+		effects := c.machine.Handle(c.clock.Now(), queue[0])
+		queue = queue[1:]
+		for _, effect := range effects {
+			switch e := effect.(type) {
+			case wasabilease.ReadRow:
+				c.reads++
+				row, err := c.table.Get(context.Background(), e.Key)
+				queue = append(queue, wasabilease.RowRead{Row: row, Err: err})
+			case wasabilease.CommitRow:
+				err := c.table.Commit(context.Background(), e.Transaction)
+				queue = append(queue, wasabilease.Committed{Err: err})
+			case wasabilease.Granted:
+				c.grant = e.Grant
+			}
+		}
+	}
+}
+
+// holds reports whether the instance believes that it holds the lease, without
+// letting it look again.
+func (c *contender) holds() bool { return c.grant.Covers(c.clock.Now(), 0) }
+
+// leaseTest is two contenders before one table.
+type leaseTest struct {
+	clock *wasabiclock.Virtual
+	table *wasabitable.Memory
+	a, b  *contender
+}
+
+func newLeaseTest() *leaseTest {
+	t := &leaseTest{clock: wasabiclock.NewVirtual(wasabiridge.Day)}
+	noWait := func(context.Context, wasabiridge.Millis) bool { return true }
+	t.table = wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: t.clock, Sleep: noWait})
+	t.a, t.b = t.contender("a", 1, t.clock), t.contender("b", 1, t.clock)
+	t.a.feed(wasabilease.Contended{Wanted: true})
+	t.b.feed(wasabilease.Contended{Wanted: true})
+	return t
+}
+
+func (t *leaseTest) contender(id wasabiridge.InstanceID, life wasabiridge.Incarnation, clock wasabiridge.Clock) *contender {
+	machine := wasabilease.NewMachine("orders", id, life, wasabilease.Timing{})
+	return &contender{machine: machine, table: t.table, clock: clock}
+}
+
+// run lets time pass for some of the contenders. Two never hold at once.
+func (t *leaseTest) run(span wasabiridge.Millis, running ...*contender) {
+	GinkgoHelper()
+	for end := t.clock.Now() + span; t.clock.Now() < end; t.clock.Advance(100) {
+		for _, c := range running {
+			c.feed(wasabilease.Ticked{})
+		}
+		Expect(t.a.holds() && t.b.holds()).To(BeFalse(), "two hold the lease")
+	}
+}
+
+var cases = map[string]func(t *leaseTest){
+	"one holds and renews, the other waits": func(t *leaseTest) {
+		t.run(wasabiridge.Minute, t.a, t.b)
+		Expect(t.a.grant.Fencing).To(BeEquivalentTo(1))
+		Expect(t.b.grant.Fencing).To(BeZero())
+	},
+	// The holder is paused for a minute. The other takes over with a higher
+	// number once the lease is over, and the first knows on waking up that
+	// its lease is over, before it looks at the table.
+	"a holder that is paused past its lease": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a, t.b)
+		t.run(wasabiridge.Minute, t.b)
+		Expect(t.a.holds()).To(BeFalse())
+		Expect(t.b.holds()).To(BeTrue())
+		Expect(t.b.grant.Fencing).To(BeEquivalentTo(2))
+		t.run(wasabiridge.Minute, t.a, t.b)
+		Expect(t.b.holds()).To(BeTrue())
+	},
+	"a holder that gives the lease back": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a, t.b)
+		t.a.feed(wasabilease.Contended{Wanted: false})
+		t.run(6*wasabiridge.Second, t.a, t.b)
+		Expect(t.b.grant.Fencing).To(BeEquivalentTo(2))
+	},
+	// The answer to the first write is lost. The row names the instance, so
+	// it holds the lease, but only from before it sent that write.
+	"a grant whose answer was lost": func(t *leaseTest) {
+		t.table = wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: t.clock})
+		t.table.Faults().Script(wasabifault.Write, wasabifault.Fate{Kind: wasabifault.LostAnswer})
+		c := t.contender("c", 1, t.clock)
+		sent := t.clock.Now()
+		c.feed(wasabilease.Contended{Wanted: true})
+		Expect(c.holds()).To(BeFalse())
+		t.run(wasabiridge.Second, c)
+		Expect(c.grant).To(Equal(wasabilease.Grant{Lease: "orders", Fencing: 1, Until: sent + ttl}))
+	},
+	// The holder's renewal takes effect long after it was sent. The lease
+	// must not last from then, because nobody else counts so.
+	"a renewal that takes effect late": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a)
+		until := t.a.grant.Until
+		late := wasabifault.Fate{Kind: wasabifault.LateEffect, Late: 12 * wasabiridge.Second}
+		t.table.Faults().Script(wasabifault.Write, late, late, late, late, late, late, late, late)
+		t.run(5*wasabiridge.Second, t.a)
+		Expect(t.a.grant.Until).To(Equal(until))
+	},
+	"the table is down for longer than the lease": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a, t.b)
+		t.table.Faults().SetPlan(wasabifault.Plan{Unavailable: 1})
+		t.run(ttl, t.a, t.b)
+		Expect(t.a.holds() || t.b.holds()).To(BeFalse())
+		t.table.Faults().SetPlan(wasabifault.Plan{})
+		t.run(ttl+drift+5*wasabiridge.Second, t.a, t.b)
+		Expect(t.a.holds() || t.b.holds()).To(BeTrue())
+	},
+	// An instance restarts under its own name. Its former life may have
+	// orders under way, so it takes a higher number.
+	"an instance that restarts under its name": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a)
+		again := t.contender("a", 2, t.clock)
+		again.feed(wasabilease.Contended{Wanted: true})
+		Expect(again.grant.Fencing).To(BeZero())
+		t.run(ttl+drift+5*wasabiridge.Second, again)
+		Expect(again.grant.Fencing).To(BeEquivalentTo(2))
+	},
+	// The clock of a contender jumps an hour ahead. Without the count of
+	// readings it would take over at once, beside a living holder.
+	"a contender whose clock jumps ahead": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a, t.b)
+		ahead := wasabiclock.NewVirtual(t.clock.Now() + wasabiridge.Hour)
+		t.b.clock = ahead
+		t.b.feed(wasabilease.Ticked{})
+		Expect(t.b.grant.Fencing).To(BeZero())
+	},
+	"a row that cannot be read is left alone": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a)
+		row, err := t.table.Get(context.Background(), "lease/orders")
+		Expect(err).NotTo(HaveOccurred())
+		change := wasabiridge.RowChange{Key: row.Key, IfRevision: row.Revision, Value: []byte("{}")}
+		tx := wasabiridge.Transaction{ID: "test", Changes: []wasabiridge.RowChange{change}}
+		Expect(t.table.Commit(context.Background(), tx)).To(Succeed())
+		t.run(wasabiridge.Minute, t.a, t.b)
+		Expect(t.a.holds() || t.b.holds()).To(BeFalse())
+	},
+}
+
+var _ = Describe("A lease", func() {
+	for _, name := range wasabitest.Names(cases) {
+		It(name, func() { cases[name](newLeaseTest()) })
+	}
+})
--- /dev/null
+++ b/internal/wasabilease/record.go
@@ -0,0 +1,43 @@
+package wasabilease
+
+import (
+	"encoding/json"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// rowPrefix starts the keys of all lease rows.
+const rowPrefix = "lease/"
+
+// record is the value of a lease row. A row without a holder is free. Rows are
+// never deleted, because fencing numbers must not start again.
+type record struct {
+	Holder      wasabiridge.InstanceID    `json:"holder"`
+	Incarnation wasabiridge.Incarnation   `json:"incarnation"`
+	Fencing     wasabiridge.FencingNumber `json:"fencing_number"`
+}
+
+func (r record) isFree() bool { return r.Holder == "" }
+
+func encodeRecord(r record) []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		// A struct of strings and numbers always encodes.
+		panic(err)
+	}
+	return value
+}
+
+// decodeRecord reads the value of a lease row. It reports ErrInvalid for a
+// value that names no fencing number, because taking such a row over would
+// start the numbers again.
+func decodeRecord(value []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return record{}, wasabiridge.ErrInvalid.New("lease: row is not a record")
+	}
+	if r.Fencing == 0 {
+		return record{}, wasabiridge.ErrInvalid.New("lease: row without fencing number")
+	}
+	return r, nil
+}
