--- a/internal/wasabilease/events.go
+++ b/internal/wasabilease/events.go
@@ -2,42 +2,42 @@
 
 import "github.com/wasabiridge/wasabiridge"
 
-// event is something that a machine is told.
-type event interface{ isEvent() }
+// Event is something that a Machine is told.
+type Event interface{ isEvent() }
 
-// contended says whether this instance wants the lease.
-type contended struct{ Wanted bool }
+// Contended says whether this instance wants the lease.
+type Contended struct{ Wanted bool }
 
-// rowRead answers a readRow.
-type rowRead struct {
+// RowRead answers a ReadRow.
+type RowRead struct {
 	Row wasabiridge.Row
 	Err error
 }
 
-// committed answers a commitRow.
-type committed struct{ Err error }
+// Committed answers a CommitRow.
+type Committed struct{ Err error }
 
-// ticked says that time has passed.
-type ticked struct{}
+// Ticked says that time has passed.
+type Ticked struct{}
 
-func (contended) isEvent() {}
-func (rowRead) isEvent()   {}
-func (committed) isEvent() {}
-func (ticked) isEvent()    {}
+func (Contended) isEvent() {}
+func (RowRead) isEvent()   {}
+func (Committed) isEvent() {}
+func (Ticked) isEvent()    {}
 
-// effect is something that a machine wants done.
-type effect interface{ isEffect() }
+// Effect is something that a Machine wants done.
+type Effect interface{ isEffect() }
 
-// readRow asks to read the row of the lease.
-type readRow struct{ Key string }
+// ReadRow asks to read the row of the lease.
+type ReadRow struct{ Key string }
 
-// commitRow asks to carry out a transaction, once.
-type commitRow struct{ Transaction wasabiridge.Transaction }
+// CommitRow asks to carry out a transaction, once.
+type CommitRow struct{ Transaction wasabiridge.Transaction }
 
-// granted says that the grant changed. The zero Grant means that the lease is
+// Granted says that the grant changed. The zero Grant means that the lease is
 // not held any more.
-type granted struct{ Grant Grant }
+type Granted struct{ Grant Grant }
 
-func (readRow) isEffect()   {}
-func (commitRow) isEffect() {}
-func (granted) isEffect()   {}
+func (ReadRow) isEffect()   {}
+func (CommitRow) isEffect() {}
+func (Granted) isEffect()   {}
--- a/internal/wasabilease/lease.go
+++ b/internal/wasabilease/lease.go
@@ -30,7 +30,7 @@
 	grant   atomic.Pointer[Grant]
 }
 
-// New returns a lease that is not contended for.
+// New returns a lease that is not Contended for.
 func New(o Options) *Lease {
 	o.Timing = o.Timing.withDefaults()
 	l := &Lease{options: o}
@@ -55,7 +55,7 @@
 // Grant carries its end.
 func (l *Lease) Run(ctx context.Context) {
 	o := l.options
-	m := newMachine(o.Name, o.Self, o.Incarnation, o.Timing)
+	m := NewMachine(o.Name, o.Self, o.Incarnation, o.Timing)
 	ticker := time.NewTicker(max(o.Timing.Renew/10, 1).Duration())
 	defer ticker.Stop()
 	for {
@@ -64,16 +64,16 @@
 		case <-ctx.Done():
 			return
 		}
-		l.handle(ctx, m, contended{Wanted: l.wanted.Load()})
+		l.handle(ctx, m, Contended{Wanted: l.wanted.Load()})
 	}
 }
 
 // handle feeds an event to the machine, carries out the effects, and goes on
 // with their results.
-func (l *Lease) handle(ctx context.Context, m *machine, e event) {
-	queue := []event{e}
+func (l *Lease) handle(ctx context.Context, m *Machine, e Event) {
+	queue := []Event{e}
 	for len(queue) > 0 {
-		effects := append([]effect(nil), m.handle(l.options.Clock.Now(), queue[0])...)
+		effects := append([]Effect(nil), m.Handle(l.options.Clock.Now(), queue[0])...)
 		queue = queue[1:]
 		for _, effect := range effects {
 			if result := l.carryOut(ctx, effect); result != nil {
@@ -83,16 +83,16 @@
 	}
 }
 
-func (l *Lease) carryOut(ctx context.Context, e effect) event {
+func (l *Lease) carryOut(ctx context.Context, e Effect) Event {
 	ctx, cancel := context.WithTimeout(ctx, (l.options.Timing.Renew / 2).Duration())
 	defer cancel()
 	switch e := e.(type) {
-	case readRow:
+	case ReadRow:
 		row, err := l.options.Table.Get(ctx, e.Key)
-		return rowRead{Row: row, Err: err}
-	case commitRow:
-		return committed{Err: l.options.Table.Commit(ctx, e.Transaction)}
-	case granted:
+		return RowRead{Row: row, Err: err}
+	case CommitRow:
+		return Committed{Err: l.options.Table.Commit(ctx, e.Transaction)}
+	case Granted:
 		l.publish(e.Grant)
 	}
 	return nil
--- a/internal/wasabilease/machine.go
+++ b/internal/wasabilease/machine.go
@@ -52,9 +52,9 @@
 	return t
 }
 
-// machine decides when one instance holds one lease. It is deterministic and
+// Machine decides when one instance holds one lease. It is deterministic and
 // not safe for concurrent use. At most one read or write is on its way.
-type machine struct {
+type Machine struct {
 	name   string
 	self   wasabiridge.InstanceID
 	life   wasabiridge.Incarnation
@@ -74,7 +74,7 @@
 	sent   sentWrite
 	writes uint64
 
-	effects []effect
+	effects []Effect
 }
 
 // sentWrite is a write that may have made this instance the holder.
@@ -82,28 +82,38 @@
 	id      wasabiridge.WriteID
 	fencing wasabiridge.FencingNumber
 	at      wasabiridge.Millis
-	release bool
+	kind    writeKind
 }
 
-func newMachine(name string, self wasabiridge.InstanceID, life wasabiridge.Incarnation, t Timing) *machine {
-	return &machine{name: name, self: self, life: life, timing: t.withDefaults()}
+// writeKind says what a write of the row is for.
+type writeKind uint8
+
+const (
+	takeover writeKind = iota
+	renewal
+	release
+)
+
+// NewMachine returns a machine that does not want the lease.
+func NewMachine(name string, self wasabiridge.InstanceID, life wasabiridge.Incarnation, t Timing) *Machine {
+	return &Machine{name: name, self: self, life: life, timing: t.withDefaults()}
 }
 
-// handle takes one event and returns what has to be done. The returned slice
+// Handle takes one event and returns what has to be done. The returned slice
 // is valid until the next call.
-func (m *machine) handle(now wasabiridge.Millis, e event) []effect {
+func (m *Machine) Handle(now wasabiridge.Millis, e Event) []Effect {
 	m.effects = m.effects[:0]
 	if m.grant.Fencing != 0 && !m.grant.Covers(now, 0) {
 		m.drop()
 	}
 	switch e := e.(type) {
-	case contended:
+	case Contended:
 		m.contend(now, e.Wanted)
-	case rowRead:
+	case RowRead:
 		m.read(now, e)
-	case committed:
+	case Committed:
 		m.commitEnded(now, e.Err)
-	case ticked:
+	case Ticked:
 	}
 	if m.wanted && !m.busy && now >= m.nextAt {
 		m.startRead()
@@ -111,7 +121,7 @@
 	return m.effects
 }
 
-func (m *machine) contend(now wasabiridge.Millis, wanted bool) {
+func (m *Machine) contend(now wasabiridge.Millis, wanted bool) {
 	if wanted == m.wanted {
 		return
 	}
@@ -125,20 +135,20 @@
 	}
 }
 
-func (m *machine) drop() {
+func (m *Machine) drop() {
 	if m.grant.Fencing == 0 {
 		return
 	}
 	m.grant = Grant{}
-	m.effects = append(m.effects, granted{})
+	m.effects = append(m.effects, Granted{})
 }
 
-func (m *machine) startRead() {
+func (m *Machine) startRead() {
 	m.busy = true
-	m.effects = append(m.effects, readRow{Key: rowPrefix + m.name})
+	m.effects = append(m.effects, ReadRow{Key: rowPrefix + m.name})
 }
 
-func (m *machine) read(now wasabiridge.Millis, rr rowRead) {
+func (m *Machine) read(now wasabiridge.Millis, rr RowRead) {
 	m.busy = false
 	m.nextAt = now + m.timing.Poll
 	if rr.Err != nil {
@@ -162,29 +172,35 @@
 // recognise looks for a write of this instance whose answer was lost. The time
 // of the holder counts from before that write was sent, however late it took
 // effect.
-func (m *machine) recognise(now wasabiridge.Millis, row wasabiridge.Row, r record) {
-	if m.sent.id != "" && row.LastWrite == m.sent.id && !m.sent.release {
-		m.hold(now, r.Fencing, m.sent.at)
+func (m *Machine) recognise(now wasabiridge.Millis, row wasabiridge.Row, r record) {
+	if m.sent.id != "" && row.LastWrite == m.sent.id {
+		m.hold(now, m.sent)
 	}
 	m.sent = sentWrite{}
 }
 
-func (m *machine) hold(now wasabiridge.Millis, n wasabiridge.FencingNumber, sentAt wasabiridge.Millis) {
-	g := Grant{Lease: m.name, Fencing: n, Until: sentAt + m.timing.TTL}
-	if !m.wanted || !g.Covers(now, 0) {
+// hold begins or prolongs the belief after a write that took effect. A renewal
+// that is heard of when the belief is over does not revive it: every belief
+// has a fencing number of its own.
+func (m *Machine) hold(now wasabiridge.Millis, w sentWrite) {
+	g := Grant{Lease: m.name, Fencing: w.fencing, Until: w.at + m.timing.TTL}
+	if !m.wanted || w.kind == release || !g.Covers(now, 0) {
+		return
+	}
+	if w.kind == renewal && m.grant.Fencing != w.fencing {
 		return
 	}
 	m.grant = g
-	m.nextAt = sentAt + m.timing.Renew
-	m.effects = append(m.effects, granted{Grant: g})
+	m.nextAt = w.at + m.timing.Renew
+	m.effects = append(m.effects, Granted{Grant: g})
 }
 
 // act decides what follows from the row.
-func (m *machine) act(now wasabiridge.Millis, revision uint64, r record) {
+func (m *Machine) act(now wasabiridge.Millis, revision uint64, r record) {
 	own := r.Holder == m.self && r.Incarnation == m.life
 	switch {
 	case own && !m.wanted:
-		m.write(now, revision, record{Fencing: r.Fencing}, true)
+		m.write(now, revision, record{Fencing: r.Fencing}, release)
 	case !m.wanted:
 	case own && m.grant.Fencing == r.Fencing:
 		m.renew(now, revision, r)
@@ -198,13 +214,13 @@
 }
 
 // renew writes the row again when a third of the time is over.
-func (m *machine) renew(now wasabiridge.Millis, revision uint64, r record) {
+func (m *Machine) renew(now wasabiridge.Millis, revision uint64, r record) {
 	due := m.grant.Until - m.timing.TTL + m.timing.Renew
 	if now < due {
 		m.nextAt = due
 		return
 	}
-	m.write(now, revision, r, false)
+	m.write(now, revision, r, renewal)
 }
 
 // watch waits out another holder. A row that changed starts the wait again: the
@@ -213,7 +229,7 @@
 // A contender whose clock jumps ahead would take over at once, while the
 // holder still gives orders. One reading therefore counts for little more than
 // the pause between two, and a takeover needs several.
-func (m *machine) watch(now wasabiridge.Millis, revision uint64, r record) {
+func (m *Machine) watch(now wasabiridge.Millis, revision uint64, r record) {
 	if revision != m.seen {
 		m.seen, m.quiet = revision, 0
 	} else {
@@ -228,23 +244,23 @@
 	m.take(now, revision, r)
 }
 
-func (m *machine) take(now wasabiridge.Millis, revision uint64, r record) {
-	m.write(now, revision, record{Holder: m.self, Incarnation: m.life, Fencing: r.Fencing + 1}, false)
+func (m *Machine) take(now wasabiridge.Millis, revision uint64, r record) {
+	m.write(now, revision, record{Holder: m.self, Incarnation: m.life, Fencing: r.Fencing + 1}, takeover)
 }
 
-func (m *machine) write(now wasabiridge.Millis, revision uint64, r record, release bool) {
+func (m *Machine) write(now wasabiridge.Millis, revision uint64, r record, kind writeKind) {
 	m.writes++
 	id := wasabiridge.WriteID(string(m.self) + "/" + strconv.FormatUint(uint64(m.life), 36) +
 		"/lease/" + m.name + "/" + strconv.FormatUint(m.writes, 36))
 	m.busy = true
-	m.sent = sentWrite{id: id, fencing: r.Fencing, at: now, release: release}
+	m.sent = sentWrite{id: id, fencing: r.Fencing, at: now, kind: kind}
 	change := wasabiridge.RowChange{Key: rowPrefix + m.name, IfRevision: revision, Value: encodeRecord(r)}
-	m.effects = append(m.effects, commitRow{Transaction: wasabiridge.Transaction{
+	m.effects = append(m.effects, CommitRow{Transaction: wasabiridge.Transaction{
 		ID: id, Changes: []wasabiridge.RowChange{change},
 	}})
 }
 
-func (m *machine) commitEnded(now wasabiridge.Millis, err error) {
+func (m *Machine) commitEnded(now wasabiridge.Millis, err error) {
 	m.busy = false
 	if err != nil {
 		// After a conflict or a lost answer the row tells what happened. A
@@ -255,11 +271,8 @@
 	}
 	sent := m.sent
 	m.sent = sentWrite{}
-	switch {
-	case sent.release:
-	case m.wanted:
-		m.hold(now, sent.fencing, sent.at)
-	default:
+	m.hold(now, sent)
+	if !m.wanted && sent.kind != release {
 		// The lease is not wanted any more, and the row names this instance.
 		m.startRead()
 	}
--- /dev/null
+++ b/internal/wasabiorder/client_test.go
@@ -0,0 +1,80 @@
+package wasabiorder_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiorder"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+var answers = map[string]struct {
+	status int
+	body   string
+	read   *errorx.Type
+	order  *errorx.Type
+}{
+	"whole":             {status: 200, body: `{"weights":3,"fencing_number":2,"loading":true,"role":"decode"}`},
+	"no weights":        {status: 200, body: `{}`, read: wasabiridge.ErrInvalid},
+	"not JSON":          {status: 200, body: `<html>`, read: wasabiridge.ErrInvalid},
+	"fencing too old":   {status: 412, body: `{}`, read: wasabiridge.ErrUnavailable, order: wasabiridge.ErrFenced},
+	"broken":            {status: 500, body: `{}`, read: wasabiridge.ErrUnavailable, order: wasabiridge.ErrOutcomeUnknown},
+	"accepted, unready": {status: 202, body: `{"weights":3}`, read: wasabiridge.ErrUnavailable},
+}
+
+var _ = Describe("The client of engines", func() {
+	for _, name := range wasabitest.Names(answers) {
+		It("takes an answer: "+name, func(ctx SpecContext) {
+			a := answers[name]
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(a.status)
+				_, _ = w.Write([]byte(a.body))
+			}))
+			defer server.Close()
+			client, b := wasabiorder.NewClient(nil), wasabiridge.BackendServer{ID: "e", URL: server.URL}
+			state, err := client.ReadState(ctx, b)
+			expectType(err, a.read)
+			if a.read == nil {
+				Expect(state).To(Equal(wasabiridge.EngineState{Weights: 3, Loading: true, Role: "decode", Fencing: 2}))
+			}
+			expectType(client.SendOrder(ctx, b, wasabiridge.EngineOrder{Weights: 3}), a.order)
+		})
+	}
+
+	It("speaks with the stand-in of an engine", func(ctx SpecContext) {
+		engine := wasabiengine.New(wasabiengine.Options{Clock: wasabiclock.System(), LoadTime: 1})
+		Expect(engine.Start("127.0.0.1:0")).To(Succeed())
+		defer engine.Close()
+		client, b := wasabiorder.NewClient(nil), wasabiridge.BackendServer{ID: "e", URL: engine.URL()}
+		Expect(client.SendOrder(ctx, b, wasabiridge.EngineOrder{Weights: 3, Fencing: 5})).To(Succeed())
+		Eventually(func() (wasabiridge.EngineState, error) {
+			return client.ReadState(context.Background(), b)
+		}).Should(Equal(wasabiridge.EngineState{Weights: 3, Fencing: 5}))
+		expectType(client.SendOrder(ctx, b, wasabiridge.EngineOrder{Weights: 2, Fencing: 4}), wasabiridge.ErrFenced)
+	})
+})
+
+func expectType(err error, want *errorx.Type) {
+	GinkgoHelper()
+	if want == nil {
+		Expect(err).NotTo(HaveOccurred())
+		return
+	}
+	Expect(errorx.IsOfType(err, want)).To(BeTrue(), "%v", err)
+}
+
+// FuzzState looks for an answer of an engine that breaks the decoder.
+func FuzzState(f *testing.F) {
+	f.Add([]byte(`{"weights":3,"fencing_number":2,"loading":true}`))
+	f.Add([]byte(`{"weights":-1}`))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = wasabiorder.DecodeState(data) })
+}
--- /dev/null
+++ b/internal/wasabiorder/export_test.go
@@ -0,0 +1,4 @@
+package wasabiorder
+
+// DecodeState is the decoder of an engine's answer, for tests.
+var DecodeState = decodeState
