Settings: platform, operators' keys; claims record themselves

Cause: the daemon needs the platform's adapters and a way to take the first configuration; the claim keeper records its own events. Conclusion: settings name every wrong field of these too.

--- a/internal/wasabigateway/claim.go
+++ b/internal/wasabigateway/claim.go
@@ -52,7 +52,6 @@
 		g.options.Log.Warn().Err(err).Str(wasabilog.RequestField, string(request.ID)).Msg("Claim failed.")
 		outcome.State = wasabiridge.ClaimUnavailable
 	}
-	g.recordClaim(request, outcome.State)
 	if outcome.State == wasabiridge.ClaimGranted {
 		return claimTicket{query: q, granted: true}, true
 	}
@@ -81,16 +80,6 @@
 	wasabiridge.ClaimUnavailable: failNoClaimer,
 }
 
-// claimNames are the causes on the time line.
-var claimNames = map[wasabiridge.ClaimState]string{
-	wasabiridge.ClaimGranted:     "granted",
-	wasabiridge.ClaimRunning:     "running",
-	wasabiridge.ClaimAnswered:    "answered",
-	wasabiridge.ClaimUnknown:     "unknown",
-	wasabiridge.ClaimMismatch:    "mismatch",
-	wasabiridge.ClaimUnavailable: "unavailable",
-}
-
 func (g *Gateway) answerClaim(w http.ResponseWriter, r *http.Request, outcome wasabiridge.ClaimOutcome) {
 	if outcome.State != wasabiridge.ClaimAnswered {
 		g.fail(w, r, claimFailures[outcome.State])
@@ -106,21 +95,6 @@
 	_, _ = w.Write(outcome.Answer.Body)
 }
 
-func (g *Gateway) recordClaim(request wasabiridge.Request, state wasabiridge.ClaimState) {
-	if g.options.Recorder == nil {
-		return
-	}
-	g.options.Recorder.Record(wasabiridge.TimelineEvent{
-		At:       g.options.Clock.Now(),
-		Instance: g.options.Instance,
-		Kind:     wasabiridge.EventClaimed,
-		Request:  request.ID,
-		Account:  request.Account,
-		Rule:     request.Rule,
-		Cause:    claimNames[state],
-	})
-}
-
 // finishClaim records how a claimed request ended, after its last attempt. It
 // does not hold up the caller, who has its answer already.
 func (g *Gateway) finishClaim(x *exchange, t claimTicket) {
--- a/internal/wasabigateway/gateway.go
+++ b/internal/wasabigateway/gateway.go
@@ -70,8 +70,6 @@
 	Claimer wasabiridge.Claimer
 	// Outcomes counts finished requests. Nil drops them.
 	Outcomes wasabiridge.OutcomeRecorder
-	// Recorder takes time line events of the claim. Nil drops them.
-	Recorder wasabiridge.Recorder
 	// Addresses answers GET /v1/addresses. Nil answers that there is none.
 	Addresses *wasabiaddress.Book
 	Limits    wasabisettings.Limits
--- a/internal/wasabisettings/check.go
+++ b/internal/wasabisettings/check.go
@@ -1,6 +1,9 @@
 package wasabisettings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -8,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
 )
 
 // check names everything that is wrong with the meaning of settings whose
@@ -18,14 +22,12 @@
 	c.filled("/zone", string(s.Zone))
 	c.filled("/caller/listen", s.Caller.Listen)
 	c.listener("/caller", s.Caller)
-	c.listener("/operator", s.Operator)
+	c.listener("/operator", s.Operator.Listener)
+	c.keyHashes("/operator/key_hashes", s.Operator.KeyHashes)
 	c.address("/peer/listen", s.Peer.Listen)
 	c.address("/peer/address", s.Peer.Address)
 	c.tls("/peer/tls", s.Peer.TLS)
-	c.url("/platform/table", s.Platform.Table)
-	c.url("/platform/objects", s.Platform.Objects)
-	c.url("/platform/instances", s.Platform.Instances)
-	c.url("/platform/weights", s.Platform.Weights)
+	c.platform(s.Platform)
 	c.level("/log_level", s.LogLevel)
 	c.limits(s.Limits)
 	c.drain(s.Drain)
@@ -70,6 +72,25 @@
 	}
 }
 
+func (c *checker) platform(p *wasabiplatform.Settings) {
+	if p == nil {
+		return
+	}
+	c.filled("/platform/table_url", p.TableURL)
+	c.filled("/platform/table", p.Table)
+	c.url("/platform/table_url", p.TableURL)
+	c.url("/platform/objects_url", p.ObjectsURL)
+	c.url("/platform/instances_url", p.InstancesURL)
+}
+
+func (c *checker) keyHashes(path string, hashes []string) {
+	for i, h := range hashes {
+		if raw, err := hex.DecodeString(h); err != nil || len(raw) != sha256.Size {
+			c.report(fmt.Sprintf("%s/%d", path, i), "must be a SHA-256 hash in hexadecimal digits")
+		}
+	}
+}
+
 func (c *checker) listener(path string, l Listener) {
 	c.address(path+"/listen", l.Listen)
 	c.url(path+"/url", l.URL)
--- a/internal/wasabisettings/settings.go
+++ b/internal/wasabisettings/settings.go
@@ -19,6 +19,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabidocument"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
 )
 
 // Settings is what one process is told at its start. It is an immutable
@@ -30,11 +31,13 @@
 	// Caller is the listener of callers.
 	Caller Listener `json:"caller"`
 	// Operator is the listener of operators. It is off when Listen is empty.
-	Operator Listener `json:"operator,omitempty"`
+	Operator OperatorListener `json:"operator,omitempty"`
 	// Peer is the listener of other instances. It is off when Listen is
 	// empty.
-	Peer     PeerListener `json:"peer,omitempty"`
-	Platform Platform     `json:"platform,omitempty"`
+	Peer PeerListener `json:"peer,omitempty"`
+	// Platform says where the platform's services are. Without it nothing
+	// outlasts the process, and requests that run at most once need tickets.
+	Platform *wasabiplatform.Settings `json:"platform,omitempty"`
 	// ConfigFile names a configuration to start from when neither a peer nor
 	// the platform gives one.
 	ConfigFile string `json:"config_file,omitempty"`
@@ -67,6 +70,14 @@
 	ClientCAFile string `json:"client_ca_file,omitempty"`
 }
 
+// OperatorListener is the listener of operators.
+type OperatorListener struct {
+	Listener
+	// KeyHashes are hexadecimal SHA-256 hashes of keys that hold beside those
+	// of the configuration, so that the first configuration can be put.
+	KeyHashes []string `json:"key_hashes,omitempty"`
+}
+
 // PeerListener is the listener of other instances.
 type PeerListener struct {
 	// Listen is an IP address and a port.
@@ -79,15 +90,6 @@
 	SecretFile string `json:"secret_file,omitempty"`
 }
 
-// Platform says where the services of the platform are. An empty URL means
-// that the service is not there.
-type Platform struct {
-	Table     string `json:"table,omitempty"`
-	Objects   string `json:"objects,omitempty"`
-	Instances string `json:"instances,omitempty"`
-	Weights   string `json:"weights,omitempty"`
-}
-
 // Limits bounds what callers may take up. A zero field means its default.
 type Limits struct {
 	// HeaderBytes bounds the header of a request. The default is 32 KiB.
@@ -173,7 +175,7 @@
 		s.LogLevel = "info"
 	}
 	s.Caller = s.Caller.withURL()
-	s.Operator = s.Operator.withURL()
+	s.Operator.Listener = s.Operator.withURL()
 	if s.Peer.Address == "" {
 		s.Peer.Address = s.Peer.Listen
 	}
