Daemon: platform, claims, outcomes, backend intake, operators, metrics

Conclusion: the daemon joins them; the configuration of a file gives way to whatever the platform has.

--- a/internal/wasabidaemon/config.go
+++ b/internal/wasabidaemon/config.go
@@ -7,9 +7,59 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
 
+// inForce is a configuration and where it came from. The zero value stands
+// for none.
+type inForce struct {
+	config wasabiridge.Config
+	// fromFile says that it came from the file that the settings name.
+	// Whatever the platform or a peer has stands above it.
+	fromFile bool
+}
+
+// current returns the configuration in force for the gateway.
+func (d *Daemon) current() *wasabiridge.Config {
+	return &d.config.Load().config
+}
+
+// Adopt puts a configuration in force. An older one than that in force is
+// ignored.
+func (d *Daemon) Adopt(cfg wasabiridge.Config) {
+	d.adopt(&inForce{config: cfg})
+}
+
+func (d *Daemon) adopt(next *inForce) {
+	for {
+		now := d.config.Load()
+		if !now.fromFile && next.config.Version <= now.config.Version {
+			return
+		}
+		if d.config.CompareAndSwap(now, next) {
+			break
+		}
+	}
+	d.parts.loop.Post(wasabiridge.ConfigAdopted{Config: next.config})
+	d.parts.intake.Watch(engines(next.config))
+	d.log.Info().Uint64("version", uint64(next.config.Version)).Msg("Configuration adopted.")
+}
+
+// engines lists the model engines of all pools. A server that stands in two
+// pools is listed once.
+func engines(cfg wasabiridge.Config) []wasabiridge.BackendServer {
+	var all []wasabiridge.BackendServer
+	seen := map[wasabiridge.BackendServerID]bool{}
+	for _, pool := range cfg.Pools {
+		for _, b := range pool.Backends {
+			if b.Kind == wasabiridge.BackendEngine && !seen[b.ID] {
+				seen[b.ID] = true
+				all = append(all, b)
+			}
+		}
+	}
+	return all
+}
+
 // loadConfig takes the configuration from the file that the settings name, if
-// they name one. A version that the file leaves out counts as 1, below
-// everything that the platform or a peer may have.
+// they name one.
 func (d *Daemon) loadConfig() error {
 	file := d.options.Settings.ConfigFile
 	if file == "" {
@@ -27,6 +77,6 @@
 	if cfg.Version == 0 {
 		cfg = cfg.WithVersion(1)
 	}
-	d.Adopt(cfg)
+	d.adopt(&inForce{config: cfg, fromFile: true})
 	return nil
 }
--- a/internal/wasabidaemon/daemon.go
+++ b/internal/wasabidaemon/daemon.go
@@ -1,6 +1,6 @@
 // Package wasabidaemon joins all parts of a router into one process: the
-// listeners, the loop of decisions, the gateway, and whatever else Options
-// name.
+// listeners, the loop of decisions, the gateway and the controllers that keep
+// claims, outcomes, configuration and the picture of the backend servers.
 //
 // # Life
 //
@@ -32,34 +32,32 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
-	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
-	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
-	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
-	"github.com/wasabiridge/wasabiridge/internal/wasabigateway"
-	"github.com/wasabiridge/wasabiridge/internal/wasabilimit"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
-	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
-	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
 )
 
+const (
+	// drainMargin covers the time an address answer is on its way.
+	drainMargin = wasabiridge.Second / 2
+	// endTimeout bounds how long the last writes to the platform may take
+	// after the last request was answered.
+	endTimeout = 10 * time.Second
+)
+
 // Options are the parts of a daemon. Settings are needed; every other zero
 // value stands for the usual part.
 type Options struct {
 	Settings wasabisettings.Settings
 	Clock    wasabiridge.Clock
 	// Log is where log lines go. Nil drops them.
-	Log    io.Writer
-	Runner wasabiridge.AttemptRunner
-	Placer wasabiridge.Placer
-	// Limiter decides when requests may go.
+	Log     io.Writer
+	Runner  wasabiridge.AttemptRunner
+	Placer  wasabiridge.Placer
 	Limiter wasabiridge.Limiter
-	// Claimer decides on requests that run at most once. Nil refuses them as
-	// not run.
-	Claimer  wasabiridge.Claimer
-	Outcomes wasabiridge.OutcomeRecorder
+	// Claimer decides on requests that run at most once.
+	Claimer wasabiridge.Claimer
 	// Members returns what is known of the other instances.
 	Members func() []wasabiridge.Member
 }
@@ -69,191 +67,146 @@
 	options     Options
 	log         zerolog.Logger
 	incarnation wasabiridge.Incarnation
-	timeline    *wasabitimeline.Log
-	loop        *wasabiloop.Loop
-	book        *wasabiaddress.Book
-	gateway     *wasabigateway.Gateway
-	config      atomic.Pointer[wasabiridge.Config]
+	started     wasabiridge.Millis
+	seed        uint64
+	parts       parts
+	config      atomic.Pointer[inForce]
 	caller      *listener
+	operator    *listener
 	leaving     atomic.Bool
 	drain       sync.Once
 	// drained is closed when the last answer that named this instance has
 	// expired.
 	drained chan struct{}
+	// duties are the goroutines of the controllers. They end after the last
+	// request.
+	duties sync.WaitGroup
+	end    context.CancelFunc
 }
 
 // New opens the listeners and starts the decisions. It reports ErrInvalid for
 // settings that cannot be used and ErrUnavailable for an address that is
 // taken.
 func New(o Options) (*Daemon, error) {
-	o = o.withDefaults()
+	if o.Clock == nil {
+		o.Clock = wasabiclock.System()
+	}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
 	d := &Daemon{
 		options:     o,
 		incarnation: wasabiridge.Incarnation(o.Clock.Now()),
+		started:     o.Clock.Now(),
+		seed:        uint64(o.Settings.Seed),
 		drained:     make(chan struct{}),
 	}
+	if d.seed == 0 {
+		d.seed = rand.Uint64()
+	}
 	d.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
-	d.config.Store(&wasabiridge.Config{})
+	d.config.Store(&inForce{})
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	d.join()
-	if err := d.loadConfig(); err != nil {
-		d.loop.Close()
-		d.caller.close()
+	if err := d.join(); err != nil {
+		d.close()
 		return nil, err
 	}
 	return d, nil
 }
 
-func (o Options) withDefaults() Options {
-	if o.Clock == nil {
-		o.Clock = wasabiclock.System()
-	}
-	if o.Log == nil {
-		o.Log = io.Discard
-	}
-	if o.Runner == nil {
-		o.Runner = wasabibackend.New(wasabibackend.Options{})
-	}
-	if o.Placer == nil {
-		o.Placer = wasabiplace.New(wasabiplace.Options{Seed: o.seed(), Zone: o.Settings.Zone})
-	}
-	if o.Limiter == nil {
-		o.Limiter = wasabilimit.New(wasabilimit.Options{Instances: 1})
-	}
-	return o
-}
-
-// seed returns the start of the random choices.
-func (o Options) seed() uint64 {
-	if o.Settings.Seed != 0 {
-		return uint64(o.Settings.Seed)
-	}
-	return rand.Uint64()
-}
-
 func (d *Daemon) listen() error {
+	s := d.options.Settings
 	var err error
-	o := listenerOptions{settings: d.options.Settings.Caller, clock: d.options.Clock, log: wasabilog.Part(d.log, "caller")}
-	if d.caller, err = newListener(o); err != nil {
+	if d.caller, err = d.newListener("caller", s.Caller); err != nil {
 		return err
 	}
-	return nil
+	if d.operator, err = d.newListener("operator", s.Operator.Listener); err != nil {
+		d.close()
+	}
+	return err
 }
 
-// join makes the parts know each other.
-func (d *Daemon) join() {
-	s := d.options.Settings
-	d.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: d.options.Clock})
-	core := wasabicore.New(wasabicore.Options{
-		Placer:       d.options.Placer,
-		Limiter:      d.options.Limiter,
-		Instance:     s.Instance,
-		FirstAttempt: wasabiridge.AttemptID(d.incarnation) << attemptBits,
-	})
-	d.loop = wasabiloop.New(wasabiloop.Options{
-		Decider:  core,
-		Clock:    d.options.Clock,
-		Recorder: d.timeline,
-		Ring:     s.Limits.Ring,
-	})
-	d.book = wasabiaddress.New(wasabiaddress.Options{
-		Self: wasabiridge.InstanceEntry{
-			ID: s.Instance, Zone: s.Zone, Region: s.Region,
-			CallerURL: d.caller.url, PeerAddress: s.Peer.Address,
-		},
-		Members:  d.options.Members,
-		Lifetime: s.Drain.WithDefaults().AnswerLifetime,
-		Ticket:   d.ticket(),
-	})
-	d.gateway = wasabigateway.New(wasabigateway.Options{
-		Instance:    s.Instance,
-		Incarnation: d.incarnation,
-		Clock:       d.options.Clock,
-		Log:         wasabilog.Part(d.log, "gateway"),
-		Loop:        d.loop,
-		Runner:      d.options.Runner,
-		Config:      d.Config,
-		Claimer:     d.options.Claimer,
-		Outcomes:    d.options.Outcomes,
-		Recorder:    d.timeline,
-		Addresses:   d.book,
-		Limits:      s.Limits,
-		Leaving:     d.leaving.Load,
-	})
+// close gives up what New has opened.
+func (d *Daemon) close() {
+	d.caller.close()
+	d.operator.close()
+	d.parts.close()
 }
 
-// attemptBits leaves room for the attempts of one life: identifiers of a later
-// life, which starts at least a millisecond later, never meet those of an
-// earlier one as long as a life makes fewer than 2^20 attempts a millisecond.
-const attemptBits = 20
-
-func (d *Daemon) ticket() func(wasabiridge.ClientAccountID) string {
-	if d.options.Claimer == nil {
-		return nil
-	}
-	return d.options.Claimer.Ticket
+// start runs a duty until the daemon ends.
+func (d *Daemon) start(ctx context.Context, duty func(context.Context)) {
+	d.duties.Add(1)
+	go func() {
+		defer d.duties.Done()
+		duty(ctx)
+	}()
 }
 
-// Config returns the configuration in force. Its version is zero when none is
-// known.
-func (d *Daemon) Config() wasabiridge.Config {
-	return *d.config.Load()
+// URL returns where callers reach this instance.
+func (d *Daemon) URL() string {
+	return d.caller.url
 }
 
-// Adopt puts a configuration in force. An older one than that in force is
-// ignored.
-func (d *Daemon) Adopt(cfg wasabiridge.Config) {
-	for {
-		current := d.config.Load()
-		if cfg.Version <= current.Version {
-			return
-		}
-		if d.config.CompareAndSwap(current, &cfg) {
-			break
-		}
+// OperatorURL returns where operators reach this instance, or nothing when
+// the listener is off.
+func (d *Daemon) OperatorURL() string {
+	if d.operator == nil {
+		return ""
 	}
-	d.loop.Post(wasabiridge.ConfigAdopted{Config: cfg})
-	d.log.Info().Uint64("version", uint64(cfg.Version)).Msg("Configuration adopted.")
+	return d.operator.url
 }
 
-// URL returns where callers reach this instance.
-func (d *Daemon) URL() string {
-	return d.caller.url
+// Timeline returns the time line of this instance.
+func (d *Daemon) Timeline() *wasabitimeline.Log {
+	return d.parts.timeline
 }
 
 // Run serves until the daemon is drained. It returns nil when no request was
 // cut.
 func (d *Daemon) Run() error {
-	limits := d.options.Settings.Limits.WithDefaults()
-	server := &http.Server{
-		Handler:           d.gateway,
-		ReadHeaderTimeout: limits.HeaderTimeout.Duration(),
-		IdleTimeout:       limits.IdleTimeout.Duration(),
-		// The gateway turns down large headers itself, in the shape of the
-		// API. This limit holds against what is larger by far.
-		MaxHeaderBytes: 2 * limits.HeaderBytes,
-		ErrorLog:       errorLog(wasabilog.Part(d.log, "caller")),
-	}
+	var ctx context.Context
+	ctx, d.end = context.WithCancel(context.Background())
+	d.startDuties(ctx)
+	server := d.newServer("caller", d.parts.gateway)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(d.caller.socket) }()
+	operator := d.serveOperators()
 	d.log.Info().Str("url", d.caller.url).Msg("Serving callers.")
 	select {
 	case err := <-failed:
 		return wasabiridge.ErrUnavailable.Wrap(err, "daemon: caller listener")
 	case <-d.drained:
 	}
-	return d.finish(server)
+	err := d.finish(server)
+	if operator != nil {
+		_ = operator.Close()
+	}
+	return err
+}
+
+func (d *Daemon) newServer(part string, h http.Handler) *http.Server {
+	limits := d.options.Settings.Limits.WithDefaults()
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: limits.HeaderTimeout.Duration(),
+		IdleTimeout:       limits.IdleTimeout.Duration(),
+		// The gateway turns down large headers itself, in the shape of the
+		// API. This limit holds against what is larger by far.
+		MaxHeaderBytes: 2 * limits.HeaderBytes,
+		ErrorLog:       errorLog(wasabilog.Part(d.log, part)),
+	}
 }
 
 // Drain makes the daemon leave. It returns at once; Run returns when the last
-// request is answered. A second call changes nothing.
+// request is answered. A second call changes nothing: an impatient operator
+// or supervisor must not cut a stream.
 func (d *Daemon) Drain(context.Context) error {
 	d.drain.Do(func() {
 		d.leaving.Store(true)
-		d.book.Leave()
-		d.timeline.Record(wasabiridge.TimelineEvent{Kind: wasabiridge.EventLifecycle, Cause: "leaving"})
+		d.parts.book.Leave()
+		d.parts.timeline.Record(wasabiridge.TimelineEvent{Kind: wasabiridge.EventLifecycle, Cause: "leaving"})
 		d.log.Info().Msg("Leaving; still accepting.")
 		wait := d.options.Settings.Drain.WithDefaults().AnswerLifetime + drainMargin
 		time.AfterFunc(wait.Duration(), func() { close(d.drained) })
@@ -261,9 +214,6 @@
 	return nil
 }
 
-// drainMargin covers the time an answer is on its way to its caller.
-const drainMargin = wasabiridge.Second / 2
-
 // finish ends the process after its last request. Requests that are open when
 // the limit passes are cut and reported.
 func (d *Daemon) finish(server *http.Server) error {
@@ -272,17 +222,13 @@
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if err != nil {
+		d.log.Error().Int("open", d.parts.gateway.Open()).Msg("Drain limit passed; open requests are cut.")
 		_ = server.Close()
-		d.log.Error().Int("open", d.gateway.Open()).Msg("Drain limit passed; open requests were cut.")
 		err = wasabiridge.ErrUnavailable.New("daemon: drain limit passed with open requests")
 	}
-	d.gateway.Wait()
-	d.loop.Close()
+	d.parts.gateway.Wait()
+	d.endDuties()
+	d.parts.close()
 	d.log.Info().Msg("Ended.")
 	return err
 }
-
-// Timeline returns the time line of this instance.
-func (d *Daemon) Timeline() *wasabitimeline.Log {
-	return d.timeline
-}
--- a/internal/wasabidaemon/listener.go
+++ b/internal/wasabidaemon/listener.go
@@ -2,48 +2,47 @@
 
 import (
 	"context"
+	"crypto/tls"
 	stdlog "log"
 	"net"
 	"strings"
 
-	"crypto/tls"
-
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitls"
 )
 
-type listenerOptions struct {
-	settings wasabisettings.Listener
-	clock    wasabiridge.Clock
-	log      zerolog.Logger
-}
-
 // listener is an open socket and where others reach it.
 type listener struct {
 	socket net.Listener
 	url    string
 }
 
-func newListener(o listenerOptions) (*listener, error) {
+// newListener opens a listener. It returns nil when the settings leave it
+// out.
+func (d *Daemon) newListener(part string, s wasabisettings.Listener) (*listener, error) {
+	if s.Listen == "" {
+		return nil, nil
+	}
 	var socket net.Listener
 	var err error
-	if socket, err = new(net.ListenConfig).Listen(context.Background(), "tcp", o.settings.Listen); err != nil {
-		return nil, wasabiridge.ErrUnavailable.Wrap(err, "daemon: listen on %s", o.settings.Listen)
+	if socket, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
+		return nil, wasabiridge.ErrUnavailable.Wrap(err, "daemon: listen on %s", s.Listen)
 	}
-	l := &listener{socket: socket, url: o.settings.URL}
+	l := &listener{socket: socket, url: s.URL}
 	if l.url == "" || strings.HasSuffix(l.url, ":0") {
 		l.url = "http://" + socket.Addr().String()
 	}
-	if o.settings.TLS == nil {
+	if s.TLS == nil {
 		return l, nil
 	}
 	l.url = strings.Replace(l.url, "http://", "https://", 1)
 	var keeper *wasabitls.Keeper
 	keeper, err = wasabitls.New(wasabitls.Options{
-		Files: *o.settings.TLS, Clock: o.clock, Log: o.log, Protocols: []string{"h2", "http/1.1"},
+		Files: *s.TLS, Clock: d.options.Clock, Log: wasabilog.Part(d.log, part), Protocols: []string{"h2", "http/1.1"},
 	})
 	if err != nil {
 		l.close()
@@ -54,7 +53,9 @@
 }
 
 func (l *listener) close() {
-	_ = l.socket.Close()
+	if l != nil {
+		_ = l.socket.Close()
+	}
 }
 
 // errorLog hands lines of net/http to the part's log. They name addresses and
--- /dev/null
+++ b/internal/wasabidaemon/parts.go
@@ -0,0 +1,254 @@
+package wasabidaemon
+
+import (
+	"context"
+	"crypto/rand"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
+	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclaim"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
+	"github.com/wasabiridge/wasabiridge/internal/wasabigateway"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilimit"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
+	"github.com/wasabiridge/wasabiridge/internal/wasabimetrics"
+	"github.com/wasabiridge/wasabiridge/internal/wasabioutcome"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
+)
+
+const (
+	// attemptBits leaves room for the attempts of one life: identifiers of a
+	// later life, which starts at least a millisecond later, never meet those
+	// of an earlier one as long as a life makes fewer than 2^20 attempts a
+	// millisecond.
+	attemptBits = 20
+	// newsSize bounds the news of backend servers that wait for the loop. A
+	// full ring drops the oldest and counts it.
+	newsSize = 4096
+	// eventStreams bounds the cache event streams that are followed. At the
+	// target size an instance cannot afford those of all replicas.
+	eventStreams = 64
+	// secretBytes is the size of a secret that nobody else needs to know.
+	secretBytes = 32
+)
+
+// parts are what a daemon is made of.
+type parts struct {
+	platform wasabiplatform.Platform
+	timeline *wasabitimeline.Log
+	metrics  *wasabimetrics.Set
+	loop     *wasabiloop.Loop
+	news     *wasabibackend.Ring
+	intake   *wasabibackend.Intake
+	runner   *wasabibackend.Runner
+	claims   *wasabiclaim.Keeper
+	outcomes *wasabioutcome.Recorder
+	book     *wasabiaddress.Book
+	gateway  *wasabigateway.Gateway
+}
+
+// join makes the parts and lets them know each other.
+func (d *Daemon) join() error {
+	s := d.options.Settings
+	p := &d.parts
+	if s.Platform != nil {
+		p.platform = wasabiplatform.Connect(*s.Platform, d.options.Clock)
+	}
+	p.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: d.options.Clock})
+	p.metrics = wasabimetrics.New()
+	p.loop = d.newLoop()
+	p.news = wasabibackend.NewRing(newsSize)
+	p.intake = wasabibackend.NewIntake(wasabibackend.IntakeOptions{
+		Clock: d.options.Clock, Ring: p.news, Seed: d.seed, EventStreams: eventStreams,
+	})
+	d.joinClaims()
+	d.joinOutcomes()
+	p.book = wasabiaddress.New(wasabiaddress.Options{
+		Self:     d.self(),
+		Members:  d.options.Members,
+		Lifetime: s.Drain.WithDefaults().AnswerLifetime,
+		Ticket:   d.ticket(),
+	})
+	p.gateway = d.newGateway()
+	return d.loadConfig()
+}
+
+// self describes this instance to callers and to other instances.
+func (d *Daemon) self() wasabiridge.InstanceEntry {
+	s := d.options.Settings
+	return wasabiridge.InstanceEntry{
+		ID: s.Instance, Zone: s.Zone, Region: s.Region,
+		CallerURL: d.caller.url, PeerAddress: s.Peer.Address,
+	}
+}
+
+func (d *Daemon) newLoop() *wasabiloop.Loop {
+	placer, limiter := d.options.Placer, d.options.Limiter
+	if placer == nil {
+		placer = wasabiplace.New(wasabiplace.Options{Seed: d.seed, Zone: d.options.Settings.Zone})
+	}
+	if limiter == nil {
+		limiter = wasabilimit.New(wasabilimit.Options{Instances: 1})
+	}
+	core := wasabicore.New(wasabicore.Options{
+		Placer:       placer,
+		Limiter:      limiter,
+		Instance:     d.options.Settings.Instance,
+		FirstAttempt: wasabiridge.AttemptID(d.incarnation) << attemptBits,
+	})
+	return wasabiloop.New(wasabiloop.Options{
+		Decider:  core,
+		Clock:    d.options.Clock,
+		Recorder: d.parts.timeline,
+		Ring:     d.options.Settings.Limits.Ring,
+	})
+}
+
+// joinClaims sets up the keeper of claims. Without a table it is left out, and
+// requests that run at most once are refused as not run.
+func (d *Daemon) joinClaims() {
+	if d.options.Claimer != nil || d.parts.platform.Table == nil {
+		return
+	}
+	d.parts.claims = wasabiclaim.New(wasabiclaim.Options{
+		Self:        d.options.Settings.Instance,
+		Incarnation: d.incarnation,
+		Secret:      randomSecret(),
+		Table:       d.parts.platform.Table,
+		Clock:       d.options.Clock,
+		Locate:      func(wasabiridge.InstanceID) (string, bool) { return "", false },
+		Recorder:    d.parts.timeline,
+	})
+	d.options.Claimer = d.parts.claims
+}
+
+func randomSecret() []byte {
+	secret := make([]byte, secretBytes)
+	// Read never fails; it ends the program when the system has no
+	// randomness.
+	_, _ = rand.Read(secret)
+	return secret
+}
+
+func (d *Daemon) ticket() func(wasabiridge.ClientAccountID) string {
+	if d.options.Claimer == nil {
+		return nil
+	}
+	return d.options.Claimer.Ticket
+}
+
+func (d *Daemon) joinOutcomes() {
+	if d.parts.platform.Objects == nil {
+		return
+	}
+	d.parts.outcomes = wasabioutcome.New(wasabioutcome.Options{
+		Instance:    d.options.Settings.Instance,
+		Incarnation: d.incarnation,
+		Clock:       d.options.Clock,
+		Store:       d.parts.platform.Objects,
+		Seed:        d.seed,
+	})
+}
+
+func (d *Daemon) newGateway() *wasabigateway.Gateway {
+	runner := d.options.Runner
+	if runner == nil {
+		d.parts.runner = wasabibackend.New(wasabibackend.Options{})
+		runner = d.parts.runner
+	}
+	o := wasabigateway.Options{
+		Instance:    d.options.Settings.Instance,
+		Incarnation: d.incarnation,
+		Clock:       d.options.Clock,
+		Log:         wasabilog.Part(d.log, "gateway"),
+		Loop:        d.parts.loop,
+		Runner:      runner,
+		Config:      d.current,
+		Claimer:     d.options.Claimer,
+		Addresses:   d.parts.book,
+		Limits:      d.options.Settings.Limits,
+		Leaving:     d.leaving.Load,
+	}
+	if d.parts.outcomes != nil {
+		o.Outcomes = d.parts.outcomes
+	}
+	return wasabigateway.New(o)
+}
+
+// startDuties starts the goroutines of the controllers.
+func (d *Daemon) startDuties(ctx context.Context) {
+	d.start(ctx, d.forwardNews)
+	if d.parts.claims != nil {
+		d.start(ctx, d.parts.claims.Run)
+	}
+	if d.parts.outcomes != nil {
+		d.start(ctx, d.runOutcomes)
+	}
+	d.start(ctx, d.watchTimeline)
+}
+
+// forwardNews hands the news of backend servers to the decisions. It waits
+// when the loop is busy; meanwhile the ring drops the oldest.
+func (d *Daemon) forwardNews(ctx context.Context) {
+	for {
+		select {
+		case e := <-d.parts.news.Events():
+			d.parts.loop.Post(e)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) runOutcomes(ctx context.Context) {
+	if err := d.parts.outcomes.Run(ctx); err != nil {
+		d.log.Error().Err(err).Msg("The last outcomes were not written.")
+	}
+}
+
+// watchTimeline counts events of the time line in the metrics, over the
+// in-process pub/sub.
+func (d *Daemon) watchTimeline(ctx context.Context) {
+	bus := wasabitimeline.NewPubSub()
+	defer func() { _ = bus.Close() }()
+	messages, err := bus.Subscribe(ctx, wasabitimeline.Topic)
+	if err != nil {
+		d.log.Error().Err(err).Msg("Metrics miss the events of the time line.")
+		return
+	}
+	d.start(ctx, func(ctx context.Context) { d.parts.metrics.Watch(ctx, messages) })
+	if err = d.parts.timeline.Follow(ctx, bus); err != nil && ctx.Err() == nil {
+		d.log.Error().Err(err).Msg("Metrics miss further events of the time line.")
+	}
+}
+
+// endDuties lets the controllers write what must outlast the process and ends
+// them.
+func (d *Daemon) endDuties() {
+	if d.parts.claims != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		if err := d.parts.claims.Drain(ctx); err != nil {
+			d.log.Error().Err(err).Msg("Ends of claims were not written; repeats hear that the outcome is unknown.")
+		}
+	}
+	d.end()
+	d.duties.Wait()
+}
+
+// close ends what holds goroutines or connections.
+func (p *parts) close() {
+	if p.intake != nil {
+		p.intake.Close()
+	}
+	if p.loop != nil {
+		p.loop.Close()
+	}
+	if p.runner != nil {
+		p.runner.Close()
+	}
+}
--- a/internal/wasabigateway/catalogue.go
+++ b/internal/wasabigateway/catalogue.go
@@ -31,7 +31,7 @@
 	writeJSON(w, list)
 }
 
-func modelsOf(cfg wasabiridge.Config, account wasabiridge.ClientAccount) []wasabiridge.ModelID {
+func modelsOf(cfg *wasabiridge.Config, account wasabiridge.ClientAccount) []wasabiridge.ModelID {
 	seen := map[wasabiridge.ModelID]bool{}
 	for _, rule := range cfg.Rules {
 		if !appliesTo(rule, account) {
--- a/internal/wasabigateway/claim_test.go
+++ b/internal/wasabigateway/claim_test.go
@@ -113,7 +113,7 @@
 		r := specRig(func(o *wasabigateway.Options) {
 			cfg := testConfig()
 			cfg.Rules = []wasabiridge.Rule{{ID: "booking", Then: wasabiridge.Action{Pool: "bookings", NonIdempotent: true, Deadline: 50}}}
-			o.Config = func() wasabiridge.Config { return cfg }
+			o.Config = func() *wasabiridge.Config { return &cfg }
 		})
 		proceed := make(chan struct{})
 		r.runner.set(func(ctx context.Context, n int, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
--- a/internal/wasabigateway/filter.go
+++ b/internal/wasabigateway/filter.go
@@ -12,7 +12,7 @@
 type call struct {
 	id      wasabiridge.RequestID
 	arrived wasabiridge.Millis
-	config  wasabiridge.Config
+	config  *wasabiridge.Config
 	account wasabiridge.ClientAccount
 	body    body
 	rule    wasabiridge.Rule
--- a/internal/wasabigateway/gateway.go
+++ b/internal/wasabigateway/gateway.go
@@ -62,9 +62,10 @@
 	Log    zerolog.Logger
 	Loop   *wasabiloop.Loop
 	Runner wasabiridge.AttemptRunner
-	// Config returns the configuration in force. It is safe for concurrent
-	// use.
-	Config func() wasabiridge.Config
+	// Config returns the configuration in force, whose version is zero when
+	// none is known. What it points to is never changed. It is safe for
+	// concurrent use.
+	Config func() *wasabiridge.Config
 	// Claimer decides on requests that run at most once. Nil refuses them as
 	// not run.
 	Claimer wasabiridge.Claimer
--- a/internal/wasabigateway/key.go
+++ b/internal/wasabigateway/key.go
@@ -22,7 +22,7 @@
 
 // keyTable belongs to one configuration and is never changed.
 type keyTable struct {
-	version wasabiridge.ConfigVersion
+	config  *wasabiridge.Config
 	entries map[[bucketBytes]byte][]keyEntry
 }
 
@@ -33,9 +33,9 @@
 
 // find returns the client account of a key. Hashes are compared in constant
 // time.
-func (k *keyIndex) find(cfg wasabiridge.Config, key string) (wasabiridge.ClientAccount, bool) {
+func (k *keyIndex) find(cfg *wasabiridge.Config, key string) (wasabiridge.ClientAccount, bool) {
 	table := k.table.Load()
-	if table == nil || table.version != cfg.Version {
+	if table == nil || table.config != cfg {
 		table = newKeyTable(cfg)
 		k.table.Store(table)
 	}
@@ -48,8 +48,8 @@
 	return wasabiridge.ClientAccount{}, false
 }
 
-func newKeyTable(cfg wasabiridge.Config) *keyTable {
-	t := &keyTable{version: cfg.Version, entries: map[[bucketBytes]byte][]keyEntry{}}
+func newKeyTable(cfg *wasabiridge.Config) *keyTable {
+	t := &keyTable{config: cfg, entries: map[[bucketBytes]byte][]keyEntry{}}
 	for _, account := range cfg.Accounts {
 		for _, text := range account.KeyHashes {
 			hash, err := hex.DecodeString(text)
--- a/internal/wasabigateway/refusal_test.go
+++ b/internal/wasabigateway/refusal_test.go
@@ -45,7 +45,7 @@
 			change: func(o *wasabigateway.Options) { o.Limits.Requests = -1 }, status: 503, code: "too_many_requests", retry: true},
 		"no configuration": {call: call{body: chatStream},
 			change: func(o *wasabigateway.Options) {
-				o.Config = func() wasabiridge.Config { return wasabiridge.Config{} }
+				o.Config = func() *wasabiridge.Config { return &wasabiridge.Config{} }
 			}, status: 503, code: "no_configuration", retry: true},
 	}
 	for _, name := range sortedNames(cases) {
--- a/internal/wasabigateway/serve.go
+++ b/internal/wasabigateway/serve.go
@@ -83,7 +83,7 @@
 // match finds the rule of a request and checks that its client account may
 // use what the rule names.
 func match(r *http.Request, c *call) *failure {
-	rule, ok := wasabirule.Match(c.config, wasabirule.View{
+	rule, ok := wasabirule.Match(*c.config, wasabirule.View{
 		Account:      c.account.ID,
 		Method:       r.Method,
 		Path:         r.URL.Path,
--- a/internal/wasabigateway/stream_test.go
+++ b/internal/wasabigateway/stream_test.go
@@ -104,7 +104,7 @@
 		r := specRig(func(o *wasabigateway.Options) {
 			cfg := testConfig()
 			cfg.Rules = []wasabiridge.Rule{{ID: "new", Then: wasabiridge.Action{Pool: "answer", Weights: 4}}}
-			o.Config = func() wasabiridge.Config { return cfg }
+			o.Config = func() *wasabiridge.Config { return &cfg }
 		})
 		r.runner.set(func(_ context.Context, _ int, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
 			sink.Sent()
--- a/internal/wasabigateway/suite_test.go
+++ b/internal/wasabigateway/suite_test.go
@@ -188,7 +188,7 @@
 	r := &rig{runner: &runner{}, claims: &claims{state: map[string]wasabiridge.ClaimOutcome{}}, log: &safeBuffer{}}
 	o := wasabigateway.Options{
 		Instance: "pos-1", Incarnation: 7, Clock: clock, Loop: loop, Runner: r.runner,
-		Config:  func() wasabiridge.Config { return cfg },
+		Config:  func() *wasabiridge.Config { return &cfg },
 		Claimer: r.claims,
 		Log:     zerolog.New(r.log),
 		Limits:  wasabisettings.Limits{BodyBytes: 4096, HeaderBytes: 2048},
