--- a/internal/wasabitable/client.go
+++ b/internal/wasabitable/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -31,6 +32,8 @@
 	// Timeout bounds each call. Zero means 2 s.
 	Timeout wasabiridge.Millis
 	Clock   wasabiridge.Clock
+	// Transport carries the calls. Nil means the default of net/http.
+	Transport http.RoundTripper
 }
 
 // DefaultTimeout bounds a call to the platform.
@@ -56,6 +59,7 @@
 		Region:       o.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
 		Retryer:      aws.NopRetryer{},
+		HTTPClient:   &http.Client{Transport: o.Transport},
 	})
 	return &Client{api: api, options: o}
 }
--- a/internal/wasabitable/table_test.go
+++ b/internal/wasabitable/table_test.go
@@ -21,6 +21,8 @@
 
 func TestTable(t *testing.T) { wasabitest.Run(t, "table") }
 
+var noFaults wasabifault.Plan
+
 // virtualTable returns a table whose delays move its clock.
 func virtualTable(plan wasabifault.Plan) (*wasabitable.Memory, func(context.Context, wasabiridge.Millis) bool) {
 	clock := wasabiclock.NewVirtual(0)
@@ -33,7 +35,7 @@
 
 var _ = Describe("The table in memory", func() {
 	fresh := func() wasabicontract.TableSubject {
-		m, _ := virtualTable(wasabifault.Plan{})
+		m, _ := virtualTable(noFaults)
 		return wasabicontract.TableSubject{Table: m, Script: m.Faults().Script}
 	}
 	wasabicontract.Specs(wasabicontract.Table(fresh))
@@ -51,7 +53,7 @@
 
 var _ = Describe("The table over HTTP", func() {
 	fresh := func() wasabicontract.TableSubject {
-		m, _ := virtualTable(wasabifault.Plan{})
+		m, _ := virtualTable(noFaults)
 		server := httptest.NewServer(wasabitable.Handler(m))
 		DeferCleanup(server.Close)
 		return wasabicontract.TableSubject{Table: newClient(server.URL), Script: m.Faults().Script}
@@ -119,7 +121,7 @@
 	// answer was lost, and the writer tried again with a fresh revision. The
 	// cause is the blind retry: the second write is a new one to the store.
 	It("takes effect twice with a blind retry", func(ctx SpecContext) {
-		table, _ := virtualTable(wasabifault.Plan{})
+		table, _ := virtualTable(noFaults)
 		table.Faults().Script(wasabifault.Write, wasabifault.Fate{Kind: wasabifault.LostAnswer})
 		Expect(blindRetry(ctx, table, "blind")).To(Succeed())
 		Expect(table.Get(ctx, counter)).To(HaveField("Value", BeEquivalentTo("2")))
@@ -143,7 +145,7 @@
 	sort.Strings(names)
 	for _, name := range names {
 		It("takes effect once with the guard when "+name, func(ctx SpecContext) {
-			table, sleep := virtualTable(wasabifault.Plan{})
+			table, sleep := virtualTable(noFaults)
 			table.Faults().Script(wasabifault.Write, fates[name]...)
 			writer := wasabitable.NewWriter(table, wasabitable.WriterOptions{Name: "w", Sleep: sleep})
 			Expect(writer.Commit(ctx, wasabitable.Write{Changes: []wasabiridge.RowChange{increment(wasabiridge.Row{})}})).To(Succeed())
@@ -175,7 +177,7 @@
 	for _, name := range []string{"and did not", "and happened", "and might happen"} {
 		It("is told from another's by its witness when it was overtaken "+name, func(ctx SpecContext) {
 			c := overtaken[name]
-			table, _ := virtualTable(wasabifault.Plan{})
+			table, _ := virtualTable(noFaults)
 			overtake := func(context.Context, wasabiridge.Millis) bool {
 				Expect(blindRetry(ctx, table, "other")).To(Succeed())
 				return true
