Rollouts of weights, driven from what the replicas say

A rollout must survive its driver, keep a floor of serving replicas, and load two at once at most. Its driver keeps no progress: it reads the replicas under the pool's lease and counts those that it has not read as loading.

--- a/internal/wasabiorder/course.go
+++ b/internal/wasabiorder/course.go
@@ -107,6 +107,10 @@
 // when Known reports true.
 func (c *Course) State() wasabiridge.EngineState { return c.state }
 
+// Tried reports whether the engine was read, or could not be read, since the
+// lease was taken.
+func (c *Course) Tried() bool { return c.status != Unread || c.failures > 0 }
+
 // Known reports whether the last reading of the engine worked.
 func (c *Course) Known() bool { return c.status != Unread && c.failures == 0 }
 
@@ -127,7 +131,7 @@
 	c.effects = c.effects[:0]
 	if g.Fencing != c.fencing {
 		// Another lease: whatever was read or sent before counts no more.
-		c.fencing, c.status, c.fitSince, c.nextAt = g.Fencing, Unread, 0, now
+		c.fencing, c.status, c.fitSince, c.failures, c.nextAt = g.Fencing, Unread, 0, 0, now
 	}
 	switch e := e.(type) {
 	case StateRead:
@@ -154,7 +158,7 @@
 // next holder orders something newer, and the old order arrives after it. An
 // engine that ignores fencing numbers would go back to the old weights.
 func (c *Course) covers(now wasabiridge.Millis, g wasabilease.Grant) bool {
-	return g.Covers(now, c.timing.TimeLimit+c.timing.Margin)
+	return g.Covers(now, OrderSpan(c.timing))
 }
 
 func (c *Course) startRead(g wasabilease.Grant) {
@@ -166,7 +170,7 @@
 	order := c.target
 	order.Fencing = g.Fencing
 	c.busy, c.status, c.orderedAt = true, Ordered, now
-	c.effects = append(c.effects, SendOrder{Server: c.server, Order: order, TimeLimit: c.timing.TimeLimit})
+	c.effects = append(c.effects, SendOrder{Server: c.server, Order: order, Before: now + c.timing.TimeLimit})
 }
 
 func (c *Course) answered(now wasabiridge.Millis, a OrderAnswered) {
@@ -195,6 +199,11 @@
 	if r.Err != nil {
 		c.failures++
 		c.fitSince = 0
+		if c.status == Ordered && now-c.orderedAt >= c.timing.Patience {
+			// The engine was lost while it loaded. It must not hold the
+			// place of a load for ever.
+			c.status = Waiting
+		}
 		return
 	}
 	c.failures = 0
@@ -245,3 +254,13 @@
 	}
 	return now-c.fitSince >= c.timing.Confirm
 }
+
+// LoadPatience returns how long a load may take under the timing.
+func LoadPatience(t Timing) wasabiridge.Millis { return t.withDefaults().Patience }
+
+// OrderSpan returns how long after its send an order may still take effect,
+// with the margin.
+func OrderSpan(t Timing) wasabiridge.Millis {
+	t = t.withDefaults()
+	return t.TimeLimit + t.Margin
+}
--- a/internal/wasabiorder/events.go
+++ b/internal/wasabiorder/events.go
@@ -37,11 +37,12 @@
 	TimeLimit wasabiridge.Millis
 }
 
-// SendOrder asks to give an order, once, within the time limit.
+// SendOrder asks to give an order, once. It must not be sent after Before, and
+// the call must have ended by then: the lease covers it no longer.
 type SendOrder struct {
-	Server    wasabiridge.BackendServer
-	Order     wasabiridge.EngineOrder
-	TimeLimit wasabiridge.Millis
+	Server wasabiridge.BackendServer
+	Order  wasabiridge.EngineOrder
+	Before wasabiridge.Millis
 }
 
 func (ReadState) isEffect() {}
--- a/internal/wasabiorder/world_test.go
+++ b/internal/wasabiorder/world_test.go
@@ -158,9 +158,9 @@
 	switch {
 	case w.lateness > 0 && w.chance(0.2):
 		w.after(wasabiridge.Millis(w.rng.Int64N(int64(w.lateness))), func() { _ = deliver() })
-		reply(e.TimeLimit)
+		reply(e.Before - w.clock.Now())
 	case w.chance(0.1):
-		reply(e.TimeLimit)
+		reply(e.Before - w.clock.Now())
 	default:
 		w.after(w.delay(), func() {
 			if err := deliver(); !w.chance(0.2) {
