--- /dev/null
+++ b/internal/wasabiaddress/book_test.go
@@ -0,0 +1,138 @@
+package wasabiaddress_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestAddress(t *testing.T) { wasabitest.Run(t, "address") }
+
+func entry(id, zone string) wasabiridge.InstanceEntry {
+	return wasabiridge.InstanceEntry{
+		ID: wasabiridge.InstanceID(id), Zone: wasabiridge.AvailabilityZone(zone), CallerURL: "http://" + id,
+	}
+}
+
+// fleet returns instances in turn over the zones a, b and c.
+func fleet(n int) []wasabiridge.Member {
+	var all []wasabiridge.Member
+	for i := range n {
+		all = append(all, wasabiridge.Member{InstanceEntry: entry(fmt.Sprintf("i%d", i), string(rune('a'+i%3)))})
+	}
+	return all
+}
+
+func bookOf(self wasabiridge.InstanceEntry, members []wasabiridge.Member) *wasabiaddress.Book {
+	return wasabiaddress.New(wasabiaddress.Options{
+		Self: self, Lifetime: 10 * wasabiridge.Second,
+		Members: func() []wasabiridge.Member { return members },
+	})
+}
+
+func zones(a wasabiaddress.Answer) []wasabiridge.AvailabilityZone {
+	var all []wasabiridge.AvailabilityZone
+	for _, address := range a.Addresses {
+		all = append(all, address.Zone)
+	}
+	return all
+}
+
+var _ = Describe("address answers", func() {
+	It("agree at all instances, put the caller's zone first and name more than one zone", func() {
+		members := fleet(9)
+		for account := range 50 {
+			id := wasabiridge.ClientAccountID(fmt.Sprintf("account-%d", account))
+			want := bookOf(members[0].InstanceEntry, members).Answer(id, "b")
+			Expect(zones(want)[:2]).To(Equal([]wasabiridge.AvailabilityZone{"b", "b"}))
+			Expect(zones(want)[2:]).To(ConsistOf(wasabiridge.AvailabilityZone("a"), wasabiridge.AvailabilityZone("c")))
+			for _, m := range members[1:] {
+				Expect(bookOf(m.InstanceEntry, members).Answer(id, "b").Addresses).To(Equal(want.Addresses))
+			}
+		}
+	})
+
+	It("spread client accounts over the instances of a zone", func() {
+		members := fleet(9)
+		first := map[string]int{}
+		for account := range 3000 {
+			id := wasabiridge.ClientAccountID(fmt.Sprintf("account-%d", account))
+			first[bookOf(members[0].InstanceEntry, members).Answer(id, "").Addresses[0].URL]++
+		}
+		Expect(first).To(HaveLen(3))
+		for _, n := range first {
+			Expect(n).To(BeNumerically("~", 1000, 150))
+		}
+	})
+
+	It("move few client accounts when an instance goes", func() {
+		members := fleet(12)
+		rest := append([]wasabiridge.Member(nil), members[1:]...)
+		moved := 0
+		for account := range 1000 {
+			id := wasabiridge.ClientAccountID(fmt.Sprintf("account-%d", account))
+			before := bookOf(members[1].InstanceEntry, members).Answer(id, "a").Addresses[0].URL
+			after := bookOf(members[1].InstanceEntry, rest).Answer(id, "a").Addresses[0].URL
+			if before != after {
+				Expect(before).To(Equal("http://i0"))
+				moved++
+			}
+		}
+		Expect(moved).To(BeNumerically("~", 250, 60))
+	})
+
+	self := entry("self", "a")
+	cases := map[string]struct {
+		members []wasabiridge.Member
+		leaving bool
+		want    []string
+	}{
+		"alone":                       {nil, false, []string{"http://self"}},
+		"alone and leaving":           {nil, true, nil},
+		"a suspect instance is out":   {[]wasabiridge.Member{{InstanceEntry: entry("x", "b"), Suspect: true}}, false, []string{"http://self"}},
+		"a leaving instance is out":   {[]wasabiridge.Member{{InstanceEntry: leavingEntry("x", "b")}}, false, []string{"http://self"}},
+		"without a URL it is out":     {[]wasabiridge.Member{{InstanceEntry: wasabiridge.InstanceEntry{ID: "x", Zone: "b"}}}, false, []string{"http://self"}},
+		"others when leaving":         {[]wasabiridge.Member{{InstanceEntry: entry("x", "b")}}, true, []string{"http://x"}},
+		"old news of itself is out":   {[]wasabiridge.Member{{InstanceEntry: entry("self", "a")}}, true, nil},
+		"another zone stands behind":  {[]wasabiridge.Member{{InstanceEntry: entry("x", "b")}}, false, []string{"http://self", "http://x"}},
+		"one instance for each other": {[]wasabiridge.Member{{InstanceEntry: entry("x", "b")}, {InstanceEntry: entry("y", "b")}}, false, nil},
+	}
+	names := make([]string, 0, len(cases))
+	for name := range cases {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		c := cases[name]
+		It("hold who serves: "+name, func() {
+			book := bookOf(self, c.members)
+			if c.leaving {
+				book.Leave()
+			}
+			got := book.Answer("liftwell", "")
+			if name == "one instance for each other" {
+				Expect(got.Addresses).To(HaveLen(2))
+				return
+			}
+			var urls []string
+			for _, a := range got.Addresses {
+				Expect(a.Weight).To(BeNumerically(">", 0))
+				urls = append(urls, a.URL)
+			}
+			Expect(urls).To(Equal(c.want))
+		})
+	}
+})
+
+func leavingEntry(id, zone string) wasabiridge.InstanceEntry {
+	e := entry(id, zone)
+	e.Leaving = true
+	return e
+}
--- a/internal/wasabitls/keeper.go
+++ b/internal/wasabitls/keeper.go
@@ -12,11 +12,11 @@
 package wasabitls
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -49,14 +49,10 @@
 	checked wasabiridge.Millis
 }
 
-// stamp tells whether the files are the same as before.
+// stamp tells whether the files are the same as before. It covers what they
+// hold: times are too coarse for two changes in a row.
 type stamp struct {
-	certificate, key, authorities fileStamp
-}
-
-type fileStamp struct {
-	changed time.Time
-	size    int64
+	certificate, key, authorities [sha256.Size]byte
 }
 
 // New reads the files. It reports ErrInvalid when they cannot be used.
@@ -145,16 +141,17 @@
 
 func stampOf(files wasabisettings.TLS) stamp {
 	return stamp{
-		certificate: fileStampOf(files.CertificateFile),
-		key:         fileStampOf(files.KeyFile),
-		authorities: fileStampOf(files.ClientCAFile),
+		certificate: digestOf(files.CertificateFile),
+		key:         digestOf(files.KeyFile),
+		authorities: digestOf(files.ClientCAFile),
 	}
 }
 
-func fileStampOf(file string) fileStamp {
-	info, err := os.Stat(file)
+// digestOf counts a file that cannot be read as empty.
+func digestOf(file string) [sha256.Size]byte {
+	text, err := os.ReadFile(file)
 	if err != nil {
-		return fileStamp{}
+		return [sha256.Size]byte{}
 	}
-	return fileStamp{changed: info.ModTime(), size: info.Size()}
+	return sha256.Sum256(text)
 }
