wasabictl, its client, the HTML report and the capacity page

Cause: operators could reach the listener with curl only, and nothing worked out the cost at the target's size. Conclusion: commands over one client; a change is never sent twice and a lost answer ends with its own exit code; a lost race shows the other's change.

--- /dev/null
+++ b/internal/wasabicapacity/capacity_test.go
@@ -0,0 +1,78 @@
+package wasabicapacity_test
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge/internal/wasabicapacity"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestCapacity(t *testing.T) { wasabitest.Run(t, "capacity") }
+
+func line(values ...float64) []wasabicapacity.Point {
+	points := []wasabicapacity.Point{{Size: 10}, {Size: 20}, {Size: 30}}
+	for i, v := range values {
+		points[i].Value = v
+	}
+	return points
+}
+
+var _ = Describe("Fit", func() {
+	fits := map[string]struct {
+		measure wasabicapacity.Measure
+		value   float64
+	}{
+		"a slope":         {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "instances", Points: line(10, 20, 30)}, 370},
+		"a base":          {wasabicapacity.Measure{Resource: wasabicapacity.Memory, Driver: "instances", Points: line(5, 5, 5)}, 5},
+		"a falling line":  {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "instances", Points: line(30, 20, 10)}, 0},
+		"for a node":      {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "requests_per_second", Points: line(10, 20, 30)}, 9300.0 / 370},
+		"total for store": {wasabicapacity.Measure{Resource: wasabicapacity.StoreWrites, Driver: "requests_per_second", Points: line(10, 20, 30)}, 9300},
+		"a share":         {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "replicas", Share: 0.5, Points: line(10, 20, 30)}, 800},
+	}
+	for _, name := range slices.Sorted(maps.Keys(fits)) {
+		want := fits[name]
+		It("evaluates "+name, func() {
+			f, err := want.measure.Fit()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(f.Value).To(BeNumerically("~", want.value, 1e-6))
+		})
+	}
+
+	files := map[string]string{
+		"two sizes":        `{"role":"r","mechanism":"m","command":"c","measures":[{"resource":"memory_bytes","driver":"instances","points":[{"size":1,"value":1},{"size":2,"value":1},{"size":2,"value":2}]}]}`,
+		"unknown resource": `{"role":"r","mechanism":"m","command":"c","measures":[{"resource":"joy","driver":"instances","points":[{"size":1,"value":1},{"size":2,"value":1},{"size":3,"value":2}]}]}`,
+		"unknown driver":   `{"role":"r","mechanism":"m","command":"c","measures":[{"resource":"memory_bytes","driver":"joy","points":[{"size":1,"value":1},{"size":2,"value":1},{"size":3,"value":2}]}]}`,
+		"no command":       `{"role":"r","mechanism":"m","measures":[]}`,
+		"unknown field":    `{"role":"r","mechanism":"m","command":"c","joy":1}`,
+	}
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		It("refuses a file with "+name, func() {
+			directory := GinkgoT().TempDir()
+			Expect(os.WriteFile(filepath.Join(directory, "r.json"), []byte(files[name]), 0o600)).To(Succeed())
+			_, err := wasabicapacity.Load(directory)
+			Expect(err).To(HaveOccurred())
+		})
+	}
+})
+
+var _ = Describe("Page", func() {
+	It("says first what does not fit and what was not measured", func() {
+		roles := []wasabicapacity.Role{
+			{Role: "membership", Mechanism: "m", Command: "c", Measures: []wasabicapacity.Measure{{Resource: wasabicapacity.Bytes, Driver: "instances", Points: line(100, 200, 300)}}},
+			{Role: "relaying", Plane: wasabicapacity.Data, Mechanism: "m", Command: "c", Measures: []wasabicapacity.Measure{{Resource: wasabicapacity.CPU, Driver: "instances", Points: line(1, 2, 3)}}},
+		}
+		page, err := wasabicapacity.Page(roles)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page).To(ContainSubstring("- control traffic: 3.700 KB/s against 3 KB/s, 1.2 times too much. Most of it: membership"))
+		Expect(page).To(ContainSubstring("Not measured, so not in the sums: placing, cache picture"))
+		Expect(page).To(ContainSubstring("| processor time | 0.000% | 4.3% of a core | 100% | 3700.000% |"))
+		Expect(page).To(ContainSubstring("12.3 times"))
+	})
+})
--- /dev/null
+++ b/internal/wasabiclient/call.go
@@ -0,0 +1,157 @@
+package wasabiclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabioperator"
+)
+
+func (c *Client) get(ctx context.Context, path string, values url.Values, into any) error {
+	if len(values) > 0 {
+		path += "?" + values.Encode()
+	}
+	return c.do(ctx, request{method: http.MethodGet, path: path}, into)
+}
+
+func (c *Client) post(ctx context.Context, path string, body, into any) error {
+	r := request{method: http.MethodPost, path: path, header: http.Header{}}
+	if body != nil {
+		var err error
+		if r.body, err = json.Marshal(body); err != nil {
+			return wasabiridge.ErrInvalid.Wrap(err, "client: encode body")
+		}
+		r.header.Set("Content-Type", "application/json")
+	}
+	return c.do(ctx, r, into)
+}
+
+// Config returns the configuration in force at the router.
+func (c *Client) Config(ctx context.Context) (wasabioperator.DocumentBody, error) {
+	var d wasabioperator.DocumentBody
+	err := c.get(ctx, "/v1/config", nil, &d)
+	return d, err
+}
+
+// PutConfig makes a configuration the successor of base.
+func (c *Client) PutConfig(ctx context.Context, base wasabiridge.ConfigVersion, text []byte) (wasabiridge.ConfigVersion, error) {
+	r := request{method: http.MethodPut, path: "/v1/config", body: text, header: http.Header{}}
+	r.header.Set("If-Match", wasabioperator.FormatTag(base))
+	var v wasabioperator.VersionBody
+	err := c.do(ctx, r, &v)
+	return v.Version, err
+}
+
+// History returns accepted configurations, newest first.
+func (c *Client) History(ctx context.Context, limit int) (wasabioperator.HistoryBody, error) {
+	var h wasabioperator.HistoryBody
+	err := c.get(ctx, "/v1/config/history", url.Values{"limit": {strconv.Itoa(limit)}}, &h)
+	return h, err
+}
+
+// ConfigStatus tells where which configuration is in force.
+func (c *Client) ConfigStatus(ctx context.Context) (wasabioperator.ConfigStatusBody, error) {
+	var s wasabioperator.ConfigStatusBody
+	err := c.get(ctx, "/v1/config/status", nil, &s)
+	return s, err
+}
+
+// Explain tells which rule decides on a request.
+func (c *Client) Explain(ctx context.Context, q wasabioperator.ExplainBody) (wasabioperator.ExplanationBody, error) {
+	var e wasabioperator.ExplanationBody
+	err := c.post(ctx, "/v1/rules/explain", q, &e)
+	return e, err
+}
+
+// Accounts lists client accounts.
+func (c *Client) Accounts(ctx context.Context) (wasabioperator.AccountsBody, error) {
+	var a wasabioperator.AccountsBody
+	err := c.get(ctx, "/v1/accounts", nil, &a)
+	return a, err
+}
+
+// Backends lists backend servers as the router sees them.
+func (c *Client) Backends(ctx context.Context) (wasabioperator.BackendsBody, error) {
+	var b wasabioperator.BackendsBody
+	err := c.get(ctx, "/v1/backends", nil, &b)
+	return b, err
+}
+
+// Status describes the router.
+func (c *Client) Status(ctx context.Context) (wasabiridge.InstanceStatus, error) {
+	var s wasabiridge.InstanceStatus
+	err := c.get(ctx, "/v1/status", nil, &s)
+	return s, err
+}
+
+// Drain makes the router leave.
+func (c *Client) Drain(ctx context.Context) error {
+	var d wasabioperator.DrainBody
+	return c.post(ctx, "/v1/drain", nil, &d)
+}
+
+// Timeline reads the merged time line. Since and until are texts that
+// wasabioperator.ParseTime reads.
+func (c *Client) Timeline(ctx context.Context, q wasabiridge.TimelineQuery, since, until string) (wasabiridge.TimelineReport, error) {
+	values := url.Values{}
+	set(values, "request", string(q.Request))
+	set(values, "account", string(q.Account))
+	set(values, "backend", string(q.Backend))
+	set(values, "since", since)
+	set(values, "until", until)
+	if q.Limit > 0 {
+		values.Set("limit", strconv.Itoa(q.Limit))
+	}
+	var t wasabiridge.TimelineReport
+	err := c.get(ctx, "/v1/timeline", values, &t)
+	return t, err
+}
+
+func set(values url.Values, name, value string) {
+	if value != "" {
+		values.Set(name, value)
+	}
+}
+
+// Outcomes returns the report of a quarter.
+func (c *Client) Outcomes(ctx context.Context, q wasabiridge.OutcomeQuery) (wasabiridge.OutcomeReport, error) {
+	values := url.Values{}
+	set(values, "quarter", q.Quarter)
+	set(values, "account", string(q.Account))
+	var o wasabiridge.OutcomeReport
+	err := c.get(ctx, "/v1/outcomes", values, &o)
+	return o, err
+}
+
+// Rollouts lists rollouts.
+func (c *Client) Rollouts(ctx context.Context) (wasabioperator.RolloutsBody, error) {
+	var r wasabioperator.RolloutsBody
+	err := c.get(ctx, "/v1/rollouts", nil, &r)
+	return r, err
+}
+
+// StartRollout begins a rollout.
+func (c *Client) StartRollout(ctx context.Context, r wasabiridge.Rollout) (wasabiridge.Rollout, error) {
+	var started wasabiridge.Rollout
+	err := c.post(ctx, "/v1/rollouts", r, &started)
+	return started, err
+}
+
+// SteerRollout pauses, resumes or rolls back a rollout.
+func (c *Client) SteerRollout(ctx context.Context, id, action string) (wasabiridge.Rollout, error) {
+	var steered wasabiridge.Rollout
+	err := c.post(ctx, "/v1/rollouts/"+url.PathEscape(id)+"/"+action, nil, &steered)
+	return steered, err
+}
+
+// Metrics returns all metrics as JSON.
+func (c *Client) Metrics(ctx context.Context) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := c.get(ctx, "/metrics", nil, &buffer)
+	return buffer.Bytes(), err
+}
--- /dev/null
+++ b/internal/wasabicommand/command_test.go
@@ -0,0 +1,375 @@
+package wasabicommand_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicommand"
+	"github.com/wasabiridge/wasabiridge/internal/wasabimetrics"
+	"github.com/wasabiridge/wasabiridge/internal/wasabioperator"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestCommand(t *testing.T) { wasabitest.Run(t, "command") }
+
+const (
+	key  = "operator-key"
+	noon = wasabiridge.Millis(1_796_212_800_000)
+	text = `{
+  // Liftwell's manuals.
+  "accounts": [{"id": "liftwell", "key_hashes": [], "pools": ["answers"]}],
+  "pools": [{"id": "answers", "backends": [{"id": "answer-1", "kind": "engine", "zone": "pos", "url": "http://127.0.0.1:9001"}]}],
+  "rules": [{"id": "manuals", "when": {"min_prompt_tokens": 1000}, "then": {"pool": "answers"}}]
+}
+`
+)
+
+// router keeps configurations as a router would, and tells fixed stories.
+type router struct {
+	mu        sync.Mutex
+	documents []wasabiridge.ConfigDocument
+	reached   bool
+	outcomes  wasabiridge.OutcomeReport
+	drained   int
+	// asked is called with every query of the time line.
+	asked func()
+}
+
+func (r *router) Current() (wasabiridge.ConfigDocument, wasabiridge.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest := r.documents[len(r.documents)-1]
+	cfg, _ := wasabirule.Parse(newest.Text)
+	return newest, cfg.WithVersion(newest.Version)
+}
+
+func (r *router) Put(_ context.Context, base wasabiridge.ConfigVersion, text []byte, author string) (wasabiridge.ConfigVersion, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest := r.documents[len(r.documents)-1]
+	if base != newest.Version {
+		return 0, wasabiridge.ErrConflict.New("config: version %d is the newest, not %d", newest.Version, base)
+	}
+	r.documents = append(r.documents, wasabiridge.ConfigDocument{Version: base + 1, Text: text, Author: author, At: noon})
+	return base + 1, nil
+}
+
+func (r *router) History(context.Context, int) ([]wasabiridge.ConfigDocument, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newestFirst := slices.Clone(r.documents)
+	slices.Reverse(newestFirst)
+	return newestFirst, nil
+}
+
+func (r *router) Status(context.Context) ([]wasabiridge.InstanceConfig, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	version := r.documents[len(r.documents)-1].Version
+	return []wasabiridge.InstanceConfig{
+		{Instance: "pos-1", Version: version, Reached: true}, {Instance: "ari-1", Version: version, Reached: r.reached},
+	}, nil
+}
+
+func (r *router) ReadTimeline(_ context.Context, q wasabiridge.TimelineQuery) (wasabiridge.TimelineReport, error) {
+	report := wasabiridge.TimelineReport{
+		Reached:   []wasabiridge.ReachedInstance{{Instance: "pos-1", Dropped: 12}},
+		Unreached: []wasabiridge.UnreachedInstance{{Instance: "ari-1", Cause: "timeout"}},
+	}
+	if r.asked != nil {
+		r.asked()
+	}
+	if q.Request == "r1" {
+		report.Events = []wasabiridge.TimelineEvent{
+			{At: noon, Instance: "pos-1", Kind: wasabiridge.EventArrived, Request: "r1", Account: "liftwell", Value: 31000},
+			{At: noon + 3, Instance: "pos-1", Kind: wasabiridge.EventPlaced, Request: "r1", Backend: "answer-1", Cause: "holder", Value: 28672},
+		}
+	}
+	return report, nil
+}
+
+func (r *router) ReadOutcomes(context.Context, wasabiridge.OutcomeQuery) (wasabiridge.OutcomeReport, error) {
+	return r.outcomes, nil
+}
+
+func (r *router) Drain(context.Context) error {
+	r.drained++
+	return nil
+}
+
+func (r *router) Start(_ context.Context, rollout wasabiridge.Rollout) (wasabiridge.Rollout, error) {
+	rollout.ID, rollout.State, rollout.Total = "answers-12", "running", 9
+	return rollout, nil
+}
+
+func (r *router) Steer(_ context.Context, id, action string) (wasabiridge.Rollout, error) {
+	if id != "answers-12" {
+		return wasabiridge.Rollout{}, wasabiridge.ErrNotFound.New("rollout: %s is not known", id)
+	}
+	return wasabiridge.Rollout{ID: id, State: action + "d"}, nil
+}
+
+func (r *router) List(context.Context) ([]wasabiridge.Rollout, error) { return nil, nil }
+
+// glance is the part that shows a router.
+type glance struct{}
+
+func (glance) Status() wasabiridge.InstanceStatus {
+	return wasabiridge.InstanceStatus{Instance: "pos-1", Zone: "pos", Config: 7, Members: []wasabiridge.MemberStatus{{Instance: "ari-1", Suspect: true}}}
+}
+
+func (glance) Backends() []wasabiridge.BackendStatus {
+	return []wasabiridge.BackendStatus{{Backend: "answer-1", Pool: "answers", Running: 3, Trust: 0.914, Incarnation: 5, Weights: 12, Leaving: true}}
+}
+
+// desk is an operator at the command line.
+type desk struct {
+	router  *router
+	server  *httptest.Server
+	env     map[string]string
+	in      string
+	out     bytes.Buffer
+	err     bytes.Buffer
+	scratch string
+}
+
+func newDesk() *desk {
+	r := &router{documents: []wasabiridge.ConfigDocument{{Version: 7, Text: []byte(text), Author: "ann", At: noon}}, reached: true}
+	server := httptest.NewServer(wasabioperator.New(wasabioperator.Options{
+		Clock: wasabiclock.NewVirtual(noon), KeyHashes: func() []string { return []string{wasabioperator.HashKey(key)} },
+		Config: r, Timeline: r, Outcomes: r, Drainer: r, Rollouts: r, Status: glance{}, Metrics: wasabimetrics.New(),
+	}))
+	DeferCleanup(server.Close)
+	d := &desk{router: r, server: server, scratch: GinkgoT().TempDir()}
+	d.env = map[string]string{"WASABICTL_ADDRESS": server.URL, "WASABICTL_KEY": key, "WASABICTL_OPERATOR": "ann", "WASABICTL_SETTINGS": d.file("settings.json", "{/* none */}")}
+	return d
+}
+
+func (d *desk) file(name, content string) string {
+	path := filepath.Join(d.scratch, name)
+	Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+	return path
+}
+
+func (d *desk) run(args ...string) wasabicommand.Exit {
+	d.out.Reset()
+	d.err.Reset()
+	return wasabicommand.Run(context.Background(), args, wasabicommand.Streams{
+		In: strings.NewReader(d.in), Out: &d.out, Err: &d.err, Env: func(name string) string { return d.env[name] },
+	})
+}
+
+var _ = Describe("wasabictl", func() {
+	commands := map[string]struct {
+		args     []string
+		exit     wasabicommand.Exit
+		out, err string
+	}{
+		"status":              {[]string{"status"}, 0, "ari-1           -     suspect", ""},
+		"backends":            {[]string{"backends"}, 0, "leaving  3        0        0      0.91   5            12", ""},
+		"accounts":            {[]string{"accounts"}, 0, "liftwell  1      0     answers", ""},
+		"metrics":             {[]string{"metrics"}, 0, `"events.arrived"`, ""},
+		"timeline":            {[]string{"timeline", "--request", "r1"}, 0, "placed                 on answer-1, holder, 28672 tokens expected in cache", "ari-1 could not be reached: timeout"},
+		"timeline that lost":  {[]string{"timeline", "--request", "r1"}, 0, "", "pos-1 no longer has 12 older events"},
+		"timeline of nothing": {[]string{"timeline", "--account", "x"}, 0, "", "no such events"},
+		"explain":             {[]string{"rules", "explain", "--account", "liftwell", "--prompt-tokens", "2000"}, 0, "Rule manuals decides: pool answers", ""},
+		"explain no match":    {[]string{"rules", "explain", "--account", "liftwell"}, 0, "no rule matches", ""},
+		"explain bad header":  {[]string{"rules", "explain", "--header", "x"}, 2, "", "NAME=VALUE"},
+		"history":             {[]string{"config", "history"}, 0, "7        2026-12-02 12:00:00Z", ""},
+		"history of one":      {[]string{"config", "history", "--show", "7"}, 0, "Liftwell's manuals", ""},
+		"history of none":     {[]string{"config", "history", "--show", "99"}, 7, "", "version 99 is not among"},
+		"config status":       {[]string{"config", "status"}, 0, "ari-1     7        yes", ""},
+		"wait":                {[]string{"config", "status", "--wait", "--version", "7"}, 0, "pos-1     7        yes", ""},
+		"wait in vain":        {[]string{"config", "status", "--wait", "--version", "8", "--wait-for", "10ms"}, 9, "", "version 8 is not in force everywhere"},
+		"no rollouts":         {[]string{"rollout", "list"}, 0, "No rollouts.", ""},
+		"start a rollout":     {[]string{"rollout", "start", "--pool", "answers", "--model", "m", "--weights", "12"}, 0, "answers-12  answers  m      -        12       running", ""},
+		"pause a rollout":     {[]string{"rollout", "pause", "answers-12"}, 0, "paused", ""},
+		"unknown rollout":     {[]string{"rollout", "resume", "x"}, 7, "", "x is not known"},
+		"missing flag":        {[]string{"rollout", "start"}, 2, "", "pool"},
+		"unknown command":     {[]string{"explode"}, 2, "", "unknown command"},
+		"unknown flag":        {[]string{"status", "--explode"}, 2, "", "unknown flag"},
+		"drain without name":  {[]string{"drain"}, 2, "", "exactly one router"},
+		"wrong key":           {[]string{"status", "--key", "wrong"}, 4, "", "not known here"},
+		"hash of nothing":     {[]string{"key", "hash"}, 2, "", "no key"},
+		"new key":             {[]string{"key", "new"}, 0, "", "hash "},
+		"missing file":        {[]string{"config", "check", "/nowhere"}, 2, "", "no such file"},
+		"completion":          {[]string{"completion", "bash"}, 0, "wasabictl", ""},
+		"outcomes":            {[]string{"outcomes", "--check"}, 0, "Coverage:", ""},
+	}
+	for _, name := range slices.Sorted(maps.Keys(commands)) {
+		want := commands[name]
+		It("carries out: "+name, func() {
+			d := newDesk()
+			Expect(d.run(want.args...)).To(Equal(want.exit), d.err.String())
+			Expect(d.out.String()).To(ContainSubstring(want.out))
+			Expect(d.err.String()).To(ContainSubstring(want.err))
+		})
+	}
+
+	for _, args := range [][]string{{"status"}, {"backends"}, {"accounts"}, {"timeline"}, {"outcomes"}, {"config", "get"}, {"config", "history"}, {"config", "status"}, {"rules", "explain"}, {"rollout", "list"}} {
+		It("prints JSON for programs: "+strings.Join(args, " "), func() {
+			d := newDesk()
+			Expect(d.run(append(args, "--json")...)).To(Equal(wasabicommand.ExitOK))
+			Expect(json.Valid(d.out.Bytes())).To(BeTrue(), d.out.String())
+		})
+	}
+
+	It("gives every command a help text with an example", func() {
+		var walk func(path []string)
+		d := newDesk()
+		root := wasabicommand.New(wasabicommand.Streams{In: strings.NewReader(""), Out: &d.out, Err: &d.err, Env: func(string) string { return "" }})
+		walk = func(path []string) {
+			command, _, err := root.Find(path)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(command.Short).NotTo(BeEmpty(), strings.Join(path, " "))
+			if !command.HasSubCommands() {
+				Expect(command.Example).To(ContainSubstring("wasabictl"), strings.Join(path, " "))
+			}
+			for _, sub := range command.Commands() {
+				walk(append(slices.Clone(path), sub.Name()))
+			}
+		}
+		walk(nil)
+	})
+
+	It("edits a configuration from get to put and waits for it", func() {
+		d := newDesk()
+		Expect(d.run("config", "get")).To(Equal(wasabicommand.ExitOK))
+		path := d.file("config.json", strings.Replace(d.out.String(), "1000", "2000", 1))
+		Expect(d.run("config", "check", path)).To(Equal(wasabicommand.ExitOK))
+		Expect(d.run("config", "put", path, "--wait")).To(Equal(wasabicommand.ExitOK))
+		Expect(d.out.String()).To(ContainSubstring("Version 8 is accepted."))
+		Expect(string(d.router.documents[1].Text)).To(Equal(strings.Replace(text, "1000", "2000", 1)))
+		Expect(d.router.documents[1].Author).To(HavePrefix("ann (key "))
+	})
+
+	// Two operators edit version 7; Bob is faster. Ann must not overwrite his
+	// change, and must see what he changed without having to search for it.
+	It("shows the loser of a race the other's change and changes nothing", func() {
+		d := newDesk()
+		d.run("config", "get")
+		path := d.file("config.json", d.out.String())
+		theirs := strings.Replace(text, "1000", "1500", 1)
+		_, err := d.router.Put(context.Background(), 7, []byte(theirs), "bob")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.run("config", "put", path)).To(Equal(wasabicommand.ExitConflict))
+		Expect(d.err.String()).To(ContainSubstring("version 8 by bob"))
+		Expect(d.err.String()).To(MatchRegexp(`(?m)^-.*1000.*\n\+.*1500`))
+		Expect(d.router.documents).To(HaveLen(2))
+	})
+
+	It("refuses to put what it does not know the base of, or what is wrong", func() {
+		d := newDesk()
+		Expect(d.run("config", "put", d.file("a.json", text))).To(Equal(wasabicommand.ExitInvalid))
+		Expect(d.err.String()).To(ContainSubstring("--base"))
+		Expect(d.run("config", "put", d.file("b.json", `{"rules": 1}`), "--base", "7")).To(Equal(wasabicommand.ExitInvalid))
+		Expect(d.run("config", "put", d.file("a.json", text), "--base", "7")).To(Equal(wasabicommand.ExitOK))
+	})
+
+	It("says which instance a version is not known from", func() {
+		d := newDesk()
+		d.router.reached = false
+		Expect(d.run("config", "status", "--wait", "--wait-for", "10ms")).To(Equal(wasabicommand.ExitNotReached))
+		Expect(d.out.String()).To(ContainSubstring("ari-1     7        no"))
+	})
+
+	// The answer to a change is lost on its way. Sending it again, or telling
+	// the operator that nothing happened, could both be wrong.
+	It("says that the end of a change is unknown when its answer is lost", func() {
+		d := newDesk()
+		var hits atomic.Int64
+		broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			hits.Add(1)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.Close()).To(Succeed())
+		}))
+		defer broken.Close()
+		d.env["WASABICTL_ADDRESS"] = broken.URL + "," + d.server.URL
+		Expect(d.run("config", "put", d.file("a.json", text), "--base", "7")).To(Equal(wasabicommand.ExitUnknown))
+		Expect(hits.Load()).To(Equal(int64(1)))
+		Expect(d.router.documents).To(HaveLen(1))
+		Expect(d.run("status")).To(Equal(wasabicommand.ExitOK), "reading goes on to the next address")
+	})
+
+	It("goes on to the next router when one is down, and names all when none answers", func() {
+		d := newDesk()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		down := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		d.env["WASABICTL_ADDRESS"] = down + "," + d.server.URL
+		Expect(d.run("config", "put", d.file("a.json", text), "--base", "7")).To(Equal(wasabicommand.ExitOK))
+		d.env["WASABICTL_ADDRESS"] = down
+		Expect(d.run("status")).To(Equal(wasabicommand.ExitNoRouter))
+		Expect(d.err.String()).To(ContainSubstring("no router answers (" + down + ": connection refused)"))
+	})
+
+	It("takes flags before the environment before the settings file", func() {
+		d := newDesk()
+		d.env = map[string]string{"WASABICTL_SETTINGS": d.file("s.json", `{"addresses": ["`+d.server.URL+`"], "key_file": "`+d.file("key", key+"\n")+`"}`)}
+		Expect(d.run("status")).To(Equal(wasabicommand.ExitOK))
+		d.env["WASABICTL_KEY"] = "wrong"
+		Expect(d.run("status")).To(Equal(wasabicommand.ExitUnauthorized))
+		Expect(d.run("status", "--key", key)).To(Equal(wasabicommand.ExitOK))
+		Expect(d.run("status", "--settings", d.file("bad.json", `{"addrs": 1}`), "--key", key)).To(Equal(wasabicommand.ExitInvalid))
+		Expect(d.err.String()).To(ContainSubstring("addrs"))
+	})
+
+	It("drains the router that is named", func() {
+		d := newDesk()
+		Expect(d.run("drain", "--address", d.server.URL)).To(Equal(wasabicommand.ExitOK))
+		Expect(d.router.drained).To(Equal(1))
+	})
+
+	It("ends with a code of its own when a target is not met, and writes the report", func() {
+		d := newDesk()
+		most := 100.0
+		figure := 212.0
+		d.router.outcomes = wasabiridge.OutcomeReport{Quarter: "2026Q4", Targets: []wasabiridge.TargetResult{{
+			Target: wasabiridge.Target{Measure: "ttft_p99", AtMost: &most}, Figure: &figure, Verdict: "not_met",
+		}}}
+		path := filepath.Join(d.scratch, "report.html")
+		Expect(d.run("outcomes", "--check", "--html", path)).To(Equal(wasabicommand.ExitNotReached))
+		page, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(ContainSubstring("at most 100 ms"))
+		Expect(d.run("outcomes")).To(Equal(wasabicommand.ExitOK))
+		Expect(d.out.String()).To(ContainSubstring("ttft_p99  -        at most 100 ms  212 ms  not met"))
+	})
+
+	It("follows the time line without showing an event twice", func() {
+		d := newDesk()
+		ctx, stop := context.WithCancel(context.Background())
+		polls := 0
+		d.router.asked = func() {
+			if polls++; polls == 3 {
+				stop()
+			}
+		}
+		exit := wasabicommand.Run(ctx, []string{"timeline", "--request", "r1", "--follow", "--json"}, wasabicommand.Streams{
+			In: strings.NewReader(""), Out: &d.out, Err: &d.err, Env: func(name string) string { return d.env[name] },
+		})
+		Expect(exit).To(Equal(wasabicommand.ExitOK))
+		Expect(strings.Count(d.out.String(), "\n")).To(Equal(2))
+		Expect(strings.Count(d.err.String(), "not reached now: ari-1")).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/internal/wasabireport/plot.go
@@ -0,0 +1,121 @@
+package wasabireport
+
+import (
+	"bytes"
+	"html/template"
+	"image/color"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// Sizes of a plot.
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 2.6 * vg.Inch
+	lineWidth  = 1.5
+	dotRadius  = 2
+	dayLayout  = "2006-01-02"
+)
+
+// curve is one line of a plot, a value for each day.
+type curve struct {
+	name  string
+	color color.Color
+	value func(wasabiridge.OutcomeFigures) float64
+}
+
+var (
+	blue   = color.RGBA{R: 0x1f, G: 0x5f, B: 0xa8, A: 0xff}
+	orange = color.RGBA{R: 0xc8, G: 0x6a, B: 0x12, A: 0xff}
+	red    = color.RGBA{R: 0xa8, G: 0x1f, B: 0x2f, A: 0xff}
+	green  = color.RGBA{R: 0x2a, G: 0x7a, B: 0x3f, A: 0xff}
+)
+
+// chart is one plot of the report.
+type chart struct {
+	Title  string
+	unit   string
+	curves []curve
+	SVG    template.HTML
+}
+
+func charts() []chart {
+	return []chart{
+		{Title: "Time to first token by day", unit: "ms", curves: []curve{
+			{"p50", green, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.TTFTP50Millis) }},
+			{"p95", orange, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.TTFTP95Millis) }},
+			{"p99", red, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.TTFTP99Millis) }},
+		}},
+		{Title: "Prefix hit rate and wasted recomputation by day", unit: "% of prompt tokens", curves: []curve{
+			{"hit rate", blue, func(f wasabiridge.OutcomeFigures) float64 { return 100 * f.HitRate }},
+			{"wasted", red, func(f wasabiridge.OutcomeFigures) float64 { return 100 * f.Recomputed }},
+		}},
+		{Title: "Requests by day", unit: "requests", curves: []curve{
+			{"all", blue, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.Requests) }},
+			{"refused", red, func(f wasabiridge.OutcomeFigures) float64 {
+				return float64(f.RefusedNotRun + f.RefusedMaybe + f.RefusedAfter)
+			}},
+		}},
+	}
+}
+
+// draw makes an SVG of a chart. Days without data leave no point.
+func (c chart) draw(days []wasabiridge.OutcomeDay) (template.HTML, error) {
+	p := plot.New()
+	p.Y.Label.Text = c.unit
+	p.X.Tick.Marker = plot.TimeTicks{Format: "2 Jan"}
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for _, line := range c.curves {
+		points, err := pointsOf(days, line)
+		if err != nil {
+			return "", err
+		}
+		drawn, dots, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return "", wasabiridge.ErrInvalid.Wrap(err, "report: plot %s", c.Title)
+		}
+		drawn.Color, drawn.Width = line.color, vg.Points(lineWidth)
+		dots.Color, dots.Radius = line.color, vg.Points(dotRadius)
+		p.Add(drawn, dots)
+		p.Legend.Add(line.name, drawn, dots)
+	}
+	return render(p)
+}
+
+func pointsOf(days []wasabiridge.OutcomeDay, line curve) (plotter.XYs, error) {
+	points := make(plotter.XYs, 0, len(days))
+	for _, d := range days {
+		at, err := time.Parse(dayLayout, d.Day)
+		if err != nil {
+			return nil, wasabiridge.ErrInvalid.Wrap(err, "report: day")
+		}
+		points = append(points, plotter.XY{X: float64(at.Unix()), Y: line.value(d.Figures)})
+	}
+	return points, nil
+}
+
+// render returns the plot as an element that can stand inside HTML, without
+// the XML declaration that only a file of its own may have.
+func render(p *plot.Plot) (template.HTML, error) {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var buf bytes.Buffer
+	if _, err := canvas.WriteTo(&buf); err != nil {
+		return "", wasabiridge.ErrInvalid.Wrap(err, "report: render plot")
+	}
+	text := buf.String()
+	if start := strings.Index(text, "<svg"); start > 0 {
+		text = text[start:]
+	}
+	return template.HTML(text), nil
+}
--- /dev/null
+++ b/internal/wasabireport/report.go
@@ -0,0 +1,106 @@
+// Package wasabireport writes the outcomes of a quarter for people: as one HTML
+// file that holds everything it needs, plots included, and as the texts that
+// the command line shares with it.
+//
+// It is apart from wasabioutcome so that the daemon does not carry a plotting
+// library.
+//
+// # Usage
+//
+//	if err := wasabireport.WriteHTML(file, report); err != nil {
+//		return err
+//	}
+package wasabireport
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabioutcome"
+)
+
+// shares are measures that are printed as percentages.
+var shares = map[string]bool{
+	wasabioutcome.MeasureHitRate:    true,
+	wasabioutcome.MeasureRecomputed: true,
+	wasabioutcome.MeasureRefused:    true,
+}
+
+// formatMeasure prints a figure with the unit of its measure.
+func formatMeasure(measure string, figure float64) string {
+	switch {
+	case shares[measure]:
+		return fmt.Sprintf("%.2f%%", 100*figure)
+	case strings.HasPrefix(measure, "ttft_"):
+		return fmt.Sprintf("%.0f ms", figure)
+	default:
+		return strconv.FormatFloat(figure, 'f', -1, 64)
+	}
+}
+
+// BoundText tells the bounds of a target.
+func BoundText(t wasabiridge.Target) string {
+	var parts []string
+	if t.AtLeast != nil {
+		parts = append(parts, "at least "+formatMeasure(t.Measure, *t.AtLeast))
+	}
+	if t.AtMost != nil {
+		parts = append(parts, "at most "+formatMeasure(t.Measure, *t.AtMost))
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, ", ")
+}
+
+// FigureText tells the figure of a target.
+func FigureText(t wasabiridge.TargetResult) string {
+	if t.Figure == nil {
+		return "-"
+	}
+	return formatMeasure(t.Target.Measure, *t.Figure)
+}
+
+// CoverageLines tells what of a quarter is known and what is missing, one
+// matter on a line.
+func CoverageLines(c wasabiridge.OutcomeCoverage) []string {
+	lines := []string{fmt.Sprintf("Coverage: %.2f%% of the time of known instances, from %d objects.", 100*c.Share, c.Objects)}
+	add := func(n int, format string, args ...any) {
+		if n > 0 {
+			lines = append(lines, fmt.Sprintf(format, args...))
+		}
+	}
+	add(c.GapCount, "Missing: %d spans in which an instance ended without its last write; first: %s.", c.GapCount, gapText(c.Gaps))
+	add(len(c.MissingDays), "Missing: %d days without any data (%s).", len(c.MissingDays), daysText(c.MissingDays))
+	add(len(c.MissingInstances), "Missing: %d instances that others saw and that left nothing (%s).", len(c.MissingInstances), instancesText(c.MissingInstances))
+	add(c.UnreadableObjects, "Missing: %d objects that could not be read (%s).", c.UnreadableObjects, strings.Join(c.Unreadable, ", "))
+	add(int(c.DroppedDays), "Missing: %d days that instances gave up while the store was away.", c.DroppedDays)
+	add(int(c.LostOutcomes), "Missing: %d requests that instances had no time to count.", c.LostOutcomes)
+	add(int(c.Folded), "Not told apart: %d requests are counted under the account %s.", c.Folded, wasabioutcome.OtherAccount)
+	return lines
+}
+
+func gapText(gaps []wasabiridge.OutcomeGap) string {
+	if len(gaps) == 0 {
+		return "-"
+	}
+	g := gaps[0]
+	return fmt.Sprintf("%s from %s for %s", g.Instance, g.From.Time().Format("2006-01-02 15:04:05Z"), (g.To - g.From).Duration())
+}
+
+func daysText(days []string) string {
+	if len(days) <= 3 {
+		return strings.Join(days, ", ")
+	}
+	return days[0] + " … " + days[len(days)-1]
+}
+
+func instancesText(ids []wasabiridge.InstanceID) string {
+	texts := make([]string, len(ids))
+	for i, id := range ids {
+		texts[i] = string(id)
+	}
+	return strings.Join(texts, ", ")
+}
