--- a/internal/wasabiconfig/bench_test.go
+++ b/internal/wasabiconfig/bench_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"testing"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiconfig"
 )
 
 func percentile(sorted []wasabiridge.Millis, p float64) float64 {
@@ -40,3 +42,26 @@
 		})
 	}
 }
+
+// BenchmarkAdopt measures what one change costs an instance by the number of
+// client accounts: reading and checking the whole text, and its length.
+func BenchmarkAdopt(b *testing.B) {
+	for _, accounts := range []int{8, 100, 400, 1200} {
+		var list strings.Builder
+		for i := range accounts {
+			fmt.Fprintf(&list, `{"id": "account-%d", "key_hashes": ["%064x"], "pools": ["answers"]},`, i, i)
+		}
+		body := strings.Replace(text("a"), `"accounts": [`, `"accounts": [`+list.String(), 1)
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				m := wasabiconfig.NewMachine(1)
+				m.Handle(0, wasabiconfig.Accepted{Document: wasabiridge.ConfigDocument{Version: 1, Text: []byte(body)}})
+				if m.Version() != 1 {
+					b.Fatal("refused")
+				}
+			}
+			b.ReportMetric(float64(len(body)), "text_bytes")
+		})
+	}
+}
