Placement: bound the price of computed tokens

Cause: with a price that grows without bound, servers stood idle after the cold start while others had queues of 40.

--- a/internal/wasabiplace/options.go
+++ b/internal/wasabiplace/options.go
@@ -14,7 +14,7 @@
 	// DefaultFirstTokenPrice and DefaultRecomputePrice are what one computed
 	// token costs beyond the time that it takes, as a share of that time.
 	DefaultFirstTokenPrice = 1
-	DefaultRecomputePrice  = 2
+	DefaultRecomputePrice  = 1
 	// DefaultNear is the difference in score that counts as none.
 	DefaultNear = 1 * wasabiridge.Millis(1)
 	// DefaultZoneDistance is the time to another availability zone and back.
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -7,6 +7,10 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabicache"
 )
 
+// maxDelayed bounds how many requests a computed token is taken to delay. When
+// more wait, those behind them are better sent elsewhere than held up.
+const maxDelayed = 8
+
 // randomCandidates is how many servers of a large pool are weighed at random.
 const randomCandidates = 2
 
@@ -209,7 +213,7 @@
 	computed := max(0, float64(r.Chain.Tokens)-c.tokens)
 	work := computed * p.costOf(l)
 	c.wait = float64(m.distance) + l.wait(now, m.backend.Slots) + work
-	c.score = c.wait + p.priceOf(r, computed, work*(1+t.waiting()))
+	c.score = c.wait + p.priceOf(r, computed, work*(1+min(t.waiting(), maxDelayed)))
 }
 
 // priceOf is what computing the tokens costs beyond its time. The work delays
