--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -162,8 +162,7 @@
 	// low priority late, so neither tells what a token costs.
 	if computed >= sampleTokens && a.ahead <= computed {
 		sample := float64(a.first-a.sent) / (a.ahead + computed)
-		learnCost(&l.cost, sample)
-		learnCost(&l.pool.cost, sample)
-		l.samples++
+		l.cost.learn(sample)
+		l.pool.cost.learn(sample)
 	}
 }
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -236,13 +236,14 @@
 // costOf is the time to compute one token, in milliseconds. It is that of the
 // pool, until enough was learned of the server itself.
 func (p *Placer) costOf(l *load) float64 {
-	if l.pool == nil || l.pool.cost == 0 {
+	if l.pool == nil || l.pool.cost.samples == 0 {
 		return DefaultTokenMicros / 1000.0
 	}
-	if l.samples < enoughSamples {
-		return l.pool.cost
+	pool := l.pool.cost.value
+	if l.cost.samples < enoughSamples {
+		return pool
 	}
-	return min(max(l.cost, l.pool.cost/costSpread), l.pool.cost*costSpread)
+	return min(max(l.cost.value, pool/costSpread), pool*costSpread)
 }
 
 func (p *Placer) placement(now wasabiridge.Millis, t *table, r wasabiridge.Request, c candidate) wasabiridge.Placement {
--- a/internal/wasabiplace/pool.go
+++ b/internal/wasabiplace/pool.go
@@ -41,10 +41,9 @@
 	// requests is a count that cools like the heat of levels.
 	requests float64
 	counted  wasabiridge.Millis
-	// cost is the time to compute one token in milliseconds, and usual the
-	// usual number of computed tokens, over all servers of the pool. Zero
-	// means that none was learned.
-	cost  float64
+	// cost is learned over all servers of the pool. usual is the usual number
+	// of computed tokens.
+	cost  tokenCost
 	usual float64
 	// queued counts the requests that wait at all servers.
 	queued int
