Placement: price by queues capped at each server, common place for further copies

Cause: two servers with queues of 20 made the mean high while the rest of the pool stood idle, so nothing was sent to the idle ones. Instances that turned away from a busy holder computed the prefix each at another server.

--- a/internal/wasabicache/hits.go
+++ b/internal/wasabicache/hits.go
@@ -12,7 +12,7 @@
 	// maxWalk bounds how many blocks of one chain are looked up.
 	maxWalk = 256
 	// heatHalfLife is the time in which the heat of a level halves.
-	heatHalfLife = 8 * wasabiridge.Second
+	heatHalfLife = 20 * wasabiridge.Second
 	// coldAfter is the time without a request after which a level that
 	// nobody holds is forgotten.
 	coldAfter = 8 * heatHalfLife
--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -18,8 +18,10 @@
 	ahead float64
 	// mark is the marked level whose home the server is, or -1.
 	mark int
-	// heir says that the server was chosen as the heir of the chain.
-	heir bool
+	// heir says that the server was chosen as the heir of the chain, spill how
+	// many blocks it was chosen for to hold a further copy of.
+	heir  bool
+	spill int
 }
 
 const (
@@ -47,11 +49,14 @@
 		heir:   pl.Why == WhyHeir,
 		ahead:  max(0, l.idleAt-float64(now)) / cost,
 	}
+	if pl.Why == WhySpill {
+		a.spill = pl.HeldTokens / max(1, r.Chain.BlockTokens)
+	}
 	tokens := float64(max(0, r.Chain.Tokens-a.before.Depth()*r.Chain.BlockTokens))
 	l.sentTokens(now, tokens, cost)
 	a.ready = wasabiridge.Millis(l.idleAt)
 	if t := l.pool; t != nil {
-		t.requests = p.requests(now, t) + 1
+		t.asked = p.blocksAsked(now, t) + float64(len(r.Chain.Blocks))
 		a.mark = p.homeMark(t, s, r.Chain)
 	}
 	p.picture.Heat(now, r.Chain)
@@ -151,6 +156,9 @@
 		p.learnHome(a.mark, blocks)
 	}
 	computed := float64(a.chain.Tokens) - cached
+	if a.spill > 0 {
+		p.learnSpill(blocks, a.spill)
+	}
 	if unknown := len(a.chain.Blocks) - a.before.Depth(); a.heir && unknown > 0 && blocks >= a.before.Depth() {
 		p.learnHeir(blocks-a.before.Depth(), unknown)
 	}
--- a/internal/wasabiplace/load.go
+++ b/internal/wasabiplace/load.go
@@ -119,7 +119,7 @@
 // without a look at every server.
 func (l *load) setQueued(n int) {
 	if l.pool != nil {
-		l.pool.queued += n - l.queued
+		l.pool.queued += min(n, maxDelayed) - min(l.queued, maxDelayed)
 	}
 	l.queued = n
 }
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -9,7 +9,7 @@
 
 // maxDelayed bounds how many requests a computed token is taken to delay. When
 // more wait, those behind them are better sent elsewhere than held up.
-const maxDelayed = 8
+const maxDelayed = 4
 
 // randomCandidates is how many servers of a large pool are weighed at random.
 const randomCandidates = 2
@@ -19,6 +19,7 @@
 	WhyHolder = "holder"
 	WhyHome   = "home"
 	WhyHeir   = "heir"
+	WhySpill  = "spill"
 	WhyLoad   = "load"
 )
 
@@ -31,23 +32,28 @@
 	firm   int
 	mark   int
 	heir   bool
+	spill  bool
+	pull   float64
 	score  float64
 	wait   float64
 }
 
 // Placer implements wasabiridge.Placer. See the package comment.
 type Placer struct {
-	opts      Options
-	random    *rand.Rand
-	picture   *wasabicache.Picture
-	tables    map[wasabiridge.PoolID]*table
-	loads     []load
-	attempts  map[wasabiridge.AttemptID]attempt
-	homeTrust [maxMarks]float64
-	heirTrust float64
-	round     uint64
-	// held is the most blocks of the chain that any server holds.
+	opts       Options
+	random     *rand.Rand
+	picture    *wasabicache.Picture
+	tables     map[wasabiridge.PoolID]*table
+	loads      []load
+	attempts   map[wasabiridge.AttemptID]attempt
+	homeTrust  [maxMarks]float64
+	heirTrust  float64
+	spillTrust float64
+	round      uint64
+	// held is the most blocks of the chain that any server holds, firm the
+	// most that any candidate holds.
 	held       int
+	firm       int
 	candidates []candidate
 	markBuffer []mark
 }
@@ -64,7 +70,7 @@
 		tables:   make(map[wasabiridge.PoolID]*table),
 		attempts: make(map[wasabiridge.AttemptID]attempt),
 	}
-	p.heirTrust = firstHeirTrust
+	p.heirTrust, p.spillTrust = firstHeirTrust, firstSpillTrust
 	for i := range p.homeTrust {
 		p.homeTrust[i] = firstHomeTrust
 	}
@@ -96,18 +102,20 @@
 // gather collects the candidates of a decision.
 func (p *Placer) gather(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) {
 	chain := q.Request.Chain
-	p.held = 0
+	p.held, p.firm = 0, 0
 	for _, hit := range p.picture.Hits(now, chain) {
 		if i := t.position(hit.Server); i >= 0 {
 			p.held = max(p.held, hit.Firm)
 			if c := p.consider(now, t, q, i); c != nil {
 				c.tokens, c.firm = hit.Tokens, hit.Firm
+				p.firm = max(p.firm, hit.Firm)
 			}
 		}
 	}
 	for _, m := range p.marks(now, t, chain) {
 		p.considerHomes(now, t, q, m)
 	}
+	p.considerSpill(now, t, q)
 	p.preferHeir(t, chain)
 	if len(t.members) <= p.opts.SmallPool {
 		p.considerAll(now, t, q)
@@ -213,7 +221,7 @@
 	computed := max(0, float64(r.Chain.Tokens)-c.tokens)
 	work := computed * p.costOf(l)
 	c.wait = float64(m.distance) + l.wait(now, m.backend.Slots) + work
-	c.score = c.wait + p.priceOf(r, computed, work*(1+min(t.waiting(), maxDelayed)))
+	c.score = c.wait + p.priceOf(r, computed, work*(1+t.waiting())) - c.pull
 }
 
 // priceOf is what computing the tokens costs beyond its time. The work delays
@@ -257,6 +265,8 @@
 		Why:           WhyLoad,
 	}
 	switch {
+	case c.spill:
+		out.Why = WhySpill
 	case c.heir:
 		out.Why = WhyHeir
 	case c.firm > 0:
--- a/internal/wasabiplace/pool.go
+++ b/internal/wasabiplace/pool.go
@@ -38,14 +38,15 @@
 	positions []int32
 	homes     [][homesKept]int32
 	known     []bool
-	// requests is a count that cools like the heat of levels.
-	requests float64
-	counted  wasabiridge.Millis
+	// asked counts the blocks of recent prompts, as of counted.
+	asked   float64
+	counted wasabiridge.Millis
 	// cost is learned over all servers of the pool. usual is the usual number
 	// of computed tokens.
 	cost  tokenCost
 	usual float64
-	// queued counts the requests that wait at all servers.
+	// queued counts the requests that wait at all servers, up to maxDelayed at
+	// each.
 	queued int
 }
 
@@ -69,7 +70,7 @@
 		t.positions[m.server] = int32(i)
 		l := &p.loads[m.server]
 		l.pool = t
-		t.queued += l.queued
+		t.queued += min(l.queued, maxDelayed)
 	}
 	return t
 }
@@ -83,7 +84,7 @@
 	}
 	next := p.newTable(pool)
 	if t != nil {
-		next.requests, next.counted = t.requests, t.counted
+		next.asked, next.counted = t.asked, t.counted
 		next.cost, next.usual = t.cost, t.usual
 	}
 	p.tables[pool.ID] = next
