Peer service over gRPC

Cause: instances need heartbeats, configuration, claims and time lines of each other, with authentication and bounded messages.

--- /dev/null
+++ b/internal/wasabipeer/server.go
@@ -0,0 +1,223 @@
+package wasabipeer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabiridge/wasabiridge"
+	pb "github.com/wasabiridge/wasabiridge/internal/wasabipeer/wasabipeerpb"
+)
+
+// Server takes the calls of other instances. Create it with Listen.
+type Server struct {
+	grpc     *grpc.Server
+	listener net.Listener
+	bus      *Subscriber
+	// done is closed when serving ended; err is set before.
+	done chan struct{}
+	err  error
+}
+
+type countedListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept waits for the next connection.
+func (l countedListener) Accept() (net.Conn, error) {
+	var conn net.Conn
+	var err error
+	if conn, err = l.Listener.Accept(); err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
+// Listen serves the handler on an address, given as IP:port. Port 0 takes a
+// free port.
+func Listen(address string, h wasabiridge.PeerHandler, o Options) (*Server, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	var listener net.Listener
+	var err error
+	if listener, err = net.Listen("tcp", address); err != nil {
+		return nil, wasabiridge.ErrUnavailable.Wrap(err, "peer: listen on %s", address)
+	}
+	bus := newSubscriber()
+	guard := &gate{}
+	if len(o.Key) > 0 {
+		guard.tokens = &tokens{key: o.Key, clock: o.clock()}
+	}
+	options := []grpc.ServerOption{
+		grpc.UnaryInterceptor(guard.intercept),
+		grpc.MaxRecvMsgSize(MaxRequestBytes),
+		grpc.MaxSendMsgSize(MaxResponseBytes),
+		grpc.MaxConcurrentStreams(maxConcurrentCalls),
+		grpc.ReadBufferSize(socketBufferBytes),
+		grpc.WriteBufferSize(socketBufferBytes),
+		grpc.SharedWriteBuffer(true),
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * idleTimeout, Time: time.Minute, Timeout: 10 * time.Second}),
+	}
+	if o.TLS != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(mutual(o.TLS))))
+	}
+	s := &Server{
+		grpc:     grpc.NewServer(options...),
+		listener: countedListener{Listener: listener, wrap: o.wrap},
+		bus:      bus,
+		done:     make(chan struct{}),
+	}
+	pb.RegisterPeerServer(s.grpc, &service{handler: h, bus: bus})
+	go s.serve()
+	return s, nil
+}
+
+// mutual returns a copy of the settings that refuses clients without a valid
+// certificate, whatever the settings said.
+func mutual(c *tls.Config) *tls.Config {
+	out := c.Clone()
+	out.ClientAuth = tls.RequireAndVerifyClientCert
+	if out.ClientCAs == nil {
+		out.ClientCAs = out.RootCAs
+	}
+	return out
+}
+
+// Address returns the address that the server listens on, as IP:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Bus returns the subscriber that receives what other instances publish.
+func (s *Server) Bus() *Subscriber { return s.bus }
+
+// Close lets running calls end until the context does, then cuts them. It may
+// be called more than once.
+func (s *Server) Close(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.grpc.Stop)
+	defer stop()
+	if err := s.bus.Close(); err != nil {
+		return err
+	}
+	s.grpc.GracefulStop()
+	<-s.done
+	return s.err
+}
+
+func (s *Server) serve() {
+	defer close(s.done)
+	// A server that is closed before it began to serve says so; that is no
+	// failure.
+	if err := s.grpc.Serve(s.listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		s.err = wasabiridge.ErrUnavailable.Wrap(err, "peer: serve")
+	}
+}
+
+// gate admits calls: it checks the shared key and bounds the time of a call.
+type gate struct {
+	// tokens is nil when TLS alone authenticates peers.
+	tokens *tokens
+}
+
+func (g *gate) intercept(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	if g.tokens != nil {
+		if err := g.tokens.check(ctx); err != nil {
+			return nil, err
+		}
+	}
+	if h, ok := req.(*pb.Heartbeat); ok && proto.Size(h) > MaxHeartbeatBytes {
+		return nil, status.Error(codes.ResourceExhausted, "peer: heartbeat too large")
+	}
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	return next(ctx, req)
+}
+
+type service struct {
+	pb.UnimplementedPeerServer
+	handler wasabiridge.PeerHandler
+	bus     *Subscriber
+}
+
+// Exchange answers a heartbeat.
+func (s *service) Exchange(ctx context.Context, in *pb.Heartbeat) (*pb.Heartbeat, error) {
+	var h wasabiridge.Heartbeat
+	var err error
+	if h, err = DecodeHeartbeat(in); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	if h, err = s.handler.HandleExchange(ctx, h); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	return EncodeHeartbeat(h), nil
+}
+
+// FetchConfig returns the configuration in force here.
+func (s *service) FetchConfig(ctx context.Context, _ *pb.FetchConfigRequest) (*pb.ConfigDocument, error) {
+	var d wasabiridge.ConfigDocument
+	var err error
+	if d, err = s.handler.HandleFetchConfig(ctx); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	return encodeDocument(d), nil
+}
+
+// QueryTimeline reads this instance's time line.
+func (s *service) QueryTimeline(ctx context.Context, in *pb.TimelineQuery) (*pb.TimelinePage, error) {
+	var p wasabiridge.TimelinePage
+	var err error
+	if p, err = s.handler.HandleQueryTimeline(ctx, decodeTimelineQuery(in)); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	return encodeTimelinePage(p), nil
+}
+
+// Claim decides on a claim for a ticket that was issued here.
+func (s *service) Claim(ctx context.Context, in *pb.ClaimQuery) (*pb.ClaimOutcome, error) {
+	var q wasabiridge.ClaimQuery
+	var o wasabiridge.ClaimOutcome
+	var err error
+	if q, err = decodeClaimQuery(in); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	if o, err = s.handler.HandleClaim(ctx, q); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	var out *pb.ClaimOutcome
+	if out, err = encodeOutcome(o); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	return out, nil
+}
+
+// FinishClaim takes the end of a claimed request.
+func (s *service) FinishClaim(ctx context.Context, in *pb.ClaimResult) (*pb.FinishClaimResponse, error) {
+	var r wasabiridge.ClaimResult
+	var err error
+	if r, err = decodeResult(in); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	if err = s.handler.HandleFinishClaim(ctx, r); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	return &pb.FinishClaimResponse{}, nil
+}
+
+// Publish hands messages of the event bus to the subscribers here.
+func (s *service) Publish(ctx context.Context, in *pb.PublishRequest) (*pb.PublishResponse, error) {
+	if err := s.bus.deliver(ctx, in); err != nil {
+		return nil, toStatus(ctx, err)
+	}
+	return &pb.PublishResponse{}, nil
+}
--- /dev/null
+++ b/internal/wasabipeer/wasabipeerpb/doc.go
@@ -0,0 +1,12 @@
+// Package wasabipeerpb holds the generated messages and stubs of the service
+// between instances.
+//
+// # Usage
+//
+// The generated files are committed. After a change of peer.proto, run at the
+// root of the repository:
+//
+//	protoc --go_out=. --go_opt=paths=source_relative \
+//		--go-grpc_out=. --go-grpc_opt=paths=source_relative \
+//		internal/wasabipeer/wasabipeerpb/peer.proto
+package wasabipeerpb
--- a/peer.go
+++ b/peer.go
@@ -9,8 +9,15 @@
 	Incarnation Incarnation
 	// Config is the version in force at the instance.
 	Config ConfigVersion
+	// Sequence rises when the instance says something new of itself within
+	// one incarnation: that it leaves, or that news of its death is wrong.
+	Sequence uint64
 	// Suspect says that the instance did not answer lately.
 	Suspect bool
+	// Dead says that the instance was given up.
+	Dead bool
+	// Age is how long ago the instance was given up.
+	Age Millis
 	// Heard is when news of the instance last came, by the local clock.
 	Heard Millis
 }
@@ -24,6 +31,9 @@
 	LeavingBackends []BackendServerID
 	// SentAt is the sender's hybrid time, for the order of the time line.
 	SentAt Millis
+	// Digest covers the members that the sender takes to be alive. Senders
+	// with equal digests need not compare their members one by one.
+	Digest uint64
 }
 
 // ConfigDocument is a configuration as it was accepted.
