--- a/internal/wasabipeer/client.go
+++ b/internal/wasabipeer/client.go
@@ -80,11 +80,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	var first error
 	for address, p := range c.conns {
-		p.conn.Close()
+		if err := p.conn.Close(); err != nil && first == nil {
+			first = wasabiridge.ErrUnavailable.Wrap(err, "peer: close %s", address)
+		}
 		delete(c.conns, address)
 	}
-	return nil
+	return first
 }
 
 func (c *Client) acquire(address string) (*pooled, error) {
@@ -95,7 +98,9 @@
 	}
 	p := c.conns[address]
 	if p == nil {
-		c.evict()
+		if err := c.evict(); err != nil {
+			return nil, err
+		}
 		var conn *grpc.ClientConn
 		var err error
 		if conn, err = grpc.NewClient("passthrough:///"+address, c.options...); err != nil {
@@ -117,9 +122,9 @@
 
 // evict makes room for one more connection. Connections with running calls
 // stay, so the bound may be exceeded by the number of running calls.
-func (c *Client) evict() {
+func (c *Client) evict() error {
 	if len(c.conns) < maxConns {
-		return
+		return nil
 	}
 	var oldest string
 	for address, p := range c.conns {
@@ -130,10 +135,15 @@
 			oldest = address
 		}
 	}
-	if oldest != "" {
-		c.conns[oldest].conn.Close()
-		delete(c.conns, oldest)
+	if oldest == "" {
+		return nil
 	}
+	conn := c.conns[oldest].conn
+	delete(c.conns, oldest)
+	if err := conn.Close(); err != nil {
+		return wasabiridge.ErrUnavailable.Wrap(err, "peer: close %s", oldest)
+	}
+	return nil
 }
 
 // invocation is one call with its limits.
--- a/internal/wasabipeer/options.go
+++ b/internal/wasabipeer/options.go
@@ -82,7 +82,6 @@
 	grpc.WithIdleTimeout(idleTimeout),
 	grpc.WithReadBufferSize(socketBufferBytes),
 	grpc.WithWriteBufferSize(socketBufferBytes),
-	grpc.WithSharedWriteBuffer(true),
 	grpc.WithInitialWindowSize(windowBytes),
 	grpc.WithInitialConnWindowSize(windowBytes),
 	grpc.WithDisableServiceConfig(),
--- a/internal/wasabipeer/server.go
+++ b/internal/wasabipeer/server.go
@@ -66,7 +66,6 @@
 		grpc.MaxConcurrentStreams(maxConcurrentCalls),
 		grpc.ReadBufferSize(socketBufferBytes),
 		grpc.WriteBufferSize(socketBufferBytes),
-		grpc.SharedWriteBuffer(true),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * idleTimeout, Time: time.Minute, Timeout: 10 * time.Second}),
