--- a/internal/wasabirollout/keeper_test.go
+++ b/internal/wasabirollout/keeper_test.go
@@ -147,6 +147,13 @@
 	s.Expect(s.most).To(BeNumerically("<=", 2))
 }
 
+// given returns how many orders reached the engines.
+func (s *site) given() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders
+}
+
 func (s *site) fails(err error, want *errorx.Type) {
 	s.Expect(errorx.IsOfType(err, want)).To(BeTrue(), "%v", err)
 }
@@ -161,7 +168,7 @@
 		time.Sleep(40 * time.Second)
 		s.expectAll(2)
 		s.Expect(s.current(a)).To(And(HaveField("State", "done"), HaveField("Done", 6)))
-		s.Expect(s.orders).To(Equal(6))
+		s.Expect(s.given()).To(Equal(6))
 	},
 	// The instance that drives a rollout dies in the middle of it. The other
 	// takes the lease over and goes on from what the engines say.
@@ -184,9 +191,9 @@
 		_, err := a.Steer(context.Background(), r.ID, "pause")
 		s.Expect(err).NotTo(HaveOccurred())
 		time.Sleep(3 * time.Second)
-		before := s.orders
+		before := s.given()
 		time.Sleep(30 * time.Second)
-		s.Expect(s.orders).To(Equal(before))
+		s.Expect(s.given()).To(Equal(before))
 		s.Expect(s.current(a)).To(And(HaveField("State", "paused"), HaveField("Blocked", "paused")))
 		_, err = a.Start(context.Background(), r)
 		s.fails(err, wasabiridge.ErrConflict)
@@ -226,9 +233,9 @@
 		time.Sleep(2 * time.Second)
 		s.table.Faults().SetPlan(wasabifault.Plan{Unavailable: 1})
 		time.Sleep(20 * time.Second)
-		before := s.orders
+		before := s.given()
 		time.Sleep(time.Minute)
-		s.Expect(s.orders).To(Equal(before))
+		s.Expect(s.given()).To(Equal(before))
 		s.Expect(before).To(BeNumerically("<", 30))
 		s.table.Faults().SetPlan(wasabifault.Plan{})
 		time.Sleep(2 * time.Minute)
