--- a/internal/wasabiclaim/issuer.go
+++ b/internal/wasabiclaim/issuer.go
@@ -25,15 +25,16 @@
 )
 
 func (k *Keeper) claimTicket(ctx context.Context, q wasabiridge.ClaimQuery) (wasabiridge.ClaimOutcome, error) {
-	var t ticket
-	var err error
-	if t, err = decodeTicket(k.secret, q.Account, q.Key); err != nil {
-		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimUnavailable}, err
+	t, err := decodeTicket(k.secret, q.Account, q.Key)
+	if err != nil {
+		// Forged, or made under a secret that was changed since. In the
+		// second case the request may have run, so "not run" could be false.
+		return unknownNotSent(), nil
 	}
 	if t.Instance == k.options.Self {
 		return k.decideTicket(t, q), nil
 	}
-	address, ok := k.options.Locate(t.Instance)
+	address, ok := k.locate(t.Instance)
 	if !ok {
 		return unknownNotSent(), nil
 	}
@@ -49,6 +50,15 @@
 	return out, nil
 }
 
+// locate returns where an issuer is reached. Without peers only the tickets of
+// this instance are decided.
+func (k *Keeper) locate(issuer wasabiridge.InstanceID) (string, bool) {
+	if k.options.Peers == nil || k.options.Locate == nil {
+		return "", false
+	}
+	return k.options.Locate(issuer)
+}
+
 func (k *Keeper) decideTicket(t ticket, q wasabiridge.ClaimQuery) wasabiridge.ClaimOutcome {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -77,7 +87,7 @@
 }
 
 func (k *Keeper) tellIssuer(ctx context.Context, issuer wasabiridge.InstanceID, r wasabiridge.ClaimResult) error {
-	address, ok := k.options.Locate(issuer)
+	address, ok := k.locate(issuer)
 	if !ok {
 		return wasabiridge.ErrUnavailable.New("claim: issuer %s is not known", issuer)
 	}
@@ -99,7 +109,7 @@
 func (k *Keeper) HandleClaim(_ context.Context, q wasabiridge.ClaimQuery) (wasabiridge.ClaimOutcome, error) {
 	t, err := decodeTicket(k.secret, q.Account, q.Key)
 	if err != nil {
-		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimUnavailable}, err
+		return unknownNotSent(), nil
 	}
 	return k.decideTicket(t, q), nil
 }
--- a/internal/wasabiclaim/keeper.go
+++ b/internal/wasabiclaim/keeper.go
@@ -39,11 +39,16 @@
 	Peers  wasabiridge.PeerClient
 	Clock  wasabiridge.Clock
 	// Locate returns the peer address of a live instance. It reports false
-	// when the instance is not known.
+	// when the instance is not known. Without Peers or Locate only tickets
+	// of this instance are decided; the outcome of others is unknown.
 	Locate func(wasabiridge.InstanceID) (string, bool)
 	// Instances returns how many instances share the writes of the table.
 	// Nil means one.
 	Instances func() int
+	// SweepEvery is the pause between two sweeps of rows whose retention is
+	// over, by one instance for all. Zero means one hour, and a negative
+	// span never.
+	SweepEvery wasabiridge.Millis
 	// Recorder takes time line events. Nil records nothing.
 	Recorder wasabiridge.Recorder
 	Limits   Limits
@@ -73,6 +78,7 @@
 	unsettled       atomic.Int64
 	droppedRows     atomic.Uint64
 	droppedReleases atomic.Uint64
+	sweepFailures   atomic.Uint64
 
 	sweepMu sync.Mutex
 	sweep   sweeper
@@ -93,6 +99,9 @@
 // New returns a keeper without claims.
 func New(o Options) *Keeper {
 	o.Limits = o.Limits.withDefaults()
+	if o.SweepEvery == 0 {
+		o.SweepEvery = wasabiridge.Hour
+	}
 	life := ticket{Instance: o.Self, Incarnation: o.Incarnation, Life: randomLife()}
 	return &Keeper{
 		options:  o,
@@ -122,8 +131,8 @@
 	return encodeTicket(k.secret, account, t)
 }
 
-// Claim asks for the right to run a request. It reports ErrInvalid for a
-// forged ticket.
+// Claim asks for the right to run a request. It always decides; a ticket that
+// no instance with the secret made has an unknown outcome.
 //
 // Every call asks under an identifier of its own. A word that an earlier call
 // was given up may still be on its way to an issuer; it must never release
--- a/internal/wasabiclaim/run.go
+++ b/internal/wasabiclaim/run.go
@@ -25,6 +25,7 @@
 	for range releasers {
 		start(func() { k.release(ctx) })
 	}
+	start(func() { k.sweepInTurn(ctx) })
 	start(func() { k.callTable(ctx, commits) })
 	for range tableReaders {
 		start(func() { k.callTable(ctx, jobs) })
--- a/internal/wasabiclaim/sweep.go
+++ b/internal/wasabiclaim/sweep.go
@@ -3,13 +3,22 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
 )
 
 const (
 	// sweepPage is how many rows one read of a sweep returns.
 	sweepPage = 200
+	// pagePause is the pause between two pages, so that a sweep takes a small
+	// part of the table's reads.
+	pagePause = 100 * time.Millisecond
+	// sweepLease names the lease for sweeping, and sweepTTL how long it
+	// lasts. It is long, because every instance reads its row.
+	sweepLease = "claim-sweep"
+	sweepTTL   = 10 * wasabiridge.Minute
 	// sweepMargin is how long past its retention a row stays.
 	sweepMargin = wasabiridge.Hour
 )
@@ -64,6 +73,11 @@
 			return deleted, nil
 		}
 		after = rows[len(rows)-1].Key
+		select {
+		case <-time.After(pagePause):
+		case <-ctx.Done():
+			return deleted, wasabiridge.ErrUnavailable.New("claim: sweep was stopped")
+		}
 		changes := k.sweep.page(k.options.Clock.Now(), rows)
 		if len(changes) == 0 {
 			continue
@@ -76,3 +90,46 @@
 		}
 	}
 }
+
+// sweepInTurn sweeps while this instance holds the lease for it. Two instances
+// that sweep at once delete the same rows and do no other harm, so a sweep is
+// not stopped when the lease ends.
+func (k *Keeper) sweepInTurn(ctx context.Context) {
+	if k.options.SweepEvery < 0 {
+		return
+	}
+	lease := wasabilease.New(wasabilease.Options{
+		Name: sweepLease, Self: k.options.Self, Incarnation: k.options.Incarnation, Table: k.options.Table,
+		Clock: k.options.Clock, Recorder: k.options.Recorder, Timing: wasabilease.Timing{TTL: sweepTTL},
+	})
+	// Instances that restart together read the row of the lease at different
+	// times.
+	herd := uint64((sweepTTL / 2).Duration())
+	select {
+	case <-time.After(time.Duration(k.tickets.life.Life % herd)):
+	case <-ctx.Done():
+		return
+	}
+	lease.Contend(true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lease.Run(ctx)
+	}()
+	ticker := time.NewTicker(k.options.SweepEvery.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			<-done
+			return
+		}
+		if !lease.Grant().Covers(k.options.Clock.Now(), 0) {
+			continue
+		}
+		if _, err := k.Sweep(ctx); err != nil {
+			k.sweepFailures.Add(1)
+		}
+	}
+}
--- a/internal/wasabirollout/keeper.go
+++ b/internal/wasabirollout/keeper.go
@@ -20,10 +20,10 @@
 	Engines     wasabiridge.EngineOperator
 	// Config returns the configuration in force.
 	Config func() wasabiridge.Config
-	// Candidate says whether this instance contends for the lease of a pool.
-	// A few candidates per pool are enough, and save readings of the table.
-	// Nil means always.
-	Candidate func(wasabiridge.PoolID) bool
+	// Members returns the instances that are known, this one among them or
+	// not. A few of them contend for the lease of each pool. Nil lets this
+	// instance contend for all.
+	Members func() []wasabiridge.InstanceID
 	// Recorder takes time line events. Nil records nothing.
 	Recorder wasabiridge.Recorder
 	Limits   Limits
--- a/internal/wasabirollout/run.go
+++ b/internal/wasabirollout/run.go
@@ -17,6 +17,8 @@
 	// goroutine keeps the work in its own list; there is at most one call
 	// per replica and two per pool.
 	jobsSize = 64
+	// candidates is how many instances contend for the lease of a pool.
+	candidates = 3
 	// tickEvery is the pause between two ticks.
 	tickEvery = 100 * time.Millisecond
 	// tableTimeout bounds one call to the table.
@@ -112,11 +114,16 @@
 // grants returns the leases that are held, and lets candidates contend.
 func (k *Keeper) grants(contests map[wasabiridge.PoolID]*contest) map[wasabiridge.PoolID]wasabilease.Grant {
 	grants := make(map[wasabiridge.PoolID]wasabilease.Grant, len(contests))
+	var members []wasabiridge.InstanceID
+	if k.options.Members != nil {
+		members = k.options.Members()
+	}
 	for pool, c := range contests {
 		grants[pool] = c.lease.Grant()
 		// A holder stays one, so that a change of candidates does not move
 		// a rollout from instance to instance.
-		candidate := grants[pool].Fencing != 0 || k.options.Candidate == nil || k.options.Candidate(pool)
+		candidate := grants[pool].Fencing != 0 ||
+			wasabilease.IsCandidate(rowPrefix+string(pool), k.options.Self, members, candidates)
 		c.lease.Contend(c.active && candidate)
 	}
 	return grants
