--- a/cmd/wasabistandin/main.go
+++ b/cmd/wasabistandin/main.go
@@ -10,7 +10,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "wasabistandin", Short: "Stand-ins for tests and measurements"}
-	root.AddCommand(newDemoCommand(), newMeasureCommand(), newPlatformCommand())
+	root.AddCommand(newDemoCommand(), newEngineCommand(), newMeasureCommand(), newPlatformCommand(), newServiceCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/internal/wasabiengine/core.go
+++ b/internal/wasabiengine/core.go
@@ -34,9 +34,12 @@
 	// loseEvents counts events that are to be lost on their way.
 	loseEvents int
 	loading    bool
-	fencing    wasabiridge.FencingNumber
-	stop       chan struct{}
-	stopped    chan struct{}
+	// loads numbers the loads of weights.
+	loads   uint64
+	fencing wasabiridge.FencingNumber
+	role    string
+	stop    chan struct{}
+	stopped chan struct{}
 }
 
 // waiter is an answer that waits for the model.
--- a/internal/wasabiengine/order.go
+++ b/internal/wasabiengine/order.go
@@ -14,7 +14,10 @@
 	FencingNumber uint64 `json:"fencing_number"`
 	Model         string `json:"model,omitempty"`
 	Adapter       string `json:"adapter,omitempty"`
-	Weights       uint64 `json:"weights"`
+	// Weights is the version to serve. Zero keeps the version.
+	Weights uint64 `json:"weights,omitempty"`
+	// Role is what the engine is to do. Empty keeps the role.
+	Role string `json:"role,omitempty"`
 }
 
 // weightsBody is the answer to GET and POST /weights.
@@ -22,6 +25,7 @@
 	Weights       uint64 `json:"weights"`
 	FencingNumber uint64 `json:"fencing_number"`
 	Loading       bool   `json:"loading"`
+	Role          string `json:"role,omitempty"`
 }
 
 func (e *Engine) handleWeights(w http.ResponseWriter, _ *http.Request) {
@@ -34,11 +38,14 @@
 		writeError(w, http.StatusBadRequest, "broken order", "invalid_request_error")
 		return
 	}
-	if !e.core.beginLoad(order, !e.opts.IgnoresFencing) {
+	load, ok := e.core.accept(order, !e.opts.IgnoresFencing)
+	if !ok {
 		writeError(w, http.StatusPreconditionFailed, "fencing number too old", "fenced")
 		return
 	}
-	time.AfterFunc(e.opts.LoadTime.Duration(), func() { e.core.endLoad(order) })
+	if load != 0 {
+		time.AfterFunc(e.opts.LoadTime.Duration(), func() { e.core.endLoad(load, order) })
+	}
 	writeJSON(w, http.StatusAccepted, e.core.weights())
 }
 
@@ -49,27 +56,39 @@
 		Weights:       uint64(c.model.Spec().Weights),
 		FencingNumber: uint64(c.fencing),
 		Loading:       c.loading,
+		Role:          c.role,
 	}
 }
 
-// beginLoad accepts an order. It reports false when its fencing number is
-// older than one already seen and the engine checks fencing numbers.
-func (c *core) beginLoad(o orderBody, checks bool) bool {
+// accept takes an order. It reports false when its fencing number is older than
+// one already seen and the engine checks fencing numbers. The returned number
+// names the load that the order begins, or is zero when it begins none.
+func (c *core) accept(o orderBody, checks bool) (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	number := wasabiridge.FencingNumber(o.FencingNumber)
 	if checks && number < c.fencing {
-		return false
+		return 0, false
 	}
 	c.fencing = max(c.fencing, number)
-	c.loading = c.loading || wasabiridge.WeightsVersion(o.Weights) != c.model.Spec().Weights
-	return true
+	if o.Role != "" {
+		c.role = o.Role
+	}
+	target := wasabiridge.WeightsVersion(o.Weights)
+	if target == 0 || (!c.loading && target == c.model.Spec().Weights) {
+		return 0, true
+	}
+	c.loading = true
+	c.loads++
+	return c.loads, true
 }
 
-func (c *core) endLoad(o orderBody) {
+// endLoad puts loaded weights in force. A load that a later order or a crash
+// overtook changes nothing.
+func (c *core) endLoad(load uint64, o orderBody) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.loading {
+	if !c.loading || load != c.loads {
 		return
 	}
 	c.loading = false
