Backend pages, bounded questions for load, a byte budget for cache events

Conclusion: the cost of an instance no longer grows with the pools. At the target a whole stream of cache events is beyond a node; they are a sample.

--- a/internal/wasabibackend/backoff.go
+++ b/internal/wasabibackend/backoff.go
@@ -41,5 +41,10 @@
 // jitter draws between half and the whole of a span.
 func (b *backoff) jitter(span wasabiridge.Millis) wasabiridge.Millis {
 	half := span / 2
-	return half + wasabiridge.Millis(b.random.Int64N(int64(span-half)+1))
+	return half + b.draw(span-half)
+}
+
+// draw draws between nothing and the whole of a span.
+func (b *backoff) draw(span wasabiridge.Millis) wasabiridge.Millis {
+	return wasabiridge.Millis(b.random.Int64N(int64(span) + 1))
 }
--- a/internal/wasabibackend/intake.go
+++ b/internal/wasabibackend/intake.go
@@ -5,12 +5,16 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
 )
 
-const defaultLoadEvery = wasabiridge.Second / 2
+const (
+	defaultLoadEvery = wasabiridge.Second / 2
+	defaultQuestions = 32
+)
 
 // IntakeOptions set up an Intake.
 type IntakeOptions struct {
@@ -22,9 +26,19 @@
 	// LoadEvery is the mean time between questions for load. Zero means half
 	// a second.
 	LoadEvery wasabiridge.Millis
+	// Questions bounds the questions for load in a second over all servers.
+	// When that is too few for LoadEvery, each server is asked less often, so
+	// that the cost of an instance does not grow with the pools. Zero means
+	// 32.
+	Questions int
 	// EventStreams bounds how many cache event streams are open. Zero means
 	// no bound.
 	EventStreams int
+	// EventBudget bounds the bytes of cache events in a second over all
+	// streams. A stream that goes beyond its part is closed for a while and
+	// then goes on with the newest events; the gap shows in their numbers.
+	// Zero means no bound.
+	EventBudget int
 	// Sleep waits for a length of time and returns early when the context is
 	// done. Nil means a timer of the system.
 	Sleep func(ctx context.Context, d wasabiridge.Millis)
@@ -41,6 +55,10 @@
 	mu       sync.Mutex
 	watching map[wasabiridge.BackendServerID]*watch
 	running  sync.WaitGroup
+	// watched counts the servers that are asked for load, and streams those
+	// whose cache events are followed.
+	watched atomic.Int64
+	streams atomic.Int64
 }
 
 // watch is one backend server that is watched.
@@ -55,6 +73,9 @@
 	if o.LoadEvery == 0 {
 		o.LoadEvery = defaultLoadEvery
 	}
+	if o.Questions == 0 {
+		o.Questions = defaultQuestions
+	}
 	if o.Sleep == nil {
 		o.Sleep = sleep
 	}
@@ -81,15 +102,21 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	wanted := make(map[wasabiridge.BackendServerID]bool, len(backends))
-	streams := 0
+	var engines []wasabiridge.BackendServer
 	for _, b := range backends {
-		if b.Kind != wasabiridge.BackendEngine {
-			continue
+		if b.Kind == wasabiridge.BackendEngine && !wanted[b.ID] {
+			wanted[b.ID] = true
+			engines = append(engines, b)
 		}
-		events := i.opts.EventStreams == 0 || streams < i.opts.EventStreams
-		streams++
-		wanted[b.ID] = true
-		i.start(b, events)
+	}
+	streams := len(engines)
+	if i.opts.EventStreams > 0 {
+		streams = min(streams, i.opts.EventStreams)
+	}
+	i.watched.Store(int64(len(engines)))
+	i.streams.Store(int64(streams))
+	for n, b := range engines {
+		i.start(b, n < streams)
 	}
 	for id, w := range i.watching {
 		if !wanted[id] {
@@ -99,6 +126,24 @@
 	}
 }
 
+// loadSpan returns the mean time between two questions to one server.
+func (i *Intake) loadSpan() wasabiridge.Millis {
+	shared := wasabiridge.Millis(i.watched.Load()) * wasabiridge.Second / wasabiridge.Millis(i.opts.Questions)
+	return max(i.opts.LoadEvery, shared)
+}
+
+// overspent returns how long a stream must rest that took so many bytes, or
+// zero when it may go on. Each stream has an equal part of the budget and may
+// take a second's worth at once.
+func (i *Intake) overspent(bytes int) wasabiridge.Millis {
+	budget := int64(i.opts.EventBudget)
+	needed := int64(bytes) * i.streams.Load()
+	if budget == 0 || needed < budget {
+		return 0
+	}
+	return wasabiridge.Millis(needed * int64(wasabiridge.Second) / budget)
+}
+
 // start watches a server unless it is watched in the same way already.
 func (i *Intake) start(b wasabiridge.BackendServer, events bool) {
 	if w, ok := i.watching[b.ID]; ok {
--- a/internal/wasabibackend/intake_test.go
+++ b/internal/wasabibackend/intake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -174,6 +175,41 @@
 		}
 	})
 
+	// Story: engines publish a hundred times the events that a router can
+	// afford. Reading all of them takes its network; reading a part in order
+	// gives it ever older news.
+	It("keeps to its budget and skips to the newest events", func() {
+		asked := make(chan string, 64)
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/cache/events" {
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			asked <- r.URL.RawQuery
+			w.Header().Set("Content-Type", "text/event-stream")
+			for sequence := 1; r.Context().Err() == nil; sequence++ {
+				fmt.Fprintf(w, "id: 1-%d\ndata: {\"incarnation\":1,\"sequence\":%d,\"events\":[{\"kind\":\"cleared\"}]}\n\n", sequence, sequence)
+			}
+		})
+		ring := wasabibackend.NewRing(1024)
+		rests := make(chan wasabiridge.Millis, 64)
+		intake := wasabibackend.NewIntake(wasabibackend.IntakeOptions{
+			Clock: wasabiclock.System(), Ring: ring, EventBudget: 1000, LoadEvery: wasabiridge.Hour,
+			Sleep: func(ctx context.Context, d wasabiridge.Millis) {
+				if d < wasabiridge.Second {
+					<-ctx.Done()
+					return
+				}
+				rests <- d
+			},
+		})
+		DeferCleanup(intake.Close)
+		intake.Watch([]wasabiridge.BackendServer{{ID: "e", Kind: wasabiridge.BackendEngine, URL: url}})
+		Eventually(asked, patience).Should(Receive(BeEmpty()))
+		Eventually(asked, patience).Should(Receive(Equal("from=newest")))
+		Eventually(rests, patience).Should(Receive(BeNumerically("~", 1050, 50)), "for a second's worth")
+	})
+
 	It("tells once that a server asks for no new work", func() {
 		url := serve(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write([]byte(`{"incarnation":1,"age_ms":1000,"leaving":true}`))
@@ -186,6 +222,53 @@
 	})
 })
 
+// Story: a pool grows, and every router asks every engine twice a second until
+// control takes more than the work.
+var _ = Describe("questions for load", func() {
+	It("are spread out when many servers are watched", func() {
+		const servers = 50
+		first, later := make(chan wasabiridge.Millis, servers), make(chan wasabiridge.Millis, servers)
+		var slept sync.Map
+		intake := wasabibackend.NewIntake(wasabibackend.IntakeOptions{
+			Clock: wasabiclock.System(), Ring: wasabibackend.NewRing(servers), Questions: 10,
+			Sleep: func(ctx context.Context, d wasabiridge.Millis) {
+				if _, before := slept.LoadOrStore(ctx, true); !before {
+					first <- d
+					return
+				}
+				later <- d
+				<-ctx.Done()
+			},
+		})
+		DeferCleanup(intake.Close)
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/load" {
+				<-r.Context().Done()
+				return
+			}
+			_, _ = w.Write([]byte(`{}`))
+		})
+		var backends []wasabiridge.BackendServer
+		for i := range servers {
+			backends = append(backends, wasabiridge.BackendServer{
+				ID: wasabiridge.BackendServerID(fmt.Sprint(i)), Kind: wasabiridge.BackendEngine, URL: url,
+			})
+		}
+		intake.Watch(backends)
+		mean := func(waits chan wasabiridge.Millis) wasabiridge.Millis {
+			var sum wasabiridge.Millis
+			for range servers {
+				var d wasabiridge.Millis
+				Eventually(waits, patience).Should(Receive(&d))
+				sum += d
+			}
+			return sum / servers
+		}
+		Expect(mean(first)).To(BeNumerically("~", 2250, 500), "drawn from 4.5 s")
+		Expect(mean(later)).To(BeNumerically("~", 5000, 500), "50 servers at 10 a second")
+	})
+})
+
 var _ = Describe("waits between attempts to reach a server", func() {
 	It("double up to a bound, are drawn, and repeat with the seed", func() {
 		waits := wasabibackend.Waits(1, "e", 12)
--- a/internal/wasabibackend/reader.go
+++ b/internal/wasabibackend/reader.go
@@ -17,6 +17,11 @@
 	maxLoadBytes  = 16 << 10
 	maxBatchBytes = 512 << 10
 	maxEventID    = 64
+	eventsPath    = "/cache/events"
+	// newestPath leaves out what the engine keeps of the past.
+	newestPath = eventsPath + "?from=newest"
+	// eventFrameBytes is about what frames add to the payload of an event.
+	eventFrameBytes = 32
 	// lostAfter is how many questions in a row must fail before a server
 	// counts as lost.
 	lostAfter = 2
@@ -40,12 +45,19 @@
 }
 
 func (r *loadReader) run(ctx context.Context) {
+	// A few servers are asked at once. Many are not, or every restart would
+	// begin with a burst beyond the bound on questions.
+	if extra := r.intake.loadSpan() - r.intake.opts.LoadEvery; extra > 0 {
+		r.intake.opts.Sleep(ctx, r.backoff.draw(extra))
+	}
 	for ctx.Err() == nil {
 		report, err := r.ask(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		wait := r.backoff.jitter(r.intake.opts.LoadEvery)
+		// The draw is between half and the whole, so its mean is three
+		// quarters.
+		wait := r.backoff.jitter(r.intake.loadSpan() * 4 / 3)
 		if err != nil {
 			r.fail()
 			wait = r.backoff.next()
@@ -103,6 +115,8 @@
 	backoff *backoff
 	// last names the event behind which the stream goes on after a break.
 	last string
+	// rest is how long the reader keeps away to stay within its budget.
+	rest wasabiridge.Millis
 }
 
 func newEventReader(i *Intake, b wasabiridge.BackendServer) *eventReader {
@@ -115,17 +129,27 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.intake.opts.Sleep(ctx, r.backoff.next())
+		wait := r.rest
+		if wait == 0 {
+			wait = r.backoff.next()
+		}
+		r.intake.opts.Sleep(ctx, wait)
 	}
 }
 
 // follow reads one connection to its end.
 func (r *eventReader) follow(ctx context.Context) {
-	resp, err := r.intake.get(ctx, r.backend, "/cache/events", r.last)
+	path := eventsPath
+	if r.rest > 0 {
+		// What was published meanwhile would come too late to be of use.
+		path, r.last, r.rest = newestPath, "", 0
+	}
+	resp, err := r.intake.get(ctx, r.backend, path, r.last)
 	if err != nil {
 		return
 	}
 	defer resp.Body.Close()
+	taken := 0
 	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxBatchBytes}) {
 		if err != nil || ctx.Err() != nil {
 			return
@@ -139,6 +163,10 @@
 		if len(events) > 0 {
 			r.intake.opts.Ring.Put(wasabiridge.CacheChanged{Events: events})
 		}
+		taken += len(event.Data) + eventFrameBytes
+		if r.rest = r.intake.overspent(taken); r.rest > 0 {
+			return
+		}
 	}
 }
 
--- a/internal/wasabiengine/core.go
+++ b/internal/wasabiengine/core.go
@@ -170,6 +170,17 @@
 	return append([]wasabiridge.CacheEvent(nil), c.history[start:end]...), c.changed
 }
 
+// newest names the last event that is kept.
+func (c *core) newest() (wasabiridge.Incarnation, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.history) == 0 {
+		return 0, 0
+	}
+	last := c.history[len(c.history)-1]
+	return last.Incarnation, last.Sequence
+}
+
 // submit hands a job to the model. It reports false when the model is down,
 // loading or full; nothing ran then.
 func (c *core) submit(j wasabifake.Job, names []wasabiridge.BlockHash) (*waiter, bool) {
--- a/internal/wasabiengine/events.go
+++ b/internal/wasabiengine/events.go
@@ -53,6 +53,9 @@
 // it saw goes on behind it, as far as the engine still keeps events.
 func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
 	life, sequence := lastEvent(r.Header.Get("Last-Event-ID"))
+	if r.URL.Query().Get("from") == "newest" {
+		life, sequence = e.core.newest()
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
