Engine test: a client without kept connections

Cause: the test's own client reused a connection from before the crash and its POST failed with EOF once (the kept connection that net/http does not replay without a key). The check of the cold cache after a crash stays as strict.

--- a/internal/wasabiengine/engine_test.go
+++ b/internal/wasabiengine/engine_test.go
@@ -33,12 +33,16 @@
 	return e
 }
 
+// client keeps no connections: one that outlived a crash would fail the first
+// request of the next life.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // call sends a request and returns status and body.
 func call(method, url, body string) (int, string) {
 	GinkgoHelper()
 	req, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader([]byte(body)))
 	Expect(err).NotTo(HaveOccurred())
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
