Measure: callers that follow the address answers

Cause: the measuring program sent every request to a random instance, while a deployment steers accounts to few. Whether steering helps was assumed, not measured.

--- a/cmd/wasabistandin/measure.go
+++ b/cmd/wasabistandin/measure.go
@@ -19,6 +19,7 @@
 	faults    []string
 	out       string
 	plot      string
+	callers   string
 }
 
 // newMeasureCommand returns the command that measures decisions in virtual
@@ -39,6 +40,7 @@
 	c.Flags().Float64Var(&f.load, "load", 0.7, "arrivals as a part of the workload's capacity")
 	c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of everything random")
 	c.Flags().StringArrayVar(&f.faults, "fault", nil, fmt.Sprintf("a fault, may be repeated: %v", wasabimeasure.Faults()))
+	c.Flags().StringVar(&f.callers, "callers", wasabimeasure.CallersRandom, "random, or steered to follow address answers")
 	c.Flags().StringVar(&f.out, "out", "table", "table or json")
 	c.Flags().StringVar(&f.plot, "plot", "", "write a plot of the time to first token into this file")
 	return c
@@ -56,7 +58,7 @@
 	}
 	started := time.Now()
 	return wasabimeasure.Options{
-		Workload: w, Policy: f.policy, Instances: f.instances, Load: f.load, Seed: f.seed, Faults: faults,
+		Workload: w, Policy: f.policy, Instances: f.instances, Load: f.load, Seed: f.seed, Faults: faults, Callers: f.callers,
 		Stopwatch: func() time.Duration { return time.Since(started) },
 	}, nil
 }
--- a/internal/wasabimeasure/measure.go
+++ b/internal/wasabimeasure/measure.go
@@ -2,7 +2,7 @@
 // against model engines from wasabifake, in virtual time.
 //
 // It has no model of networks, links between zones, machines or the
-// platform. Callers reach a random instance; events reach each instance after
+// platform. Callers reach a random instance or follow address answers; events reach each instance after
 // a fixed delay. Every run checks the promises that hold whatever fails and
 // reports each breach as a violation.
 //
@@ -36,6 +36,8 @@
 	Load   float64
 	Seed   uint64
 	Faults []Fault
+	// Callers is how callers choose an instance. Empty means CallersRandom.
+	Callers string
 	// Stopwatch times decisions. Nil leaves their cost out, so that the
 	// report depends on nothing but the other options.
 	Stopwatch func() time.Duration
@@ -72,6 +74,9 @@
 	if o.Instances < 1 || o.Load <= 0 {
 		return wasabiridge.ErrInvalid.New("measure: instances and load must be above zero")
 	}
+	if o.Callers != "" && o.Callers != CallersRandom && o.Callers != CallersSteered {
+		return wasabiridge.ErrInvalid.New("measure: callers are %q or %q, not %q", CallersRandom, CallersSteered, o.Callers)
+	}
 	for _, f := range o.Faults {
 		if !f.known() {
 			return wasabiridge.ErrInvalid.New("measure: unknown fault %q; known are %v", f, Faults())
--- a/internal/wasabimeasure/world.go
+++ b/internal/wasabimeasure/world.go
@@ -69,6 +69,7 @@
 	random    *rand.Rand
 	config    wasabiridge.Config
 	traffic   *traffic
+	callers   *callers
 	agenda    agenda
 	servers   []*server
 	byID      map[wasabiridge.BackendServerID]*server
@@ -90,6 +91,7 @@
 		random:    rand.New(rand.NewPCG(o.Seed, 3)),
 		config:    o.Workload.Config(),
 		traffic:   newTraffic(o.Workload, o.Load, o.Seed),
+		callers:   newCallers(o),
 		byID:      make(map[wasabiridge.BackendServerID]*server),
 		byRequest: make(map[wasabiridge.RequestID]*life),
 		attempts:  make(map[wasabiridge.AttemptID]*attempt),
@@ -170,9 +172,9 @@
 	})
 }
 
-// ask hands a request to a random instance.
+// ask hands a request to the instance that its caller chose.
 func (w *world) ask(l *life) {
-	l.instance = w.random.IntN(len(w.instances))
+	l.instance = w.callers.choose(l.request.Account)
 	w.tell(l.instance, wasabiridge.RequestArrived{Request: l.request})
 }
 
