--- a/internal/wasabicommand/config.go
+++ b/internal/wasabicommand/config.go
@@ -306,10 +306,12 @@
 }
 
 // waitFor polls until all instances have the version or a later one. An
-// instance that cannot be reached counts as not having it.
+// instance that cannot be reached counts as not having it. The wait ends
+// between polls, not within one: a poll that is cut by the end of a short wait
+// would leave an operator with an empty table.
 func (a *app) waitFor(ctx context.Context, client *wasabiclient.Client, version wasabiridge.ConfigVersion, most time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, most)
-	defer cancel()
+	over := time.NewTimer(most)
+	defer over.Stop()
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
 	var last wasabioperator.ConfigStatusBody
@@ -324,6 +326,8 @@
 		}
 		select {
 		case <-ctx.Done():
+			return ctx.Err()
+		case <-over.C:
 			if err := a.showStatus(last); err != nil {
 				return err
 			}
