--- a/internal/wasabidaemon/operator.go
+++ b/internal/wasabidaemon/operator.go
@@ -28,6 +28,10 @@
 		Metrics:   d.parts.metrics,
 		Log:       wasabilog.Part(d.log, "operator"),
 	}
+	if d.parts.config != nil {
+		o.Config = d.parts.config
+		o.Rollouts = d.parts.rollouts
+	}
 	if d.parts.platform.Objects != nil {
 		o.Outcomes = wasabioutcome.Reader{
 			Store: d.parts.platform.Objects, Clock: d.options.Clock,
--- a/internal/wasabidaemon/parts.go
+++ b/internal/wasabidaemon/parts.go
@@ -8,15 +8,18 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclaim"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiconfig"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
 	"github.com/wasabiridge/wasabiridge/internal/wasabigateway"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilimit"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabimetrics"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiorder"
 	"github.com/wasabiridge/wasabiridge/internal/wasabioutcome"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirollout"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
 )
 
@@ -47,6 +50,8 @@
 	runner   *wasabibackend.Runner
 	claims   *wasabiclaim.Keeper
 	outcomes *wasabioutcome.Recorder
+	config   *wasabiconfig.Keeper
+	rollouts *wasabirollout.Keeper
 	book     *wasabiaddress.Book
 	gateway  *wasabigateway.Gateway
 }
@@ -67,6 +72,7 @@
 	})
 	d.joinClaims()
 	d.joinOutcomes()
+	d.joinConfig()
 	p.book = wasabiaddress.New(wasabiaddress.Options{
 		Self:     d.self(),
 		Members:  d.options.Members,
@@ -154,6 +160,45 @@
 	})
 }
 
+// joinConfig sets up the keepers of the configuration and of rollouts, which
+// both live in the platform's table.
+func (d *Daemon) joinConfig() {
+	if d.parts.platform.Table == nil {
+		return
+	}
+	d.parts.config = wasabiconfig.NewKeeper(wasabiconfig.Options{
+		Self:        d.options.Settings.Instance,
+		Incarnation: d.incarnation,
+		Clock:       d.options.Clock,
+		Table:       d.parts.platform.Table,
+		Membership:  membership{daemon: d},
+		Adopted:     d.Adopt,
+		Log:         wasabilog.Part(d.log, "config"),
+		Seed:        d.seed,
+	})
+	d.parts.rollouts = wasabirollout.New(wasabirollout.Options{
+		Self:        d.options.Settings.Instance,
+		Incarnation: d.incarnation,
+		Table:       d.parts.platform.Table,
+		Clock:       d.options.Clock,
+		Weights:     d.parts.platform.Weights,
+		Engines:     wasabiorder.NewClient(nil),
+		Config:      func() wasabiridge.Config { return *d.current() },
+		Recorder:    d.parts.timeline,
+	})
+}
+
+// membership tells the keeper of the configuration about other instances.
+type membership struct {
+	daemon *Daemon
+}
+
+// Members implements wasabiconfig.Membership.
+func (m membership) Members() []wasabiridge.Member { return m.daemon.members() }
+
+// Announce implements wasabiconfig.Membership.
+func (m membership) Announce(int) {}
+
 func (d *Daemon) newGateway() *wasabigateway.Gateway {
 	runner := d.options.Runner
 	if runner == nil {
@@ -188,6 +233,10 @@
 	if d.parts.outcomes != nil {
 		d.start(ctx, d.runOutcomes)
 	}
+	if d.parts.config != nil {
+		d.start(ctx, d.parts.config.Run)
+		d.start(ctx, d.parts.rollouts.Run)
+	}
 	d.start(ctx, d.watchTimeline)
 }
 
--- a/internal/wasabigateway/stream_test.go
+++ b/internal/wasabigateway/stream_test.go
@@ -218,9 +218,10 @@
 		r.do(call{body: `{"model":"whole","prompt":"Code 17?"}`})
 		r.do(call{key: "wrong-secret", body: chatStream})
 		r.do(call{path: "/bookings?visitor=Code%2017?", body: "Code 17?", header: map[string]string{"Idempotency-Key": "secret-key"}})
-		Expect(r.log.String()).To(ContainSubstring("stream_cut"))
+		log := string(r.log.Contents())
+		Expect(log).To(ContainSubstring("stream_cut"))
 		for _, secret := range []string{"Code", "17", "token\":", callerKey, "wrong-secret", "secret-key"} {
-			Expect(r.log.String()).NotTo(ContainSubstring(secret))
+			Expect(log).NotTo(ContainSubstring(secret))
 		}
 	})
 })
--- a/internal/wasabigateway/suite_test.go
+++ b/internal/wasabigateway/suite_test.go
@@ -1,7 +1,6 @@
 package wasabigateway_test
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -17,6 +16,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -152,24 +152,7 @@
 	claims  *claims
 	gateway *wasabigateway.Gateway
 	server  *httptest.Server
-	log     *safeBuffer
-}
-
-type safeBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *safeBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *safeBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
+	log     *gbytes.Buffer
 }
 
 // testingT is what a rig needs of a test.
@@ -185,7 +168,7 @@
 	})
 	loop := wasabiloop.New(wasabiloop.Options{Decider: core, Clock: clock})
 	loop.Post(wasabiridge.ConfigAdopted{Config: cfg})
-	r := &rig{runner: &runner{}, claims: &claims{state: map[string]wasabiridge.ClaimOutcome{}}, log: &safeBuffer{}}
+	r := &rig{runner: &runner{}, claims: &claims{state: map[string]wasabiridge.ClaimOutcome{}}, log: gbytes.NewBuffer()}
 	o := wasabigateway.Options{
 		Instance: "pos-1", Incarnation: 7, Clock: clock, Loop: loop, Runner: r.runner,
 		Config:  func() *wasabiridge.Config { return &cfg },
