Time line: name instances that cannot be asked, shorter stories

Cause: a router without peers left the others out without a word, and a story repeated account, rule and request on each line.

--- a/internal/wasabicommand/timeline.go
+++ b/internal/wasabicommand/timeline.go
@@ -188,7 +188,7 @@
 
 func (a *app) printEvents(events []wasabiridge.TimelineEvent) {
 	if !a.json {
-		wasabitimeline.WriteStory(a.Out, events)
+		wasabitimeline.WriteLines(a.Out, events)
 		return
 	}
 	encoder := json.NewEncoder(a.Out)
--- a/internal/wasabitimeline/merge.go
+++ b/internal/wasabitimeline/merge.go
@@ -5,6 +5,8 @@
 	"sort"
 	"sync"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -24,7 +26,7 @@
 type Collector struct {
 	// Own is the time line of this instance.
 	Own *Log
-	// Peers calls other instances.
+	// Peers calls other instances. Without it they are named as not reached.
 	Peers wasabiridge.PeerClient
 	// Members returns the other instances that are known.
 	Members func() []wasabiridge.Member
@@ -38,7 +40,7 @@
 	}
 	pages := []wasabiridge.TimelinePage{c.Own.Page(q)}
 	var unreached []wasabiridge.UnreachedInstance
-	if c.Members != nil && c.Peers != nil {
+	if c.Members != nil {
 		var others []wasabiridge.TimelinePage
 		others, unreached = c.askAll(ctx, q, c.others())
 		pages = append(pages, others...)
@@ -86,7 +88,7 @@
 	)
 	for i, a := range answers {
 		if a.err != nil {
-			unreached = append(unreached, wasabiridge.UnreachedInstance{Instance: members[i].ID, Cause: a.err.Error()})
+			unreached = append(unreached, wasabiridge.UnreachedInstance{Instance: members[i].ID, Cause: causeOf(a.err)})
 			continue
 		}
 		pages = append(pages, a.page)
@@ -95,12 +97,23 @@
 }
 
 func (c *Collector) ask(ctx context.Context, q wasabiridge.TimelineQuery, m wasabiridge.Member) peerAnswer {
+	if c.Peers == nil {
+		return peerAnswer{err: wasabiridge.ErrUnavailable.New("this instance has no connection to its peers")}
+	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout.Duration())
 	defer cancel()
 	page, err := c.Peers.QueryTimeline(ctx, m.PeerAddress, q)
 	return peerAnswer{page: page, err: err}
 }
 
+// causeOf leaves out the type's name, which an operator has no use for.
+func causeOf(err error) string {
+	if typed := errorx.Cast(err); typed != nil && typed.Message() != "" && typed.Cause() == nil {
+		return typed.Message()
+	}
+	return err.Error()
+}
+
 // Merge puts the pages of several instances into one order: hybrid time, then
 // the logical count, then the name of the instance, then the order in which
 // the instance recorded. A positive limit keeps the newest events, and
