--- a/examples/timeline/main.go
+++ b/examples/timeline/main.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	engines, err := startEngines()
 	if err != nil {
 		return err
--- a/internal/wasabireport/plot.go
+++ b/internal/wasabireport/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"html/template"
 	"image/color"
 	"strings"
@@ -18,7 +19,7 @@
 
 // Sizes of a plot.
 const (
-	plotWidth  = 8 * vg.Inch
+	plotWidth  = 10 * vg.Inch
 	plotHeight = 2.6 * vg.Inch
 	lineWidth  = 1.5
 	dotRadius  = 2
@@ -27,8 +28,8 @@
 
 // curve is one line of a plot, a value for each day.
 type curve struct {
-	name  string
-	color color.Color
+	Name  string
+	color color.RGBA
 	value func(wasabiridge.OutcomeFigures) float64
 }
 
@@ -43,22 +44,24 @@
 type chart struct {
 	Title  string
 	unit   string
-	curves []curve
+	Curves []curve
 	SVG    template.HTML
 }
 
 func charts() []chart {
 	return []chart{
-		{Title: "Time to first token by day", unit: "ms", curves: []curve{
+		{Title: "Time to first token by day", unit: "ms", Curves: []curve{
 			{"p50", green, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.TTFTP50Millis) }},
 			{"p95", orange, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.TTFTP95Millis) }},
 			{"p99", red, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.TTFTP99Millis) }},
 		}},
-		{Title: "Prefix hit rate and wasted recomputation by day", unit: "% of prompt tokens", curves: []curve{
+		{Title: "Prefix hit rate by day", unit: "% of prompt tokens", Curves: []curve{
 			{"hit rate", blue, func(f wasabiridge.OutcomeFigures) float64 { return 100 * f.HitRate }},
+		}},
+		{Title: "Wasted recomputation by day", unit: "% of prompt tokens", Curves: []curve{
 			{"wasted", red, func(f wasabiridge.OutcomeFigures) float64 { return 100 * f.Recomputed }},
 		}},
-		{Title: "Requests by day", unit: "requests", curves: []curve{
+		{Title: "Requests by day", unit: "requests", Curves: []curve{
 			{"all", blue, func(f wasabiridge.OutcomeFigures) float64 { return float64(f.Requests) }},
 			{"refused", red, func(f wasabiridge.OutcomeFigures) float64 {
 				return float64(f.RefusedNotRun + f.RefusedMaybe + f.RefusedAfter)
@@ -67,15 +70,20 @@
 	}
 }
 
+// CSS returns the color of a curve for the legend beside the plot. A legend
+// inside the plot would cover lines that run below it.
+func (c curve) CSS() template.CSS {
+	return template.CSS(fmt.Sprintf("#%02x%02x%02x", c.color.R, c.color.G, c.color.B))
+}
+
 // draw makes an SVG of a chart. Days without data leave no point.
 func (c chart) draw(days []wasabiridge.OutcomeDay) (template.HTML, error) {
 	p := plot.New()
 	p.Y.Label.Text = c.unit
 	p.X.Tick.Marker = plot.TimeTicks{Format: "2 Jan"}
 	p.Y.Min = 0
-	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
-	for _, line := range c.curves {
+	for _, line := range c.Curves {
 		points, err := pointsOf(days, line)
 		if err != nil {
 			return "", err
@@ -87,7 +95,6 @@
 		drawn.Color, drawn.Width = line.color, vg.Points(lineWidth)
 		dots.Color, dots.Radius = line.color, vg.Points(dotRadius)
 		p.Add(drawn, dots)
-		p.Legend.Add(line.name, drawn, dots)
 	}
 	return render(p)
 }
--- a/internal/wasabireport/report.go
+++ b/internal/wasabireport/report.go
@@ -14,6 +14,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -66,19 +67,21 @@
 // CoverageLines tells what of a quarter is known and what is missing, one
 // matter on a line.
 func CoverageLines(c wasabiridge.OutcomeCoverage) []string {
-	lines := []string{fmt.Sprintf("Coverage: %.2f%% of the time of known instances, from %d objects.", 100*c.Share, c.Objects)}
+	// Rounded down, so that 100% is only said when nothing is missing.
+	covered := math.Floor(10_000*c.Share) / 100
+	lines := []string{fmt.Sprintf("Coverage: %.2f%% of the time of known instances, from %d objects.", covered, c.Objects)}
 	add := func(n int, format string, args ...any) {
 		if n > 0 {
 			lines = append(lines, fmt.Sprintf(format, args...))
 		}
 	}
-	add(c.GapCount, "Missing: %d spans in which an instance ended without its last write; first: %s.", c.GapCount, gapText(c.Gaps))
-	add(len(c.MissingDays), "Missing: %d days without any data (%s).", len(c.MissingDays), daysText(c.MissingDays))
-	add(len(c.MissingInstances), "Missing: %d instances that others saw and that left nothing (%s).", len(c.MissingInstances), instancesText(c.MissingInstances))
-	add(c.UnreadableObjects, "Missing: %d objects that could not be read (%s).", c.UnreadableObjects, strings.Join(c.Unreadable, ", "))
-	add(int(c.DroppedDays), "Missing: %d days that instances gave up while the store was away.", c.DroppedDays)
-	add(int(c.LostOutcomes), "Missing: %d requests that instances had no time to count.", c.LostOutcomes)
-	add(int(c.Folded), "Not told apart: %d requests are counted under the account %s.", c.Folded, wasabioutcome.OtherAccount)
+	add(c.GapCount, "Missing: spans in which an instance ended without its last write: %d; first: %s.", c.GapCount, gapText(c.Gaps))
+	add(len(c.MissingDays), "Missing: days without any data: %d (%s).", len(c.MissingDays), daysText(c.MissingDays))
+	add(len(c.MissingInstances), "Missing: instances that others saw and that left nothing: %d (%s).", len(c.MissingInstances), instancesText(c.MissingInstances))
+	add(c.UnreadableObjects, "Missing: objects that could not be read: %d (%s).", c.UnreadableObjects, strings.Join(c.Unreadable, ", "))
+	add(int(c.DroppedDays), "Missing: days that instances gave up while the store was away: %d.", c.DroppedDays)
+	add(int(c.LostOutcomes), "Missing: requests that instances had no time to count: %d.", c.LostOutcomes)
+	add(int(c.Folded), "Not told apart: requests counted under the account %[2]s: %[1]d.", c.Folded, wasabioutcome.OtherAccount)
 	return lines
 }
 
--- a/internal/wasabireport/report_test.go
+++ b/internal/wasabireport/report_test.go
@@ -32,7 +32,7 @@
 		var out bytes.Buffer
 		Expect(wasabireport.WriteHTML(&out, sample())).To(Succeed())
 		page := out.String()
-		Expect(strings.Count(page, "<svg")).To(Equal(3))
+		Expect(strings.Count(page, "<svg")).To(Equal(4))
 		Expect(page).NotTo(ContainSubstring("<?xml"))
 		Expect(page).NotTo(ContainSubstring("<script"))
 		Expect(page).NotTo(MatchRegexp(`(src|href)=`))
@@ -40,6 +40,11 @@
 		Expect(page).To(ContainSubstring("ghost"))
 	})
 
+	It("never says that all is covered while something is missing", func() {
+		lines := wasabireport.CoverageLines(wasabiridge.OutcomeCoverage{Share: 0.99999, Objects: 1})
+		Expect(lines[0]).To(HavePrefix("Coverage: 99.99%"))
+	})
+
 	It("writes a page for a quarter without data", func() {
 		var out bytes.Buffer
 		Expect(wasabireport.WriteHTML(&out, wasabiridge.OutcomeReport{Quarter: "2026Q4"})).To(Succeed())
