--- a/internal/wasabilease/bench_test.go
+++ b/internal/wasabilease/bench_test.go
@@ -8,32 +8,53 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitable"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
 
-// BenchmarkLease reports what one lease costs the table in all, by the number
-// of contenders, over ten minutes of virtual time.
+// BenchmarkLease reports what one lease costs the table in all, over an hour of
+// virtual time. Of the instances either three candidates or all contend.
 func BenchmarkLease(b *testing.B) {
-	const span = 10 * wasabiridge.Minute
-	for _, n := range []int{1, 3, 9, 370} {
-		b.Run(fmt.Sprintf("contenders=%d", n), func(b *testing.B) {
-			for range b.N {
-				clock := wasabiclock.NewVirtual(wasabiridge.Day)
-				t := &leaseTest{clock: clock, table: wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock})}
-				var all []*contender
-				for i := range n {
-					c := t.contender(wasabiridge.InstanceID(fmt.Sprint(i)), 1, clock)
-					c.feed(wasabilease.Contended{Wanted: true})
-					all = append(all, c)
-				}
-				for end := clock.Now() + span; clock.Now() < end; clock.Advance(500) {
-					for _, c := range all {
-						c.feed(wasabilease.Ticked{})
-					}
+	timings := map[string]struct {
+		timing     wasabilease.Timing
+		candidates int
+	}{
+		"rollout": {candidates: 3},
+		"sweep":   {timing: wasabilease.Timing{TTL: 10 * wasabiridge.Minute}, candidates: 370},
+	}
+	for _, name := range wasabitest.Names(timings) {
+		for _, n := range []int{9, 37, 370} {
+			b.Run(fmt.Sprintf("%s/instances=%d", name, n), func(b *testing.B) {
+				for range b.N {
+					t := timings[name]
+					reads, writes := leaseCost(n, t.candidates, t.timing)
+					b.ReportMetric(writes, "writes/s")
+					b.ReportMetric(reads, "reads/s")
 				}
-				seconds := float64(span) / 1000
-				b.ReportMetric(float64(t.table.Stats().Writes)/seconds, "writes/s")
-				b.ReportMetric(float64(t.table.Stats().Reads)/seconds, "reads/s")
-			}
-		})
+			})
+		}
+	}
+}
+
+func leaseCost(n, candidates int, timing wasabilease.Timing) (reads, writes float64) {
+	clock := wasabiclock.NewVirtual(wasabiridge.Day)
+	table := wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock})
+	var members []wasabiridge.InstanceID
+	for i := range n {
+		members = append(members, wasabiridge.InstanceID(fmt.Sprint(i)))
+	}
+	var all []*contender
+	for _, id := range members {
+		if wasabilease.IsCandidate("orders", id, members, candidates) {
+			c := &contender{machine: wasabilease.NewMachine("orders", id, 1, timing), table: table, clock: clock}
+			c.feed(wasabilease.Contended{Wanted: true})
+			all = append(all, c)
+		}
+	}
+	for end := clock.Now() + wasabiridge.Hour; clock.Now() < end; clock.Advance(wasabiridge.Second) {
+		for _, c := range all {
+			c.feed(wasabilease.Ticked{})
+		}
 	}
+	const seconds = 3600
+	return float64(table.Stats().Reads) / seconds, float64(table.Stats().Writes) / seconds
 }
--- a/internal/wasabirollout/export_test.go
+++ b/internal/wasabirollout/export_test.go
@@ -27,3 +27,18 @@
 }
 func (d *driver) Progress(now wasabiridge.Millis) wasabiridge.Rollout { return d.progress(now) }
 func (d *driver) SetPool(p wasabiridge.Pool)                          { d.setPool(p) }
+
+// IdleReads returns how often an instance without a rollout to drive reads the
+// rollout rows in the span.
+func IdleReads(self wasabiridge.InstanceID, span wasabiridge.Millis) int {
+	f, reads := newFleet(self, 1, Limits{}), 0
+	for now := wasabiridge.Day; now < wasabiridge.Day+span; now += 100 {
+		for _, e := range append([]fleetEffect(nil), f.handle(now, fleetTicked{})...) {
+			if _, ok := e.(listRows); ok {
+				reads++
+				f.handle(now, rowsListed{})
+			}
+		}
+	}
+	return reads
+}
--- a/internal/wasabirollout/fleet.go
+++ b/internal/wasabirollout/fleet.go
@@ -4,6 +4,8 @@
 	"sort"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiorder"
@@ -27,6 +29,10 @@
 	record   record
 	revision uint64
 	driver   *driver
+	// fencing is the number of the lease under which the pool is driven, and
+	// fresh the listing that has to be in before that.
+	fencing wasabiridge.FencingNumber
+	fresh   uint64
 	// writing is true while progress is on its way to the table.
 	writing   bool
 	writtenAt wasabiridge.Millis
@@ -40,9 +46,12 @@
 	limits    Limits
 	campaigns map[wasabiridge.PoolID]*campaign
 	listing   bool
-	listAt    wasabiridge.Millis
-	writes    uint64
-	effects   []fleetEffect
+	// lists counts listings that began; last is the one that worked last.
+	lists, last uint64
+	// listAt is when the rows are read next. It is zero before the first tick.
+	listAt  wasabiridge.Millis
+	writes  uint64
+	effects []fleetEffect
 }
 
 func newFleet(self wasabiridge.InstanceID, life wasabiridge.Incarnation, l Limits) *fleet {
@@ -87,6 +96,9 @@
 	for _, id := range f.pools() {
 		c, grant := f.campaigns[id], t.Grants[id]
 		driving = driving || grant.Covers(now, 0)
+		if !f.isFresh(now, c, grant) {
+			continue
+		}
 		pool, known := t.Config.Pool(id)
 		if known {
 			c.driver.setPool(pool)
@@ -94,8 +106,13 @@
 		}
 		f.report(now, id, c, grant, known)
 	}
+	if f.listAt == 0 {
+		// Instances that restart together read at different times.
+		f.listAt = now + wasabiridge.Millis(xxhash.Sum64String(string(f.self))%uint64(idlePoll))
+	}
 	if now >= f.listAt && !f.listing {
 		f.listing = true
+		f.lists++
 		f.listAt = now + idlePoll
 		if driving {
 			f.listAt = now + drivingPoll
@@ -104,6 +121,22 @@
 	}
 }
 
+// isFresh reports whether the row was read since the lease was taken.
+//
+// The failure it guards against: a rollout is paused or ended, its driver gives
+// the lease back, and another instance takes it while it still remembers the
+// rollout as running. It would give orders that nobody wants any more.
+func (f *fleet) isFresh(now wasabiridge.Millis, c *campaign, g wasabilease.Grant) bool {
+	if g.Fencing == 0 {
+		return true
+	}
+	if g.Fencing != c.fencing {
+		c.fencing, c.fresh = g.Fencing, f.lists+1
+		f.listAt = now
+	}
+	return f.last >= c.fresh
+}
+
 func (f *fleet) calls(id wasabiridge.PoolID, effects []courseEffect) {
 	for _, e := range effects {
 		f.effects = append(f.effects, callEngine{Pool: id, Call: e})
@@ -111,9 +144,16 @@
 }
 
 func (f *fleet) ended(now wasabiridge.Millis, e callEnded) {
-	if c := f.campaigns[e.Pool]; c != nil {
-		f.calls(e.Pool, c.driver.handle(now, e.Grant, e.Event))
+	c := f.campaigns[e.Pool]
+	if c == nil {
+		return
+	}
+	grant := e.Grant
+	if !f.isFresh(now, c, grant) {
+		// The course still has to hear that its call ended.
+		grant = wasabilease.Grant{}
 	}
+	f.calls(e.Pool, c.driver.handle(now, grant, e.Event))
 }
 
 func (f *fleet) listed(now wasabiridge.Millis, l rowsListed) {
@@ -121,6 +161,7 @@
 	if l.Err != nil {
 		return
 	}
+	f.last = f.lists
 	seen := make(map[wasabiridge.PoolID]bool)
 	for _, row := range l.Rows {
 		r, err := decodeRecord(row.Value)
--- a/internal/wasabirollout/keeper_test.go
+++ b/internal/wasabirollout/keeper_test.go
@@ -159,7 +159,9 @@
 }
 
 var sites = map[string]func(s *site){
-	"a rollout runs to its end, and one instance drives it": func(s *site) {
+	// The second instance takes the lease when the first gives it back. It
+	// still remembers the rollout as running, and ordered all engines again.
+	"a rollout runs to its end, and nobody drives it after that": func(s *site) {
 		a, stopA := s.boot("a")
 		defer stopA()
 		_, stopB := s.boot("b")
