--- a/internal/wasabicache/audit.go
+++ b/internal/wasabicache/audit.go
@@ -34,7 +34,7 @@
 	sv.owed = 0
 	switch e.Kind {
 	case wasabiridge.BlockStored:
-		p.set(now, s, e.Block, true)
+		p.set(now, s, e.Block, confirmedBit)
 	case wasabiridge.BlockEvicted:
 		p.evicted(now, s, e.Block)
 	case wasabiridge.CacheCleared:
--- a/internal/wasabicache/doc.go
+++ b/internal/wasabicache/doc.go
@@ -21,6 +21,12 @@
 // picture at once, without visiting any entry. The number of a life is used
 // again only after a scan has removed every entry that names it.
 //
+// # Claims
+//
+// A block that an engine was only asked to compute is held for choosing an
+// engine and not for claims, because the request that computes it may never
+// have reached the engine.
+//
 // # Memory
 //
 // Entries stand in one flat table of 40 bytes a slot with open addressing,
--- a/internal/wasabicache/hits.go
+++ b/internal/wasabicache/hits.go
@@ -25,15 +25,19 @@
 	Tokens float64
 	// Depth is the number of leading blocks that it may hold.
 	Depth int
-	// Firm is the number of leading blocks that it rather holds than not.
-	Firm int
+	// Firm is the number of leading blocks that it rather holds than not, or
+	// will when its queue is done. Shown is how many of them it has shown to
+	// hold.
+	Firm  int
+	Shown int
 }
 
 // walk is the state of one engine during one look.
 type walk struct {
-	round uint64
-	hit   int32
-	trust float64
+	round   uint64
+	hit     int32
+	trust   float64
+	pending bool
 }
 
 // Hits returns the engines that are believed to hold the beginning of the
@@ -85,8 +89,12 @@
 	sv.walk.trust = min(sv.walk.trust, p.trust(now, sv, h))
 	hit.Tokens += sv.walk.trust * float64((i+1-hit.Depth)*c.BlockTokens)
 	hit.Depth = i + 1
-	if sv.walk.trust >= believed {
-		hit.Firm = i + 1
+	if sv.walk.trust < believed {
+		return
+	}
+	hit.Firm = i + 1
+	if sv.walk.pending = sv.walk.pending || h.pending(); !sv.walk.pending {
+		hit.Shown = i + 1
 	}
 }
 
--- a/internal/wasabicache/picture.go
+++ b/internal/wasabicache/picture.go
@@ -198,11 +198,20 @@
 	}
 }
 
-// Touch tells that the engine holds the first n blocks of the chain, or will
-// soon, because it was just asked to compute them.
+// Touch tells that the engine holds the first n blocks of the chain.
 func (p *Picture) Touch(now wasabiridge.Millis, s ServerIndex, c wasabiridge.Chain, n int) {
 	for _, b := range c.Blocks[:min(n, len(c.Blocks))] {
-		p.set(now, s, b, false)
+		p.set(now, s, b, 0)
+	}
+}
+
+// Ask tells that the engine is asked to compute the chain. Blocks that it was
+// not known to hold count as held for choosing an engine, because whoever
+// follows finds them there. They are not claimed before the engine has shown
+// that it computed them: the request may never reach it.
+func (p *Picture) Ask(now wasabiridge.Millis, s ServerIndex, c wasabiridge.Chain) {
+	for _, b := range c.Blocks {
+		p.set(now, s, b, pendingBit)
 	}
 }
 
@@ -213,9 +222,9 @@
 	}
 }
 
-func (p *Picture) set(now wasabiridge.Millis, s ServerIndex, b wasabiridge.BlockHash, confirmed bool) {
+func (p *Picture) set(now wasabiridge.Millis, s ServerIndex, b wasabiridge.BlockHash, flags holder) {
 	sv := &p.servers[s]
-	h := newHolder(sv.life, tickOf(now), confirmed)
+	h := newHolder(sv.life, tickOf(now), flags)
 	replaced := p.entry(now, b).set(h)
 	if replaced.life() != h.life() {
 		sv.held++
@@ -289,7 +298,7 @@
 		age := h.stamp().age(tickOf(now))
 		switch {
 		case age > wrap/4 && p.trust(now, sv, h) > believed:
-			e.holders[i] = newHolder(h.life(), tickOf(now), h.confirmed())
+			e.holders[i] = newHolder(h.life(), tickOf(now), h.flags())
 		case p.trust(now, sv, h) < forgetTrust || age > wrap/3:
 			e.holders[i] = 0
 			sv.held--
--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -60,7 +60,7 @@
 		a.mark = p.homeMark(t, s, r.Chain)
 	}
 	p.picture.Heat(now, r.Chain)
-	p.picture.Touch(now, s, r.Chain, len(r.Chain.Blocks))
+	p.picture.Ask(now, s, r.Chain)
 	p.attempts[id] = a
 }
 
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -30,12 +30,14 @@
 	// blocks that are rather cached than not.
 	tokens float64
 	firm   int
-	mark   int
-	heir   bool
-	spill  bool
-	pull   float64
-	score  float64
-	wait   float64
+	// shown is how many of them the server has shown to hold.
+	shown int
+	mark  int
+	heir  bool
+	spill bool
+	pull  float64
+	score float64
+	wait  float64
 }
 
 // Placer implements wasabiridge.Placer. See the package comment.
@@ -107,7 +109,7 @@
 		if i := t.position(hit.Server); i >= 0 {
 			p.held = max(p.held, hit.Firm)
 			if c := p.consider(now, t, q, i); c != nil {
-				c.tokens, c.firm = hit.Tokens, hit.Firm
+				c.tokens, c.firm, c.shown = hit.Tokens, hit.Firm, hit.Shown
 				p.firm = max(p.firm, hit.Firm)
 			}
 		}
@@ -298,5 +300,5 @@
 	if p.picture.Incarnation(s) == 0 {
 		return 0
 	}
-	return c.firm
+	return c.shown
 }
