--- a/internal/wasabiplace/promise_test.go
+++ b/internal/wasabiplace/promise_test.go
@@ -215,9 +215,9 @@
 
 // Story: a technician's question goes to an engine because its manual is said
 // to be cached there, but the manual was cached by an earlier incarnation, for
-// another client account or by older weights. The answer starts late at best
-// and rests on the wrong cache at worst. The cause is news that comes late,
-// twice, out of order or not at all.
+// another client account, by older weights, or by a request that never reached
+// the engine. The answer starts late at best and rests on the wrong cache at
+// worst. The cause is news that comes late, twice, out of order or not at all.
 func TestClaimsOnlyWhatTheLifeHolds(t *testing.T) {
 	Expect := NewWithT(t).Expect
 	Expect(flag.Set("rapid.seed", strconv.Itoa(wasabitest.Seed))).To(Succeed())
