Backend: given up before a connection is not run; resume needs known weights

Cause: an attempt given up while dialling was reported as cancelled, so its claim could never be released although nothing ran. A resume under unknown weights was sent. Kept connections lived longer than those of common engine servers, so a request could go out on one just being closed.

--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -41,7 +41,8 @@
 // run sends the attempt and relays its answer.
 func (x *exchange) run(transport http.RoundTripper) wasabiridge.AttemptResult {
 	body, ok := extendBody(x.attempt)
-	if !ok {
+	if !ok || (x.attempt.ResumeFrom > 0 && x.attempt.Weights == 0) {
+		// A resumed answer of unknown weights could not be checked.
 		return wasabiridge.AttemptNotRun
 	}
 	x.wantsUsage = body.wantsUsage
@@ -135,7 +136,7 @@
 		return true
 	}
 	return resp.Header.Get(wasabiridge.HeaderResumedFrom) == strconv.Itoa(a.ResumeFrom) &&
-		(a.Weights == 0 || x.ended.Usage.Weights == a.Weights)
+		x.ended.Usage.Weights == a.Weights
 }
 
 // head hands over status and header. It reports false when the attempt is
--- a/internal/wasabibackend/runner.go
+++ b/internal/wasabibackend/runner.go
@@ -31,8 +31,11 @@
 	defaultSilence       = 20 * wasabiridge.Second
 	defaultEventBytes    = 1 << 20
 	defaultAnswerBytes   = 16 << 20
-	idleTimeout          = 60 * time.Second
 	maxHeaderBytes       = 64 << 10
+	// idleTimeout is below the five seconds after which common servers of
+	// engines close idle connections. A request that goes out just then meets
+	// a closed connection and may have run; closing first avoids it.
+	idleTimeout = 4 * time.Second
 )
 
 // keepAlive ends a connection whose other end vanished without a word, such as
@@ -140,7 +143,9 @@
 		},
 	}
 	x.ended.Result = x.run(r.transport(a))
-	if x.ended.Result != wasabiridge.AttemptCompleted && (ctx.Err() != nil || x.sinkFailed) {
+	// An attempt that was given up and is known not to have run stays so: a
+	// claim can only be released by that.
+	if x.ended.Result == wasabiridge.AttemptBroken && (ctx.Err() != nil || x.sinkFailed) {
 		x.ended.Result = wasabiridge.AttemptCancelled
 	}
 	return x.ended
