Claims: rows of a clock that is behind last, restarted holders are unknown at once

An instance mostly reads rows of its own, so the times of rows did not tell it that its clock is behind; its rows would have ended early and a late repeat run again. The time of other instances' messages now raises the time of rows. A member list tells which lives are over, where issuers are, and how many share the writes.

Conclusion: the test fails without the agreed time.

--- a/internal/wasabiclaim/bench_test.go
+++ b/internal/wasabiclaim/bench_test.go
@@ -104,7 +104,7 @@
 			r.schedule(wasabiridge.Millis(at), i, wasabiclaim.Asked(ask, q))
 		}
 		for at := wasabiridge.Millis(i % 20); at < span; at += 20 {
-			r.schedule(at, i, wasabiclaim.RowTicked{})
+			r.schedule(at, i, wasabiclaim.Ticked(n))
 		}
 	}
 	for r.plan.Len() > 0 && r.plan[0].at < span {
--- a/internal/wasabiclaim/cluster_test.go
+++ b/internal/wasabiclaim/cluster_test.go
@@ -92,6 +92,17 @@
 	net   *network
 	life  wasabiridge.Incarnation
 	stop  map[wasabiridge.InstanceID]context.CancelFunc
+	// members are the latest lives, under the network's lock.
+	members map[wasabiridge.InstanceID]wasabiridge.Member
+}
+
+func (c *cluster) heard() (out []wasabiridge.Member) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	for _, m := range c.members {
+		out = append(out, m)
+	}
+	return out
 }
 
 const start = 1000 * wasabiridge.Day
@@ -103,6 +114,8 @@
 		table: wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock}),
 		net:   &network{keepers: map[string]*wasabiclaim.Keeper{}},
 		stop:  map[wasabiridge.InstanceID]context.CancelFunc{},
+
+		members: map[wasabiridge.InstanceID]wasabiridge.Member{},
 	}
 	DeferCleanup(func() {
 		for id := range c.stop {
@@ -129,7 +142,7 @@
 	limits.WritesPerSecond = 1000
 	k := wasabiclaim.New(wasabiclaim.Options{
 		Self: id, Incarnation: c.life, Secret: []byte("secret"), Table: c.table, Peers: c.net, Clock: clock,
-		Locate: func(i wasabiridge.InstanceID) (string, bool) { return string(i), true }, Limits: limits, SweepEvery: -1,
+		Members: c.heard, AgreedNow: c.clock.Now, Limits: limits, SweepEvery: -1,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -142,6 +155,8 @@
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
 	c.net.keepers[string(id)] = k
+	entry := wasabiridge.InstanceEntry{ID: id, PeerAddress: string(id)}
+	c.members[id] = wasabiridge.Member{InstanceEntry: entry, Incarnation: c.life}
 	return k
 }
 
--- a/internal/wasabiclaim/export_test.go
+++ b/internal/wasabiclaim/export_test.go
@@ -32,6 +32,9 @@
 	return b
 }
 
+// Ticked returns the event of a tick among n instances.
+func Ticked(n int) RowTicked { return rowTicked{Instances: n} }
+
 func (b *rowBook) Handle(now wasabiridge.Millis, e RowEvent) []rowEffect { return b.handle(now, e) }
 
 // Asked returns the event of a caller's question.
--- a/internal/wasabiclaim/failure_test.go
+++ b/internal/wasabiclaim/failure_test.go
@@ -210,6 +210,23 @@
 		b.ask(b.b, wasabiridge.ClaimAnswered)
 	})
 
+	// The clock of one instance is a month behind. By its own time its rows
+	// would end at once, and a late repeat would run a second time.
+	It("keeps rows of an instance whose clock is behind", func() {
+		behind := b.startAhead("c", -30*wasabiridge.Day)
+		b.ask(behind, wasabiridge.ClaimGranted)
+		b.finish(behind, wasabiridge.Ran)
+		for i, k := range []*wasabiclaim.Keeper{b.a, b.b} {
+			b.key = "visit " + string(rune('a'+i))
+			b.ask(k, wasabiridge.ClaimGranted)
+		}
+		for range 3 {
+			Expect(b.a.Sweep(context.Background())).To(BeZero())
+		}
+		b.key = "visit 12"
+		b.ask(b.b, wasabiridge.ClaimAnswered)
+	})
+
 	It("sweeps rows after their retention", func() {
 		b.ask(b.a, wasabiridge.ClaimGranted)
 		b.finish(b.a, wasabiridge.Ran)
--- a/internal/wasabiclaim/horizon.go
+++ b/internal/wasabiclaim/horizon.go
@@ -12,6 +12,14 @@
 type horizon struct {
 	first, second wasabiridge.Millis
 	firstBy       wasabiridge.InstanceID
+	// agreed is what instances said of their time in messages. It only
+	// raises the time of new rows.
+	agreed wasabiridge.Millis
+}
+
+// agree takes a time from the messages of other instances.
+func (h *horizon) agree(at wasabiridge.Millis) {
+	h.agreed = max(h.agreed, at)
 }
 
 // observe takes the time that a row of the instance carries.
@@ -27,10 +35,10 @@
 	}
 }
 
-// raise returns the time to write into rows: the own clock, or the horizon
-// when the own clock is behind it.
+// raise returns the time to write into rows: the own clock, or what others
+// agree on when the own clock is behind that.
 func (h *horizon) raise(now wasabiridge.Millis) wasabiridge.Millis {
-	return max(now, h.second)
+	return max(now, h.second, h.agreed)
 }
 
 // limit returns the time up to which retentions count as ended.
--- a/internal/wasabiclaim/issuer.go
+++ b/internal/wasabiclaim/issuer.go
@@ -50,15 +50,6 @@
 	return out, nil
 }
 
-// locate returns where an issuer is reached. Without peers only the tickets of
-// this instance are decided.
-func (k *Keeper) locate(issuer wasabiridge.InstanceID) (string, bool) {
-	if k.options.Peers == nil || k.options.Locate == nil {
-		return "", false
-	}
-	return k.options.Locate(issuer)
-}
-
 func (k *Keeper) decideTicket(t ticket, q wasabiridge.ClaimQuery) wasabiridge.ClaimOutcome {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/wasabiclaim/keeper.go
+++ b/internal/wasabiclaim/keeper.go
@@ -38,13 +38,21 @@
 	Table  wasabiridge.Table
 	Peers  wasabiridge.PeerClient
 	Clock  wasabiridge.Clock
-	// Locate returns the peer address of a live instance. It reports false
-	// when the instance is not known. Without Peers or Locate only tickets
-	// of this instance are decided; the outcome of others is unknown.
-	Locate func(wasabiridge.InstanceID) (string, bool)
-	// Instances returns how many instances share the writes of the table.
-	// Nil means one.
+	// Members returns the instances that are known. They tell where issuers
+	// of tickets are reached, how many instances share the writes of the
+	// table, and which lives of instances are over. Without Members and Peers
+	// only tickets of this instance are decided; the outcome of others is
+	// unknown.
+	Members func() []wasabiridge.Member
+	// Locate returns the peer address of an instance, and Instances their
+	// number, in place of Members. Both may be nil.
+	Locate    func(wasabiridge.InstanceID) (string, bool)
 	Instances func() int
+	// AgreedNow returns a time that is no earlier than what other instances
+	// have said of theirs, such as the hybrid time of the time line. It keeps
+	// rows from ending early when the clock of this instance is behind. Nil
+	// leaves that to the times of rows.
+	AgreedNow func() wasabiridge.Millis
 	// SweepEvery is the pause between two sweeps of rows whose retention is
 	// over, by one instance for all. Zero means one hour, and a negative
 	// span never.
--- a/internal/wasabiclaim/keeper_test.go
+++ b/internal/wasabiclaim/keeper_test.go
@@ -142,6 +142,18 @@
 		b.finish(b.a, wasabiridge.Ran)
 		b.ask(b.b, wasabiridge.ClaimAnswered)
 	},
+	// The instance that runs a booking dies and comes back. Whoever repeats
+	// the booking elsewhere should not wait for a request that is gone.
+	"a holder that restarts": func(b *booking) {
+		b.ask(b.b, wasabiridge.ClaimGranted)
+		b.crash("b")
+		b.b = b.start("b", wasabiclaim.Limits{})
+		Eventually(func() wasabiridge.ClaimState {
+			out, err := b.a.Claim(context.Background(), b.query("again"))
+			Expect(err).NotTo(HaveOccurred())
+			return out.State
+		}).WithTimeout(5 * time.Second).Should(Equal(wasabiridge.ClaimUnknown))
+	},
 	// An instance dies with a claim and comes back under its own name. It
 	// remembers nothing, and the request of its former life may have run.
 	"an instance that restarts under the same name": func(b *booking) {
--- a/internal/wasabiclaim/rowbook.go
+++ b/internal/wasabiclaim/rowbook.go
@@ -82,6 +82,7 @@
 	stalls  int
 	probeAt wasabiridge.Millis
 	horizon horizon
+	lives   lives
 	effects []rowEffect
 }
 
@@ -131,6 +132,9 @@
 	case rowRead:
 		b.read(now, e)
 	case rowTicked:
+		b.setInstances(e.Instances)
+		b.lives = e.Lives
+		b.horizon.agree(e.Agreed)
 		b.retry(now)
 	}
 	b.flush(now)
@@ -286,7 +290,7 @@
 	switch {
 	case r.State == recordAnswered:
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimAnswered, Answer: r.answer()}
-	case r.State == recordRunning && now-r.Written <= b.limits.RunLimit:
+	case r.State == recordRunning && now-r.Written <= b.limits.RunLimit && !b.lives.isOver(r.Holder, r.Incarnation):
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimRunning}
 	default:
 		return unknownNotSent()
--- a/internal/wasabiclaim/rowevents.go
+++ b/internal/wasabiclaim/rowevents.go
@@ -32,7 +32,14 @@
 }
 
 // rowTicked says that time has passed.
-type rowTicked struct{}
+type rowTicked struct {
+	// Instances share the writes of the table.
+	Instances int
+	// Lives are the incarnations that were heard of.
+	Lives lives
+	// Agreed is a time that is no earlier than that of other instances.
+	Agreed wasabiridge.Millis
+}
 
 func (claimAsked) isRowEvent()     {}
 func (claimAbandoned) isRowEvent() {}
--- a/internal/wasabiclaim/run.go
+++ b/internal/wasabiclaim/run.go
@@ -38,6 +38,7 @@
 // decide owns the row book.
 func (k *Keeper) decide(ctx context.Context, commits, jobs chan<- rowEffect) {
 	book := newRowBook(k.options.Self, k.options.Incarnation, k.options.Limits)
+	book.handle(k.options.Clock.Now(), k.ticked())
 	waiting := make(map[uint64]chan wasabiridge.ClaimOutcome)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -64,10 +65,7 @@
 			}
 		case event = <-k.results:
 		case <-ticker.C:
-			event = rowTicked{}
-			if k.options.Instances != nil {
-				book.setInstances(k.options.Instances())
-			}
+			event = k.ticked()
 		case <-ctx.Done():
 			return
 		}
@@ -87,6 +85,20 @@
 	}
 }
 
+// ticked returns what the row book has to know of the world, and tells the
+// ticket book.
+func (k *Keeper) ticked() rowTicked {
+	members := k.members()
+	t := rowTicked{Instances: k.instances(members), Lives: livesOf(members)}
+	if k.options.AgreedNow != nil {
+		t.Agreed = k.options.AgreedNow()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tickets.lives = t.Lives
+	return t
+}
+
 // answerAsker hands a decision to the caller that waits for it. A caller that
 // left is not in the map any more.
 func answerAsker(waiting map[uint64]chan wasabiridge.ClaimOutcome, r replyClaim) {
--- a/internal/wasabiclaim/ticketbook.go
+++ b/internal/wasabiclaim/ticketbook.go
@@ -82,6 +82,7 @@
 	// again; time in the book therefore never goes back.
 	latest wasabiridge.Millis
 	claims map[uint64]*ticketClaim
+	lives  lives
 	// order holds claims in the order of their first mention.
 	order *list.List
 	kept  *answerRing
@@ -152,7 +153,7 @@
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimMismatch}
 	case c.phase == phaseRunning && c.holder == h:
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimGranted}
-	case c.phase == phaseRunning && now-c.granted <= b.limits.RunLimit:
+	case c.phase == phaseRunning && now-c.granted <= b.limits.RunLimit && !b.lives.isOver(c.holder.Instance, c.holder.Incarnation):
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimRunning}
 	case c.phase == phaseAnswered:
 		return wasabiridge.ClaimOutcome{State: wasabiridge.ClaimAnswered, Answer: c.answer}
--- a/internal/wasabirollout/export_test.go
+++ b/internal/wasabirollout/export_test.go
@@ -1,8 +1,11 @@
 package wasabirollout
 
 import (
+	"context"
+
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiorder"
 )
 
 // The driver and the decoder of rows, for tests.
@@ -42,3 +45,6 @@
 	}
 	return reads
 }
+
+// Send gives an order as the workers do.
+func (k *Keeper) Send(ctx context.Context, e wasabiorder.SendOrder) error { return k.send(ctx, e) }
--- a/internal/wasabirollout/keeper_test.go
+++ b/internal/wasabirollout/keeper_test.go
@@ -15,6 +15,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifault"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiobject"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiorder"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirollout"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitable"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
@@ -244,6 +245,16 @@
 		s.expectAll(2)
 		s.Expect(s.current(a).State).To(Equal("done"))
 	},
+	// The driver decides on an order, and the process stands still for longer
+	// than the order may take. Its lease may be over by then.
+	"an order that waited too long is not sent": func(s *site) {
+		a, stop := s.boot("a")
+		defer stop()
+		order := wasabiorder.SendOrder{Server: s.config.Pools[0].Backends[0], Before: s.clock.Now() + wasabiridge.Second}
+		time.Sleep(time.Second)
+		s.fails(a.Send(context.Background(), order), wasabiridge.ErrUnavailable)
+		s.Expect(s.given()).To(BeZero())
+	},
 	"what cannot be started": func(s *site) {
 		a, stop := s.boot("a")
 		defer stop()
