Gateway: keep the answer of a booking whose caller leaves at its very end

Cause: the relay learned at once that the attempt had finished and that the caller was gone. When it heard of the caller first, no attempt was running any more, so it gave the request up without taking the answer from the outlet, and an empty body was kept for the repeat. Ruled out: an early word of the attempt's end (it is posted after the outlet is filled); a data race (none reported).

--- a/internal/wasabigateway/claim_test.go
+++ b/internal/wasabigateway/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -107,6 +108,24 @@
 		}
 	})
 
+	// The caller's connection breaks just as the booking is done. The router
+	// learns of both at once; when it heard of the caller first, it kept an
+	// empty answer, and the repeat got a booking without its number.
+	It("keep the answer when their caller leaves at its very end", func() {
+		for range 40 {
+			r := specRig(nil)
+			ctx, leave := context.WithCancel(context.Background())
+			r.runner.set(func(c context.Context, n int, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+				sink.Sent()
+				leave()
+				return whole(http.StatusCreated, `{"number":1}`)(c, n, a, sink)
+			})
+			r.server.Config.Handler.ServeHTTP(httptest.NewRecorder(), booking("k").request(r.server.URL).WithContext(ctx))
+			Eventually(r.claims.finished).Should(HaveLen(1))
+			Expect(r.do(booking("k")).text).To(Equal(`{"number":1}`))
+		}
+	})
+
 	// The service hangs. The caller must hear at its deadline that the booking
 	// may have run, and the repeat must still get the number once it is there.
 	It("answer at the deadline and keep what comes after it", func() {
--- a/internal/wasabigateway/relay.go
+++ b/internal/wasabigateway/relay.go
@@ -237,7 +237,7 @@
 		return
 	}
 	l.gone = true
-	if l.request.Action.NonIdempotent && l.hasRunning() {
+	if l.request.Action.NonIdempotent && l.mayAnswer() {
 		l.orphan()
 		return
 	}
@@ -248,6 +248,15 @@
 	l.gateway.options.Log.Debug().Str(wasabilog.RequestField, string(l.call.id)).Msg("Caller left.")
 }
 
+// mayAnswer reports whether an attempt runs or has just finished. A caller may
+// leave between the end of the attempt and the moment its answer is taken from
+// the outlet; giving up then would keep an empty answer for the repeat.
+func (l *relay) mayAnswer() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.finished || len(l.running) > 0
+}
+
 // orphan bounds the life of attempts whose caller left.
 func (l *relay) orphan() {
 	timer := time.AfterFunc(orphanTimeout, func() { l.cancel(0) })
