--- a/internal/wasabibackend/trap_test.go
+++ b/internal/wasabibackend/trap_test.go
@@ -1,11 +1,9 @@
 package wasabibackend_test
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -21,90 +19,6 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiserver"
 )
 
-// cutAfterRun makes the service run a booking and then close the connection
-// without a byte of answer, as a server does that dies at that moment.
-var cutAfterRun = wasabiserver.Fault{Point: wasabiserver.BeforeHeaders, Manner: wasabiserver.Abort}
-
-var _ = Describe("non-idempotent attempts", func() {
-	// Story: a dispatcher books a visit once and two vans drive. The router
-	// holds a kept connection to the booking service; the service executes
-	// the booking and dies before it answers. net/http takes the closed
-	// connection for a stale one and, because of the Idempotency-Key header,
-	// sends the booking again on a new connection.
-	It("net/http alone runs a booking twice", func() {
-		service := newService()
-		transport := &http.Transport{}
-		defer transport.CloseIdleConnections()
-		send := func(key string) error {
-			req, err := http.NewRequest(http.MethodPost, service.URL()+"/bookings", bytes.NewReader([]byte("{}")))
-			Expect(err).NotTo(HaveOccurred())
-			req.Header.Set("Idempotency-Key", key)
-			resp, err := transport.RoundTrip(req)
-			if err != nil {
-				return err
-			}
-			_, err = io.Copy(io.Discard, resp.Body)
-			resp.Body.Close()
-			return err
-		}
-		Expect(send("warm-up")).To(Succeed())
-		service.Inject(cutAfterRun)
-		Expect(send("visit")).To(Succeed())
-		Expect(service.Executions("visit")).To(Equal(2), "the trap that the runner must avoid")
-	})
-
-	DescribeTable("run once when the service dies after running them", func(change func(*wasabiridge.Attempt)) {
-		service := newService()
-		runner := newRunner(wasabibackend.Options{})
-		warm := bookingOf(service.Backend(), "warm-up")
-		warm.NonIdempotent = false
-		first, _ := run(runner, warm)
-		Expect(first.Result).To(Equal(wasabiridge.AttemptCompleted))
-
-		service.Inject(cutAfterRun)
-		visit := bookingOf(service.Backend(), "visit")
-		change(&visit)
-		ended, s := run(runner, visit)
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken), "it may have run")
-		Expect(s.sent).To(Equal(1))
-		Expect(service.Total()).To(Equal(2), "warm-up and visit")
-	},
-		Entry("with a body", func(*wasabiridge.Attempt) {}),
-		Entry("without a body", func(a *wasabiridge.Attempt) { a.Body = nil }),
-		Entry("with the other key header", func(a *wasabiridge.Attempt) {
-			a.Header = http.Header{"X-Idempotency-Key": {"visit"}}
-		}),
-	)
-
-	It("believes a refusal that says not run", func() {
-		service := newService()
-		service.Refuse(1)
-		ended, s := run(newRunner(wasabibackend.Options{}), bookingOf(service.Backend(), "visit"))
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
-		Expect(ended.Overloaded).To(BeTrue())
-		Expect(ended.RetryAfter).To(Equal(2 * wasabiridge.Second))
-		Expect(s.status).To(BeZero(), "nothing of a refused attempt reaches the caller")
-		Expect(service.Total()).To(BeZero())
-	})
-
-	// Story: a caller writes the header of a trusted refusal into its own
-	// request, and a service that echoes headers sends it back after running
-	// the booking. The header must not reach the service.
-	It("does not let a caller forge the refusal", func() {
-		var got http.Header
-		url := serve(func(w http.ResponseWriter, r *http.Request) { got = r.Header.Clone() })
-		b := wasabiridge.BackendServer{ID: "echo", Kind: wasabiridge.BackendService, URL: url}
-		a := bookingOf(b, "visit")
-		a.Header.Set(wasabiridge.HeaderDisposition, "not_run")
-		a.Header.Set("Authorization", "Bearer caller-key")
-		ended, _ := run(newRunner(wasabibackend.Options{}), a)
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
-		Expect(got.Get(wasabiridge.HeaderDisposition)).To(BeEmpty())
-		Expect(got.Get("Authorization")).To(BeEmpty(), "the caller's key stays here")
-		Expect(got.Get("Idempotency-Key")).To(Equal("visit"))
-	})
-})
-
 // serve starts a server for one handler that ends with the spec.
 func serve(h http.HandlerFunc) string {
 	GinkgoHelper()
@@ -190,79 +104,6 @@
 	})
 })
 
-var _ = Describe("attempts that did not run", func() {
-	It("are those without a connection", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		url := "http://" + listener.Addr().String()
-		listener.Close()
-		ended, s := run(newRunner(wasabibackend.Options{}), streamOf(
-			wasabiridge.BackendServer{ID: "gone", Kind: wasabiridge.BackendEngine, URL: url}))
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
-		Expect(s.sent).To(BeZero())
-	})
-
-	// Story: a dispatcher's call drops while the router still dials the
-	// booking service. The claim stays taken for ever, although nothing ran.
-	It("are those given up before a connection was had", func() {
-		service := newService()
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		s := &sink{}
-		ended := newRunner(wasabibackend.Options{}).Run(ctx, bookingOf(service.Backend(), "visit"), s)
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
-		Expect(s.sent).To(BeZero())
-	})
-
-	DescribeTable("are those that cannot be sent", func(change func(*wasabiridge.Attempt)) {
-		e := newEngine(wasabiengine.Options{})
-		a := streamOf(e.Backend())
-		change(&a)
-		ended, s := run(newRunner(wasabibackend.Options{}), a)
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
-		Expect(s.sent).To(BeZero())
-		Expect(e.Served()).To(BeZero())
-	},
-		Entry("body is not JSON", func(a *wasabiridge.Attempt) { a.Body = []byte(`{"cache_salt":"x",}`) }),
-		Entry("body is not an object", func(a *wasabiridge.Attempt) { a.Body = []byte(`[]`) }),
-		Entry("resume under unknown weights", func(a *wasabiridge.Attempt) { a.ResumeFrom = 3 }),
-		Entry("no address", func(a *wasabiridge.Attempt) { a.Backend.URL = "::" }),
-	)
-
-	DescribeTable("are those an engine refuses for its versions", func(change func(*wasabiridge.Attempt)) {
-		e := newEngine(wasabiengine.Options{})
-		a := streamOf(e.Backend())
-		change(&a)
-		ended, s := run(newRunner(wasabibackend.Options{}), a)
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptNotRun))
-		Expect(ended.Usage.Weights).To(BeEquivalentTo(1))
-		Expect(s.status).To(BeZero())
-		Expect(e.Served()).To(BeZero())
-	},
-		Entry("other weights", func(a *wasabiridge.Attempt) { a.Weights = 2 }),
-		Entry("an earlier life", func(a *wasabiridge.Attempt) { a.Incarnation = 9 }),
-	)
-
-	// Story: a proxy of the operator's own stands before an engine and
-	// answers 503 after the engine had begun. Without the trusted form the
-	// request may have run.
-	DescribeTable("are not those with a plain refusal", func(status int) {
-		url := serve(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Retry-After", "3")
-			w.WriteHeader(status)
-		})
-		ended, s := run(newRunner(wasabibackend.Options{}), streamOf(
-			wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url}))
-		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
-		Expect(ended.Overloaded).To(BeTrue())
-		Expect(ended.RetryAfter).To(Equal(3 * wasabiridge.Second))
-		Expect(s.status).To(BeZero())
-	},
-		Entry("503", http.StatusServiceUnavailable),
-		Entry("429", http.StatusTooManyRequests),
-	)
-})
-
 // Story: a technician's answer repeats its first half after an engine died.
 // The second engine did not know how to resume and began from the first
 // token; or it had newer weights, and the second half belongs to another
--- a/internal/wasabidemo/caller.go
+++ b/internal/wasabidemo/caller.go
@@ -20,6 +20,10 @@
 
 const (
 	answerTokens = 24
+	// longTokens is the length of an answer that takes long enough for an
+	// engine to die in its middle, and diesAt the token at which it does.
+	longTokens = 80
+	diesAt     = 10
 	// askers is how many prompts are sent at once.
 	askers = 3
 	// askAgain is the pause between two questions for a booking that runs.
@@ -115,13 +119,13 @@
 }
 
 // ask streams the answer to one prompt from the first address.
-func (c *caller) ask(ctx context.Context, prompt string, onText func(string)) (answer, error) {
+func (c *caller) ask(ctx context.Context, prompt string, tokens int, onText func(string)) (answer, error) {
 	a := answer{prompt: prompt}
 	var body []byte
 	var err error
 	if body, err = json.Marshal(chatRequest{
 		Model: "stairlift", Stream: true, StreamOptions: streamOptions{IncludeUsage: true},
-		MaxTokens: answerTokens, Messages: []chatMessage{{Role: "user", Content: prompt}},
+		MaxTokens: tokens, Messages: []chatMessage{{Role: "user", Content: prompt}},
 	}); err != nil {
 		return a, wasabiridge.ErrInvalid.Wrap(err, "demo: prompt")
 	}
@@ -172,7 +176,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			answers[i], errs[i] = c.ask(ctx, prompt, func(string) {})
+			answers[i], errs[i] = c.ask(ctx, prompt, answerTokens, func(string) {})
 		})
 	}
 	running.Wait()
--- a/internal/wasabidemo/demo.go
+++ b/internal/wasabidemo/demo.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
@@ -66,7 +67,7 @@
 	prompts := nestedPrompts()
 	fmt.Fprintf(out, "\nFirst answer, as it streams:\n ")
 	var first answer
-	if first, err = c.ask(ctx, prompts[0], func(text string) { fmt.Fprint(out, text) }); err != nil {
+	if first, err = c.ask(ctx, prompts[0], answerTokens, func(text string) { fmt.Fprint(out, text) }); err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "\n\nSending %d more prompts that share manuals and service histories ...\n", len(prompts)-1)
@@ -75,9 +76,42 @@
 		return err
 	}
 	newFigures(append(answers, first)).print(out)
+	if err = crash(ctx, out, s, c, prompts[0]); err != nil {
+		return err
+	}
 	return book(ctx, out, s)
 }
 
+// crash asks a question twice. The second time the engine that answers dies
+// half way, and both answers must be the same.
+func crash(ctx context.Context, out io.Writer, s *stage, c *caller, prompt string) error {
+	var whole, resumed strings.Builder
+	if _, err := c.ask(ctx, prompt, longTokens, func(text string) { whole.WriteString(text) }); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\nAn engine dies in the middle of an answer:\n ")
+	words, died := 0, false
+	if _, err := c.ask(ctx, prompt, longTokens, func(text string) {
+		resumed.WriteString(text)
+		fmt.Fprint(out, text)
+		if words++; words != diesAt {
+			return
+		}
+		var id wasabiridge.BackendServerID
+		if id, died = s.crashBusy(); died {
+			fmt.Fprintf(out, " [%s dies]", id)
+		}
+	}); err != nil {
+		return err
+	}
+	same := whole.String() == resumed.String()
+	fmt.Fprintf(out, "\n  the same answer as without the crash: %t\n", same)
+	if !same || !died {
+		return wasabiridge.ErrInvalid.New("demo: crashed %t, same answer %t", died, same)
+	}
+	return nil
+}
+
 // book sends one booking twice, to both routers, under one key.
 func book(ctx context.Context, out io.Writer, s *stage) error {
 	const key = "visit-12-frederick-street"
--- a/internal/wasabidemo/demo_test.go
+++ b/internal/wasabidemo/demo_test.go
@@ -23,6 +23,8 @@
 			MatchRegexp(`prefix hit rate       [1-9]`),
 			MatchRegexp(`time to first token   p50 \d+ ms, p95 \d+ ms`),
 			MatchRegexp(`recomputed tokens     \d+`),
+			MatchRegexp(`\[answer-\d dies\]`),
+			ContainSubstring("the same answer as without the crash: true"),
 			ContainSubstring("the service executed it 1 time(s)"),
 			ContainSubstring("repeat: true"),
 		))
--- a/internal/wasabidemo/stage.go
+++ b/internal/wasabidemo/stage.go
@@ -26,6 +26,7 @@
 	loopback    = "127.0.0.1:0"
 	liftwellKey = "liftwell-demo-key"
 	selamKey    = "selam-demo-key"
+	operatorKey = "operator-demo-key"
 	blockTokens = 256
 	engineCount = 4
 	// answerLifetime is how long a leaving router still accepts requests.
@@ -128,8 +129,9 @@
 	d, err = wasabidaemon.New(wasabidaemon.Options{
 		Settings: wasabisettings.Settings{
 			Instance: id, Zone: zones[i], ConfigFile: file,
-			Caller: wasabisettings.Listener{Listen: loopback},
-			Drain:  wasabisettings.Drain{AnswerLifetime: answerLifetime, Limit: drainLimit},
+			Caller:   wasabisettings.Listener{Listen: loopback},
+			Operator: wasabisettings.OperatorListener{Listener: wasabisettings.Listener{Listen: loopback}},
+			Drain:    wasabisettings.Drain{AnswerLifetime: answerLifetime, Limit: drainLimit},
 		},
 		Clock:   s.clock,
 		Claimer: claims,
@@ -163,6 +165,19 @@
 	return members
 }
 
+// crashBusy ends the life of the engine that is answering and starts its next
+// one, with a cold cache. It reports false when none is answering.
+func (s *stage) crashBusy() (wasabiridge.BackendServerID, bool) {
+	for _, e := range s.engines {
+		if e.Load().Running == 0 {
+			continue
+		}
+		e.Crash()
+		return e.Backend().ID, e.Start(loopback) == nil
+	}
+	return "", false
+}
+
 // drain makes the routers leave and waits for them.
 func (s *stage) drain() error {
 	for _, d := range s.routers {
@@ -201,7 +216,7 @@
 func (s *stage) explain(out io.Writer) {
 	fmt.Fprintf(out, "\nEverything stays up until you interrupt it.\n\n")
 	for i, d := range s.routers {
-		fmt.Fprintf(out, "router-%d   %s   zone %s\n", i+1, d.URL(), zones[i])
+		fmt.Fprintf(out, "router-%d   %s   operators %s   zone %s\n", i+1, d.URL(), d.OperatorURL(), zones[i])
 	}
 	for _, e := range s.engines {
 		fmt.Fprintf(out, "%s   %s   engine\n", e.Backend().ID, e.URL())
@@ -209,16 +224,18 @@
 	fmt.Fprintf(out, "%s %s   plain service\n", s.service.Backend().ID, s.service.URL())
 	fmt.Fprintf(out, "platform   %s   table, objects, weights, instances\n", s.platform.URL())
 	fmt.Fprintf(out, "\nKeys: %s (liftwell), %s (selam-mix). Configuration: %s\n", liftwellKey, selamKey, s.folder)
-	fmt.Fprintf(out, curlLines, s.routers[0].URL(), liftwellKey)
+	fmt.Fprintf(out, lines, s.routers[0].URL(), liftwellKey, s.routers[0].OperatorURL(), operatorKey)
 }
 
-// curlLines takes the address of a router and the key of a client account.
-const curlLines = `
+// lines takes the address of a router and the key of a client account, then the
+// same for operators.
+const lines = `
 curl -N %[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -H 'Content-Type: application/json' \
   -d '{"model":"stairlift","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Code E4?"}]}'
 curl -i %[1]s/bookings -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: visit-1' -d '{"house":"12 Frederick St"}'
-curl %[1]s/v1/addresses?zone=san-fernando -H 'Authorization: Bearer %[2]s'
+curl '%[1]s/v1/addresses?zone=san-fernando' -H 'Authorization: Bearer %[2]s'
 curl %[1]s/v1/models -H 'Authorization: Bearer %[2]s'
+go run ./cmd/wasabictl timeline --since 1m --address %[3]s --key %[4]s
 `
 
 func (s *stage) config() wasabiridge.Config {
@@ -232,7 +249,8 @@
 	service.Zone = zones[0]
 	pools[1].Backends = append(pools[1].Backends, service)
 	return wasabiridge.Config{
-		Version: 1,
+		Version:           1,
+		OperatorKeyHashes: []string{hashOf(operatorKey)},
 		Accounts: []wasabiridge.ClientAccount{
 			{ID: "liftwell", KeyHashes: []string{hashOf(liftwellKey)}, Pools: []wasabiridge.PoolID{"answer", "bookings"}},
 			{ID: "selam-mix", KeyHashes: []string{hashOf(selamKey)}, Pools: []wasabiridge.PoolID{"answer"}},
--- a/internal/wasabiengine/engine.go
+++ b/internal/wasabiengine/engine.go
@@ -147,6 +147,9 @@
 	return weights
 }
 
+// Load tells what is inside the engine now, without lag.
+func (e *Engine) Load() wasabiridge.LoadReport { return e.core.load() }
+
 // Served counts the answers that were begun.
 func (e *Engine) Served() int { return int(e.served.Load()) }
 
