One encoder of rows and one agenda for simulations

Three packages wrote the same encoder and two tests the same queue of events.

Conclusion: same behaviour, less code.

--- a/internal/wasabiclaim/bench_test.go
+++ b/internal/wasabiclaim/bench_test.go
@@ -1,7 +1,6 @@
 package wasabiclaim_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -13,34 +12,12 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
 
-// planned is one event of a simulation in virtual time.
-type planned struct {
-	at    wasabiridge.Millis
-	order int
-	book  int
-	event wasabiclaim.RowEvent
-}
-
-type plan []planned
-
-func (p plan) Len() int { return len(p) }
-func (p plan) Less(i, j int) bool {
-	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].order < p[j].order
-}
-func (p plan) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
-func (p *plan) Push(x any)   { *p = append(*p, x.(planned)) }
-func (p *plan) Pop() any {
-	last := (*p)[len(*p)-1]
-	*p = (*p)[:len(*p)-1]
-	return last
-}
-
 // rowRun counts what claims by row cost, in virtual time.
 type rowRun struct {
 	books                        []*wasabiclaim.RowBook
 	rows                         map[string]wasabiridge.Row
-	plan                         plan
-	order                        int
+	agenda                       wasabitest.Agenda
+	now                          wasabiridge.Millis
 	asked                        map[uint64]wasabiridge.Millis
 	queries                      map[uint64]wasabiridge.ClaimQuery
 	transactions, changes, reads int
@@ -51,25 +28,23 @@
 const tableDelay = 8
 
 func (r *rowRun) schedule(at wasabiridge.Millis, book int, e wasabiclaim.RowEvent) {
-	r.order++
-	heap.Push(&r.plan, planned{at: at, order: r.order, book: book, event: e})
+	r.agenda.Add(at, func() { r.step(book, e) })
 }
 
-func (r *rowRun) step() {
-	p := heap.Pop(&r.plan).(planned)
-	for _, effect := range r.books[p.book].Handle(p.at, p.event) {
+func (r *rowRun) step(book int, e wasabiclaim.RowEvent) {
+	for _, effect := range r.books[book].Handle(r.now, e) {
 		switch e := effect.(type) {
 		case wasabiclaim.CommitBatch:
 			r.commit(e)
-			r.schedule(p.at+tableDelay, p.book, wasabiclaim.BatchCommitted{ID: e.Transaction.ID})
+			r.schedule(r.now+tableDelay, book, wasabiclaim.BatchCommitted{ID: e.Transaction.ID})
 		case wasabiclaim.ReadRow:
 			r.reads++
-			r.schedule(p.at+tableDelay, p.book, wasabiclaim.RowRead{Key: e.Key, Number: e.Number, Row: r.rows[e.Key]})
+			r.schedule(r.now+tableDelay, book, wasabiclaim.RowRead{Key: e.Key, Number: e.Number, Row: r.rows[e.Key]})
 		case wasabiclaim.ReplyClaim:
 			r.granted++
-			r.waited += p.at - r.asked[e.Ask]
+			r.waited += r.now - r.asked[e.Ask]
 			result := wasabiridge.ClaimResult{Query: r.queries[e.Ask], Disposition: wasabiridge.Ran}
-			r.schedule(p.at+300, p.book, wasabiclaim.ClaimEnded{Result: result})
+			r.schedule(r.now+300, book, wasabiclaim.ClaimEnded{Result: result})
 		}
 	}
 }
@@ -107,9 +82,7 @@
 			r.schedule(at, i, wasabiclaim.Ticked(n))
 		}
 	}
-	for r.plan.Len() > 0 && r.plan[0].at < span {
-		r.step()
-	}
+	r.agenda.Run(span-1, func(at wasabiridge.Millis) { r.now = at })
 	return r
 }
 
--- a/internal/wasabiclaim/record.go
+++ b/internal/wasabiclaim/record.go
@@ -3,9 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirecord"
 )
 
 // rowPrefix starts the keys of all claim rows.
@@ -50,21 +50,14 @@
 	return rowPrefix + hex.EncodeToString(h.Sum(nil)[:20])
 }
 
-func encodeRecord(r record) []byte {
-	value, err := json.Marshal(r)
-	if err != nil {
-		// A struct of strings, numbers and bytes always encodes.
-		panic(err)
-	}
-	return value
-}
+func encodeRecord(r record) []byte { return wasabirecord.Encode(r) }
 
 // decodeRecord reads the value of a claim row. It reports ErrInvalid for
 // anything that encodeRecord does not write.
 func decodeRecord(value []byte) (record, error) {
 	var r record
-	if err := json.Unmarshal(value, &r); err != nil {
-		return record{}, wasabiridge.ErrInvalid.New("claim: row is not a record")
+	if err := wasabirecord.Decode("claim", value, &r); err != nil {
+		return record{}, err
 	}
 	switch r.State {
 	case recordRunning, recordUnknown, recordFree:
--- a/internal/wasabilease/record.go
+++ b/internal/wasabilease/record.go
@@ -1,9 +1,8 @@
 package wasabilease
 
 import (
-	"encoding/json"
-
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirecord"
 )
 
 // rowPrefix starts the keys of all lease rows.
@@ -19,22 +18,15 @@
 
 func (r record) isFree() bool { return r.Holder == "" }
 
-func encodeRecord(r record) []byte {
-	value, err := json.Marshal(r)
-	if err != nil {
-		// A struct of strings and numbers always encodes.
-		panic(err)
-	}
-	return value
-}
+func encodeRecord(r record) []byte { return wasabirecord.Encode(r) }
 
 // decodeRecord reads the value of a lease row. It reports ErrInvalid for a
 // value that names no fencing number, because taking such a row over would
 // start the numbers again.
 func decodeRecord(value []byte) (record, error) {
 	var r record
-	if err := json.Unmarshal(value, &r); err != nil {
-		return record{}, wasabiridge.ErrInvalid.New("lease: row is not a record")
+	if err := wasabirecord.Decode("lease", value, &r); err != nil {
+		return record{}, err
 	}
 	if r.Fencing == 0 {
 		return record{}, wasabiridge.ErrInvalid.New("lease: row without fencing number")
--- a/internal/wasabiorder/world_test.go
+++ b/internal/wasabiorder/world_test.go
@@ -1,7 +1,6 @@
 package wasabiorder_test
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiorder"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
 
 // engine is a small model of a model engine that takes orders.
@@ -53,8 +53,7 @@
 type world struct {
 	clock  *wasabiclock.Virtual
 	rng    *rand.Rand
-	queue  plan
-	order  int
+	agenda wasabitest.Agenda
 	calm   bool
 	nodes  []*node
 	engine map[wasabiridge.BackendServerID]*engine
@@ -73,38 +72,14 @@
 	courses map[wasabiridge.BackendServerID]*wasabiorder.Course
 }
 
-type planned struct {
-	at    wasabiridge.Millis
-	order int
-	run   func()
-}
-
-type plan []planned
-
-func (p plan) Len() int { return len(p) }
-func (p plan) Less(i, j int) bool {
-	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].order < p[j].order
-}
-func (p plan) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
-func (p *plan) Push(x any)   { *p = append(*p, x.(planned)) }
-func (p *plan) Pop() any {
-	last := (*p)[len(*p)-1]
-	*p = (*p)[:len(*p)-1]
-	return last
-}
-
 func (w *world) after(span wasabiridge.Millis, run func()) {
-	w.order++
-	heap.Push(&w.queue, planned{at: w.clock.Now() + span, order: w.order, run: run})
+	w.agenda.Add(w.clock.Now()+span, run)
 }
 
 func (w *world) run(until wasabiridge.Millis) {
-	for w.queue.Len() > 0 && w.queue[0].at <= until {
-		p := heap.Pop(&w.queue).(planned)
-		w.clock.Advance(p.at - w.clock.Now())
-		p.run()
-	}
-	w.clock.Advance(until - w.clock.Now())
+	move := func(at wasabiridge.Millis) { w.clock.Advance(at - w.clock.Now()) }
+	w.agenda.Run(until, move)
+	move(until)
 }
 
 func (w *world) chance(p float64) bool { return !w.calm && w.rng.Float64() < p }
--- a/internal/wasabirollout/record.go
+++ b/internal/wasabirollout/record.go
@@ -1,9 +1,8 @@
 package wasabirollout
 
 import (
-	"encoding/json"
-
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirecord"
 )
 
 const (
@@ -22,21 +21,14 @@
 
 func rowKey(pool wasabiridge.PoolID) string { return rowPrefix + string(pool) }
 
-func encodeRecord(r record) []byte {
-	value, err := json.Marshal(r)
-	if err != nil {
-		// A struct of strings and numbers always encodes.
-		panic(err)
-	}
-	return value
-}
+func encodeRecord(r record) []byte { return wasabirecord.Encode(r) }
 
 // decodeRecord reads the value of a rollout row. It reports ErrInvalid for a
 // row without a pool, weights or a known state.
 func decodeRecord(value []byte) (record, error) {
 	var r record
-	if err := json.Unmarshal(value, &r); err != nil {
-		return record{}, wasabiridge.ErrInvalid.New("rollout: row is not a record")
+	if err := wasabirecord.Decode("rollout", value, &r); err != nil {
+		return record{}, err
 	}
 	if r.Current.Pool == "" || r.Current.Weights == 0 {
 		return record{}, wasabiridge.ErrInvalid.New("rollout: row without pool or weights")
