--- /dev/null
+++ b/internal/wasabimember/driver_test.go
@@ -0,0 +1,267 @@
+package wasabimember_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabimember"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestMember(t *testing.T) {
+	wasabitest.Run(t, "member")
+}
+
+const (
+	// tickEvery is twice the time between the ticks of the daemon, which makes
+	// the runs shorter and what they find slower.
+	tickEvery = 100 * wasabiridge.Millis(1)
+	// begin is where the virtual time of a run begins. Incarnations count from
+	// it, so that messages are as long as in earnest.
+	begin = 1_764_000_000_000 * wasabiridge.Millis(1)
+)
+
+// delivery is an event on its way to an instance.
+type delivery struct {
+	at    wasabiridge.Millis
+	order int
+	to    int
+	event wasabimember.Event
+	// from is who gets the answer to an Asked. It is -1 for other events.
+	from int
+}
+
+type queue []delivery
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(delivery)) }
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+type node struct {
+	id      wasabiridge.InstanceID
+	machine *wasabimember.Machine
+	// down drops all events; paused keeps deliveries until it ends.
+	down, paused bool
+	waiting      []delivery
+	messages     int
+	bytes        int
+	changes      int
+	// alive is what the changes add up to.
+	alive    map[wasabiridge.InstanceID]bool
+	backends map[wasabiridge.BackendServerID]bool
+	config   wasabiridge.ConfigVersion
+}
+
+func (n *node) changed(m wasabiridge.Member) {
+	n.changes++
+	if m.Dead || m.Leaving {
+		delete(n.alive, m.ID)
+		return
+	}
+	n.alive[m.ID] = true
+}
+
+// driver runs machines in virtual time with seeded loss and delay.
+type driver struct {
+	now     wasabiridge.Millis
+	random  *rand.Rand
+	seed    uint64
+	loss    float64
+	delay   func(from, to int) wasabiridge.Millis
+	cut     func(from, to int) bool
+	nodes   []*node
+	entries []wasabiridge.InstanceEntry
+	queue   queue
+	order   int
+	// measure makes the driver count bytes, which takes time.
+	measure bool
+}
+
+func newDriver(count int, seed uint64, loss float64) *driver {
+	d := &driver{now: begin, random: rand.New(rand.NewPCG(seed, 1)), seed: seed, loss: loss}
+	d.delay = func(int, int) wasabiridge.Millis { return 1 + wasabiridge.Millis(d.random.Int64N(4)) }
+	d.cut = func(int, int) bool { return false }
+	for i := range count {
+		d.entries = append(d.entries, entryOf(i))
+	}
+	for i := range count {
+		d.nodes = append(d.nodes, &node{})
+		d.start(i, 1)
+	}
+	return d
+}
+
+func entryOf(i int) wasabiridge.InstanceEntry {
+	return wasabiridge.InstanceEntry{
+		ID:          wasabiridge.InstanceID(fmt.Sprintf("region-%d-%03d", i%4, i)),
+		PeerAddress: fmt.Sprintf("10.0.%d.%d:7400", i/250, i%250),
+		CallerURL:   fmt.Sprintf("http://10.0.%d.%d:8080", i/250, i%250),
+		Zone:        wasabiridge.AvailabilityZone(fmt.Sprintf("zone-%d", i%9)),
+		Region:      wasabiridge.Region(fmt.Sprintf("region-%d", i%4)),
+	}
+}
+
+// start begins a new life of an instance.
+func (d *driver) start(i int, life wasabiridge.Incarnation) {
+	*d.nodes[i] = node{
+		id: d.entries[i].ID,
+		machine: wasabimember.New(d.now, wasabimember.Options{
+			Self: d.entries[i], Incarnation: wasabiridge.Incarnation(begin) + life, Seed: d.seed*1000 + uint64(i),
+		}),
+		backends: map[wasabiridge.BackendServerID]bool{},
+		alive:    map[wasabiridge.InstanceID]bool{d.entries[i].ID: true},
+	}
+	d.post(i, wasabimember.Listed{Entries: d.entries}, 0)
+	if life == 1 {
+		d.post(i, wasabimember.Ticked{}, wasabiridge.Millis(d.random.Int64N(int64(tickEvery))))
+	}
+}
+
+func (d *driver) post(to int, e wasabimember.Event, after wasabiridge.Millis) {
+	d.push(delivery{at: d.now + after, to: to, event: e, from: -1})
+}
+
+func (d *driver) push(v delivery) {
+	d.order++
+	v.order = d.order
+	heap.Push(&d.queue, v)
+}
+
+// run lets time pass.
+func (d *driver) run(span wasabiridge.Millis) {
+	d.runUntil(d.now+span, func() bool { return false })
+}
+
+// runUntil lets time pass until done holds, which is looked at every 10 ms. It
+// returns the time that passed.
+func (d *driver) runUntil(end wasabiridge.Millis, done func() bool) wasabiridge.Millis {
+	begin, look := d.now, d.now
+	for len(d.queue) > 0 && d.queue[0].at <= end {
+		if d.queue[0].at >= look {
+			if done() {
+				return d.now - begin
+			}
+			look = d.queue[0].at + 10
+		}
+		v := heap.Pop(&d.queue).(delivery)
+		d.now = v.at
+		d.deliver(v)
+	}
+	d.now = end
+	return end - begin
+}
+
+func (d *driver) deliver(v delivery) {
+	n := d.nodes[v.to]
+	_, ticked := v.event.(wasabimember.Ticked)
+	if ticked {
+		d.post(v.to, v.event, tickEvery)
+	}
+	if n.down || (n.paused && ticked) {
+		return
+	}
+	if n.paused {
+		n.waiting = append(n.waiting, v)
+		return
+	}
+	d.handle(v)
+}
+
+func (d *driver) handle(v delivery) {
+	n := d.nodes[v.to]
+	for _, e := range n.machine.Handle(d.now, v.event) {
+		switch e := e.(type) {
+		case wasabimember.Exchange:
+			d.transmit(v.to, d.index(e.To), wasabimember.Asked{Heartbeat: e.Heartbeat}, e.Heartbeat)
+		case wasabimember.Reply:
+			d.transmit(v.to, v.from, wasabimember.Answered(e), e.Heartbeat)
+		case wasabimember.Changed:
+			n.changed(e.Member)
+		case wasabimember.BackendsLeaving:
+			for _, b := range e.Backends {
+				n.backends[b] = true
+			}
+		case wasabimember.Heard:
+			if e.Member.Config > n.config {
+				n.config = e.Member.Config
+				d.post(v.to, wasabimember.ConfigInForce{Version: n.config}, 10)
+			}
+		}
+	}
+}
+
+func (d *driver) index(id wasabiridge.InstanceID) int {
+	for i, e := range d.entries {
+		if e.ID == id {
+			return i
+		}
+	}
+	panic("unknown " + id)
+}
+
+func (d *driver) transmit(from, to int, e wasabimember.Event, h wasabiridge.Heartbeat) {
+	h.SentAt = d.now
+	size := 0
+	if d.measure {
+		size = proto.Size(wasabipeer.EncodeHeartbeat(h))
+	}
+	for _, i := range []int{from, to} {
+		d.nodes[i].messages++
+		d.nodes[i].bytes += size
+	}
+	if d.random.Float64() < d.loss || d.cut(from, to) {
+		return
+	}
+	d.push(delivery{at: d.now + d.delay(from, to), to: to, event: e, from: from})
+}
+
+// resume ends a pause. What arrived meanwhile is handled at once, late.
+func (d *driver) resume(i int) {
+	n := d.nodes[i]
+	n.paused = false
+	for _, v := range n.waiting {
+		d.handle(v)
+	}
+	n.waiting = nil
+}
+
+// sees reports whether all running instances count exactly the wanted ones
+// among the living.
+func (d *driver) sees(wanted int) bool {
+	for _, n := range d.nodes {
+		if !n.down && !n.paused && len(n.alive) != wanted {
+			return false
+		}
+	}
+	return true
+}
+
+// settle starts all and waits until everyone knows everyone.
+func (d *driver) settle(g Gomega) wasabiridge.Millis {
+	took := d.runUntil(d.now+2*wasabiridge.Minute, func() bool { return d.sees(len(d.nodes)) })
+	g.Expect(d.sees(len(d.nodes))).To(BeTrue(), "not all know each other after %d ms", took)
+	for i, n := range d.nodes {
+		g.Expect(n.machine.Alive()).To(HaveLen(len(d.nodes)), "instance %d", i)
+	}
+	d.run(15 * wasabiridge.Second)
+	return took
+}
--- /dev/null
+++ b/internal/wasabipeer/bench_test.go
@@ -0,0 +1,88 @@
+package wasabipeer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
+)
+
+const (
+	// segmentHeader is the size of the IPv4 and TCP headers with timestamps.
+	segmentHeader = 20 + 32
+	// segmentSize is the most that one segment carries on an Ethernet path.
+	segmentSize = 1448
+)
+
+// wire counts what its connections write. Every write is counted as its own
+// segments, each of them acknowledged by a segment without data, which is the
+// dearest that TCP does.
+type wire struct{ bytes, segments atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	wire *wire
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	c.wire.bytes.Add(int64(len(b)))
+	c.wire.segments.Add(int64((len(b) + segmentSize - 1) / segmentSize))
+	return c.Conn.Write(b)
+}
+
+func (w *wire) total() int64 { return w.bytes.Load() + 2*segmentHeader*w.segments.Load() }
+
+// steady is a heartbeat as it is sent when nothing happens.
+var steady = wasabiridge.Heartbeat{
+	From: wasabiridge.Member{
+		InstanceEntry: wasabiridge.InstanceEntry{ID: "region-3-369"},
+		Incarnation:   1764000000000, Sequence: 2, Config: 2_000_000, Age: wasabiridge.Minute,
+	},
+	SentAt: 1764000000000, Digest: 0xfeedfacecafebeef,
+}
+
+// BenchmarkExchange measures one steady exchange of heartbeats: its time, and
+// the bytes of both directions on the wire.
+func BenchmarkExchange(b *testing.B) {
+	RegisterTestingT(b)
+	secure := certificate()
+	for _, c := range []struct {
+		name    string
+		options wasabipeer.Options
+	}{{"key", wasabipeer.Options{Key: key}}, {"tls", wasabipeer.Options{TLS: secure}}} {
+		b.Run(c.name, func(b *testing.B) {
+			w := &wire{}
+			c.options.WrapConn = func(conn net.Conn) net.Conn { return countedConn{conn, w} }
+			server, err := wasabipeer.Listen("127.0.0.1:0", &handler{heartbeat: steady}, c.options)
+			Expect(err).NotTo(HaveOccurred())
+			client, err := wasabipeer.NewClient(c.options)
+			Expect(err).NotTo(HaveOccurred())
+			exchange := func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+				defer cancel()
+				if _, err := client.Exchange(ctx, server.Address(), steady); err != nil {
+					b.Fatal(err)
+				}
+			}
+			exchange()
+			opened := w.total()
+			for range 20 {
+				exchange()
+			}
+			before := w.total()
+			for b.Loop() {
+				exchange()
+			}
+			b.ReportMetric(float64(w.total()-before)/float64(b.N), "wire-B/op")
+			b.ReportMetric(float64(opened), "wire-B/connect")
+			client.Close()
+			server.Close(context.Background())
+		})
+	}
+}
--- a/internal/wasabipeer/client.go
+++ b/internal/wasabipeer/client.go
@@ -8,8 +8,10 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"github.com/wasabiridge/wasabiridge"
 	pb "github.com/wasabiridge/wasabiridge/internal/wasabipeer/wasabipeerpb"
@@ -19,6 +21,12 @@
 // that was used longest ago is closed.
 const maxConns = 64
 
+// maxSilent is how many calls in a row may run into their deadline before the
+// connection is given up. When a path is cut, TCP repeats lost data at longer
+// and longer intervals, up to minutes, and goes on waiting after the path is
+// back. A new connection finds the path at once.
+const maxSilent = 4
+
 // connectBackoff keeps attempts to reach a dead peer rare, and a peer that
 // came back is reached within seconds.
 var connectBackoff = grpc.ConnectParams{
@@ -31,6 +39,8 @@
 	used time.Time
 	// calls counts calls that run right now.
 	calls int
+	// silent counts calls in a row that ran into their deadline.
+	silent int
 }
 
 // Client calls other instances. It keeps one connection for each address that
@@ -114,10 +124,24 @@
 	return p, nil
 }
 
-func (c *Client) release(p *pooled) {
+// release ends a call. It gives the connection up when too many calls in a row
+// were not answered.
+func (c *Client) release(address string, p *pooled, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.calls--
+	if status.Code(err) != codes.DeadlineExceeded {
+		p.silent = 0
+		return
+	}
+	p.silent++
+	if p.silent < maxSilent || c.conns[address] != p {
+		return
+	}
+	delete(c.conns, address)
+	// Calls that still run on it fail now instead of at their deadline. The
+	// error of closing says nothing more.
+	_ = p.conn.Close()
 }
 
 // evict makes room for one more connection. Connections with running calls
@@ -161,7 +185,7 @@
 	if p, err = c.acquire(in.address); err != nil {
 		return err
 	}
-	defer c.release(p)
+	defer func() { c.release(in.address, p, err) }()
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, in.timeout)
--- a/internal/wasabipeer/codec.go
+++ b/internal/wasabipeer/codec.go
@@ -21,6 +21,7 @@
 		Leaving:     m.Leaving,
 		Suspect:     m.Suspect,
 		Dead:        m.Dead,
+		Vouched:     m.Vouched,
 		AgeMs:       uint64(max(m.Age, 0)),
 		PeerAddress: m.PeerAddress,
 		CallerUrl:   m.CallerURL,
@@ -53,6 +54,7 @@
 	out.Config = wasabiridge.ConfigVersion(m.Config)
 	out.Suspect = m.Suspect
 	out.Dead = m.Dead
+	out.Vouched = m.Vouched
 	out.Age = wasabiridge.Millis(m.AgeMs)
 	return out, nil
 }
--- a/internal/wasabipeer/peer_test.go
+++ b/internal/wasabipeer/peer_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"maps"
+	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -27,7 +29,7 @@
 	},
 	Others: []wasabiridge.Member{{
 		InstanceEntry: wasabiridge.InstanceEntry{ID: "sfo-1"},
-		Incarnation:   1, Suspect: true, Dead: true, Age: 250,
+		Incarnation:   1, Suspect: true, Dead: true, Vouched: true, Age: 250,
 	}},
 	LeavingBackends: []wasabiridge.BackendServerID{"dispatch-2"},
 	SentAt:          1234567890123,
@@ -121,6 +123,32 @@
 		close(h.block)
 	})
 
+	// Two zones lose each other for an hour. When the path is back, calls to
+	// the other side fail for two more minutes, because the old connection
+	// still waits for the next repetition of what was lost.
+	It("dials anew when a connection stays silent", func() {
+		o := wasabipeer.Options{Key: key}
+		address := serve(&handler{heartbeat: sample}, o).Address()
+		var dials atomic.Int32
+		o.WrapConn = func(c net.Conn) net.Conn {
+			if dials.Add(1) == 1 {
+				return &silentConn{Conn: c}
+			}
+			return c
+		}
+		client := connect(o)
+		for i := 0; ; i++ {
+			short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+			_, err := client.Exchange(short, address, sample)
+			cancel()
+			if err == nil {
+				break
+			}
+			Expect(i).To(BeNumerically("<", 20), "%v", err)
+		}
+		Expect(dials.Load()).To(BeNumerically(">", 1))
+	})
+
 	trusted := certificate()
 	stranger := certificate()
 	clients := map[string]struct {
@@ -176,6 +204,20 @@
 	}
 })
 
+// silentConn swallows everything from the first call on.
+type silentConn struct {
+	net.Conn
+	cut atomic.Bool
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if len(b) < 100 && !c.cut.Load() {
+		return c.Conn.Write(b)
+	}
+	c.cut.Store(true)
+	return len(b), nil
+}
+
 func serverless(c *tls.Config) *tls.Config {
 	return &tls.Config{RootCAs: c.RootCAs, GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return nil, nil }}
 }
--- a/peer.go
+++ b/peer.go
@@ -16,7 +16,10 @@
 	Suspect bool
 	// Dead says that the instance was given up.
 	Dead bool
-	// Age is how long ago the instance was given up.
+	// Vouched says that the sender just heard the instance, after it was
+	// asked whether it still reaches it.
+	Vouched bool
+	// Age is how long ago the state of the instance last changed.
 	Age Millis
 	// Heard is when news of the instance last came, by the local clock.
 	Heard Millis
