--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -2,16 +2,26 @@
 
 import "github.com/wasabiridge/wasabiridge"
 
+// open returns an attempt that has not ended, with its request. Both are nil
+// when there is none: news of an attempt that is over changes nothing.
+func (c *Core) open(r wasabiridge.RequestID, id wasabiridge.AttemptID) (*entry, *attempt) {
+	en := c.requests[r]
+	if en == nil {
+		return nil, nil
+	}
+	a := en.find(id)
+	if a == nil || a.over {
+		return nil, nil
+	}
+	return en, a
+}
+
 // sent moves an attempt forward before its first byte is handed to a
 // connection. From here on nobody may call the request "not run" unless the
 // backend server itself says so.
 func (c *Core) sent(now wasabiridge.Millis, e wasabiridge.AttemptSent) {
-	en := c.requests[e.Request]
-	if en == nil {
-		return
-	}
-	a := en.find(e.Attempt)
-	if a == nil || a.over {
+	en, a := c.open(e.Request, e.Attempt)
+	if a == nil {
 		return
 	}
 	a.disposition = a.disposition.Advance(wasabiridge.MaybeRun)
@@ -23,12 +33,8 @@
 
 // firstToken lets the first attempt that answers win and cancels the others.
 func (c *Core) firstToken(now wasabiridge.Millis, e wasabiridge.AttemptFirstToken) {
-	en := c.requests[e.Request]
-	if en == nil {
-		return
-	}
-	a := en.find(e.Attempt)
-	if a == nil || a.over || a.cancelled {
+	en, a := c.open(e.Request, e.Attempt)
+	if a == nil || a.cancelled {
 		return
 	}
 	a.firstToken = true
@@ -54,12 +60,8 @@
 
 // ended takes the result of an attempt and decides what follows.
 func (c *Core) ended(now wasabiridge.Millis, e wasabiridge.AttemptEnded) {
-	en := c.requests[e.Request]
-	if en == nil {
-		return
-	}
-	a := en.find(e.Attempt)
-	if a == nil || a.over {
+	en, a := c.open(e.Request, e.Attempt)
+	if a == nil {
 		return
 	}
 	a.over = true
