--- a/internal/wasabibackend/intake.go
+++ b/internal/wasabibackend/intake.go
@@ -176,7 +176,8 @@
 	i.transport.CloseIdleConnections()
 }
 
-// get asks a backend server. The caller closes the body.
+// get asks a backend server. The caller closes the body. It reports ErrNotFound
+// when the server answers but does not publish what was asked for.
 func (i *Intake) get(ctx context.Context, b wasabiridge.BackendServer, path, lastEvent string) (*http.Response, error) {
 	var req *http.Request
 	var err error
@@ -190,7 +191,12 @@
 	if resp, err = i.transport.RoundTrip(req); err != nil {
 		return nil, wasabiridge.ErrUnavailable.Wrap(err, "backend: %s of %s", path, b.ID)
 	}
-	if resp.StatusCode != http.StatusOK {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+		resp.Body.Close()
+		return nil, wasabiridge.ErrNotFound.New("backend: %s has no %s", b.ID, path)
+	default:
 		resp.Body.Close()
 		return nil, wasabiridge.ErrUnavailable.New("backend: %s of %s answers %d", path, b.ID, resp.StatusCode)
 	}
--- a/internal/wasabibackend/intake_test.go
+++ b/internal/wasabibackend/intake_test.go
@@ -111,6 +111,22 @@
 			HaveField("Kind", wasabiridge.CacheCleared)))
 	})
 
+	// Story: an engine that serves well gets no request. It publishes no load,
+	// and its 404 was taken for a sign that it is lost.
+	It("does not take an engine without load reports for lost", func() {
+		asked := make(chan string, 1024)
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.Path
+			w.WriteHeader(http.StatusNotFound)
+		})
+		n := watch(wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url})
+		for range 20 {
+			Eventually(asked, patience).Should(Receive())
+		}
+		Expect(n.take().lost).To(BeZero())
+		Expect(n.loads).To(BeEmpty())
+	})
+
 	It("speaks of blocks by the names that the router gave them", func() {
 		e := newEngine(small)
 		n := watch(e.Backend())
--- a/internal/wasabibackend/reader.go
+++ b/internal/wasabibackend/reader.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/joomcode/errorx"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -58,11 +59,16 @@
 		// The draw is between half and the whole, so its mean is three
 		// quarters.
 		wait := r.backoff.jitter(r.intake.loadSpan() * 4 / 3)
-		if err != nil {
+		switch {
+		case err == nil:
+			r.succeed(report)
+		case errorx.IsOfType(err, wasabiridge.ErrNotFound):
+			// An engine without load reports lives all the same.
+			r.failures = 0
+			wait = r.backoff.next()
+		default:
 			r.fail()
 			wait = r.backoff.next()
-		} else {
-			r.succeed(report)
 		}
 		r.intake.opts.Sleep(ctx, wait)
 	}
