--- a/internal/wasabicache/cache_test.go
+++ b/internal/wasabicache/cache_test.go
@@ -1,6 +1,7 @@
 package wasabicache_test
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 
@@ -167,3 +168,20 @@
 		runtime.KeepAlive(p)
 	}
 }
+
+// BenchmarkAudit reports the time to take one cache event.
+func BenchmarkAudit(b *testing.B) {
+	for _, levels := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("levels=%d", levels), func(b *testing.B) {
+			p := wasabicache.New(wasabicache.Options{})
+			e := event(1, wasabiridge.BlockStored, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				e.Block = wasabiridge.BlockHash((e.Sequence%uint64(levels) + 1) * 0x9e3779b97f4a7c15)
+				e.Kind = wasabiridge.CacheEventKind(e.Sequence / uint64(levels) % 2)
+				p.Audit(start, e)
+				e.Sequence++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/wasabiplace/place_test.go
@@ -0,0 +1,211 @@
+package wasabiplace_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestPlace(t *testing.T) {
+	wasabitest.Run(t, "place")
+}
+
+const (
+	start       wasabiridge.Millis = 1_000_000
+	blockTokens                    = 2048
+)
+
+func document(blocks ...wasabiridge.BlockHash) wasabiridge.Request {
+	return wasabiridge.Request{
+		Chain:  wasabiridge.Chain{Blocks: blocks, BlockTokens: blockTokens, Tokens: len(blocks)*blockTokens + 100},
+		Action: wasabiridge.Action{Pool: "answer"},
+	}
+}
+
+var _ = Describe("placer", func() {
+	var (
+		placer *wasabiplace.Placer
+		pool   wasabiridge.Pool
+		now    wasabiridge.Millis
+		next   wasabiridge.AttemptID
+	)
+	manual := document(1, 2, 3, 4, 5, 6, 7, 8)
+	place := func(r wasabiridge.Request, excluded ...wasabiridge.BackendServerID) wasabiridge.Placement {
+		p, ok := placer.Place(now, wasabiridge.PlaceQuery{Request: r, Pool: pool, Excluded: excluded})
+		Expect(ok).To(BeTrue())
+		return p
+	}
+	report := func(b wasabiridge.BackendServerID, incarnation wasabiridge.Incarnation, change func(*wasabiridge.LoadReport)) {
+		r := wasabiridge.LoadReport{Backend: b, Incarnation: incarnation, Taken: now}
+		change(&r)
+		placer.Observe(now, wasabiridge.LoadReported{Report: r})
+	}
+	reportAll := func() {
+		for _, b := range pool.Backends {
+			report(b.ID, 1, func(*wasabiridge.LoadReport) {})
+		}
+	}
+	serve := func(r wasabiridge.Request, p wasabiridge.Placement, cached int) {
+		next++
+		placer.Sent(now, r, next, p)
+		now += 400
+		placer.Observe(now, wasabiridge.AttemptFirstToken{Attempt: next})
+		now += 100
+		placer.Observe(now, wasabiridge.AttemptEnded{Attempt: next, Usage: wasabiridge.Usage{
+			PromptTokens: r.Chain.Tokens, CachedTokens: cached, Incarnation: 1,
+		}})
+	}
+	setUp := func(servers int, o wasabiplace.Options) {
+		placer, pool, now = wasabiplace.New(o), benchPool(servers), start
+		placer.Observe(now, wasabiridge.ConfigAdopted{Config: wasabiridge.Config{Pools: []wasabiridge.Pool{pool}}})
+		reportAll()
+	}
+	BeforeEach(func() { setUp(9, wasabiplace.Options{Seed: 1}) })
+
+	It("follows a prefix to the server that computed it", func() {
+		first := place(manual)
+		Expect(first.ClaimedTokens).To(BeZero())
+		serve(manual, first, 0)
+		again := place(document(1, 2, 3, 4, 5, 6, 7, 8, 9))
+		Expect(again.Backend.ID).To(Equal(first.Backend.ID))
+		Expect(again.ClaimedTokens).To(Equal(8 * blockTokens))
+		Expect(again.HeldTokens).To(Equal(8 * blockTokens))
+	})
+
+	// Story: two technicians ask about the same lift within a second. The
+	// second question is sent elsewhere, and the manual is read twice. The
+	// cause would be to count only prefixes whose computation is over.
+	It("sends requests after a prefix that is being computed, without a claim", func() {
+		first := place(manual)
+		placer.Sent(now, manual, 1, first)
+		second := place(manual)
+		Expect(second.Backend.ID).To(Equal(first.Backend.ID))
+		Expect(second.ClaimedTokens).To(BeZero())
+	})
+
+	It("holds requests back while their prefix is computed, when it is told to", func() {
+		setUp(9, wasabiplace.Options{Seed: 1, JoinLimit: 300})
+		placer.Sent(now, manual, 1, place(manual))
+		Expect(place(manual).Join).To(And(BeNumerically(">", now), BeNumerically("<=", now+300)))
+		placer.Observe(now, wasabiridge.AttemptFirstToken{Attempt: 1})
+		Expect(place(manual).Join).To(BeZero())
+	})
+
+	// Story: all routers restart at once. The first request for a document
+	// reaches each of them, and each has it read by another engine. The cause
+	// would be a first choice that depends on more than document and pool.
+	DescribeTable("sends an unknown document to the same server from every instance", func(servers int) {
+		var ids []wasabiridge.BackendServerID
+		for seed := range uint64(5) {
+			setUp(servers, wasabiplace.Options{Seed: seed})
+			ids = append(ids, place(manual).Backend.ID)
+		}
+		Expect(ids).To(HaveEach(ids[0]))
+	},
+		Entry("small pool", 9),
+		Entry("large pool", 1600),
+	)
+
+	DescribeTable("passes over the holder", func(news func(holder wasabiridge.BackendServerID)) {
+		holder := place(manual)
+		serve(manual, holder, 0)
+		news(holder.Backend.ID)
+		p := place(manual)
+		Expect(p.Backend.ID).NotTo(Equal(holder.Backend.ID))
+		Expect(p.ClaimedTokens).To(BeZero())
+	},
+		Entry("that is leaving", func(b wasabiridge.BackendServerID) {
+			placer.Observe(now, wasabiridge.BackendLeaving{Backend: b})
+		}),
+		Entry("that says that it is leaving", func(b wasabiridge.BackendServerID) {
+			report(b, 1, func(r *wasabiridge.LoadReport) { r.Leaving = true })
+		}),
+		Entry("that is lost", func(b wasabiridge.BackendServerID) {
+			placer.Observe(now, wasabiridge.BackendLost{Backend: b})
+		}),
+		Entry("that is lost, though an older report comes late", func(b wasabiridge.BackendServerID) {
+			placer.Observe(now, wasabiridge.BackendLost{Backend: b})
+			report(b, 1, func(r *wasabiridge.LoadReport) { r.Taken = now - 1 })
+		}),
+		Entry("with a long queue", func(b wasabiridge.BackendServerID) {
+			report(b, 1, func(r *wasabiridge.LoadReport) { r.Waiting, r.WaitingTokens = 4, 100*blockTokens })
+		}),
+	)
+
+	It("takes a lost server back when it reports again", func() {
+		holder := place(manual)
+		serve(manual, holder, 0)
+		placer.Observe(now, wasabiridge.BackendLost{Backend: holder.Backend.ID})
+		now += wasabiridge.Second
+		reportAll()
+		Expect(place(manual).Backend.ID).To(Equal(holder.Backend.ID))
+	})
+
+	// Story: an engine is drained, restarts, and is never used again. The
+	// cause would be a leaving that outlives the incarnation.
+	It("uses a server again after it left and came back", func() {
+		all := pool.Backends
+		for _, b := range all[1:] {
+			placer.Observe(now, wasabiridge.BackendLeaving{Backend: b.ID})
+		}
+		placer.Observe(now, wasabiridge.BackendLeaving{Backend: all[0].ID})
+		_, ok := placer.Place(now, wasabiridge.PlaceQuery{Request: manual, Pool: pool})
+		Expect(ok).To(BeFalse())
+		now += wasabiridge.Second
+		report(all[3].ID, 2, func(*wasabiridge.LoadReport) {})
+		Expect(place(manual).Backend.ID).To(Equal(all[3].ID))
+	})
+
+	It("adds what was sent since a late report was taken", func() {
+		now += 200
+		for i := range 9 {
+			r := document(wasabiridge.BlockHash(100+i), wasabiridge.BlockHash(200+i))
+			p := place(r)
+			placer.Sent(now, r, wasabiridge.AttemptID(50+i), p)
+		}
+		late := now - 100
+		for _, b := range pool.Backends {
+			report(b.ID, 1, func(r *wasabiridge.LoadReport) { r.Taken = late })
+		}
+		Expect(place(document()).ExpectedWait).To(BeNumerically("<", 10))
+		var waits []wasabiridge.Millis
+		for _, b := range pool.Backends {
+			var others []wasabiridge.BackendServerID
+			for _, o := range pool.Backends {
+				if o.ID != b.ID {
+					others = append(others, o.ID)
+				}
+			}
+			waits = append(waits, place(document(), others...).ExpectedWait)
+		}
+		Expect(waits).To(ContainElement(BeNumerically(">", 100)))
+	})
+
+	It("makes the same choices from the same seed", func() {
+		run := func() (ids []wasabiridge.BackendServerID) {
+			setUp(160, wasabiplace.Options{Seed: 7})
+			for i := range 300 {
+				r := document(wasabiridge.BlockHash(i%17+1), wasabiridge.BlockHash(i%50+100))
+				p := place(r)
+				serve(r, p, p.ClaimedTokens)
+				ids = append(ids, p.Backend.ID)
+			}
+			return ids
+		}
+		Expect(run()).To(Equal(run()))
+	})
+
+	It("decides without heap allocations in the steady state", func() {
+		w := newBenchWorld(160)
+		for i := range 3000 {
+			w.step(i, 2000)
+		}
+		q := wasabiridge.PlaceQuery{Request: wasabiridge.Request{Chain: w.chains[5]}, Pool: w.pool}
+		Expect(testing.AllocsPerRun(1000, func() { w.placer.Place(2100, q) })).To(BeZero())
+	})
+})
