Placement: cheap work in an idle pool, copies of hot levels, whole streams vouch for all entries

Cause: after a restart of all routers most of what the engines hold was never reported to the new ones, so it was forgotten by age although the stream reported no eviction. Two copies of a hot document were too few in bursts while other servers stood idle.

--- a/internal/wasabicache/audit.go
+++ b/internal/wasabicache/audit.go
@@ -34,7 +34,7 @@
 	sv.owed = 0
 	switch e.Kind {
 	case wasabiridge.BlockStored:
-		p.set(now, s, e.Block, confirmedBit)
+		p.set(now, s, e.Block, 0)
 	case wasabiridge.BlockEvicted:
 		p.evicted(now, s, e.Block)
 	case wasabiridge.CacheCleared:
--- a/internal/wasabicache/holder.go
+++ b/internal/wasabicache/holder.go
@@ -5,8 +5,8 @@
 const (
 	// tickLength is the resolution of the times in entries.
 	tickLength wasabiridge.Millis = 256
-	// tickMask holds the bits of a tick. Ticks wrap after 70 minutes.
-	tickMask = 1<<14 - 1
+	// tickMask holds the bits of a tick. Ticks wrap after 140 minutes.
+	tickMask = 1<<15 - 1
 	// wrap is the time after which ticks repeat.
 	wrap = tickLength * (tickMask + 1)
 )
@@ -23,27 +23,22 @@
 	return wasabiridge.Millis((now-t)&tickMask) * tickLength
 }
 
-// holder packs a life, two flags and a tick into 32 bits. The zero holder names
+// holder packs a life, a flag and a tick into 32 bits. The zero holder names
 // nobody.
 type holder uint32
 
-const (
-	// confirmedBit marks a holder that the engine's events named.
-	confirmedBit holder = 1 << 15
-	// pendingBit marks a holder that was asked to compute the block and has
-	// not shown yet that it did.
-	pendingBit holder = 1 << 14
-)
+// pendingBit marks a holder that was asked to compute the block and has not
+// shown yet that it did.
+const pendingBit holder = 1 << 15
 
 func newHolder(life uint16, stamp tick, flags holder) holder {
 	return holder(life)<<16 | flags | holder(stamp)
 }
 
-func (h holder) life() uint16    { return uint16(h >> 16) }
-func (h holder) stamp() tick     { return tick(h & tickMask) }
-func (h holder) flags() holder   { return h & (confirmedBit | pendingBit) }
-func (h holder) confirmed() bool { return h&confirmedBit != 0 }
-func (h holder) pending() bool   { return h&pendingBit != 0 }
+func (h holder) life() uint16  { return uint16(h >> 16) }
+func (h holder) stamp() tick   { return tick(h & tickMask) }
+func (h holder) flags() holder { return h & pendingBit }
+func (h holder) pending() bool { return h&pendingBit != 0 }
 
 // full reports whether the entry may know less than all holders.
 func (e *entry) full() bool {
@@ -80,8 +75,7 @@
 	for i, other := range e.holders {
 		if other.life() == h.life() {
 			// A block that was held stays held when it is asked for again.
-			flags := (h|other)&confirmedBit | h&other&pendingBit
-			e.holders[i] = newHolder(h.life(), h.stamp(), flags)
+			e.holders[i] = newHolder(h.life(), h.stamp(), h&other&pendingBit)
 			return other
 		}
 		age := wrap
--- a/internal/wasabicache/trust.go
+++ b/internal/wasabicache/trust.go
@@ -34,13 +34,15 @@
 }
 
 // trust is the chance that the holder still has the block. Age alone says
-// that it survived with the chance that decay gives. A confirmed holder whose
-// eviction was not reported either survived, or was evicted and the report was
-// lost; the chance of the first follows by Bayes' rule.
+// that it survived with the chance that decay gives. When the engine's stream
+// reported no eviction, the block either survived, or was evicted and the
+// report was lost; the chance of the first follows by Bayes' rule. That holds
+// for blocks that were never reported as stored, too: after a restart of the
+// router these are most of what the engine holds.
 func (p *Picture) trust(now wasabiridge.Millis, sv *server, h holder) float64 {
 	age := h.stamp().age(tickOf(now))
 	survived := decay(age, sv.lifetime)
-	if !h.confirmed() || p.silent(now, sv) || now-age < sv.whole {
+	if h.pending() || p.silent(now, sv) || now-age < sv.whole {
 		return survived
 	}
 	return survived / (survived + (1-survived)*max(sv.loss, leastLoss))
@@ -100,7 +102,7 @@
 	}
 	kept := n >= before.depth
 	sv.learn(before.age, kept)
-	if before.confirmed && !kept && !p.silent(at, sv) {
+	if !before.pending && !kept && !p.silent(at, sv) {
 		sv.lost(contradicted)
 	}
 }
@@ -108,10 +110,10 @@
 // Before is what was believed of a chain at an engine before an attempt was
 // sent there. The answer is compared with it.
 type Before struct {
-	life      uint16
-	depth     int
-	age       wasabiridge.Millis
-	confirmed bool
+	life    uint16
+	depth   int
+	age     wasabiridge.Millis
+	pending bool
 }
 
 // Alive reports whether the engine still is in the life in which b was taken.
@@ -136,7 +138,7 @@
 		}
 		b.depth = i + 1
 		b.age = h.stamp().age(tickOf(now))
-		b.confirmed = h.confirmed()
+		b.pending = h.pending()
 	}
 	return b
 }
--- a/internal/wasabiplace/homes.go
+++ b/internal/wasabiplace/homes.go
@@ -24,7 +24,12 @@
 	heirPull = 20
 	// heatHeadroom is how much more than its share of the pool a hot level is
 	// given, for bursts.
-	heatHeadroom = 1.25
+	heatHeadroom = 0.75
+	// spreadCalm is the mean queue up to which further copies of hot levels
+	// are made. spreadChance is how many requests for a level there are to
+	// one that makes a copy, so that about one of all instances does.
+	spreadCalm   = 0.25
+	spreadChance = 16
 	// firstSpillTrust is the chance that a server chosen for a further copy has
 	// it already for another instance, before anything is learned.
 	firstSpillTrust = 0.5
@@ -88,7 +93,8 @@
 	}
 	m := p.markBuffer[i]
 	tokens := float64(m.depth * q.Request.Chain.BlockTokens)
-	if !p.holdersBusy(now, t, m.depth, tokens) {
+	spread := p.spreads(t, m)
+	if !spread && !p.holdersBusy(now, t, m.depth, tokens) {
 		return
 	}
 	for _, home := range t.homesOf(q.Request.Chain.Blocks[m.depth-1]) {
@@ -102,10 +108,28 @@
 		if expected := p.spillTrust * tokens; expected > c.tokens {
 			c.tokens, c.spill = expected, true
 		}
+		c.spread = spread
 		return
 	}
 }
 
+// spreads reports whether this request is to make a further copy of a hot
+// level that has fewer holders than its share of the work needs. It does so
+// while the pool is calm: in a burst the wait for the few holders is longer
+// than the time to compute the level, and it is too late to begin then.
+func (p *Placer) spreads(t *table, m mark) bool {
+	if m.homes == 1 || t.waiting() > spreadCalm {
+		return false
+	}
+	holders := 0
+	for i := range p.candidates {
+		if p.candidates[i].firm >= m.depth {
+			holders++
+		}
+	}
+	return holders < m.homes && p.random.IntN(spreadChance) == 0
+}
+
 // holdersBusy reports whether the wait at every holder of a level is a good
 // part of the time to compute the level.
 func (p *Placer) holdersBusy(now wasabiridge.Millis, t *table, depth int, tokens float64) bool {
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -7,6 +7,10 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabicache"
 )
 
+// idleDelayed is how many requests a computed token is taken to delay in a
+// pool without queues.
+const idleDelayed = 0.3
+
 // maxDelayed bounds how many requests a computed token is taken to delay. When
 // more wait, those behind them are better sent elsewhere than held up.
 const maxDelayed = 4
@@ -35,9 +39,11 @@
 	mark  int
 	heir  bool
 	spill bool
-	pull  float64
-	score float64
-	wait  float64
+	// spread says that the server is to get a further copy now.
+	spread bool
+	pull   float64
+	score  float64
+	wait   float64
 }
 
 // Placer implements wasabiridge.Placer. See the package comment.
@@ -196,6 +202,9 @@
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		p.score(now, t, q.Request, c)
+		if c.spread {
+			return i
+		}
 		if best < 0 || c.score < p.candidates[best].score {
 			best = i
 		}
@@ -223,7 +232,7 @@
 	computed := max(0, float64(r.Chain.Tokens)-c.tokens)
 	work := computed * p.costOf(l)
 	c.wait = float64(m.distance) + l.wait(now, m.backend.Slots) + work
-	c.score = c.wait + p.priceOf(r, computed, work*(1+t.waiting())) - c.pull
+	c.score = c.wait + p.priceOf(r, computed, work*(idleDelayed+t.waiting())) - c.pull
 }
 
 // priceOf is what computing the tokens costs beyond its time. The work delays
