--- a/internal/wasabiplace/homes.go
+++ b/internal/wasabiplace/homes.go
@@ -82,10 +82,11 @@
 // considerSpill picks where a known level gets a further copy when all its
 // holders are busy: the first of its homes that does not hold it. Instances
 // that turn away from the same busy holders at the same time then meet there,
-// and the copy is computed once and not once for each of them.
+// and the copy is computed once and not once for each of them. A level that is
+// being computed for the first time gets no copy; requests for it wait.
 func (p *Placer) considerSpill(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) {
 	i := len(p.markBuffer) - 1
-	for i >= 0 && p.markBuffer[i].depth > p.firm {
+	for i >= 0 && p.markBuffer[i].depth > p.shown {
 		i--
 	}
 	if i < 0 {
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -59,9 +59,11 @@
 	spillTrust float64
 	round      uint64
 	// held is the most blocks of the chain that any server holds, firm the
-	// most that any candidate holds.
+	// most that any candidate holds or is computing, shown the most that any
+	// candidate has shown to hold.
 	held       int
 	firm       int
+	shown      int
 	candidates []candidate
 	markBuffer []mark
 }
@@ -110,13 +112,14 @@
 // gather collects the candidates of a decision.
 func (p *Placer) gather(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) {
 	chain := q.Request.Chain
-	p.held, p.firm = 0, 0
+	p.held, p.firm, p.shown = 0, 0, 0
 	for _, hit := range p.picture.Hits(now, chain) {
 		if i := t.position(hit.Server); i >= 0 {
 			p.held = max(p.held, hit.Firm)
 			if c := p.consider(now, t, q, i); c != nil {
 				c.tokens, c.firm, c.shown = hit.Tokens, hit.Firm, hit.Shown
 				p.firm = max(p.firm, hit.Firm)
+				p.shown = max(p.shown, hit.Shown)
 			}
 		}
 	}
