--- a/internal/wasabiplace/place_test.go
+++ b/internal/wasabiplace/place_test.go
@@ -17,7 +17,7 @@
 
 const (
 	start       wasabiridge.Millis = 1_000_000
-	blockTokens                    = 2048
+	blockTokens int                = 2048
 )
 
 func document(blocks ...wasabiridge.BlockHash) wasabiridge.Request {
