--- a/internal/wasabiconfig/keeper.go
+++ b/internal/wasabiconfig/keeper.go
@@ -77,6 +77,9 @@
 	// it again; everything else waits.
 	inbox   chan delivery
 	current atomic.Pointer[state]
+	// ended is closed when Run returns, so that an edit that the table took
+	// just before is still answered.
+	ended chan struct{}
 }
 
 type state struct {
@@ -102,13 +105,15 @@
 		options: o,
 		archive: archive{table: o.Table, writer: writer},
 		inbox:   make(chan delivery, inboxSize),
+		ended:   make(chan struct{}),
 	}
 	k.current.Store(&state{})
 	return k
 }
 
-// Run drives the machine until the context ends.
+// Run drives the machine until the context ends. It is called once.
 func (k *Keeper) Run(ctx context.Context) {
+	defer close(k.ended)
 	machine := NewMachine(k.options.Seed)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -165,16 +170,20 @@
 	k.deliver(ctx, TableRead{Document: d, Err: err})
 }
 
-// deliver waits for room and until the event was handled.
+// deliver waits for room and until the event was handled, or until nobody is
+// left to handle it.
 func (k *Keeper) deliver(ctx context.Context, e Event) {
 	d := delivery{event: e, done: make(chan struct{})}
 	select {
 	case k.inbox <- d:
+	case <-k.ended:
+		return
 	case <-ctx.Done():
 		return
 	}
 	select {
 	case <-d.done:
+	case <-k.ended:
 	case <-ctx.Done():
 	}
 }
--- a/internal/wasabiconfig/keeper_test.go
+++ b/internal/wasabiconfig/keeper_test.go
@@ -27,12 +27,13 @@
 
 	mu      sync.Mutex
 	keepers map[string]*wasabiconfig.Keeper
+	ends    map[string]context.CancelFunc
 }
 
 func newMesh() *mesh {
 	clock := wasabiclock.System()
 	table := wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock})
-	return &mesh{table: table, via: table, clock: clock, keepers: map[string]*wasabiconfig.Keeper{}}
+	return &mesh{table: table, via: table, clock: clock, keepers: map[string]*wasabiconfig.Keeper{}, ends: map[string]context.CancelFunc{}}
 }
 
 // start runs a keeper until the spec ends.
@@ -47,10 +48,14 @@
 	m.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
+	m.ends[name] = cancel
 	go k.Run(ctx)
 	return k
 }
 
+// stop ends a keeper.
+func (m *mesh) stop(name string) { m.ends[name]() }
+
 func (m *mesh) FetchConfig(ctx context.Context, address string) (wasabiridge.ConfigDocument, error) {
 	m.mu.Lock()
 	k := m.keepers[address]
@@ -217,6 +222,16 @@
 		Expect(a.Version()).To(BeEquivalentTo(1))
 	})
 
+	// An operator saves at an instance that is just shutting down. The table
+	// took the change, but nobody was left to put it in force there, and the
+	// operator's call hung.
+	It("answers an edit although the instance shuts down", func(ctx SpecContext) {
+		m := newMesh()
+		a := m.start("a", 1)
+		m.stop("a")
+		Expect(a.Put(ctx, 0, []byte(text("first")), "ana")).To(BeEquivalentTo(1))
+	})
+
 	It("takes the version from the survivor when the others restart with the store down", func(ctx SpecContext) {
 		m := newMesh()
 		survivor := m.start("survivor", 1)
