--- a/cmd/wasabirouter/main_test.go
+++ b/cmd/wasabirouter/main_test.go
@@ -87,12 +87,12 @@
 
 // writeSettings writes the files of one router that starts from a
 // configuration file.
-func writeSettings(t testing.TB, address string, engine *wasabiengine.Engine) string {
+func writeSettings(t testing.TB, address string, engine wasabiridge.BackendServer) string {
 	t.Helper()
 	sum := sha256.Sum256([]byte(key))
 	config, err := json.Marshal(wasabiridge.Config{
 		Accounts: []wasabiridge.ClientAccount{{ID: "liftwell", KeyHashes: []string{hex.EncodeToString(sum[:])}, Pools: []wasabiridge.PoolID{"answer"}}},
-		Pools:    []wasabiridge.Pool{{ID: "answer", Backends: []wasabiridge.BackendServer{engine.Backend()}}},
+		Pools:    []wasabiridge.Pool{{ID: "answer", Backends: []wasabiridge.BackendServer{engine}}},
 		Rules:    []wasabiridge.Rule{{ID: "all", Then: wasabiridge.Action{Pool: "answer"}}},
 	})
 	if err != nil {
@@ -157,7 +157,7 @@
 // must still end by itself with exit code 0.
 func TestSecondSIGTERMChangesNothing(t *testing.T) {
 	address := freeAddress(t)
-	cmd := command(t, "run", "--settings", writeSettings(t, address, startEngine(t)))
+	cmd := command(t, "run", "--settings", writeSettings(t, address, startEngine(t).Backend()))
 	var log bytes.Buffer
 	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
@@ -192,7 +192,7 @@
 		var wg sync.WaitGroup
 		for range routers {
 			address := freeAddress(b)
-			cmd := command(b, "run", "--settings", writeSettings(b, address, engine))
+			cmd := command(b, "run", "--settings", writeSettings(b, address, engine.Backend()))
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
--- /dev/null
+++ b/cmd/wasabirouter/overhead_test.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// The measurements run the router as a process of its own. The callers and the
+// engine share the process of the test, so that both ways of an answer, direct
+// and through the router, meet the same callers and the same engine.
+
+const openStreams = 200
+
+// event is one token as an engine sends it.
+const event = `data: {"id":"cmpl-1","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":" check"},"finish_reason":null,"token_ids":[17]}]}` + "\n\n"
+
+// newEngine starts a bare engine. It answers with the first token at once and
+// leaves the rest to the function.
+func newEngine(b *testing.B, rest func(w http.ResponseWriter, r *http.Request)) wasabiridge.BackendServer {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			_, _ = io.WriteString(w, `{"incarnation":1,"weights":1}`)
+			return
+		}
+		if r.Method != http.MethodPost {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, event)
+		w.(http.Flusher).Flush()
+		rest(w, r)
+	}))
+	b.Cleanup(server.Close)
+	return wasabiridge.BackendServer{ID: "e1", Kind: wasabiridge.BackendEngine, URL: server.URL}
+}
+
+// startRouter runs a router process and returns its base URL and its process.
+func startRouter(b *testing.B, engine wasabiridge.BackendServer) (string, *exec.Cmd) {
+	address := freeAddress(b)
+	cmd := command(b, "run", "--settings", writeSettings(b, address, engine))
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		_ = cmd.Wait()
+	})
+	ask(b, address)
+	return "http://" + address, cmd
+}
+
+// newClient returns a client that keeps a connection for each stream.
+func newClient(b *testing.B, streams int) *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: streams, DisableCompression: true}
+	b.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// promptOf returns a request with a prompt of about that many bytes.
+func promptOf(size int) []byte {
+	const sentence = "Check the rail sensor before the seat. "
+	return []byte(`{"model":"m","stream":true,"messages":[{"role":"system","content":"` +
+		strings.Repeat(sentence, size/len(sentence)) + `"},{"role":"user","content":"Code 17?"}]}`)
+}
+
+// manual is the size of a prompt of about 4,000 tokens.
+const manual = 16 << 10
+
+// open starts a stream and returns it behind its first token, with the time
+// that the token took.
+func open(b *testing.B, client *http.Client, base string, prompt []byte) (io.ReadCloser, *bufio.Reader, time.Duration) {
+	req, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(prompt))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	begun := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		b.Error(err)
+		return http.NoBody, bufio.NewReader(strings.NewReader("")), 0
+	}
+	reader := bufio.NewReader(resp.Body)
+	if line, err := reader.ReadString('\n'); err != nil || !strings.HasPrefix(line, "data: {") {
+		b.Errorf("no first token: %q, %v", line, err)
+	}
+	return resp.Body, reader, time.Since(begun)
+}
+
+func percentile(sorted []time.Duration, share float64) float64 {
+	return float64(sorted[int(share*float64(len(sorted)-1))].Microseconds()) / 1000
+}
+
+// BenchmarkFirstToken keeps 200 streams open, half of them direct and half
+// through the router, and compares the times to the first token.
+func BenchmarkFirstToken(b *testing.B) {
+	const tokens, pause, rounds = 20, 10 * time.Millisecond, 20
+	engine := newEngine(b, func(w http.ResponseWriter, _ *http.Request) {
+		for range tokens - 1 {
+			time.Sleep(pause)
+			_, _ = io.WriteString(w, event)
+			w.(http.Flusher).Flush()
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	router, _ := startRouter(b, engine)
+	client := newClient(b, openStreams)
+	prompt := promptOf(manual)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	took := [2][]time.Duration{}
+	for i := range openStreams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(i) * tokens * pause / openStreams)
+			for round := range rounds * max(1, b.N) {
+				way := (i + round) % 2
+				stream, rest, first := open(b, client, [2]string{engine.URL, router}[way], prompt)
+				_, _ = io.Copy(io.Discard, rest)
+				_ = stream.Close()
+				if round < 2 {
+					continue
+				}
+				mu.Lock()
+				took[way] = append(took[way], first)
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	for way := range took {
+		sort.Slice(took[way], func(i, j int) bool { return took[way][i] < took[way][j] })
+	}
+	for name, share := range map[string]float64{"p50": 0.5, "p99": 0.99} {
+		direct, routed := percentile(took[0], share), percentile(took[1], share)
+		b.ReportMetric(direct, "ms-direct-"+name)
+		b.ReportMetric(routed, "ms-routed-"+name)
+		b.ReportMetric(routed-direct, "ms-added-"+name)
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkRelay reads 200 streams as fast as they come.
+func BenchmarkRelay(b *testing.B) {
+	const tokens, perWrite = 10000, 50
+	batch := strings.Repeat(event, perWrite)
+	engine := newEngine(b, func(w http.ResponseWriter, _ *http.Request) {
+		for range tokens / perWrite {
+			_, _ = io.WriteString(w, batch)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	router, cmd := startRouter(b, engine)
+	client := newClient(b, openStreams)
+	before := cpuSeconds(b, cmd)
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for range openStreams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			stream, rest, _ := open(b, client, router, promptOf(manual))
+			defer stream.Close()
+			read, err := io.Copy(io.Discard, rest)
+			if err != nil || read < tokens*int64(len(event)) {
+				b.Errorf("stream of %d bytes, %v", read, err)
+			}
+		}()
+	}
+	wg.Wait()
+	total := float64(openStreams * tokens)
+	b.ReportMetric(total/time.Since(begun).Seconds(), "tokens/s")
+	b.ReportMetric((cpuSeconds(b, cmd)-before)*1e6/total, "router-cpu-us/token")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkStreamMemory opens streams that stand still after their first
+// token and measures by how much the router's resident memory grows.
+func BenchmarkStreamMemory(b *testing.B) {
+	for _, size := range []int{100, manual} {
+		b.Run(fmt.Sprintf("prompt=%d", size), func(b *testing.B) { measureMemory(b, promptOf(size)) })
+	}
+}
+
+func measureMemory(b *testing.B, prompt []byte) {
+	const streams, workers = 2000, 20
+	release := make(chan struct{})
+	engine := newEngine(b, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	defer close(release)
+	router, cmd := startRouter(b, engine)
+	client := newClient(b, streams)
+	before := residentKB(b, cmd)
+	var wg sync.WaitGroup
+	opened := make([]io.Closer, streams)
+	for worker := range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := worker; i < streams; i += workers {
+				opened[i], _, _ = open(b, client, router, prompt)
+			}
+		}()
+	}
+	wg.Wait()
+	b.ReportMetric(float64(residentKB(b, cmd)-before)/streams, "KB/stream")
+	b.ReportMetric(0, "ns/op")
+	for _, stream := range opened {
+		_ = stream.Close()
+	}
+}
+
+func residentKB(b *testing.B, cmd *exec.Cmd) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	if err != nil {
+		b.Skip("needs /proc")
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+	return kb
+}
+
+// cpuSeconds returns the processor time that a process took so far.
+func cpuSeconds(b *testing.B, cmd *exec.Cmd) float64 {
+	const ticksPerSecond = 100
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", cmd.Process.Pid))
+	if err != nil {
+		b.Skip("needs /proc")
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / ticksPerSecond
+}
