--- a/internal/wasabidaemon/config.go
+++ b/internal/wasabidaemon/config.go
@@ -39,6 +39,9 @@
 	}
 	d.parts.loop.Post(wasabiridge.ConfigAdopted{Config: next.config})
 	d.parts.intake.Watch(engines(next.config))
+	if d.parts.peers.members != nil && !next.fromFile {
+		d.parts.peers.members.SetConfig(next.config.Version)
+	}
 	d.log.Info().Uint64("version", uint64(next.config.Version)).Msg("Configuration adopted.")
 }
 
--- a/internal/wasabidaemon/daemon.go
+++ b/internal/wasabidaemon/daemon.go
@@ -149,6 +149,11 @@
 	return d.caller.url
 }
 
+// Entry describes this instance as the platform's list would.
+func (d *Daemon) Entry() wasabiridge.InstanceEntry {
+	return d.self()
+}
+
 // OperatorURL returns where operators reach this instance, or nothing when
 // the listener is off.
 func (d *Daemon) OperatorURL() string {
@@ -206,6 +211,9 @@
 	d.drain.Do(func() {
 		d.leaving.Store(true)
 		d.parts.book.Leave()
+		if d.parts.peers.members != nil {
+			d.parts.peers.members.Leave(context.Background())
+		}
 		d.parts.timeline.Record(wasabiridge.TimelineEvent{Kind: wasabiridge.EventLifecycle, Cause: "leaving"})
 		d.log.Info().Msg("Leaving; still accepting.")
 		wait := d.options.Settings.Drain.WithDefaults().AnswerLifetime + drainMargin
--- a/internal/wasabidaemon/daemon_test.go
+++ b/internal/wasabidaemon/daemon_test.go
@@ -78,7 +78,9 @@
 // runDaemon is startDaemon for tests that watch the end.
 func runDaemon(o wasabidaemon.Options) (*wasabidaemon.Daemon, <-chan error) {
 	GinkgoHelper()
-	o.Settings.Instance = "pos-1"
+	if o.Settings.Instance == "" {
+		o.Settings.Instance = "pos-1"
+	}
 	o.Settings.Zone = "port-of-spain"
 	o.Settings.Caller.Listen = "127.0.0.1:0"
 	d, err := wasabidaemon.New(o)
--- a/internal/wasabidaemon/operator.go
+++ b/internal/wasabidaemon/operator.go
@@ -51,14 +51,7 @@
 }
 
 func (d *Daemon) newCollector() *wasabitimeline.Collector {
-	return &wasabitimeline.Collector{Own: d.parts.timeline, Members: d.members}
-}
-
-func (d *Daemon) members() []wasabiridge.Member {
-	if d.options.Members == nil {
-		return nil
-	}
-	return d.options.Members()
+	return &wasabitimeline.Collector{Own: d.parts.timeline, Peers: d.peerClient(), Members: d.members}
 }
 
 // Status implements wasabiridge.StatusReader.
--- a/internal/wasabidaemon/parts.go
+++ b/internal/wasabidaemon/parts.go
@@ -52,6 +52,7 @@
 	outcomes *wasabioutcome.Recorder
 	config   *wasabiconfig.Keeper
 	rollouts *wasabirollout.Keeper
+	peers    peers
 	book     *wasabiaddress.Book
 	gateway  *wasabigateway.Gateway
 }
@@ -66,6 +67,9 @@
 	p.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: d.options.Clock})
 	p.metrics = wasabimetrics.New()
 	p.loop = d.newLoop()
+	if err := d.joinPeers(); err != nil {
+		return err
+	}
 	p.news = wasabibackend.NewRing(newsSize)
 	p.intake = wasabibackend.NewIntake(wasabibackend.IntakeOptions{
 		Clock: d.options.Clock, Ring: p.news, Seed: d.seed, EventStreams: eventStreams,
@@ -75,11 +79,12 @@
 	d.joinConfig()
 	p.book = wasabiaddress.New(wasabiaddress.Options{
 		Self:     d.self(),
-		Members:  d.options.Members,
+		Members:  d.members,
 		Lifetime: s.Drain.WithDefaults().AnswerLifetime,
 		Ticket:   d.ticket(),
 	})
 	p.gateway = d.newGateway()
+	p.peers.ready.Store(true)
 	return d.loadConfig()
 }
 
@@ -88,7 +93,7 @@
 	s := d.options.Settings
 	return wasabiridge.InstanceEntry{
 		ID: s.Instance, Zone: s.Zone, Region: s.Region,
-		CallerURL: d.caller.url, PeerAddress: s.Peer.Address,
+		CallerURL: d.caller.url, PeerAddress: d.peerAddress(),
 	}
 }
 
@@ -123,16 +128,23 @@
 	d.parts.claims = wasabiclaim.New(wasabiclaim.Options{
 		Self:        d.options.Settings.Instance,
 		Incarnation: d.incarnation,
-		Secret:      randomSecret(),
+		Secret:      d.ticketSecret(),
 		Table:       d.parts.platform.Table,
+		Peers:       d.peerClient(),
 		Clock:       d.options.Clock,
-		Locate:      func(wasabiridge.InstanceID) (string, bool) { return "", false },
+		Locate:      d.locate,
+		Instances:   func() int { return len(d.members()) + 1 },
 		Recorder:    d.parts.timeline,
 	})
 	d.options.Claimer = d.parts.claims
 }
 
-func randomSecret() []byte {
+// ticketSecret returns what authenticates tickets. Alone, an instance needs no
+// secret that others know.
+func (d *Daemon) ticketSecret() []byte {
+	if len(d.parts.peers.secret) > 0 {
+		return d.parts.peers.secret
+	}
 	secret := make([]byte, secretBytes)
 	// Read never fails; it ends the program when the system has no
 	// randomness.
@@ -171,6 +183,7 @@
 		Incarnation: d.incarnation,
 		Clock:       d.options.Clock,
 		Table:       d.parts.platform.Table,
+		Peers:       d.peerClient(),
 		Membership:  membership{daemon: d},
 		Adopted:     d.Adopt,
 		Log:         wasabilog.Part(d.log, "config"),
@@ -188,17 +201,6 @@
 	})
 }
 
-// membership tells the keeper of the configuration about other instances.
-type membership struct {
-	daemon *Daemon
-}
-
-// Members implements wasabiconfig.Membership.
-func (m membership) Members() []wasabiridge.Member { return m.daemon.members() }
-
-// Announce implements wasabiconfig.Membership.
-func (m membership) Announce(int) {}
-
 func (d *Daemon) newGateway() *wasabigateway.Gateway {
 	runner := d.options.Runner
 	if runner == nil {
@@ -227,6 +229,9 @@
 // startDuties starts the goroutines of the controllers.
 func (d *Daemon) startDuties(ctx context.Context) {
 	d.start(ctx, d.forwardNews)
+	if d.parts.peers.members != nil {
+		d.start(ctx, d.parts.peers.members.Run)
+	}
 	if d.parts.claims != nil {
 		d.start(ctx, d.parts.claims.Run)
 	}
@@ -246,6 +251,7 @@
 	for {
 		select {
 		case e := <-d.parts.news.Events():
+			d.tellLeaving(e)
 			d.parts.loop.Post(e)
 		case <-ctx.Done():
 			return
@@ -291,6 +297,7 @@
 
 // close ends what holds goroutines or connections.
 func (p *parts) close() {
+	p.peers.close()
 	if p.intake != nil {
 		p.intake.Close()
 	}
--- a/internal/wasabidaemon/platform_test.go
+++ b/internal/wasabidaemon/platform_test.go
@@ -24,12 +24,18 @@
 const operatorKey = "operator-key"
 
 // startPlatform serves a stand-in of the platform.
-func startPlatform() wasabiplatform.Settings {
+func startPlatform() (wasabiplatform.Settings, *wasabiplatform.StandIn, *httptest.Server) {
 	GinkgoHelper()
 	standIn := wasabiplatform.NewStandIn(wasabiplatform.StandInOptions{Clock: wasabiclock.System()})
 	server := httptest.NewServer(standIn.Handler())
 	DeferCleanup(server.Close)
-	return standIn.Settings(server.URL)
+	return standIn.Settings(server.URL), standIn, server
+}
+
+// operators is an operators' listener with the key of the tests.
+var operators = wasabisettings.OperatorListener{
+	Listener:  wasabisettings.Listener{Listen: "127.0.0.1:0"},
+	KeyHashes: []string{keyHash(operatorKey)},
 }
 
 // asOperator sends a request to the operators' listener.
@@ -54,14 +60,11 @@
 		service := wasabiservice.New("bookings")
 		Expect(service.Start("127.0.0.1:0")).To(Succeed())
 		DeferCleanup(service.Close)
-		platform := startPlatform()
+		platform, _, _ := startPlatform()
 		log := gbytes.NewBuffer()
 		d := startDaemon(wasabidaemon.Options{Log: log, Settings: wasabisettings.Settings{
 			Platform: &platform, Drain: short,
-			Operator: wasabisettings.OperatorListener{
-				Listener:  wasabisettings.Listener{Listen: "127.0.0.1:0"},
-				KeyHashes: []string{keyHash(operatorKey)},
-			},
+			Operator: operators,
 		}})
 		Expect(post(d.URL(), longStream).StatusCode).To(Equal(http.StatusServiceUnavailable), "no configuration yet")
 
--- a/internal/wasabisettings/check.go
+++ b/internal/wasabisettings/check.go
@@ -27,6 +27,14 @@
 	c.address("/peer/listen", s.Peer.Listen)
 	c.address("/peer/address", s.Peer.Address)
 	c.tls("/peer/tls", s.Peer.TLS)
+	for i, seed := range s.Peer.Seeds {
+		c.filled(fmt.Sprintf("/peer/seeds/%d/instance", i), string(seed.Instance))
+		c.filled(fmt.Sprintf("/peer/seeds/%d/address", i), seed.Address)
+		c.address(fmt.Sprintf("/peer/seeds/%d/address", i), seed.Address)
+	}
+	if s.Peer.Listen != "" {
+		c.filled("/peer/secret_file", s.Peer.SecretFile)
+	}
 	c.platform(s.Platform)
 	c.level("/log_level", s.LogLevel)
 	c.limits(s.Limits)
--- a/internal/wasabisettings/settings.go
+++ b/internal/wasabisettings/settings.go
@@ -86,8 +86,19 @@
 	// means that it follows from Listen.
 	Address string `json:"address,omitempty"`
 	TLS     *TLS   `json:"tls,omitempty"`
-	// SecretFile names a file with the secret that all instances share.
+	// SecretFile names a file with the secret that all instances share. It
+	// authenticates tickets, and without TLS the instances themselves.
 	SecretFile string `json:"secret_file,omitempty"`
+	// Seeds name other instances to ask while the platform's list cannot be
+	// read at the start.
+	Seeds []Seed `json:"seeds,omitempty"`
+}
+
+// Seed is another instance.
+type Seed struct {
+	Instance wasabiridge.InstanceID `json:"instance"`
+	// Address is where the instance listens for others, as IP:port.
+	Address string `json:"address"`
 }
 
 // Limits bounds what callers may take up. A zero field means its default.
--- a/internal/wasabitls/keeper.go
+++ b/internal/wasabitls/keeper.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// Mutual returns a configuration for both sides of connections between equals.
+// New connections use the certificate as it is then; authorities are those of
+// the start.
+func (k *Keeper) Mutual() *tls.Config {
+	start := k.fresh()
+	cfg := start.Clone()
+	cfg.Certificates = nil
+	cfg.RootCAs = start.ClientCAs
+	cfg.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		return &k.fresh().Certificates[0], nil
+	}
+	cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		return &k.fresh().Certificates[0], nil
+	}
+	return cfg
+}
+
 // fresh returns the configuration for one connection. Files that cannot be
 // used, such as a certificate whose key is not written yet, leave the old
 // ones in force; the next check tries again.
