--- a/internal/wasabitimeline/cost_test.go
+++ b/internal/wasabitimeline/cost_test.go
@@ -50,7 +50,7 @@
 	loop    *wasabiloop.Loop
 }
 
-func newRouter(recorder wasabiridge.Recorder) router {
+func newRouter(recorder wasabiridge.Recorder, runner wasabiridge.AttemptRunner) router {
 	cfg := wasabiridge.Config{
 		Version:  1,
 		Accounts: []wasabiridge.ClientAccount{{ID: "liftwell", KeyHashes: []string{wasabioperator.HashKey("k")}, Pools: []wasabiridge.PoolID{"answer"}}},
@@ -66,21 +66,26 @@
 	loop := wasabiloop.New(wasabiloop.Options{Decider: core, Clock: clock, Recorder: recorder})
 	loop.Post(wasabiridge.ConfigAdopted{Config: cfg})
 	return router{loop: loop, gateway: wasabigateway.New(wasabigateway.Options{
-		Instance: "pos-1", Incarnation: 1, Clock: clock, Loop: loop, Runner: instantRunner{},
+		Instance: "pos-1", Incarnation: 1, Clock: clock, Loop: loop, Runner: runner,
 		Config: func() *wasabiridge.Config { return &cfg },
 	})}
 }
 
 var body = `{"model":"m","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"` + strings.Repeat("Read the manual of the lift. ", 140) + `"}]}`
 
-func (r router) ask(b *testing.B) {
+func (r router) ask(t testing.TB) {
+	answer := httptest.NewRecorder()
+	r.askWith(t, answer, answer)
+}
+
+// askWith sends a request whose answer goes to w and ends up in answer.
+func (r router) askWith(t testing.TB, w http.ResponseWriter, answer *httptest.ResponseRecorder) {
 	request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
 	request.Header.Set("Authorization", "Bearer k")
 	request.Header.Set("Content-Type", "application/json")
-	answer := httptest.NewRecorder()
-	r.gateway.ServeHTTP(answer, request)
+	r.gateway.ServeHTTP(w, request)
 	if answer.Code != http.StatusOK || !strings.HasSuffix(answer.Body.String(), "[DONE]\n\n") {
-		b.Fatalf("HTTP %d: %s", answer.Code, answer.Body)
+		t.Fatalf("HTTP %d: %s", answer.Code, answer.Body)
 	}
 }
 
@@ -116,7 +121,7 @@
 // of its own when run with -bench Request/without and -bench Request/with, so
 // that the ring's share of garbage collection counts too.
 func BenchmarkRequest(b *testing.B) {
-	b.Run("without", func(b *testing.B) { measure(b, newRouter(nil)) })
+	b.Run("without", func(b *testing.B) { measure(b, newRouter(nil, instantRunner{})) })
 	for _, capacity := range []int{1 << 12, 1 << 14, 1 << 16} {
 		b.Run(fmt.Sprintf("with-%d", capacity), func(b *testing.B) {
 			timeline := systemLog(capacity)
@@ -125,7 +130,7 @@
 			}
 			stop := follow(b, timeline)
 			defer stop()
-			measure(b, newRouter(timeline))
+			measure(b, newRouter(timeline, instantRunner{}))
 		})
 	}
 }
