--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -31,17 +31,20 @@
 		return wasabiridge.AttemptNotRun
 	}
 	x.wantsUsage = body.wantsUsage
+	x.attempt.Body = nil
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.markSent() }}
 	var req *http.Request
 	var err error
-	if req, err = newRequest(httptrace.WithClientTrace(x.ctx, trace), x.attempt, body.data); err != nil {
+	if req, err = newRequest(httptrace.WithClientTrace(x.ctx, trace), x.attempt); err != nil {
 		return wasabiridge.AttemptNotRun
 	}
+	sent := setBody(req, body.data, x.attempt.NonIdempotent)
 	var resp *http.Response
 	if resp, err = transport.RoundTrip(req); err != nil {
 		return x.unanswered()
 	}
 	defer resp.Body.Close()
+	sent.release()
 	return x.relay(resp)
 }
 
--- a/internal/wasabibackend/request.go
+++ b/internal/wasabibackend/request.go
@@ -1,7 +1,6 @@
 package wasabibackend
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strconv"
@@ -48,17 +47,14 @@
 	return out
 }
 
-// newRequest builds the HTTP request of an attempt.
-func newRequest(ctx context.Context, a wasabiridge.Attempt, body []byte) (*http.Request, error) {
+// newRequest builds the HTTP request of an attempt without its body.
+func newRequest(ctx context.Context, a wasabiridge.Attempt) (*http.Request, error) {
 	url := strings.TrimSuffix(a.Backend.URL, "/") + a.Path
 	var req *http.Request
 	var err error
-	if req, err = http.NewRequestWithContext(ctx, a.Method, url, bytes.NewReader(body)); err != nil {
+	if req, err = http.NewRequestWithContext(ctx, a.Method, url, http.NoBody); err != nil {
 		return nil, wasabiridge.ErrInvalid.Wrap(err, "backend: request to %s", a.Backend.ID)
 	}
-	if a.NonIdempotent {
-		req.GetBody = nil
-	}
 	req.Header = forwardable(a.Header)
 	for _, name := range callerHeaders {
 		req.Header.Del(name)
@@ -76,6 +72,23 @@
 	return req, nil
 }
 
+// setBody gives the request its body. A non-idempotent request cannot be read
+// a second time.
+func setBody(req *http.Request, data []byte, nonIdempotent bool) *sentBody {
+	body := newSentBody(data)
+	if len(data) == 0 {
+		return body
+	}
+	req.ContentLength = int64(len(data))
+	// A fresh body always opens.
+	req.Body, _ = body.open()
+	req.GetBody = body.open
+	if nonIdempotent {
+		req.GetBody = nil
+	}
+	return body
+}
+
 func setVersion(h http.Header, name string, v uint64) {
 	if v != 0 {
 		h.Set(name, strconv.FormatUint(v, 10))
--- a/internal/wasabibackend/trap_test.go
+++ b/internal/wasabibackend/trap_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -170,6 +172,35 @@
 		Expect(ended.Delivered).To(Equal(100000))
 	})
 
+	// Story: a router runs out of memory with two hundred open answers. Each
+	// keeps its whole manual, in several copies, until its last token.
+	It("does not keep the prompt of an open stream", func() {
+		const streams, promptBytes = 20, 1 << 20
+		end := make(chan struct{})
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, tokenEvent)
+			_ = http.NewResponseController(w).Flush()
+			<-end
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		})
+		a := streamOf(wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url})
+		a.Body = fmt.Appendf(nil, `{"prompt":%q}`, strings.Repeat("x", promptBytes))
+		runner := newRunner(wasabibackend.Options{})
+		var opened, running sync.WaitGroup
+		opened.Add(streams)
+		before := memoryInUse()
+		for range streams {
+			running.Go(func() { runner.Run(context.Background(), a, &openSink{opened: &opened}) })
+		}
+		opened.Wait()
+		held := int64(memoryInUse()) - int64(before)
+		close(end)
+		running.Wait()
+		Expect(held/streams).To(BeNumerically("<", promptBytes/4), "bytes a stream")
+	})
+
 	// Story: the same caller loses its answer because the time in which it
 	// read was counted as a silence of the engine. The rest had long arrived.
 	It("is not taken for an engine that hangs", func() {
