Membership: measured, faster starts, a zone that dies at once

Cause: a zone of 42 that died at once was noticed after 3.7 to 17 s, and a restarted instance knew all 370 only after 11 to 14 s (trials).

--- a/internal/wasabimember/member_test.go
+++ b/internal/wasabimember/member_test.go
@@ -104,6 +104,32 @@
 		}
 	}
 
+	// A zone loses its power: 42 of 370 instances are gone at once, and many of
+	// them were each other's watchers. Callers of the other zones must not be
+	// sent there.
+	It("notice in time that a whole zone died", func() {
+		d := started(370, wasabitest.Seed, tenPercent)
+		living := 0
+		for i, n := range d.nodes {
+			n.down = i%9 == 0
+			if !n.down {
+				living++
+			}
+		}
+		d.run(inTime)
+		Expect(d.others(func(n *node) bool { return len(n.alive) == living })).To(BeEmpty())
+	})
+
+	// All instances are replaced at once and know nothing but the list. Then a
+	// single one restarts.
+	It("know each other soon after a restart of all, and of one", func() {
+		d := newDriver(370, wasabitest.Seed, tenPercent)
+		Expect(d.runUntil(d.now+wasabiridge.Minute, func() bool { return d.sees(370) })).To(BeNumerically("<", 5*wasabiridge.Second))
+		d.run(30 * wasabiridge.Second)
+		d.start(0, 2)
+		Expect(d.runUntil(d.now+wasabiridge.Minute, func() bool { return d.sees(370) })).To(BeNumerically("<", 10*wasabiridge.Second))
+	})
+
 	// Nobody is buried by lost messages alone, and no list changes.
 	It("keep their lists still while a tenth of messages is lost", func() {
 		d := started(90, wasabitest.Seed, tenPercent)
--- a/internal/wasabimember/options.go
+++ b/internal/wasabimember/options.go
@@ -10,6 +10,9 @@
 	// beatInterval is the time between two heartbeats that an instance sends
 	// by itself. With three rings each successor is asked once a second.
 	beatInterval = wasabiridge.Second / Rings
+	// youngInterval is the same for an instance that just started, so that it
+	// soon knows all members.
+	youngInterval = beatInterval / 4
 	// retryInterval is the time between two attempts at a silent successor.
 	retryInterval = 200 * wasabiridge.Millis(1)
 	// suspectAfter and deadAfter are how long a successor is asked in vain
@@ -34,7 +37,7 @@
 	floodGap = 50 * wasabiridge.Millis(1)
 	// floodBurst and floodRate are the allowance of heartbeats, at once and
 	// for each second, that carry news out of turn.
-	floodBurst = 24
+	floodBurst = 90
 	floodRate  = 1
 	// syncBurst and syncRate are the allowance of members that are sent
 	// because digests differ.
--- a/internal/wasabimember/probe.go
+++ b/internal/wasabimember/probe.go
@@ -30,7 +30,11 @@
 		m.check(now, p)
 	}
 	if now >= m.nextBeat {
-		m.nextBeat = now + beatInterval - beatInterval/8 + m.jitter(beatInterval/4)
+		interval := beatInterval
+		if now-m.started < youth {
+			interval = youngInterval
+		}
+		m.nextBeat = now + interval - interval/8 + m.jitter(interval/4)
 		m.beat(now)
 	}
 	if now >= m.nextReach {
--- a/internal/wasabipeer/bench_test.go
+++ b/internal/wasabipeer/bench_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
@@ -47,6 +50,15 @@
 	SentAt: 1764000000000, Digest: 0xfeedfacecafebeef,
 }
 
+// processorTime returns the processor time of this process in nanoseconds.
+func processorTime() int64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
 // BenchmarkExchange measures one steady exchange of heartbeats: its time, and
 // the bytes of both directions on the wire.
 func BenchmarkExchange(b *testing.B) {
@@ -75,14 +87,46 @@
 			for range 20 {
 				exchange()
 			}
-			before := w.total()
+			before, cpu := w.total(), processorTime()
 			for b.Loop() {
 				exchange()
 			}
 			b.ReportMetric(float64(w.total()-before)/float64(b.N), "wire-B/op")
 			b.ReportMetric(float64(opened), "wire-B/connect")
+			b.ReportMetric(float64(processorTime()-cpu)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(proto.Size(wasabipeer.EncodeHeartbeat(steady))), "heartbeat-B")
 			client.Close()
 			server.Close(context.Background())
 		})
 	}
 }
+
+// BenchmarkConnections measures the memory of one connection, both its ends
+// together, after a heartbeat went over it.
+func BenchmarkConnections(b *testing.B) {
+	RegisterTestingT(b)
+	const count = 200
+	o := wasabipeer.Options{Key: key}
+	server, err := wasabipeer.Listen("127.0.0.1:0", &handler{heartbeat: steady}, o)
+	Expect(err).NotTo(HaveOccurred())
+	memory := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	var clients []*wasabipeer.Client
+	before := memory()
+	for range count {
+		client, err := wasabipeer.NewClient(o)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Exchange(context.Background(), server.Address(), steady)
+		Expect(err).NotTo(HaveOccurred())
+		clients = append(clients, client)
+	}
+	b.ReportMetric(float64(memory()-before)/count, "B/connection")
+	for _, client := range clients {
+		client.Close()
+	}
+	server.Close(context.Background())
+}
