--- a/internal/wasabicache/cache_test.go
+++ b/internal/wasabicache/cache_test.go
@@ -151,21 +151,42 @@
 	})
 })
 
+func filled(levels int) *wasabicache.Picture {
+	p := wasabicache.New(wasabicache.Options{})
+	s := p.Server("e")
+	for i := range levels {
+		p.Touch(start, s, chain(wasabiridge.BlockHash((i+1)*0x1234567)), 1)
+	}
+	return p
+}
+
+// BenchmarkMemory reports the heap that known levels take.
 func BenchmarkMemory(b *testing.B) {
-	const levels = 100_000
-	for b.Loop() {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		p := wasabicache.New(wasabicache.Options{})
-		s := p.Server("e")
-		for i := range levels {
-			p.Touch(start, s, chain(wasabiridge.BlockHash((i+1)*0x1234567)), 1)
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/levels, "B/level")
-		runtime.KeepAlive(p)
+	for _, levels := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("levels=%d", levels), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				p := filled(levels)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(levels), "B/level")
+				runtime.KeepAlive(p)
+			}
+		})
+	}
+}
+
+// BenchmarkTick reports the time of the cleaning that is due each 50 ms.
+func BenchmarkTick(b *testing.B) {
+	for _, levels := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("levels=%d", levels), func(b *testing.B) {
+			p := filled(levels)
+			for b.Loop() {
+				p.Tick(start)
+			}
+		})
 	}
 }
 
--- a/internal/wasabiplace/bench_test.go
+++ b/internal/wasabiplace/bench_test.go
@@ -106,17 +106,25 @@
 	}
 }
 
-// BenchmarkMemory reports the heap that known levels take.
+// BenchmarkMemory reports the heap that a placer takes for a pool of which it
+// has had a report and 64 decisions for each server.
 func BenchmarkMemory(b *testing.B) {
-	for b.Loop() {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		w := newBenchWorld(1600)
-		chains := uint64(benchLevels) * 8
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc-chains)/benchLevels, "B/level")
-		runtime.KeepAlive(w)
+	for _, replicas := range []int{16, 160, 1600} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				w := &benchWorld{pool: benchPool(replicas), chains: []wasabiridge.Chain{{BlockTokens: benchBlockSize}}}
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				w.placer = wasabiplace.New(wasabiplace.Options{Seed: 1})
+				for i := range 64 * replicas {
+					w.step(i, wasabiridge.Millis(2000+i))
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+				runtime.KeepAlive(w)
+			}
+		})
 	}
 }
