--- a/internal/wasabimeasure/tally.go
+++ b/internal/wasabimeasure/tally.go
@@ -176,3 +176,21 @@
 	sort.Slice(all, func(a, b int) bool { return all[a].Name < all[b].Name })
 	return all
 }
+
+// OthersOf returns the figures of all accounts but one. It counts no retries
+// and no tokens.
+func (r Report) OthersOf(name string) Figures {
+	var f Figures
+	for _, a := range r.Accounts {
+		if a.Name == name {
+			continue
+		}
+		f.Requests += a.Requests
+		f.Answered += a.Answered
+		f.Good += a.Good
+		f.Refused += a.Refused
+		f.ttft = append(f.ttft, a.ttft...)
+	}
+	f.settle()
+	return f
+}
