--- a/internal/wasabilimit/limit.go
+++ b/internal/wasabilimit/limit.go
@@ -106,10 +106,14 @@
 	// late is ordered by deadline. Items that left the queue stay in it until
 	// they come to the top.
 	late deadlines
+	// hopeless were found in the last review.
+	hopeless []*item
 	// order lists the pools by name, so that no iteration over a map decides.
 	order    []*pool
 	turn     int
 	reviewed wasabiridge.Millis
+	// reviewedAccounts is when accounts were last compared with their shares.
+	reviewedAccounts wasabiridge.Millis
 }
 
 var _ wasabiridge.Limiter = (*Limiter)(nil)
@@ -225,9 +229,16 @@
 	return wasabiridge.Request{}, false
 }
 
-// Expired returns a queued request whose deadline passed.
+// Expired returns a queued request whose deadline passed, or whose turn will
+// not come before it.
 func (l *Limiter) Expired(now wasabiridge.Millis) (wasabiridge.Request, bool) {
 	it := l.late.due(now)
+	for it == nil && len(l.hopeless) > 0 {
+		it, l.hopeless = l.hopeless[0], l.hopeless[1:]
+		if !it.queued {
+			it = nil
+		}
+	}
 	if it == nil {
 		return wasabiridge.Request{}, false
 	}
--- a/internal/wasabilimit/limit_test.go
+++ b/internal/wasabilimit/limit_test.go
@@ -243,6 +243,43 @@
 		Expect(b.offer(b.request("a", 0)).Verdict).To(Equal(wasabiridge.Admitted))
 	})
 
+	// Requests wait for a server that takes two a second. Then it becomes
+	// ten times as slow. Those that can no longer make it would hear so only at
+	// their deadline.
+	It("gives up at once what cannot make its deadline any more", func() {
+		b := newBench(wasabilimit.Options{}, 1, nil)
+		for range 12 {
+			b.offer(b.request("a", 0))
+			b.step(500)
+		}
+		for range 12 {
+			b.offer(b.request("a", 0))
+		}
+		gaveUp := 0
+		for start := b.now; b.now < start+12*wasabiridge.Second; {
+			b.step(5 * wasabiridge.Second)
+			for _, ok := b.limiter.Expired(b.now); ok; _, ok = b.limiter.Expired(b.now) {
+				gaveUp++
+			}
+		}
+		// Of 11 that waited, 3 went in 15 s; in the 15 s that are left 3 more
+		// would, and 6 if the rate is doubted by a factor of 2.
+		Expect(gaveUp).To(BeNumerically(">=", 2))
+		Expect(b.limiter.Queued()).To(BeNumerically(">", 0))
+	})
+
+	It("lets all go that wait when the last server is lost", func() {
+		b := newBench(wasabilimit.Options{}, 1, nil)
+		for range 3 {
+			b.offer(b.request("a", 0))
+		}
+		b.limiter.Observe(b.now, wasabiridge.BackendLost{Backend: "b"})
+		for _, ok := b.limiter.Next(b.now); ok; _, ok = b.limiter.Next(b.now) {
+			continue
+		}
+		Expect(b.limiter.Queued()).To(BeZero())
+	})
+
 	It("loses no request and forgets all that are done, whatever the order of events", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			b := newBench(wasabilimit.Options{Instances: 2}, 2, map[wasabiridge.ClientAccountID]float64{"a": 1, "b": 5})
--- a/internal/wasabilimit/line.go
+++ b/internal/wasabilimit/line.go
@@ -17,6 +17,9 @@
 	// settleTime is how long a flow must wait before the rate of its turns
 	// says more than its share.
 	settleTime = 2 * wasabiridge.Second
+	// hopelessDoubt is how many times faster than it looks a queue is taken to
+	// be before a request in it is given up. Rates of few requests are rough.
+	hopelessDoubt = 2
 )
 
 // item is a request that is queued, or released and not sent yet.
@@ -190,6 +193,30 @@
 	return wasabiridge.Millis((f.cost + it.cost) / turns)
 }
 
+// hopeless returns queued requests whose turn will not come before their
+// deadline at the rate of late, the last of each account first. They were
+// worth their wait when they came, but the pool has become slower since.
+func (l *line) hopeless(now wasabiridge.Millis, perMilli float64) []*item {
+	var found []*item
+	for _, c := range l.classes {
+		for _, f := range c.backlog {
+			turns := hopelessDoubt * max(f.drain.perMilli(now), l.share(c, f)*perMilli)
+			if now < f.waiting+settleTime || turns <= 0 {
+				continue
+			}
+			ahead := f.cost
+			for i := len(f.queue) - 1; i >= 0; i-- {
+				it := f.queue[i]
+				if left := it.request.Deadline - now; it.request.Deadline > 0 && ahead/turns > float64(left) {
+					found = append(found, it)
+				}
+				ahead -= it.cost
+			}
+		}
+	}
+	return found
+}
+
 // share is the part of the line's rate that a flow has at least, while the
 // same flows wait.
 func (l *line) share(c *class, f *flow) float64 {
--- a/internal/wasabilimit/observe.go
+++ b/internal/wasabilimit/observe.go
@@ -6,8 +6,13 @@
 	"github.com/wasabiridge/wasabiridge"
 )
 
-// reviewEvery is how often the use of accounts is compared with their shares.
-const reviewEvery = 250 * wasabiridge.Millis(1)
+const (
+	// reviewEvery is how often the load of pools is summed up.
+	reviewEvery = 250 * wasabiridge.Millis(1)
+	// reviewAccountsEvery is how often the demand of accounts is compared with
+	// their shares.
+	reviewAccountsEvery = wasabiridge.Second
+)
 
 // Observe learns from every event of the decider.
 func (l *Limiter) Observe(now wasabiridge.Millis, e wasabiridge.Event) {
@@ -86,7 +91,16 @@
 	}
 	l.reviewed = now
 	for _, p := range l.order {
-		p.review(now, l.costs.typical)
+		p.review(now)
+	}
+	if now < l.reviewedAccounts+reviewAccountsEvery {
+		return
+	}
+	l.reviewedAccounts = now
+	l.hopeless = nil
+	for _, p := range l.order {
+		p.reviewAccounts(now, l.costs.typical)
+		l.hopeless = append(l.hopeless, p.line.hopeless(now, p.capacity.known)...)
 	}
 	l.costs.prune()
 }
--- a/internal/wasabilimit/pool.go
+++ b/internal/wasabilimit/pool.go
@@ -1,9 +1,7 @@
 package wasabilimit
 
 import (
-	"maps"
 	"math"
-	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -45,6 +43,7 @@
 
 // account is what one client account asks of one pool and uses of it.
 type account struct {
+	id    wasabiridge.ClientAccountID
 	share float64
 	asked usage
 	used  usage
@@ -72,6 +71,8 @@
 	options  *Options
 	servers  []*server
 	accounts map[wasabiridge.ClientAccountID]*account
+	// visited lists the accounts in the order in which they came.
+	visited  []*account
 	line     line
 	released int
 	total    sum
@@ -115,8 +116,9 @@
 func (p *pool) account(id wasabiridge.ClientAccountID, share float64) *account {
 	a, ok := p.accounts[id]
 	if !ok {
-		a = &account{}
+		a = &account{id: id}
 		p.accounts[id] = a
+		p.visited = append(p.visited, a)
 	}
 	a.share = share
 	if share <= 0 {
@@ -127,8 +129,12 @@
 
 // mayRelease reports whether a request of the account may go now. An account
 // that asks for far more than its share gets no more than that, as soon as
-// more would make others wait.
+// more would make others wait. When no server is left, all go, so that their
+// callers hear at once or another pool takes them.
 func (p *pool) mayRelease(now wasabiridge.Millis, a *account) bool {
+	if !p.serving() {
+		return true
+	}
 	others := max(1, float64(p.options.Instances)/2)
 	room := p.total.room - others*float64(p.released)
 	if a.over && a.used.now(now) > a.fair {
@@ -156,26 +162,33 @@
 	p.capacity.drain.add(now, it.cost)
 }
 
-// review marks accounts that ask for far more than their share and forgets
-// idle ones.
-func (p *pool) review(now wasabiridge.Millis, typical float64) {
-	shares := 0.0
-	for _, id := range slices.Sorted(maps.Keys(p.accounts)) {
-		a := p.accounts[id]
+// review takes new reports into account.
+func (p *pool) review(now wasabiridge.Millis) {
+	p.extra = 0
+	p.capacity.review(now, p.line.length > 0)
+	p.refresh()
+	p.busy += busySmoothing * (float64(p.total.waiting)/float64(max(1, p.total.count)) - p.busy)
+}
+
+// reviewAccounts marks accounts that ask for far more than their share and
+// forgets idle ones. Accounts are visited in the order in which they came, so
+// that sums of rounded numbers repeat.
+func (p *pool) reviewAccounts(now wasabiridge.Millis, typical float64) {
+	kept, shares := p.visited[:0], 0.0
+	for _, a := range p.visited {
 		if a.asked.now(now) < idleUse && a.open == 0 {
-			delete(p.accounts, id)
+			delete(p.accounts, a.id)
 			continue
 		}
+		kept = append(kept, a)
 		shares += a.share
 	}
+	clear(p.visited[len(kept):])
+	p.visited = kept
 	used := p.used.now(now)
-	for _, a := range p.accounts {
+	for _, a := range kept {
 		a.fair = used * a.share / shares
 		a.over = a.asked.now(now) > overShare*a.fair+overRequests*typical
 	}
-	p.extra = 0
 	p.line.prune(now)
-	p.capacity.review(now, p.line.length > 0)
-	p.refresh()
-	p.busy += busySmoothing * (float64(p.total.waiting)/float64(max(1, p.total.count)) - p.busy)
 }
