Process tests: kills, drains, outages, races of operators, engines that die

Cause: the promises were proved inside one process only. Real router processes on loopback now meet SIGKILL, SIGTERM, a platform that is away, lost answers and engines that die, with service and engines in the test's process to count what ran. Seen beside: a stream whose engine dies while the only other engine is not yet known to be back is cut, and not resumed later.

--- /dev/null
+++ b/cmd/wasabirouter/caller_test.go
@@ -0,0 +1,352 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
+	"github.com/wasabiridge/wasabiridge/internal/wasabigateway"
+)
+
+// Codes of answers that no router sent.
+const (
+	codeNoAnswer = "no_answer"
+	codeCut      = "cut"
+)
+
+// reply is what a caller got for one call. An empty code means success.
+type reply struct {
+	Code   string
+	NotRun bool
+	Text   string
+	Cached int
+}
+
+// caller is a client program on its own connections.
+type caller struct {
+	rig    *rig
+	turn   int
+	client *http.Client
+}
+
+// caller returns a client program. The number tells it which router it asks
+// first for addresses.
+func (r *rig) caller(turn int) *caller {
+	c := &caller{rig: r, turn: turn, client: &http.Client{Transport: &http.Transport{}}}
+	DeferCleanup(c.client.CloseIdleConnections)
+	return c
+}
+
+func (c *caller) do(method, url, body, idempotencyKey string) (*http.Response, error) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	if idempotencyKey != "" {
+		req.Header.Set(wasabigateway.IdempotencyKeyHeader, idempotencyKey)
+	}
+	return c.client.Do(req)
+}
+
+// locate asks a router for addresses.
+func (c *caller) locate(url string) (wasabiaddress.Answer, bool) {
+	var answer wasabiaddress.Answer
+	resp, err := c.do(http.MethodGet, url+"/v1/addresses", "", "")
+	if err != nil {
+		return answer, false
+	}
+	defer resp.Body.Close()
+	return answer, json.NewDecoder(resp.Body).Decode(&answer) == nil && len(answer.Addresses) > 0
+}
+
+// addresses returns the routers to try, in order: those of the first address
+// answer to be had, then all that the client program was set up with.
+func (c *caller) addresses() []string {
+	known := c.rig.urls()
+	known = slices.Concat(known[c.turn%len(known):], known[:c.turn%len(known)])
+	for _, url := range known {
+		answer, ok := c.locate(url)
+		if !ok {
+			continue
+		}
+		var urls []string
+		for _, a := range answer.Addresses {
+			urls = append(urls, a.URL)
+		}
+		return append(urls, known...)
+	}
+	return known
+}
+
+// completion is the part of an answer, or of an event of a stream, that the
+// tests look at.
+type completion struct {
+	Choices []struct {
+		Delta, Message struct {
+			Content string `json:"content"`
+		}
+	} `json:"choices"`
+	Usage struct {
+		PromptTokensDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+func question(prompt string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"stand-in","stream":%t,"stream_options":{"include_usage":true},"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt)
+}
+
+// stream asks one router and reads the whole stream.
+func (c *caller) stream(url, prompt string, tokens int) reply {
+	resp, err := c.do(http.MethodPost, url+"/v1/chat/completions", question(prompt, tokens, true), "")
+	if err != nil {
+		return reply{Code: codeNoAnswer}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return failureOf(resp)
+	}
+	got := reply{Code: codeCut}
+	for event, err := range sse.Read(resp.Body, nil) {
+		if err != nil {
+			return got
+		}
+		if event.Data == "[DONE]" {
+			got.Code = ""
+			return got
+		}
+		var c completion
+		if err = json.Unmarshal([]byte(event.Data), &c); err != nil {
+			return got
+		}
+		for _, choice := range c.Choices {
+			got.Text += choice.Delta.Content
+		}
+		got.Cached = max(got.Cached, c.Usage.PromptTokensDetails.CachedTokens)
+	}
+	return got
+}
+
+// book sends one booking to one router.
+func (c *caller) book(url, idempotencyKey string) reply {
+	resp, err := c.do(http.MethodPost, url+"/bookings", `{"lift":7}`, idempotencyKey)
+	if err != nil {
+		return reply{Code: codeNoAnswer}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusCreated {
+		return failureOf(resp)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{Code: codeCut}
+	}
+	return reply{Text: string(text)}
+}
+
+func failureOf(resp *http.Response) reply {
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || body.Error.Code == "" {
+		return reply{Code: codeCut}
+	}
+	return reply{Code: body.Error.Code, NotRun: resp.Header.Get(wasabigateway.DispositionHeader) == "not_run"}
+}
+
+// want returns the answer that every engine gives to a prompt.
+func (r *rig) want(prompt string, tokens int) string {
+	GinkgoHelper()
+	resp, err := http.Post(r.oracle.URL()+"/v1/chat/completions", "application/json", strings.NewReader(question(prompt, tokens, false)))
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var c completion
+	Expect(json.NewDecoder(resp.Body).Decode(&c)).To(Succeed())
+	Expect(c.Choices).To(HaveLen(1))
+	return c.Choices[0].Message.Content
+}
+
+// load is a number of callers that ask and book again and again.
+type load struct {
+	rig     *rig
+	stopped chan struct{}
+	callers sync.WaitGroup
+
+	mu       sync.Mutex
+	whole    int
+	answered int
+	// faults are answers that no caller may ever get.
+	faults []string
+	// codes counts the answers that were not whole.
+	codes    map[string]int
+	bookings map[string]*booking
+}
+
+// booking is what a caller heard of one booking.
+type booking struct {
+	answers map[string]bool
+	// refused says that every answer so far said that nothing ran.
+	refused bool
+}
+
+const (
+	streamTokens = 40
+	// rounds is how often a caller goes through its addresses, with a pause
+	// after each round, before it gives up.
+	rounds = 400
+	pause  = 50 * time.Millisecond
+)
+
+// startLoad starts callers that stream and callers that book.
+func (r *rig) startLoad(streams, bookers int) *load {
+	GinkgoHelper()
+	l := &load{rig: r, stopped: make(chan struct{}), codes: map[string]int{}, bookings: map[string]*booking{}}
+	for i := range streams {
+		prompt := fmt.Sprintf("%s Question %d.", strings.Repeat("The manual. ", 100), i)
+		want := r.want(prompt, streamTokens)
+		c := r.caller(i)
+		l.run(func(int) { l.ask(c, prompt, want) })
+	}
+	for i := range bookers {
+		c := r.caller(i)
+		l.run(func(n int) { l.book(c, fmt.Sprintf("visit-%d-%d", i, n)) })
+	}
+	DeferCleanup(l.stop)
+	return l
+}
+
+func (l *load) run(step func(n int)) {
+	l.callers.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-l.stopped:
+				return
+			default:
+				step(n)
+			}
+		}
+	})
+}
+
+// stop lets every caller finish and waits for it.
+func (l *load) stop() {
+	l.mu.Lock()
+	select {
+	case <-l.stopped:
+	default:
+		close(l.stopped)
+	}
+	l.mu.Unlock()
+	l.callers.Wait()
+}
+
+func (l *load) fault(format string, args ...any) {
+	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+}
+
+// ask follows the addresses until an answer is whole.
+func (l *load) ask(c *caller, prompt, want string) {
+	for range rounds {
+		for _, url := range c.addresses() {
+			got := c.stream(url, prompt, streamTokens)
+			if l.asked(got, want) {
+				return
+			}
+		}
+		time.Sleep(pause)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault("no router gave a whole answer")
+}
+
+func (l *load) asked(got reply, want string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if got.Code != "" {
+		l.codes[got.Code]++
+		return false
+	}
+	l.whole++
+	if got.Text != want {
+		l.fault("whole, but %q instead of %q", got.Text, want)
+	}
+	return true
+}
+
+// book sends one booking with its key to every router in turn.
+func (l *load) book(c *caller, idempotencyKey string) {
+	b := &booking{answers: map[string]bool{}, refused: true}
+	l.mu.Lock()
+	l.bookings[idempotencyKey] = b
+	l.mu.Unlock()
+	for _, url := range c.addresses() {
+		l.booked(b, c.book(url, idempotencyKey))
+	}
+	time.Sleep(pause)
+}
+
+func (l *load) booked(b *booking, got reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if got.Code != "" {
+		l.codes[got.Code]++
+		b.refused = b.refused && got.NotRun
+		return
+	}
+	b.refused = false
+	if len(b.answers) == 0 {
+		l.answered++
+	}
+	b.answers[got.Text] = true
+}
+
+// progress waits until so many more streams and bookings were answered.
+func (l *load) progress(whole, answered int) {
+	GinkgoHelper()
+	count := func() (int, int) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.whole, l.answered
+	}
+	w, a := count()
+	Eventually(func(g Gomega) {
+		nowWhole, nowAnswered := count()
+		g.Expect(nowWhole).To(BeNumerically(">=", w+whole), "whole streams")
+		g.Expect(nowAnswered).To(BeNumerically(">=", a+answered), "answered bookings")
+	}, soon).Should(Succeed())
+}
+
+// verify stops the callers and checks what each of them got against what the
+// service did.
+func (l *load) verify() {
+	GinkgoHelper()
+	l.stop()
+	GinkgoWriter.Printf("whole %d, answered %d of %d bookings, others %v\n", l.whole, l.answered, len(l.bookings), l.codes)
+	for k, b := range l.bookings {
+		runs := l.rig.service.Executions(k)
+		switch {
+		case runs > 1:
+			l.fault("booking %s ran %d times", k, runs)
+		case len(b.answers) > 1:
+			l.fault("booking %s has %d answers", k, len(b.answers))
+		case len(b.answers) == 1 && runs != 1, b.refused && runs != 0:
+			l.fault("booking %s: answers %v, not run %t, but ran %d times", k, b.answers, b.refused, runs)
+		}
+	}
+	Expect(l.faults).To(BeEmpty())
+}
--- a/internal/wasabiengine/engine.go
+++ b/internal/wasabiengine/engine.go
@@ -159,6 +159,14 @@
 // Written counts the tokens that were written to streams.
 func (e *Engine) Written() int { return int(e.written.Load()) }
 
+// Leave makes the engine ask for no new work in its load reports. It still
+// takes what comes.
+func (e *Engine) Leave() {
+	e.core.mu.Lock()
+	defer e.core.mu.Unlock()
+	e.core.model.Leave()
+}
+
 // LoseEvents makes the next cache events be lost on their way.
 func (e *Engine) LoseEvents(count int) {
 	e.core.mu.Lock()
