Capacity: name uncertain fits and the largest roles

Cause: a cost that levels off was carried on along its bend without a word. Conclusion: fits with R² below 0.9 whose points differ by more than a tenth are named among what does not fit.

--- a/internal/wasabicapacity/capacity.go
+++ b/internal/wasabicapacity/capacity.go
@@ -193,11 +193,31 @@
 	return f, nil
 }
 
+// Limits of a fit that can be trusted.
+const (
+	goodDetermination = 0.9
+	levelSpread       = 0.1
+)
+
+// poor reports whether the points do not lie on a line, so that its value far
+// beyond them says little. Points that hardly differ are level and not poor.
+func (m Measure) poor(f Fit) bool {
+	least, most := m.Points[0].Value, m.Points[0].Value
+	for _, p := range m.Points {
+		least, most = min(least, p.Value), max(most, p.Value)
+	}
+	return most-least > levelSpread*most && f.Determination < goodDetermination
+}
+
 // missingRoles returns the roles of the target that nothing was measured for.
 func missingRoles(roles []Role) []string {
 	measured := map[string]bool{}
 	for _, r := range roles {
-		measured[strings.ToLower(r.Role)] = true
+		name := strings.ToLower(r.Role)
+		if other, found := aliases[name]; found {
+			name = other
+		}
+		measured[name] = true
 	}
 	var missing []string
 	for _, name := range expected {
--- a/internal/wasabicapacity/capacity_test.go
+++ b/internal/wasabicapacity/capacity_test.go
@@ -74,5 +74,18 @@
 		Expect(page).To(ContainSubstring("Not measured, so not in the sums: placing, cache picture"))
 		Expect(page).To(ContainSubstring("| processor time | 0.000% | 4.3% of a core | 100% | 3700.000% |"))
 		Expect(page).To(ContainSubstring("12.3 times"))
+		Expect(page).NotTo(ContainSubstring("Uncertain"))
+	})
+
+	// A cost that levels off looks like a rising line when it is measured
+	// around the bend only; its value at the target means little then.
+	It("names figures whose points are not on a line, but not level ones", func() {
+		bent := wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "instances", Points: line(0, 10, 9)}
+		level := wasabicapacity.Measure{Resource: wasabicapacity.Memory, Driver: "instances", Points: line(100, 101, 100)}
+		page, err := wasabicapacity.Page([]wasabicapacity.Role{{Role: "placement", Mechanism: "m", Command: "c", Measures: []wasabicapacity.Measure{bent, level}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page).To(ContainSubstring("Uncertain: processor time of placement"))
+		Expect(page).NotTo(ContainSubstring("Uncertain: memory"))
+		Expect(page).NotTo(ContainSubstring("sums: relaying, placing"))
 	})
 })
--- a/internal/wasabicapacity/page.go
+++ b/internal/wasabicapacity/page.go
@@ -1,6 +1,7 @@
 package wasabicapacity
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -20,6 +21,9 @@
 
 `
 
+// namedRoles is how many roles a shortfall names.
+const namedRoles = 3
+
 // spent is the sum of a resource over roles.
 type spent struct {
 	value float64
@@ -34,7 +38,14 @@
 	}
 	var b strings.Builder
 	b.WriteString(head)
-	writeShortfalls(&b, control, missingRoles(roles))
+	writeShortfalls(&b, control)
+	if err := writePoor(&b, roles); err != nil {
+		return "", err
+	}
+	if missing := missingRoles(roles); len(missing) > 0 {
+		fmt.Fprintf(&b, "- Not measured, so not in the sums: %s.\n", strings.Join(missing, ", "))
+	}
+	b.WriteString("\n")
 	writeSums(&b, control, data)
 	writeTargets(&b)
 	for _, r := range roles {
@@ -69,7 +80,7 @@
 	return control, data, nil
 }
 
-func writeShortfalls(b *strings.Builder, control map[Resource]spent, missing []string) {
+func writeShortfalls(b *strings.Builder, control map[Resource]spent) {
 	b.WriteString("## What does not fit yet\n\n")
 	found := false
 	for _, r := range resources {
@@ -85,21 +96,35 @@
 	if !found {
 		b.WriteString("- Nothing that was measured exceeds its budget.\n")
 	}
-	if len(missing) > 0 {
-		fmt.Fprintf(b, "- Not measured, so not in the sums: %s.\n", strings.Join(missing, ", "))
+}
+
+// writePoor names figures whose points do not lie on a line.
+func writePoor(b *strings.Builder, roles []Role) error {
+	for _, r := range roles {
+		for _, m := range r.Measures {
+			f, err := m.Fit()
+			if err != nil {
+				return err
+			}
+			if m.poor(f) {
+				limit := budgets[m.Resource]
+				fmt.Fprintf(b, "- Uncertain: %s of %s by %s, %s, comes from points that are not on a line (R² %.2f).\n",
+					limit.name, r.Role, m.Driver, limit.show(f.Value), f.Determination)
+			}
+		}
 	}
-	b.WriteString("\n")
+	return nil
 }
 
-// largest names the role with the highest part of a sum.
+// largest names the roles with the highest parts of a sum.
 func largest(s spent, show func(float64) string) string {
-	name, most := "", -1.0
-	for _, role := range slices.Sorted(maps.Keys(s.roles)) {
-		if s.roles[role] > most {
-			name, most = role, s.roles[role]
-		}
+	names := slices.Sorted(maps.Keys(s.roles))
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(s.roles[b], s.roles[a]) })
+	var parts []string
+	for _, name := range names[:min(len(names), namedRoles)] {
+		parts = append(parts, name+" with "+show(s.roles[name]))
 	}
-	return name + " with " + show(most)
+	return strings.Join(parts, ", ")
 }
 
 func writeSums(b *strings.Builder, control, data map[Resource]spent) {
--- a/internal/wasabicapacity/target.go
+++ b/internal/wasabicapacity/target.go
@@ -61,3 +61,10 @@
 	"relaying", "placing", "cache picture", "load picture", "configuration", "membership",
 	"claims", "leases and orders", "time line", "outcomes", "addresses",
 }
+
+// aliases are further names under which parts measure a role.
+var aliases = map[string]string{
+	"placement":           "placing",
+	"leases and rollouts": "leases and orders",
+	"backend intake":      "load picture",
+}
