--- /dev/null
+++ b/examples/claims/main.go
@@ -0,0 +1,55 @@
+// Command claims shows how a booking runs at most once: the first claim of a
+// ticket is granted, a repeat while it runs is told so, and a later repeat gets
+// the first answer. The platform's store is down all the time.
+//
+//	go run ./examples/claims
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclaim"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifault"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitable"
+)
+
+var states = map[wasabiridge.ClaimState]string{
+	wasabiridge.ClaimGranted:     "granted: run it",
+	wasabiridge.ClaimRunning:     "an earlier request still runs",
+	wasabiridge.ClaimAnswered:    "answered before",
+	wasabiridge.ClaimUnknown:     "may have run; the answer is not known",
+	wasabiridge.ClaimMismatch:    "the key was used for another request",
+	wasabiridge.ClaimUnavailable: "not decided; nothing ran",
+}
+
+func main() {
+	clock := wasabiclock.System()
+	table := wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock, Plan: wasabifault.Plan{Unavailable: 1}})
+	keeper := wasabiclaim.New(wasabiclaim.Options{Self: "pos-1", Incarnation: 1, Secret: []byte("shared by all instances"), Table: table, Clock: clock})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go keeper.Run(ctx)
+
+	booking := wasabiridge.ClaimQuery{Account: "liftwell", Key: keeper.Ticket("liftwell"), Request: "r1", Holder: "pos-1", Incarnation: 1, Digest: 42}
+	show(ctx, keeper, "first request ", booking)
+	show(ctx, keeper, "repeat at once", booking)
+	answer := wasabiridge.Answer{Status: 201, ContentType: "application/json", Body: []byte(`{"van":"7"}`)}
+	if err := keeper.Finish(ctx, wasabiridge.ClaimResult{Query: booking, Disposition: wasabiridge.Ran, Answer: answer}); err != nil {
+		log.Fatal(err)
+	}
+	show(ctx, keeper, "repeat later  ", booking)
+	booking.Digest = 43
+	show(ctx, keeper, "another body  ", booking)
+}
+
+func show(ctx context.Context, keeper *wasabiclaim.Keeper, what string, q wasabiridge.ClaimQuery) {
+	out, err := keeper.Claim(ctx, q)
+	if err != nil {
+		log.Fatal(err)
+	}
+	fmt.Printf("%s  %s %s\n", what, states[out.State], out.Answer.Body)
+}
--- a/internal/wasabicommand/look.go
+++ b/internal/wasabicommand/look.go
@@ -105,9 +105,9 @@
 }
 
 func (a *app) showInstance(s wasabiridge.InstanceStatus) error {
-	store := "reachable"
-	if !s.StoreReachable {
-		store = "not reachable; requests are served without it"
+	store := dash(s.Store)
+	if s.Store == wasabiridge.StoreUnreachable {
+		store += "; requests are served without it"
 	}
 	t := newTable("instance", string(s.Instance))
 	t.add("zone", strings.TrimSpace(string(s.Zone)+" "+string(s.Region)))
--- a/internal/wasabicommand/outcomes.go
+++ b/internal/wasabicommand/outcomes.go
@@ -112,6 +112,21 @@
 
 func addFigures(t *table, account, rule, model string, f wasabiridge.OutcomeFigures) {
 	t.add(dash(account), dash(rule), dash(model), f.Requests,
-		fmt.Sprintf("%d ms", f.TTFTP50Millis), fmt.Sprintf("%d ms", f.TTFTP95Millis), fmt.Sprintf("%d ms", f.TTFTP99Millis),
-		percent(f.HitRate), percent(f.Recomputed), percent(f.RefusedShare), f.Cut, f.Doubled)
+		millisOr(f.TTFTP50Millis, f.TTFTMeasured), millisOr(f.TTFTP95Millis, f.TTFTMeasured), millisOr(f.TTFTP99Millis, f.TTFTMeasured),
+		percentOr(f.HitRate, f.PromptTokens), percentOr(f.Recomputed, f.PromptTokens), percentOr(f.RefusedShare, f.Requests), f.Cut, f.Doubled)
+}
+
+// millisOr and percentOr print a dash for what was not measured.
+func millisOr(value int64, measured uint64) string {
+	if measured == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d ms", value)
+}
+
+func percentOr(share float64, of uint64) string {
+	if of == 0 {
+		return "-"
+	}
+	return percent(share)
 }
--- a/internal/wasabimetrics/metrics.go
+++ b/internal/wasabimetrics/metrics.go
@@ -17,11 +17,14 @@
 import (
 	"context"
 	"io"
+	"runtime"
+	rtmetrics "runtime/metrics"
 
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabioutcome"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
 )
 
@@ -29,17 +32,18 @@
 const (
 	reservoirSize  = 1028
 	reservoirAlpha = 0.015
+	// heapMetric is the runtime's name of the heap in use.
+	heapMetric = "/memory/classes/heap/objects:bytes"
 )
 
-// Set is the registry of one instance with every defined metric in it. It is
-// safe for concurrent use.
+// Set is the registry of one instance. It is safe for concurrent use.
 type Set struct {
 	registry metrics.Registry
 	counters map[Name]metrics.Counter
 	samples  map[Name]metrics.Histogram
 }
 
-// New returns a set in which all metrics stand at zero.
+// New returns a set in which counters and histograms stand at zero.
 func New() *Set {
 	s := &Set{
 		registry: metrics.NewRegistry(),
@@ -61,7 +65,9 @@
 		sample := metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)
 		s.samples[d.Name] = metrics.NewRegisteredHistogram(name, s.registry, sample)
 	case KindGauge:
-		metrics.NewRegisteredGauge(name, s.registry)
+		// A gauge appears when GaugeFunc sets it. One that no part of this
+		// instance sets is left out, because a zero would be taken for a
+		// measured value.
 	}
 }
 
@@ -81,14 +87,13 @@
 	return metrics.NilHistogram{}
 }
 
-// GaugeFunc sets the function that is asked for a defined gauge. Call it
-// before the set is read by others. It reports ErrNotFound for a name that is
-// no gauge.
+// GaugeFunc sets the function that is asked for a defined gauge, once. It
+// reports ErrNotFound for a name that is no gauge and ErrConflict for one that
+// is set already.
 func (s *Set) GaugeFunc(n Name, f func() int64) error {
 	if !isGauge(n) {
 		return wasabiridge.ErrNotFound.New("metrics: %s is no gauge", n)
 	}
-	s.registry.Unregister(string(n))
 	if err := s.registry.Register(string(n), metrics.NewFunctionalGauge(f)); err != nil {
 		return wasabiridge.ErrConflict.Wrap(err, "metrics: register %s", n)
 	}
@@ -104,6 +109,56 @@
 	return false
 }
 
+// Gauges are functions that are asked for gauges.
+type Gauges map[Name]func() int64
+
+// Set gives each gauge its function. It reports the first failure.
+func (s *Set) Set(gauges Gauges) error {
+	for _, d := range Definitions() {
+		f, found := gauges[d.Name]
+		if !found {
+			continue
+		}
+		if err := s.GaugeFunc(d.Name, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TimelineGauges returns the gauges of a time line.
+func TimelineGauges(l *wasabitimeline.Log) Gauges {
+	return Gauges{
+		TimelineEvents:  func() int64 { recorded, _ := l.Recorded(); return int64(recorded) },
+		TimelineDropped: func() int64 { _, dropped := l.Recorded(); return int64(dropped) },
+		TimelineSkews:   func() int64 { return int64(l.RefusedSkews()) },
+	}
+}
+
+// OutcomeGauges returns the gauges of a recorder of outcomes.
+func OutcomeGauges(r *wasabioutcome.Recorder) Gauges {
+	return Gauges{
+		OutcomeSeries:   func() int64 { return int64(r.Stats().Series) },
+		OutcomeFolded:   func() int64 { return int64(r.Stats().Folded) },
+		OutcomeWrites:   func() int64 { return int64(r.Stats().Writes) },
+		OutcomeFailures: func() int64 { return int64(r.Stats().Failures) },
+		OutcomePending:  func() int64 { return int64(r.Stats().Unwritten) },
+		OutcomeDropped:  func() int64 { return int64(r.Stats().DroppedDays) },
+	}
+}
+
+// ProcessGauges returns the gauges of the process itself.
+func ProcessGauges() Gauges {
+	return Gauges{
+		ProcessRoutines: func() int64 { return int64(runtime.NumGoroutine()) },
+		ProcessHeap: func() int64 {
+			sample := []rtmetrics.Sample{{Name: heapMetric}}
+			rtmetrics.Read(sample)
+			return int64(sample[0].Value.Uint64())
+		},
+	}
+}
+
 // WriteMetrics writes all metrics as one JSON object, keyed by name.
 func (s *Set) WriteMetrics(w io.Writer) error {
 	metrics.WriteJSONOnce(s.registry, w)
--- a/internal/wasabimetrics/page.go
+++ b/internal/wasabimetrics/page.go
@@ -9,7 +9,7 @@
 
 ` + "`GET /metrics`" + ` on the operators' listener answers one JSON object keyed by the
 names below; ` + "`wasabictl metrics`" + ` prints it. Counters start at zero with the
-process. A histogram gives count, min, max, mean and percentiles of a sample of
+process. A gauge that no part of the instance sets is left out. A histogram gives count, min, max, mean and percentiles of a sample of
 the last minutes; figures over longer spans come from the outcomes
 (` + "`wasabictl outcomes`" + `). This page is made from the table in
 internal/wasabimetrics, and a test compares both.
--- a/internal/wasabioperator/body.go
+++ b/internal/wasabioperator/body.go
@@ -148,7 +148,7 @@
 func messageOf(err error) string {
 	if typed := errorx.Cast(err); typed != nil && typed.Message() != "" {
 		if cause := typed.Cause(); cause != nil {
-			return typed.Message() + ": " + cause.Error()
+			return typed.Message() + ": " + messageOf(cause)
 		}
 		return typed.Message()
 	}
--- a/showing.go
+++ b/showing.go
@@ -59,11 +59,18 @@
 	Leaving bool   `json:"leaving"`
 	// OpenRequests counts requests that are being served now.
 	OpenRequests int `json:"open_requests"`
-	// StoreReachable is false while the platform's store does not answer.
-	StoreReachable bool           `json:"store_reachable"`
-	Members        []MemberStatus `json:"members,omitempty"`
+	// Store tells whether the platform's store answers: StoreReachable,
+	// StoreUnreachable, or empty when that is not known.
+	Store   string         `json:"store,omitempty"`
+	Members []MemberStatus `json:"members,omitempty"`
 }
 
+// Values of InstanceStatus.Store.
+const (
+	StoreReachable   = "reachable"
+	StoreUnreachable = "unreachable"
+)
+
 // MemberStatus is what an instance knows of another one.
 type MemberStatus struct {
 	Instance    InstanceID       `json:"instance"`
