Path measured with one caller at a time

Cause: with 200 streams on a full machine waiting for a processor hides the router's own part of the time to first token.

--- a/internal/wasabidemo/path_bench_test.go
+++ b/internal/wasabidemo/path_bench_test.go
@@ -295,3 +295,34 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
+
+// BenchmarkOneCaller compares the time to first token of one caller at a time,
+// through the router and directly.
+func BenchmarkOneCaller(b *testing.B) {
+	p := newPath(b, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, pathEvent)
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, pathEnd)
+	})
+	way := func(base string) func(*testing.B) {
+		return func(b *testing.B) {
+			var firsts []time.Duration
+			for b.Loop() {
+				body, first, err := p.open(base)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, body)
+				body.Close()
+				firsts = append(firsts, first)
+			}
+			sort.Slice(firsts, func(i, j int) bool { return firsts[i] < firsts[j] })
+			b.ReportMetric(quantile(firsts, 0.5), "p50-ms")
+			b.ReportMetric(quantile(firsts, 0.99), "p99-ms")
+		}
+	}
+	b.Run("way=direct", way(p.direct))
+	b.Run("way=routed", way(p.routed))
+}
