Membership: a bare list gives no member without an address for callers; TLS needs an authority

Cause: with the seeds of the settings as its list, an instance could take a member for alive from brief news and never learn where callers reach it. TLS settings without an authority would have taken any certificate of a public one for a peer's. Conclusion: such members count once their whole entry is known.

--- a/internal/wasabimember/driver_test.go
+++ b/internal/wasabimember/driver_test.go
@@ -90,8 +90,10 @@
 	cut     func(from, to int) bool
 	nodes   []*node
 	entries []wasabiridge.InstanceEntry
-	queue   queue
-	order   int
+	// list is what the platform says. It starts as the entries.
+	list  []wasabiridge.InstanceEntry
+	queue queue
+	order int
 	// measure makes the driver count bytes, which takes time.
 	measure bool
 }
@@ -103,6 +105,7 @@
 	for i := range count {
 		d.entries = append(d.entries, entryOf(i))
 	}
+	d.list = d.entries
 	for i := range count {
 		d.nodes = append(d.nodes, &node{})
 		d.start(i, 1)
@@ -130,7 +133,7 @@
 		backends: map[wasabiridge.BackendServerID]bool{},
 		alive:    map[wasabiridge.InstanceID]bool{d.entries[i].ID: true},
 	}
-	d.post(i, wasabimember.Listed{Entries: d.entries}, 0)
+	d.post(i, wasabimember.Listed{Entries: d.list}, 0)
 	if life == 1 {
 		d.post(i, wasabimember.Ticked{}, wasabiridge.Millis(d.random.Int64N(int64(tickEvery))))
 	}
--- a/internal/wasabimember/heartbeat.go
+++ b/internal/wasabimember/heartbeat.go
@@ -88,9 +88,11 @@
 	if e == m.self || !e.outdone(said) {
 		return
 	}
-	// A new life may have new addresses, so it counts once they are known.
+	// A new life may have new addresses, so it counts once they are known. A
+	// list may name no more than the peer address; such a member would count as
+	// alive without an address for callers.
 	newLife := said.Incarnation != e.member.Incarnation || e.state == unproven
-	if newLife && said.PeerAddress == "" && (e.state != unproven || e.member.PeerAddress == "") {
+	if newLife && said.PeerAddress == "" && (e.state != unproven || e.member.CallerURL == "") {
 		return
 	}
 	m.table.set(e, alive, func() {
--- a/internal/wasabimember/member_test.go
+++ b/internal/wasabimember/member_test.go
@@ -130,6 +130,25 @@
 		Expect(d.runUntil(d.now+wasabiridge.Minute, func() bool { return d.sees(370) })).To(BeNumerically("<", 10*wasabiridge.Second))
 	})
 
+	// The platform is down and an instance starts with the peer addresses of its
+	// settings only. Callers that it sends on need the other addresses.
+	It("learn the addresses of callers when the list has none", func() {
+		for seed := range uint64(20) {
+			d := started(9, wasabitest.Seed+seed, tenPercent)
+			d.list = nil
+			for _, e := range d.entries {
+				d.list = append(d.list, wasabiridge.InstanceEntry{ID: e.ID, PeerAddress: e.PeerAddress})
+			}
+			d.start(0, 2)
+			d.post(1, wasabimember.LeaveStarted{}, 200)
+			d.run(20 * wasabiridge.Second)
+			Expect(d.nodes[0].machine.Alive()).To(HaveLen(8))
+			for _, m := range d.nodes[0].machine.Alive() {
+				Expect(m.CallerURL).NotTo(BeEmpty(), "seed %d: %s", seed, m.ID)
+			}
+		}
+	})
+
 	// Nobody is buried by lost messages alone, and no list changes.
 	It("keep their lists still while a tenth of messages is lost", func() {
 		d := started(90, wasabitest.Seed, tenPercent)
--- a/internal/wasabipeer/options.go
+++ b/internal/wasabipeer/options.go
@@ -61,6 +61,11 @@
 	if o.TLS != nil && len(o.TLS.Certificates) == 0 && o.TLS.GetCertificate == nil {
 		return wasabiridge.ErrInvalid.New("peer: TLS has no certificate")
 	}
+	// Without authorities of its own, Go takes those of the system, and any
+	// certificate of a public authority would pass for a peer's.
+	if o.TLS != nil && o.TLS.RootCAs == nil {
+		return wasabiridge.ErrInvalid.New("peer: TLS names no authority")
+	}
 	return nil
 }
 
--- a/internal/wasabipeer/peer_test.go
+++ b/internal/wasabipeer/peer_test.go
@@ -179,12 +179,19 @@
 		})
 	}
 
-	It("refuses to start without any authentication", func() {
-		_, err := wasabipeer.NewClient(wasabipeer.Options{})
-		Expect(errorx.IsOfType(err, wasabiridge.ErrInvalid)).To(BeTrue())
-		_, err = wasabipeer.Listen("127.0.0.1:0", &handler{}, wasabipeer.Options{})
-		Expect(errorx.IsOfType(err, wasabiridge.ErrInvalid)).To(BeTrue())
-	})
+	weak := map[string]wasabipeer.Options{
+		"nothing":        {},
+		"no certificate": {TLS: &tls.Config{RootCAs: trusted.RootCAs}},
+		"no authority":   {TLS: &tls.Config{Certificates: trusted.Certificates}},
+	}
+	for _, name := range slices.Sorted(maps.Keys(weak)) {
+		It("refuses to start without authentication: "+name, func() {
+			_, err := wasabipeer.NewClient(weak[name])
+			Expect(errorx.IsOfType(err, wasabiridge.ErrInvalid)).To(BeTrue())
+			_, err = wasabipeer.Listen("127.0.0.1:0", &handler{}, weak[name])
+			Expect(errorx.IsOfType(err, wasabiridge.ErrInvalid)).To(BeTrue())
+		})
+	}
 
 	tooMuch := map[string]wasabiridge.Heartbeat{
 		"no sender":          {},
