Configuration spreads over the real membership; fewer announcements

Cause: the spread was measured with modelled heartbeats, and its own announcements came on top of those of the membership.

--- a/internal/wasabiconfig/machine.go
+++ b/internal/wasabiconfig/machine.go
@@ -9,11 +9,9 @@
 
 // Times and sizes of the spread.
 const (
-	// announceRounds and announcePeers say how often and to how many peers a
-	// new version is told ahead of the regular heartbeats.
-	announceRounds                    = 3
-	announcePeers                     = 3
-	announcePause  wasabiridge.Millis = 150
+	// announcePeers is how many random peers are told of a new version, beside
+	// those that the membership tells. They make up for lost messages.
+	announcePeers = 2
 	// emptyPeers is how many peers an instance without a configuration asks.
 	emptyPeers                       = 8
 	emptyPause    wasabiridge.Millis = 200
@@ -58,9 +56,8 @@
 	nextRead wasabiridge.Millis
 	failures int
 
-	rounds       int
-	nextAnnounce wasabiridge.Millis
-	emptyPause   wasabiridge.Millis
+	nextAsk    wasabiridge.Millis
+	emptyPause wasabiridge.Millis
 
 	effects []Effect
 }
@@ -86,11 +83,11 @@
 	case Heard:
 		m.heard(e)
 	case Fetched:
-		m.fetched(now, e)
+		m.fetched(e)
 	case TableRead:
 		m.tableRead(now, e)
 	case Accepted:
-		m.adopt(now, e.Document)
+		m.adopt(e.Document)
 	case Doubted:
 		m.failures = 0
 		m.nextRead = now
@@ -151,12 +148,12 @@
 
 // fetched takes an answer, also one that comes after its timeout: what counts
 // is its version.
-func (m *Machine) fetched(now wasabiridge.Millis, f Fetched) {
+func (m *Machine) fetched(f Fetched) {
 	if f.Address == m.fetching {
 		m.fetching = ""
 	}
 	if f.Err == nil {
-		m.adopt(now, f.Document)
+		m.adopt(f.Document)
 	}
 	m.forget(f.Address)
 }
@@ -169,7 +166,7 @@
 	}
 	m.failures = 0
 	m.nextRead = now + m.jitter(m.readInterval())
-	m.adopt(now, t.Document)
+	m.adopt(t.Document)
 }
 
 // readFailed backs off, so that a store that comes back is not met by all
@@ -196,7 +193,7 @@
 // adopt puts a document in force if it is newer. A document that does not
 // parse was accepted by a release that knows more; keeping the old version is
 // the only way to go on serving.
-func (m *Machine) adopt(now wasabiridge.Millis, d wasabiridge.ConfigDocument) {
+func (m *Machine) adopt(d wasabiridge.ConfigDocument) {
 	if !m.wanted(d.Version) {
 		return
 	}
@@ -211,22 +208,13 @@
 	m.unanswered = 0
 	m.forget("")
 	m.do(Adopt{Document: d, Config: cfg.WithVersion(d.Version)})
-	m.rounds = announceRounds
-	m.announce(now)
-}
-
-// announce tells some peers of the version in force ahead of the regular
-// heartbeats.
-func (m *Machine) announce(now wasabiridge.Millis) {
-	m.rounds--
-	m.nextAnnounce = now + announcePause
 	m.do(Announce{Peers: announcePeers})
 }
 
 // ask looks for a peer with a configuration, so that an instance that starts
 // while the table is down has one at once. It gets slower when nobody has one.
 func (m *Machine) ask(now wasabiridge.Millis) {
-	m.nextAnnounce = now + m.emptyPause
+	m.nextAsk = now + m.emptyPause
 	m.emptyPause = min(2*m.emptyPause, maxEmptyPause)
 	m.do(Announce{Peers: emptyPeers})
 }
@@ -244,11 +232,7 @@
 		m.readBy = now + readTimeout
 		m.do(ReadTable{Have: m.document.Version})
 	}
-	switch {
-	case now < m.nextAnnounce:
-	case m.rounds > 0:
-		m.announce(now)
-	case m.document.Version == 0:
+	if m.document.Version == 0 && now >= m.nextAsk {
 		m.ask(now)
 	}
 }
