--- a/cmd/wasabirouter/overhead_test.go
+++ b/cmd/wasabirouter/overhead_test.go
@@ -195,13 +195,16 @@
 // BenchmarkStreamMemory opens streams that stand still after their first
 // token and measures by how much the router's resident memory grows.
 func BenchmarkStreamMemory(b *testing.B) {
-	for _, size := range []int{100, manual} {
-		b.Run(fmt.Sprintf("prompt=%d", size), func(b *testing.B) { measureMemory(b, promptOf(size)) })
+	const small = 100
+	for _, c := range []struct{ streams, prompt int }{{500, small}, {1000, small}, {2000, small}, {2000, manual}} {
+		b.Run(fmt.Sprintf("streams=%d/prompt=%d", c.streams, c.prompt), func(b *testing.B) {
+			measureMemory(b, c.streams, promptOf(c.prompt))
+		})
 	}
 }
 
-func measureMemory(b *testing.B, prompt []byte) {
-	const streams, workers = 2000, 20
+func measureMemory(b *testing.B, streams int, prompt []byte) {
+	const workers = 20
 	release := make(chan struct{})
 	engine := newEngine(b, func(_ http.ResponseWriter, r *http.Request) {
 		select {
@@ -225,13 +228,57 @@
 		}()
 	}
 	wg.Wait()
-	b.ReportMetric(float64(residentKB(b, cmd)-before)/streams, "KB/stream")
+	b.ReportMetric(float64(residentKB(b, cmd)-before)/float64(streams), "KB/stream")
 	b.ReportMetric(0, "ns/op")
 	for _, stream := range opened {
 		_ = stream.Close()
 	}
 }
 
+// BenchmarkLoad sends requests at a steady rate, each with an answer of 236
+// tokens, and measures the processor time that the router takes.
+func BenchmarkLoad(b *testing.B) {
+	for _, rate := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("requests=%d", rate), func(b *testing.B) { measureLoad(b, rate) })
+	}
+}
+
+func measureLoad(b *testing.B, rate int) {
+	const tokens, perWrite, pause, span = 236, 4, 20 * time.Millisecond, 5 * time.Second
+	batch := strings.Repeat(event, perWrite)
+	engine := newEngine(b, func(w http.ResponseWriter, _ *http.Request) {
+		for range tokens / perWrite {
+			time.Sleep(pause)
+			_, _ = io.WriteString(w, batch)
+			w.(http.Flusher).Flush()
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	router, cmd := startRouter(b, engine)
+	client := newClient(b, 4*rate)
+	prompt := promptOf(manual)
+	before := cpuSeconds(b, cmd)
+	begun := time.Now()
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	var wg sync.WaitGroup
+	for range rate * int(span/time.Second) {
+		<-ticker.C
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			stream, rest, _ := open(b, client, router, prompt)
+			_, _ = io.Copy(io.Discard, rest)
+			_ = stream.Close()
+		}()
+	}
+	wg.Wait()
+	share := (cpuSeconds(b, cmd) - before) / time.Since(begun).Seconds()
+	b.ReportMetric(share, "cores")
+	b.ReportMetric(float64(rate)*float64(span)/float64(time.Since(begun)), "requests/s")
+	b.ReportMetric(0, "ns/op")
+}
+
 func residentKB(b *testing.B, cmd *exec.Cmd) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
 	if err != nil {
