--- a/internal/wasabigateway/exchange.go
+++ b/internal/wasabigateway/exchange.go
@@ -88,19 +88,20 @@
 		x.gateway.options.Loop.Post(endOf(d, wasabiridge.AttemptNotRun))
 		return
 	}
+	a := x.attempt(d)
 	x.gateway.work.Add(1)
 	go func() {
 		defer x.gateway.work.Done()
 		defer x.attempts.Done()
 		defer cancel()
-		x.run(ctx, d)
+		x.run(ctx, d, a)
 	}()
 }
 
 // admit notes a new attempt. It returns why the attempt must not start, or
 // nothing.
 //
-// The decisions already keep to both rules. They are checked once more here,
+// The decisions already keep to these rules. They are checked once more here,
 // where the bytes leave, because a mistake would show as a second booking or
 // as an answer with a hole.
 func (x *exchange) admit(d wasabiridge.Dispatch, cancel context.CancelFunc) string {
@@ -111,6 +112,8 @@
 		return "the request is over"
 	case x.request.Action.NonIdempotent && (x.ledger.disposition() != wasabiridge.NotRun || len(x.running) > 0):
 		return "a non-idempotent request may have run"
+	case x.committed && !x.request.Action.Resume:
+		return "the rule does not allow to resume"
 	case d.ResumeFrom != x.tokens, x.committed && x.tokens == 0:
 		return "it would not continue where the caller's answer ends"
 	}
@@ -120,9 +123,9 @@
 }
 
 // run carries out an attempt and tells the decisions how it ended.
-func (x *exchange) run(ctx context.Context, d wasabiridge.Dispatch) {
+func (x *exchange) run(ctx context.Context, d wasabiridge.Dispatch, a wasabiridge.Attempt) {
 	s := &sink{exchange: x, ctx: ctx, dispatch: d}
-	end := x.send(ctx, x.attempt(d), s)
+	end := x.send(ctx, a, s)
 	end.Request = d.Request
 	end.Attempt = d.Attempt
 	end.Backend = d.Backend.ID
@@ -152,6 +155,8 @@
 	return end
 }
 
+// attempt puts together what is sent. The goroutine of the request calls it,
+// because it drops the body when no further attempt can follow.
 func (x *exchange) attempt(d wasabiridge.Dispatch) wasabiridge.Attempt {
 	a := wasabiridge.Attempt{
 		ID:            d.Attempt,
--- a/internal/wasabigateway/relay.go
+++ b/internal/wasabigateway/relay.go
@@ -97,6 +97,7 @@
 	}
 	if first {
 		l.writeHead()
+		l.dropBody()
 	}
 	data := l.out.take()
 	if finished && l.head.events {
@@ -129,6 +130,15 @@
 	return commit, first, l.finished, l.closed && !l.finished
 }
 
+// dropBody lets go of the request's body when no further attempt can follow an
+// answer that has begun. Long prompts would otherwise stay in memory for as
+// long as their answers stream.
+func (l *relay) dropBody() {
+	if !l.request.Action.Resume {
+		l.call.body = body{}
+	}
+}
+
 func (l *relay) writeHead() {
 	if l.gone {
 		return
