--- a/internal/wasabilimit/bench_test.go
+++ b/internal/wasabilimit/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -80,3 +81,34 @@
 		})
 	}
 }
+
+// BenchmarkMemory tells how much heap a Limiter holds that knows servers and
+// active accounts.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []struct{ servers, accounts int }{{16, 8}, {160, 8}, {1600, 8}, {16, 800}, {16, 4000}} {
+		b.Run(fmt.Sprintf("servers=%d/accounts=%d", size.servers, size.accounts), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				l, servers, ids := benchLimiter(size.servers, size.accounts)
+				for i, id := range ids {
+					l.Offer(1, wasabiridge.Request{
+						ID: wasabiridge.RequestID(fmt.Sprint(i)), Account: id, Rule: "r", MaxTokens: 100,
+						Action: wasabiridge.Action{Pool: "p"},
+					})
+					l.Withdraw(wasabiridge.RequestID(fmt.Sprint(i)))
+				}
+				held := heap() - before
+				runtime.KeepAlive(l)
+				runtime.KeepAlive(servers)
+				b.ReportMetric(float64(held), "held-bytes")
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/wasabilimit/limit.go
+++ b/internal/wasabilimit/limit.go
@@ -51,7 +51,8 @@
 
 // Options sets up a Limiter. The zero value of each field means its default.
 type Options struct {
-	// Instances is how many routers share the backend servers. Zero means 1.
+	// Instances is how many routers share the backend servers, until
+	// InstancesCounted says otherwise. Zero means 1.
 	Instances int
 	// TargetWaiting is how many requests may wait inside a backend server.
 	TargetWaiting int
@@ -139,8 +140,8 @@
 	}
 }
 
-// SetInstances tells how many routers share the backend servers now.
-func (l *Limiter) SetInstances(n int) {
+// setInstances takes how many routers share the backend servers now.
+func (l *Limiter) setInstances(n int) {
 	l.options.Instances = max(1, n)
 	for _, p := range l.order {
 		p.refresh()
--- a/internal/wasabilimit/limit_test.go
+++ b/internal/wasabilimit/limit_test.go
@@ -208,6 +208,17 @@
 			Expect(b.limiter.Limit("b")).To(BeNumerically("<", 4))
 		})
 
+		// Nine routers start where one was. Each takes no more than its part, as
+		// long as it does not know what the others send.
+		It("is shared with the other instances", func() {
+			b := newBench(wasabilimit.Options{}, 72, nil)
+			b.limiter.Observe(b.now, wasabiridge.InstancesCounted{Count: 9})
+			for range 40 {
+				b.offer(b.request("a", 0))
+			}
+			Expect(b.inside).To(HaveLen(2))
+		})
+
 		It("is learned when the server states no slots", func() {
 			b := newBench(wasabilimit.Options{}, 0, nil)
 			before := b.limiter.Limit("b")
--- a/internal/wasabilimit/observe.go
+++ b/internal/wasabilimit/observe.go
@@ -33,6 +33,8 @@
 		if s, ok := l.servers[e.Backend]; ok {
 			s.leave()
 		}
+	case wasabiridge.InstancesCounted:
+		l.setInstances(e.Count)
 	case wasabiridge.Ticked:
 		l.review(now)
 	}
--- a/internal/wasabimeasure/plot.go
+++ b/internal/wasabimeasure/plot.go
@@ -7,13 +7,13 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// WritePlot draws which part of the answers began within which time, a line
-// for each report, into a file.
+// WritePlot draws which part of all requests got their first token within
+// which time, a line for each report, into a file.
 func WritePlot(path string, reports []Report) error {
 	p := plot.New()
 	p.Title.Text = reports[0].Workload
 	p.X.Label.Text = "time to first token (ms)"
-	p.Y.Label.Text = "part of answered requests"
+	p.Y.Label.Text = "part of all requests"
 	p.X.Scale = plot.LogScale{}
 	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
 	p.Y.Max = 1
@@ -24,7 +24,7 @@
 	for _, r := range reports {
 		points := make(plotter.XYs, len(r.ttft))
 		for i, t := range r.ttft {
-			points[i] = plotter.XY{X: float64(max(1, t)), Y: float64(i+1) / float64(len(r.ttft))}
+			points[i] = plotter.XY{X: float64(max(1, t)), Y: float64(i+1) / float64(r.Requests)}
 		}
 		lines = append(lines, r.Policy, points)
 	}
