--- a/internal/wasabilimit/limit_test.go
+++ b/internal/wasabilimit/limit_test.go
@@ -208,6 +208,24 @@
 			Expect(b.limiter.Limit("b")).To(BeNumerically("<", 4))
 		})
 
+		// An engine dies and comes back with a cold cache. With its old limit,
+		// everything that waits would rush out at once, and callers would wait
+		// inside engines instead, behind each other's whole prompts.
+		It("starts small again when the server comes back cold", func() {
+			b := newBench(wasabilimit.Options{}, 32, nil)
+			for range 30 {
+				b.now += 250
+				b.report(b.limiter.Limit("b"), 0)
+			}
+			b.limiter.Observe(b.now, wasabiridge.BackendLost{Backend: "b"})
+			b.report(0, 0)
+			Expect(b.limiter.Limit("b")).To(BeNumerically(">=", 32), "a late report of the life before")
+			b.limiter.Observe(b.now, wasabiridge.LoadReported{Report: wasabiridge.LoadReport{
+				Backend: "b", Incarnation: 2, Taken: b.now,
+			}})
+			Expect(b.limiter.Limit("b")).To(Equal(8))
+		})
+
 		// Nine routers start where one was. Each takes no more than its part, as
 		// long as it does not know what the others send.
 		It("is shared with the other instances", func() {
