--- a/internal/wasabiplace/options.go
+++ b/internal/wasabiplace/options.go
@@ -13,8 +13,8 @@
 	DefaultMaxHomes = 8
 	// DefaultFirstTokenPrice and DefaultRecomputePrice are what one computed
 	// token costs beyond the time that it takes, as a share of that time.
-	DefaultFirstTokenPrice = 2
-	DefaultRecomputePrice  = 2
+	DefaultFirstTokenPrice = 2.5
+	DefaultRecomputePrice  = 1.5
 	// DefaultNear is the difference in score that counts as none.
 	DefaultNear = 1 * wasabiridge.Millis(1)
 	// DefaultZoneDistance is the time to another availability zone and back.
