--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -78,7 +78,8 @@
 
 // computing returns when the server is expected to have computed the deepest
 // level of the chain that was not cached when it was sent there. Zero means
-// that none is being computed.
+// that none is being computed. It looks at all open attempts, in any order,
+// and keeps the latest time.
 func (p *Placer) computing(s wasabicache.ServerIndex, c wasabiridge.Chain) wasabiridge.Millis {
 	ready := wasabiridge.Millis(0)
 	for _, a := range p.attempts {
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -7,14 +7,6 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabicache"
 )
 
-// idleDelayed is how many requests a computed token is taken to delay in a
-// pool without queues.
-const idleDelayed = 0.3
-
-// maxDelayed bounds how many requests a computed token is taken to delay. When
-// more wait, those behind them are better sent elsewhere than held up.
-const maxDelayed = 4
-
 // randomCandidates is how many servers of a large pool are weighed at random.
 const randomCandidates = 2
 
@@ -199,75 +191,6 @@
 	return true
 }
 
-// choose scores all candidates and returns the number of the best, or -1.
-func (p *Placer) choose(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) int {
-	best := -1
-	for i := range p.candidates {
-		c := &p.candidates[i]
-		p.score(now, t, q.Request, c)
-		if c.spread {
-			return i
-		}
-		if best < 0 || c.score < p.candidates[best].score {
-			best = i
-		}
-	}
-	if best < 0 {
-		return best
-	}
-	limit := p.candidates[best].score + float64(p.opts.Near)
-	near := 0
-	for i := range p.candidates {
-		if p.candidates[i].score > limit {
-			continue
-		}
-		near++
-		if p.random.IntN(near) == 0 {
-			best = i
-		}
-	}
-	return best
-}
-
-func (p *Placer) score(now wasabiridge.Millis, t *table, r wasabiridge.Request, c *candidate) {
-	m := &t.members[c.member]
-	l := &p.loads[m.server]
-	computed := max(0, float64(r.Chain.Tokens)-c.tokens)
-	work := computed * p.costOf(l)
-	c.wait = float64(m.distance) + l.wait(now, m.backend.Slots) + work
-	c.score = c.wait + p.priceOf(r, computed, work*(idleDelayed+t.waiting())) - c.pull
-}
-
-// priceOf is what computing the tokens costs beyond its time. The work delays
-// those who come while the queue lasts, about as many as wait now, so a token
-// computed again costs the more the fuller the pool is. Without this, a pool
-// with long queues would send everything to the shortest one, compute every
-// prefix everywhere and never catch up.
-func (p *Placer) priceOf(r wasabiridge.Request, computed, work float64) float64 {
-	share := p.opts.FirstTokenPrice
-	if r.Action.Objective == wasabiridge.ObjectiveRecompute {
-		share = p.opts.RecomputePrice
-	}
-	extra := share * work
-	if w := r.Action.RecomputeWeight; w > 0 && r.Chain.BlockTokens > 0 {
-		extra += w * computed / float64(r.Chain.BlockTokens)
-	}
-	return extra
-}
-
-// costOf is the time to compute one token, in milliseconds. It is that of the
-// pool, until enough was learned of the server itself.
-func (p *Placer) costOf(l *load) float64 {
-	if l.pool == nil || l.pool.cost.samples == 0 {
-		return DefaultTokenMicros / 1000.0
-	}
-	pool := l.pool.cost.value
-	if l.cost.samples < enoughSamples {
-		return pool
-	}
-	return min(max(l.cost.value, pool/costSpread), pool*costSpread)
-}
-
 func (p *Placer) placement(now wasabiridge.Millis, t *table, r wasabiridge.Request, c candidate) wasabiridge.Placement {
 	m := &t.members[c.member]
 	out := wasabiridge.Placement{
