Demo: routers over the platform and their peer listeners, configuration put as an operator does

Cause: the demo gave its routers claim keepers and a member list of its own, so wasabictl saw no peers, no configuration and no outcomes. It now runs what a deployment runs: table, objects, instance list, membership, spread. Before: wasabictl config status answered 'built without its part config'; after: it lists both routers.

--- a/internal/wasabidemo/caller.go
+++ b/internal/wasabidemo/caller.go
@@ -32,6 +32,9 @@
 	endMarker = "[DONE]"
 )
 
+// locateEvery is the pause between two questions for addresses.
+const locateEvery = 50 * time.Millisecond
+
 // caller sends requests to routers as a client program does.
 type caller struct {
 	clock     wasabiridge.Clock
@@ -84,6 +87,21 @@
 	Usage *usage `json:"usage"`
 }
 
+// locateAll asks a router for addresses until it names as many instances: the
+// routers need a moment to take the configuration and to hear of each other.
+func (c *caller) locateAll(ctx context.Context, router string, instances int) error {
+	for {
+		if err := c.locate(ctx, router); err == nil && len(c.addresses) >= instances {
+			return nil
+		}
+		select {
+		case <-time.After(locateEvery):
+		case <-ctx.Done():
+			return wasabiridge.ErrUnavailable.New("demo: %d of %d routers know each other", len(c.addresses), instances)
+		}
+	}
+}
+
 // locate asks a router which addresses to use.
 func (c *caller) locate(ctx context.Context, router string) error {
 	var resp *http.Response
--- a/internal/wasabidemo/demo.go
+++ b/internal/wasabidemo/demo.go
@@ -57,7 +57,7 @@
 func play(ctx context.Context, out io.Writer, s *stage) error {
 	c := newCaller(s.clock, liftwellKey)
 	var err error
-	if err = c.locate(ctx, s.routers[0].URL()); err != nil {
+	if err = c.locateAll(ctx, s.routers[0].URL(), len(s.routers)); err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "Two routers serve; callers may use:\n")
--- a/internal/wasabidemo/stage.go
+++ b/internal/wasabidemo/stage.go
@@ -9,10 +9,9 @@
 	"io"
 	"os"
 	"path/filepath"
-	"sync"
 
 	"github.com/wasabiridge/wasabiridge"
-	"github.com/wasabiridge/wasabiridge/internal/wasabiclaim"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclient"
 	"github.com/wasabiridge/wasabiridge/internal/wasabidaemon"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifake"
@@ -48,13 +47,9 @@
 	engines  []*wasabiengine.Engine
 	service  *wasabiservice.Service
 	platform *wasabiserver.Server
-	store    wasabiridge.Table
+	standIn  *wasabiplatform.StandIn
+	routers  []*wasabidaemon.Daemon
 	ended    chan error
-	stop     context.CancelFunc
-
-	// mu guards routers, which the routers themselves read.
-	mu      sync.Mutex
-	routers []*wasabidaemon.Daemon
 }
 
 // newStage starts all parts. On an error nothing is left running.
@@ -84,87 +79,75 @@
 }
 
 func (s *stage) startPlatform() error {
-	standIn := wasabiplatform.NewStandIn(wasabiplatform.StandInOptions{Clock: s.clock})
-	s.platform = wasabiserver.New(standIn.Handler())
-	if err := s.platform.Start(loopback); err != nil {
-		return err
-	}
-	s.store = wasabiplatform.Connect(standIn.Settings(s.platform.URL()), s.clock).Table
-	return nil
+	s.standIn = wasabiplatform.NewStandIn(wasabiplatform.StandInOptions{Clock: s.clock})
+	s.platform = wasabiserver.New(s.standIn.Handler())
+	return s.platform.Start(loopback)
 }
 
-// startRouters writes the configuration and starts one router in each zone.
+// startRouters starts one router in each zone and puts the configuration as an
+// operator does. The routers spread it.
 func (s *stage) startRouters() error {
 	var err error
 	if s.folder, err = os.MkdirTemp("", "wasabiridge-demo-"); err != nil {
-		return wasabiridge.ErrUnavailable.Wrap(err, "demo: folder for the configuration")
+		return wasabiridge.ErrUnavailable.Wrap(err, "demo: folder for the secret")
 	}
-	var text []byte
-	if text, err = json.MarshalIndent(s.config(), "", "  "); err != nil {
-		return wasabiridge.ErrInvalid.Wrap(err, "demo: configuration")
+	if err = os.WriteFile(s.secretPath(), []byte("shared by all instances of the demo"), 0o600); err != nil {
+		return wasabiridge.ErrUnavailable.Wrap(err, "demo: secret")
 	}
-	file := filepath.Join(s.folder, "config.jsonc")
-	if err = os.WriteFile(file, text, 0o600); err != nil {
-		return wasabiridge.ErrUnavailable.Wrap(err, "demo: configuration")
-	}
-	var ctx context.Context
-	ctx, s.stop = context.WithCancel(context.Background())
 	for i := range zones {
-		if err = s.startRouter(ctx, i, file); err != nil {
+		if err = s.startRouter(i); err != nil {
 			return err
 		}
 	}
-	return nil
+	return s.putConfig()
+}
+
+func (s *stage) secretPath() string {
+	return filepath.Join(s.folder, "instances.secret")
 }
 
-func (s *stage) startRouter(ctx context.Context, i int, file string) error {
-	id := wasabiridge.InstanceID(fmt.Sprintf("router-%d", i+1))
-	claims := wasabiclaim.New(wasabiclaim.Options{
-		Self: id, Incarnation: wasabiridge.Incarnation(s.clock.Now()),
-		Secret: []byte("demo"), Table: s.store, Clock: s.clock,
+func (s *stage) putConfig() error {
+	var text []byte
+	var err error
+	if text, err = json.MarshalIndent(s.config(), "", "  "); err != nil {
+		return wasabiridge.ErrInvalid.Wrap(err, "demo: configuration")
+	}
+	client := wasabiclient.New(wasabiclient.Options{
+		Addresses: []string{s.routers[0].OperatorURL()}, Key: operatorKey, Operator: "demo",
 	})
-	go claims.Run(ctx)
+	_, err = client.PutConfig(context.Background(), 0, text)
+	return err
+}
+
+// startRouter starts a router and enters it into the platform's list, where
+// the others find it.
+func (s *stage) startRouter(i int) error {
+	platform := s.standIn.Settings(s.platform.URL())
 	var d *wasabidaemon.Daemon
 	var err error
 	d, err = wasabidaemon.New(wasabidaemon.Options{
 		Settings: wasabisettings.Settings{
-			Instance: id, Zone: zones[i], ConfigFile: file,
+			Instance: wasabiridge.InstanceID(fmt.Sprintf("router-%d", i+1)), Zone: zones[i],
+			Platform: &platform,
 			Caller:   wasabisettings.Listener{Listen: loopback},
-			Operator: wasabisettings.OperatorListener{Listener: wasabisettings.Listener{Listen: loopback}},
-			Drain:    wasabisettings.Drain{AnswerLifetime: answerLifetime, Limit: drainLimit},
+			Operator: wasabisettings.OperatorListener{
+				Listener:  wasabisettings.Listener{Listen: loopback},
+				KeyHashes: []string{hashOf(operatorKey)},
+			},
+			Peer:  wasabisettings.PeerListener{Listen: loopback, SecretFile: s.secretPath()},
+			Drain: wasabisettings.Drain{AnswerLifetime: answerLifetime, Limit: drainLimit},
 		},
-		Clock:   s.clock,
-		Claimer: claims,
-		Members: func() []wasabiridge.Member { return s.membersBeside(i) },
+		Clock: s.clock,
 	})
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
 	s.routers = append(s.routers, d)
-	s.mu.Unlock()
+	s.standIn.Instances.Set(d.Entry())
 	go func() { s.ended <- d.Run() }()
 	return nil
 }
 
-// membersBeside lists the other routers.
-func (s *stage) membersBeside(self int) []wasabiridge.Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var members []wasabiridge.Member
-	for i, d := range s.routers {
-		if i != self {
-			members = append(members, wasabiridge.Member{
-				InstanceEntry: wasabiridge.InstanceEntry{
-					ID: wasabiridge.InstanceID(fmt.Sprintf("router-%d", i+1)), Zone: zones[i], CallerURL: d.URL(),
-				},
-				Heard: s.clock.Now(),
-			})
-		}
-	}
-	return members
-}
-
 // crashBusy ends the life of the engine that is answering and starts its next
 // one, with a cold cache. It reports false when none is answering.
 func (s *stage) crashBusy() (wasabiridge.BackendServerID, bool) {
@@ -195,9 +178,6 @@
 
 // close ends everything behind the routers.
 func (s *stage) close() {
-	if s.stop != nil {
-		s.stop()
-	}
 	for _, e := range s.engines {
 		e.Close()
 	}
@@ -223,7 +203,7 @@
 	}
 	fmt.Fprintf(out, "%s %s   plain service\n", s.service.Backend().ID, s.service.URL())
 	fmt.Fprintf(out, "platform   %s   table, objects, weights, instances\n", s.platform.URL())
-	fmt.Fprintf(out, "\nKeys: %s (liftwell), %s (selam-mix). Configuration: %s\n", liftwellKey, selamKey, s.folder)
+	fmt.Fprintf(out, "\nKeys: %s (liftwell), %s (selam-mix), %s (operators).\n", liftwellKey, selamKey, operatorKey)
 	fmt.Fprintf(out, lines, s.routers[0].URL(), liftwellKey, s.routers[0].OperatorURL(), operatorKey)
 }
 
@@ -236,6 +216,7 @@
 curl '%[1]s/v1/addresses?zone=san-fernando' -H 'Authorization: Bearer %[2]s'
 curl %[1]s/v1/models -H 'Authorization: Bearer %[2]s'
 go run ./cmd/wasabictl timeline --since 1m --address %[3]s --key %[4]s
+go run ./cmd/wasabictl config status --address %[3]s --key %[4]s
 `
 
 func (s *stage) config() wasabiridge.Config {
@@ -249,7 +230,6 @@
 	service.Zone = zones[0]
 	pools[1].Backends = append(pools[1].Backends, service)
 	return wasabiridge.Config{
-		Version:           1,
 		OperatorKeyHashes: []string{hashOf(operatorKey)},
 		Accounts: []wasabiridge.ClientAccount{
 			{ID: "liftwell", KeyHashes: []string{hashOf(liftwellKey)}, Pools: []wasabiridge.PoolID{"answer", "bookings"}},
