--- a/internal/wasabimember/driver_test.go
+++ b/internal/wasabimember/driver_test.go
@@ -94,6 +94,8 @@
 	list  []wasabiridge.InstanceEntry
 	queue queue
 	order int
+	// lostFetches is the share of configurations that come a second late.
+	lostFetches float64
 	// measure makes the driver count bytes, which takes time.
 	measure bool
 }
@@ -206,7 +208,11 @@
 		case wasabimember.Heard:
 			if e.Member.Config > n.config {
 				n.config = e.Member.Config
-				d.post(v.to, wasabimember.ConfigInForce{Version: n.config}, 10)
+				wait := 10 * wasabiridge.Millis(1)
+				if d.random.Float64() < d.lostFetches {
+					wait += wasabiridge.Second
+				}
+				d.post(v.to, wasabimember.ConfigInForce{Version: n.config}, wait)
 			}
 		}
 	}
--- a/internal/wasabimember/machine.go
+++ b/internal/wasabimember/machine.go
@@ -120,6 +120,9 @@
 	return out
 }
 
+// Config returns the version of the configuration that heartbeats tell.
+func (m *Machine) Config() wasabiridge.ConfigVersion { return m.self.member.Config }
+
 func (m *Machine) leave(now wasabiridge.Millis) {
 	if m.self.member.Leaving {
 		return
--- a/internal/wasabimember/measure_test.go
+++ b/internal/wasabimember/measure_test.go
@@ -78,6 +78,43 @@
 	b.ReportMetric(float64(most)/(float64(measuredSpan)/float64(wasabiridge.Second)), "wire-key-most-B/s")
 }
 
+// BenchmarkConfigNews measures how long it takes until the news of a version
+// of the configuration has reached all and was taken. A fetch takes 10 ms; none
+// or one in five comes a second late.
+func BenchmarkConfigNews(b *testing.B) {
+	const changes = 100
+	for _, size := range measuredSizes {
+		for _, lost := range []float64{0, 0.2} {
+			b.Run(fmt.Sprintf("%d/late=%.1f", size, lost), func(b *testing.B) {
+				for b.Loop() {
+					d := newDriver(size, wasabitest.Seed, tenPercent)
+					d.settle(NewWithT(b))
+					d.lostFetches = lost
+					var took []wasabiridge.Millis
+					for i := range changes {
+						took = append(took, d.changeConfig(i%size, wasabiridge.ConfigVersion(i+1)))
+					}
+					slices.Sort(took)
+					b.ReportMetric(float64(took[len(took)/2]), "p50-ms")
+					b.ReportMetric(float64(took[len(took)*99/100-1]), "p99-ms")
+					b.ReportMetric(float64(took[len(took)-1]), "max-ms")
+				}
+			})
+		}
+	}
+}
+
+// changeConfig lets half a minute pass, brings a version into force at one
+// instance, and returns how long it takes until all have it.
+func (d *driver) changeConfig(i int, v wasabiridge.ConfigVersion) wasabiridge.Millis {
+	d.run(30*wasabiridge.Second + wasabiridge.Millis(d.random.Int64N(int64(wasabiridge.Second))))
+	d.nodes[i].config = v
+	d.post(i, wasabimember.ConfigInForce{Version: v}, 0)
+	return d.runUntil(d.now+wasabiridge.Minute, func() bool {
+		return len(d.others(func(n *node) bool { return n.machine.Config() == v })) == 0
+	})
+}
+
 // BenchmarkMachine measures the time of the machine for one second of an
 // instance's life: its ticks, and the heartbeats it gets and answers.
 func BenchmarkMachine(b *testing.B) {
