Process test: a frozen instance that goes on after its lease

Cause: SIGSTOP for longer than a lease was not proved with real processes. The instance that drives a rollout is frozen in the middle of a rollout, a stream and a booking; the others take a configuration, end the rollout and make another; then it goes on. Conclusion: engines kept the newer weights, the booking ran once, no version fell.

--- a/cmd/wasabirouter/caller_test.go
+++ b/cmd/wasabirouter/caller_test.go
@@ -15,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabigateway"
 )
 
@@ -171,7 +172,13 @@
 // want returns the answer that every engine gives to a prompt.
 func (r *rig) want(prompt string, tokens int) string {
 	GinkgoHelper()
-	resp, err := http.Post(r.oracle.URL()+"/v1/chat/completions", "application/json", strings.NewReader(question(prompt, tokens, false)))
+	return answerOf(r.oracle, prompt, tokens)
+}
+
+// answerOf asks an engine without a router.
+func answerOf(e *wasabiengine.Engine, prompt string, tokens int) string {
+	GinkgoHelper()
+	resp, err := http.Post(e.URL()+"/v1/chat/completions", "application/json", strings.NewReader(question(prompt, tokens, false)))
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	var c completion
--- a/cmd/wasabirouter/operator_test.go
+++ b/cmd/wasabirouter/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -12,7 +13,11 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclient"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicommand"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiengine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiweights"
 )
 
 // accepted is the exit code of an accepted configuration.
@@ -113,3 +118,42 @@
 		return all
 	}
 }
+
+// rollOut publishes a version of the weights and starts to bring it to all
+// engines, as soon as the rollout before is ended.
+func (r *rig) rollOut(p *router, version wasabiridge.WeightsVersion) {
+	GinkgoHelper()
+	const model = "stand-in"
+	Expect(wasabiweights.NewStore(r.platform.Weights).Publish(context.Background(), model, "", version)).To(Succeed())
+	Eventually(func() error {
+		_, err := p.operator().StartRollout(context.Background(), wasabiridge.Rollout{Pool: "answer", Model: model, Weights: version})
+		return err
+	}, soon).Should(Succeed())
+}
+
+// driver returns the router that holds the lease of rollouts, or nil.
+func (r *rig) driver() *router {
+	platform := wasabiplatform.Connect(r.platform.Settings(r.store.URL()), wasabiclock.System())
+	row, err := platform.Table.Get(context.Background(), "lease/rollout/answer")
+	var lease struct {
+		Holder wasabiridge.InstanceID `json:"holder"`
+	}
+	if err != nil || json.Unmarshal(row.Value, &lease) != nil {
+		return nil
+	}
+	for _, p := range r.routers {
+		if p.id == lease.Holder {
+			return p
+		}
+	}
+	return nil
+}
+
+// weights counts the engines by the version that they serve.
+func weights(engines []*wasabiengine.Engine) map[wasabiridge.WeightsVersion]int {
+	count := map[wasabiridge.WeightsVersion]int{}
+	for _, e := range engines {
+		count[e.Weights()]++
+	}
+	return count
+}
--- a/cmd/wasabirouter/process_test.go
+++ b/cmd/wasabirouter/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -98,6 +99,58 @@
 	})
 })
 
+var _ = Describe("a router process that is frozen", func() {
+	// The machine under one instance stands still for longer than its lease
+	// lasts, in the middle of a rollout, of a stream and of a booking. The
+	// others take a new configuration, end the rollout and make another. Then
+	// the instance goes on, and believes at first that nothing happened. The
+	// engines keep the newer weights, the booking ran once, and the instance
+	// takes over the newer configuration instead of spreading its own.
+	It("does no harm when it goes on after its lease has lapsed", func() {
+		r := newRig(rigOptions{routers: 3, engines: 4, spec: busy, loadTime: wasabiridge.Second / 2})
+		stop := r.watchVersions()
+		r.rollOut(r.routers[0], 2)
+		var frozen *router
+		Eventually(func() *router { frozen = r.driver(); return frozen }, soon).ShouldNot(BeNil())
+		Eventually(func() int { return weights(r.engines)[2] }, soon).Should(BeNumerically(">", 0))
+		c := r.caller(0)
+		r.service.Inject(wasabiserver.Fault{Point: wasabiserver.BeforeHeaders, Manner: wasabiserver.Stall})
+		go c.book(frozen.url(), "under way")
+		Eventually(func() int { return r.service.Executions("under way") }, soon).Should(Equal(1))
+		streamed := make(chan reply, 1)
+		go func() { streamed <- r.caller(0).stream(frozen.url(), "A long answer", 200) }()
+		frozen.signal(syscall.SIGSTOP)
+
+		others := slices.DeleteFunc(slices.Clone(r.routers), func(p *router) bool { return p == frozen })
+		Expect(r.put(others[0], 1, "other", r.configText("other"))).To(Equal(accepted))
+		Eventually(func() *router { return r.driver() }, "60s").Should(BeElementOf(others[0], others[1]))
+		Eventually(func() int { return weights(r.engines)[2] }, soon).Should(Equal(4))
+		r.rollOut(others[0], 3)
+		Eventually(func() int { return weights(r.engines)[3] }, soon).Should(Equal(4))
+		for _, p := range others {
+			Expect(c.book(p.url(), "under way").Code).To(BeElementOf("still_running", "outcome_unknown"))
+		}
+
+		frozen.signal(syscall.SIGCONT)
+		Expect(r.converge()).To(BeEquivalentTo(2))
+		Consistently(func() int { return weights(r.engines)[3] }, "2s").Should(Equal(4))
+		var got reply
+		Eventually(streamed, soon).Should(Receive(&got))
+		Expect(got.Code).To(BeElementOf("", codeCut, "no_backend"))
+		if got.Code == "" {
+			var whole []string
+			for version := range wasabiridge.WeightsVersion(3) {
+				e := startStandIn(wasabifake.Spec{ID: "oracle", Weights: version + 1}, 0)
+				whole = append(whole, answerOf(e, "A long answer", 200))
+			}
+			Expect(got.Text).To(BeElementOf(whole), "an answer of one version")
+		}
+		r.eventuallyServing()
+		Expect(r.service.Executions("under way")).To(Equal(1))
+		Expect(stop()).To(BeEmpty(), "versions that fell")
+	})
+})
+
 var _ = Describe("router processes whose platform is away", func() {
 	// Each takes the platform away and returns how to bring it back.
 	away := map[string]func(r *rig) (back func()){
--- a/cmd/wasabirouter/rig_test.go
+++ b/cmd/wasabirouter/rig_test.go
@@ -50,6 +50,8 @@
 type rigOptions struct {
 	routers, engines int
 	spec             wasabifake.Spec
+	// loadTime is how long an engine takes to load weights.
+	loadTime wasabiridge.Millis
 	// lifetime is how long an address answer may be kept.
 	lifetime wasabiridge.Millis
 	// fromFile gives the routers a configuration file. Otherwise the first
@@ -85,11 +87,11 @@
 func newRig(o rigOptions) *rig {
 	GinkgoHelper()
 	r := &rig{options: o}
-	r.oracle = startStandIn(wasabifake.Spec{ID: "oracle"})
+	r.oracle = startStandIn(wasabifake.Spec{ID: "oracle"}, 0)
 	for i := range o.engines {
 		spec := o.spec
 		spec.ID = wasabiridge.BackendServerID(fmt.Sprintf("answer-%d", i+1))
-		r.engines = append(r.engines, startStandIn(spec))
+		r.engines = append(r.engines, startStandIn(spec, o.loadTime))
 	}
 	r.service = wasabiservice.New("bookings-1")
 	Expect(r.service.Start(loopback)).To(Succeed())
@@ -110,9 +112,9 @@
 	return r
 }
 
-func startStandIn(spec wasabifake.Spec) *wasabiengine.Engine {
+func startStandIn(spec wasabifake.Spec, loadTime wasabiridge.Millis) *wasabiengine.Engine {
 	GinkgoHelper()
-	e := wasabiengine.New(wasabiengine.Options{Spec: spec, Clock: wasabiclock.System()})
+	e := wasabiengine.New(wasabiengine.Options{Spec: spec, LoadTime: loadTime, Clock: wasabiclock.System()})
 	Expect(e.Start(loopback)).To(Succeed())
 	DeferCleanup(e.Close)
 	return e
