--- a/cmd/wasabirouter/operator_test.go
+++ b/cmd/wasabirouter/operator_test.go
@@ -53,6 +53,17 @@
 	return status.Config, err == nil
 }
 
+// eventuallyLoses waits until the time line of a router tells of the loss of an
+// engine.
+func (p *router) eventuallyLoses(e *wasabiengine.Engine) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		page, err := p.operator().Timeline(context.Background(), wasabiridge.TimelineQuery{Backend: e.Backend().ID}, "", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Events).To(ContainElement(HaveField("Kind", wasabiridge.EventBackendLost)))
+	}, soon).Should(Succeed())
+}
+
 // converge waits until all routers have the newest version of the history.
 func (r *rig) converge() wasabiridge.ConfigVersion {
 	GinkgoHelper()
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -135,6 +135,7 @@
 		c.refuse(now, en, wasabiridge.RefusedOverload, max(e.RetryAfter, defaultRetryAfter))
 		return
 	}
+	en.resumeBy = now + resumeWait
 	c.place(now, en, why)
 }
 
--- a/internal/wasabicore/entry.go
+++ b/internal/wasabicore/entry.go
@@ -13,7 +13,10 @@
 	// weights is the version that began to answer. A resumed stream must
 	// come from the same version. Zero before the first token.
 	weights wasabiridge.WeightsVersion
-	joined  bool
+	// resumeBy is until when a broken stream waits for a server that can
+	// continue it.
+	resumeBy wasabiridge.Millis
+	joined   bool
 	// answered says that the final answer was given; the entry stays until
 	// every attempt has ended.
 	answered bool
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -19,6 +19,10 @@
 	maxFullServers = 8
 	// roomRetry is when a request that found no room anywhere is placed again.
 	roomRetry = 20 * wasabiridge.Millis(1)
+	// resumeWait bounds how long a broken stream waits until some server can
+	// continue it. An engine that restarted is known again within about a
+	// second; the caller sees a pause.
+	resumeWait = 5 * wasabiridge.Second
 )
 
 func (c *Core) arrive(now wasabiridge.Millis, r wasabiridge.Request) {
@@ -64,9 +68,17 @@
 			return true
 		}
 	}
-	if en.running() == 0 {
-		c.refuse(now, en, wasabiridge.RefusedNoBackend, defaultRetryAfter)
+	if en.running() > 0 {
+		return false
 	}
+	// Engines of a pool may die shortly after each other. A stream that breaks
+	// while none of them is known to serve would be cut, although one is just
+	// coming back. It waits and is placed again, for a bounded time.
+	if why == placeResume && now < en.resumeBy {
+		c.timers.add(now+roomRetry, timer{kind: timerRoom, request: en.request.ID, why: why})
+		return true
+	}
+	c.refuse(now, en, wasabiridge.RefusedNoBackend, defaultRetryAfter)
 	return false
 }
 
--- a/internal/wasabicore/timer.go
+++ b/internal/wasabicore/timer.go
@@ -102,7 +102,13 @@
 	if en.running() > 0 {
 		return
 	}
-	if en.request.Deadline > 0 && now >= en.request.Deadline {
+	// The deadline bounds the wait before the first byte. A stream that is to
+	// be continued is bounded by its own time.
+	until := en.request.Deadline
+	if why == placeResume {
+		until = en.resumeBy
+	}
+	if until > 0 && now >= until {
 		c.refuse(now, en, wasabiridge.RefusedDeadline, defaultRetryAfter)
 		return
 	}
