Gateway: a stream resumed after its last token adds only what is missing

Cause: an attempt that broke between the last token and the end marker is resumed by one that has no token left. What its engine sends first (the role) was dropped only when a token followed, so the caller read a second role before the end marker; a reason for the end that both engines sent came twice. Ruled out: a race between attempts (the order is the loop's); lost tokens.

--- a/internal/wasabigateway/claim_test.go
+++ b/internal/wasabigateway/claim_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -160,7 +162,7 @@
 		"key of another request":    {wasabiridge.ClaimMismatch, 422, "idempotency_key_reused", "not_run"},
 		"no claim could be decided": {wasabiridge.ClaimUnavailable, 503, "claims_unavailable", "not_run"},
 	}
-	for _, name := range sortedNames(states) {
+	for _, name := range slices.Sorted(maps.Keys(states)) {
 		c := states[name]
 		It("answer a claim that is not granted: "+name, func() {
 			r := specRig(nil)
--- a/internal/wasabigateway/exchange.go
+++ b/internal/wasabigateway/exchange.go
@@ -43,6 +43,8 @@
 	finished bool
 	// closed says that no attempt may answer any more.
 	closed bool
+	// endings are those that were handed over.
+	endings ending
 	// tokens counts output tokens that were handed over.
 	tokens     int
 	firstToken wasabiridge.Millis
@@ -235,6 +237,16 @@
 	x.tokens += tokens
 }
 
+// markEnding notes an ending that is handed over. It reports false when one was
+// handed over before.
+func (x *exchange) markEnding(e ending) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	first := e == endingNone || x.endings&e == 0
+	x.endings |= e
+	return first
+}
+
 // markEnded notes the end of an attempt and returns how many tokens the
 // caller has, or none when the attempt was not the one that answered. What an
 // attempt left in the outlet is dropped when the caller has seen nothing yet:
@@ -259,6 +271,7 @@
 		return x.tokens
 	}
 	x.tokens = 0
+	x.endings = endingNone
 	x.firstToken = 0
 	x.out.discard()
 	return 0
--- a/internal/wasabigateway/refusal_test.go
+++ b/internal/wasabigateway/refusal_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -48,7 +50,7 @@
 				o.Config = func() *wasabiridge.Config { return &wasabiridge.Config{} }
 			}, status: 503, code: "no_configuration", retry: true},
 	}
-	for _, name := range sortedNames(cases) {
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
 		c := cases[name]
 		It(name+" is not run", func() {
 			r := specRig(c.change)
@@ -70,7 +72,7 @@
 			"cut off":    "5\r\nab",
 			"no newline": "3\r\nabcXX",
 		}
-		for _, name := range sortedNames(raw) {
+		for _, name := range slices.Sorted(maps.Keys(raw)) {
 			r := specRig(nil)
 			status := rawRequest(r, "Transfer-Encoding: chunked", raw[name])
 			Expect(status).To(ContainSubstring("400"), name)
--- a/internal/wasabigateway/resume_test.go
+++ b/internal/wasabigateway/resume_test.go
@@ -46,6 +46,36 @@
 	})
 }
 
+// An engine dies after the last token, before or after it said why the answer
+// ends. The engine that takes over sends the role again and the reason; the
+// caller once read a second role, and must read the reason exactly once.
+func TestResumeAfterTheLastTokenAddsOnlyWhatIsMissing(t *testing.T) {
+	RegisterTestingT(t)
+	const reason = `{"choices":[{"finish_reason":"stop"}]}`
+	for name, reasonSent := range map[string]bool{"before the reason": false, "after the reason": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			read := make(chan struct{})
+			r.runner.set(func(_ context.Context, n int, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
+				_ = stream(a, sink, 3)
+				if n > 1 || reasonSent {
+					_ = sink.Chunk(0, []byte(reason))
+				}
+				if n > 1 {
+					return end(wasabiridge.AttemptCompleted)
+				}
+				<-read
+				return end(wasabiridge.AttemptBroken)
+			})
+			got := r.doThen(call{body: chatStream}, func() { close(read) })
+			want := wholeStream(3)
+			want = slices.Insert(want, len(want)-1, reason)
+			Expect(got.cut).NotTo(HaveOccurred())
+			Expect(events(got.text)).To(Equal(want))
+		})
+	}
+}
+
 // checkPrefix fails unless the caller got all of want, or the beginning of it
 // and knows that it is cut.
 func checkPrefix(t *rapid.T, got reply, want []string) {
--- a/internal/wasabigateway/sink.go
+++ b/internal/wasabigateway/sink.go
@@ -86,6 +86,9 @@
 	if !s.win() {
 		return errAbandoned
 	}
+	if first := s.markEnding(data); !first && tokens == 0 {
+		return nil
+	}
 	if err := s.write(data); err != nil {
 		return err
 	}
@@ -107,8 +110,7 @@
 }
 
 // win makes this attempt the one that answers, if no other one is, and hands
-// on what was held back. Payloads without tokens that an engine sends again
-// at the start of a resumed stream are dropped: the caller has them.
+// on what was held back.
 func (s *sink) win() bool {
 	if s.won {
 		return true
@@ -117,23 +119,39 @@
 		return false
 	}
 	s.won = true
-	if s.dispatch.ResumeFrom > 0 {
-		s.early = nil
-	}
 	return s.release() == nil
 }
 
-// release hands on the payloads that were held back.
+// release hands on the payloads that were held back. Of those that an engine
+// sends again at the start of a resumed stream, such as the role, the caller
+// has all but the ending, which may be all that is left of the answer.
 func (s *sink) release() error {
-	for _, data := range s.early {
+	early := s.early
+	s.early = nil
+	for _, data := range early {
+		ending := endingOf(data) != endingNone
+		if s.dispatch.ResumeFrom > 0 && !ending {
+			continue
+		}
+		if first := s.markEnding(data); !first {
+			continue
+		}
 		if err := s.write(data); err != nil {
 			return err
 		}
 	}
-	s.early = nil
 	return nil
 }
 
+// markEnding notes that the caller gets an ending. It reports false when the
+// caller has it already, from an attempt that broke right after it.
+func (s *sink) markEnding(data []byte) bool {
+	if !s.head.events {
+		return true
+	}
+	return s.exchange.markEnding(endingOf(data))
+}
+
 func (s *sink) write(data []byte) error {
 	if s.head.events {
 		return s.exchange.out.write(s.ctx, eventStart, data, eventEnd)
@@ -141,15 +159,8 @@
 	return s.exchange.out.write(s.ctx, data)
 }
 
-// complete hands on what was held back of a whole answer without a token. It
-// reports false when another attempt answers.
+// complete hands on what was held back of an answer without a token, or of one
+// whose tokens the caller has. It reports false when another attempt answers.
 func (s *sink) complete() bool {
-	if s.won {
-		return true
-	}
-	if !s.exchange.elect(s) {
-		return false
-	}
-	s.won = true
-	return s.release() == nil
+	return s.win()
 }
--- a/internal/wasabigateway/suite_test.go
+++ b/internal/wasabigateway/suite_test.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"sort"
 	"strings"
 	"sync"
 	"testing"
@@ -319,13 +318,4 @@
 	return append(all, "[DONE]")
 }
 
-func sortedNames[V any](table map[string]V) []string {
-	names := make([]string, 0, len(table))
-	for name := range table {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 const chatStream = `{"model":"m","stream":true,"messages":[{"role":"user","content":"Code 17?"}]}`
