--- a/internal/wasabiconfig/history_test.go
+++ b/internal/wasabiconfig/history_test.go
@@ -138,8 +138,7 @@
 }
 
 // put edits from what an operator sees at an instance, after thinking.
-func (h *history) put(i int, thinking time.Duration) {
-	k := h.lives[i].keeper
+func (h *history) put(k *wasabiconfig.Keeper, thinking time.Duration) {
 	base := k.Version()
 	time.Sleep(thinking)
 	h.mu.Lock()
@@ -164,7 +163,7 @@
 		time.AfterFunc(time.Duration(h.rng.Int64N(int64(3*time.Second))), func() { l.gate.stop(episode / 2) })
 	case operatorsRace:
 		for i := range instances {
-			go h.put(i, time.Duration(h.rng.Int64N(int64(100*time.Millisecond))))
+			go h.put(h.lives[i].keeper, time.Duration(h.rng.Int64N(int64(100*time.Millisecond))))
 		}
 	case routersHerd:
 		survivor := h.rng.IntN(instances)
@@ -259,13 +258,13 @@
 		}
 		time.Sleep(2 * time.Second)
 	}()
-	h.put(0, 0)
+	h.put(h.lives[0].keeper, 0)
 	for range episodes {
 		for _, trouble := range together {
 			h.cause(trouble)
 		}
 		for range editsPerEpisode {
-			go h.put(h.rng.IntN(instances), time.Duration(h.rng.Int64N(int64(time.Second))))
+			go h.put(h.lives[h.rng.IntN(instances)].keeper, time.Duration(h.rng.Int64N(int64(time.Second))))
 			time.Sleep(episode / editsPerEpisode)
 		}
 		h.table.Faults().SetPlan(wasabifault.Plan{})
