Limits follow the number of instances

Cause: the limiter shares each server's room among the instances, and the daemon told it of none. Conclusion: the number of members is looked at once a second and goes to the decisions as an event.

--- a/internal/wasabidaemon/parts.go
+++ b/internal/wasabidaemon/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"time"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
@@ -35,6 +36,8 @@
 	// eventStreams bounds the cache event streams that are followed. At the
 	// target size an instance cannot afford those of all replicas.
 	eventStreams = 64
+	// instancesInterval is how often the number of instances is looked at.
+	instancesInterval = time.Second
 	// secretBytes is the size of a secret that nobody else needs to know.
 	secretBytes = 32
 )
@@ -103,7 +106,7 @@
 		placer = wasabiplace.New(wasabiplace.Options{Seed: d.seed, Zone: d.options.Settings.Zone})
 	}
 	if limiter == nil {
-		limiter = wasabilimit.New(wasabilimit.Options{Instances: 1})
+		limiter = wasabilimit.New(wasabilimit.Options{})
 	}
 	core := wasabicore.New(wasabicore.Options{
 		Placer:       placer,
@@ -232,6 +235,7 @@
 	if d.parts.peers.members != nil {
 		d.start(ctx, d.parts.peers.members.Run)
 	}
+	d.start(ctx, d.followInstances)
 	if d.parts.claims != nil {
 		d.start(ctx, d.parts.claims.Run)
 	}
@@ -260,6 +264,26 @@
 	}
 }
 
+// followInstances tells the decisions how many instances share the backend
+// servers. With one left out of account each server would get more than it
+// takes; with one too many, capacity would lie idle.
+func (d *Daemon) followInstances(ctx context.Context) {
+	ticker := time.NewTicker(instancesInterval)
+	defer ticker.Stop()
+	told := 0
+	for {
+		if n := len(d.members()) + 1; n != told {
+			told = n
+			d.parts.loop.Post(wasabiridge.InstancesCounted{Count: n})
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (d *Daemon) runOutcomes(ctx context.Context) {
 	if err := d.parts.outcomes.Run(ctx); err != nil {
 		d.log.Error().Err(err).Msg("The last outcomes were not written.")
