docs/CAPACITY.md, computed from the measured slopes and compared by a test

Costs that stop growing at a bound were carried on to the target, 5 GB for a cache picture that keeps 6 MB. Conclusion: a measure can name its bound; the page says first what does not fit, what a bound leaves out, and what was not measured.

--- a/internal/wasabicapacity/capacity.go
+++ b/internal/wasabicapacity/capacity.go
@@ -76,8 +76,14 @@
 	Note     string   `json:"note,omitempty"`
 	// Share is the part of the target's size that one node carries. Zero
 	// means all of it. The note says why.
-	Share  float64 `json:"share,omitempty"`
-	Points []Point `json:"points"`
+	Share float64 `json:"share,omitempty"`
+	// Bound is the size at which the part stops growing by design, and with it
+	// its cost. Zero means none. What lies beyond is not carried.
+	Bound float64 `json:"bound,omitempty"`
+	// LevelsOff says that the points were measured with the bound in force, so
+	// that those beyond it show the level.
+	LevelsOff bool    `json:"levels_off,omitempty"`
+	Points    []Point `json:"points"`
 }
 
 // Point is one measurement.
@@ -93,10 +99,16 @@
 	Determination float64
 	// Largest is the largest size that was measured.
 	Largest float64
-	// Size is the size at the target, and Value the line's value there.
+	// Size is the size at the target or the bound below it, and Value the cost
+	// there.
 	Size, Value float64
+	// Target is the size at the target, whether it is carried or not.
+	Target float64
 }
 
+// bounded reports whether the part carries less than the target asks for.
+func (f Fit) bounded() bool { return f.Size < f.Target }
+
 // Load reads all roles of a directory, in the order of their names.
 func Load(directory string) ([]Role, error) {
 	var (
@@ -189,10 +201,28 @@
 	if stat.Variance(values, nil) > 0 {
 		f.Determination = stat.RSquared(sizes, values, nil, f.Base, f.Slope)
 	}
+	f.Target = f.Size
+	if m.Bound > 0 && m.Bound < f.Size {
+		f.Size = m.Bound
+	}
 	f.Value = max(f.Base+f.Slope*f.Size, 0)
+	if f.bounded() && m.LevelsOff {
+		f.Value = max(f.Value, m.highestFrom(f.Size))
+	}
 	return f, nil
 }
 
+// highestFrom returns the highest value that was measured at a size or beyond.
+func (m Measure) highestFrom(size float64) float64 {
+	highest := 0.0
+	for _, p := range m.Points {
+		if p.Size >= size {
+			highest = max(highest, p.Value)
+		}
+	}
+	return highest
+}
+
 // Limits of a fit that can be trusted.
 const (
 	goodDetermination = 0.9
@@ -206,7 +236,7 @@
 	for _, p := range m.Points {
 		least, most = min(least, p.Value), max(most, p.Value)
 	}
-	return most-least > levelSpread*most && f.Determination < goodDetermination
+	return !f.bounded() && most-least > levelSpread*most && f.Determination < goodDetermination
 }
 
 // missingRoles returns the roles of the target that nothing was measured for.
--- a/internal/wasabicapacity/capacity_test.go
+++ b/internal/wasabicapacity/capacity_test.go
@@ -34,6 +34,9 @@
 		"a falling line":  {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "instances", Points: line(30, 20, 10)}, 0},
 		"for a node":      {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "requests_per_second", Points: line(10, 20, 30)}, 9300.0 / 370},
 		"total for store": {wasabicapacity.Measure{Resource: wasabicapacity.StoreWrites, Driver: "requests_per_second", Points: line(10, 20, 30)}, 9300},
+		"a bound":         {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "replicas", Bound: 40, Points: line(10, 20, 30)}, 40},
+		"a level beyond":  {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "replicas", Bound: 20, LevelsOff: true, Points: line(0, 29, 30)}, 30},
+		"a far bound":     {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "replicas", Bound: 9999, Points: line(10, 20, 30)}, 1600},
 		"a share":         {wasabicapacity.Measure{Resource: wasabicapacity.CPU, Driver: "replicas", Share: 0.5, Points: line(10, 20, 30)}, 800},
 	}
 	for _, name := range slices.Sorted(maps.Keys(fits)) {
@@ -77,6 +80,13 @@
 		Expect(page).NotTo(ContainSubstring("Uncertain"))
 	})
 
+	It("says first what is carried only up to a bound", func() {
+		m := wasabicapacity.Measure{Resource: wasabicapacity.Memory, Driver: "known_blocks", Bound: 1000, Points: line(10, 20, 30)}
+		page, err := wasabicapacity.Page([]wasabicapacity.Role{{Role: "cache picture", Mechanism: "m", Command: "c", Measures: []wasabicapacity.Measure{m}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page).To(ContainSubstring("Bounded by design, so the rest is left out or comes later: memory of cache picture stops growing at 1000 of 1e+08 known_blocks"))
+	})
+
 	// A cost that levels off looks like a rising line when it is measured
 	// around the bend only; its value at the target means little then.
 	It("names figures whose points are not on a line, but not level ones", func() {
@@ -89,3 +99,15 @@
 		Expect(page).NotTo(ContainSubstring("sums: relaying, placing"))
 	})
 })
+
+var _ = Describe("docs/CAPACITY.md", func() {
+	It("is what the measured points give", func() {
+		roles, err := wasabicapacity.Load("../../docs/capacity")
+		Expect(err).NotTo(HaveOccurred())
+		page, err := wasabicapacity.Page(roles)
+		Expect(err).NotTo(HaveOccurred())
+		written, err := os.ReadFile("../../docs/CAPACITY.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(written) == page).To(BeTrue(), "run: go run ./cmd/wasabictl capacity --dir docs/capacity --out docs/CAPACITY.md")
+	})
+})
--- a/internal/wasabicapacity/page.go
+++ b/internal/wasabicapacity/page.go
@@ -39,7 +39,7 @@
 	var b strings.Builder
 	b.WriteString(head)
 	writeShortfalls(&b, control)
-	if err := writePoor(&b, roles); err != nil {
+	if err := writeDoubts(&b, roles); err != nil {
 		return "", err
 	}
 	if missing := missingRoles(roles); len(missing) > 0 {
@@ -98,16 +98,21 @@
 	}
 }
 
-// writePoor names figures whose points do not lie on a line.
-func writePoor(b *strings.Builder, roles []Role) error {
+// writeDoubts names costs that stop growing at a bound, and figures whose
+// points do not lie on a line.
+func writeDoubts(b *strings.Builder, roles []Role) error {
 	for _, r := range roles {
 		for _, m := range r.Measures {
 			f, err := m.Fit()
 			if err != nil {
 				return err
 			}
+			limit := budgets[m.Resource]
+			if f.bounded() {
+				fmt.Fprintf(b, "- Bounded by design, so the rest is left out or comes later: %s of %s stops growing at %.6g of %.6g %s (%.2g%%), with %s.\n",
+					limit.name, r.Role, f.Size, f.Target, m.Driver, 100*f.Size/f.Target, limit.show(f.Value))
+			}
 			if m.poor(f) {
-				limit := budgets[m.Resource]
 				fmt.Fprintf(b, "- Uncertain: %s of %s by %s, %s, comes from points that are not on a line (R² %.2f).\n",
 					limit.name, r.Role, m.Driver, limit.show(f.Value), f.Determination)
 			}
@@ -187,6 +192,9 @@
 }
 
 func beyond(f Fit) string {
+	if f.bounded() {
+		return fmt.Sprintf("bound; target %.6g", f.Target)
+	}
 	if f.Size <= f.Largest {
 		return "within"
 	}
--- a/internal/wasabicapacity/target.go
+++ b/internal/wasabicapacity/target.go
@@ -65,6 +65,7 @@
 // aliases are further names under which parts measure a role.
 var aliases = map[string]string{
 	"placement":           "placing",
+	"relay to callers":    "relaying",
 	"leases and rollouts": "leases and orders",
 	"backend intake":      "load picture",
 }
