Limits: an instance that starts takes up from what a server runs

Cause: a server without stated slots began with a limit of 8 that grew by a tenth a load report, whatever it already ran for others. Seen when the overhead benchmark, whose engine states no slots, went from 1-2 ms to 149 ms at p50: the router queued. Before: the new test is queued on its first request; after: admitted.

--- a/cmd/wasabirouter/overhead_test.go
+++ b/cmd/wasabirouter/overhead_test.go
@@ -29,6 +29,9 @@
 // event is one token as an engine sends it.
 const event = `data: {"id":"cmpl-1","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":" check"},"finish_reason":null,"token_ids":[17]}]}` + "\n\n"
 
+// engineSlots is more than any benchmark opens at once.
+const engineSlots = 16384
+
 // newEngine starts a bare engine. It answers with the first token at once and
 // leaves the rest to the function.
 func newEngine(b *testing.B, rest func(w http.ResponseWriter, r *http.Request)) wasabiridge.BackendServer {
@@ -48,7 +51,9 @@
 		rest(w, r)
 	}))
 	b.Cleanup(server.Close)
-	return wasabiridge.BackendServer{ID: "e1", Kind: wasabiridge.BackendEngine, URL: server.URL}
+	// The engine reports no load, so nothing would raise a learned limit; with
+	// its slots stated the router does not queue.
+	return wasabiridge.BackendServer{ID: "e1", Kind: wasabiridge.BackendEngine, URL: server.URL, Slots: engineSlots}
 }
 
 // startRouter runs a router process and returns its base URL and its process.
--- a/internal/wasabilimit/limit_test.go
+++ b/internal/wasabilimit/limit_test.go
@@ -363,3 +363,23 @@
 		})
 	})
 })
+
+// A router restarts while an engine without stated slots runs a hundred
+// requests for the other routers. Its callers waited for half a minute, because
+// the limit began at eight and grew by a tenth with each load report.
+func TestRestartTakesUpFromWhatAServerRuns(t *testing.T) {
+	RegisterTestingT(t)
+	limiter := wasabilimit.New(wasabilimit.Options{Instances: 9})
+	backend := wasabiridge.BackendServer{ID: "e1", Kind: wasabiridge.BackendEngine}
+	pool := wasabiridge.Pool{ID: "answer", Backends: []wasabiridge.BackendServer{backend}}
+	limiter.Observe(0, wasabiridge.ConfigAdopted{Config: wasabiridge.Config{Version: 1, Pools: []wasabiridge.Pool{pool}}})
+	report := wasabiridge.LoadReport{Backend: "e1", Incarnation: 1, Taken: 10, Running: 100}
+	limiter.Observe(20, wasabiridge.LoadReported{Report: report})
+	report.Taken, report.Running = 1010, 80
+	limiter.Observe(1020, wasabiridge.LoadReported{Report: report})
+	for i := range 3 {
+		r := wasabiridge.Request{ID: wasabiridge.RequestID(rune('a' + i)), Action: wasabiridge.Action{Pool: "answer", QueueLimit: 10}, Deadline: 30_000}
+		Expect(limiter.Offer(1030, r).Verdict).To(Equal(wasabiridge.Admitted))
+		limiter.Sent(1030, r, wasabiridge.AttemptID(i+1), "e1")
+	}
+}
--- a/internal/wasabilimit/server.go
+++ b/internal/wasabilimit/server.go
@@ -164,13 +164,15 @@
 
 // learn moves the limit so that a few requests wait inside the server when it
 // is busy: enough that it never idles, few enough that order is decided here.
+// What a server runs without a queue fits: an instance that restarts takes up
+// from there and does not begin at the start limit.
 func (s *server) learn(r wasabiridge.LoadReport) {
 	target := s.options.TargetWaiting
 	switch {
 	case r.Waiting > target:
 		s.limit = max(lowestLimit, float64(r.Running+target), shrink*min(s.limit, float64(s.inside)))
 	case 2*r.Waiting <= target && float64(s.inside) >= grown*s.limit:
-		s.limit = min(s.highest(), s.limit+max(1, growth*s.limit))
+		s.limit = min(s.highest(), max(s.limit+max(1, growth*s.limit), float64(r.Running)))
 	}
 }
 
