wasabictl backends: a dash for what the router does not tell

Cause: the daemon does not fill in the trust in a cache, nor the limit of a server without slots, and 0.00 read as 'not believed at all'. Before: 0.00 and 0 for every such server; after: a dash. Left: the daemon has to take both from the placer and the limiter.

--- a/internal/wasabicommand/look.go
+++ b/internal/wasabicommand/look.go
@@ -49,6 +49,7 @@
 		Long: `Show the backend servers as one router sees them.
 
 TRUST is how far the picture of the server's cache is believed, from 0 to 1.
+A dash stands for what the router does not tell.
 INCARNATION changes when an engine comes back with an empty cache.`,
 		Example: "  wasabictl backends\n  wasabictl backends --address 127.0.0.2:9100 --json",
 		Args:    cobra.NoArgs,
@@ -64,8 +65,8 @@
 			return a.show(body, func() error {
 				t := newTable("BACKEND", "POOL", "ZONE", "STATE", "RUNNING", "WAITING", "LIMIT", "TRUST", "INCARNATION", "WEIGHTS")
 				for _, b := range body.Backends {
-					t.add(b.Backend, b.Pool, b.Zone, backendState(b), b.Running, b.Waiting, b.Limit,
-						fmt.Sprintf("%.2f", b.Trust), b.Incarnation, b.Weights)
+					t.add(b.Backend, b.Pool, b.Zone, backendState(b), b.Running, b.Waiting,
+						toldOr("%d", b.Limit, b.Limit > 0), toldOr("%.2f", b.Trust, b.Trust > 0), b.Incarnation, b.Weights)
 				}
 				return a.print(t)
 			})
@@ -73,6 +74,15 @@
 	}
 }
 
+// toldOr formats a figure, or a dash for one that the router did not tell: a
+// zero would look like a server that may get nothing or is not believed.
+func toldOr(format string, figure any, told bool) string {
+	if !told {
+		return "-"
+	}
+	return fmt.Sprintf(format, figure)
+}
+
 func backendState(b wasabiridge.BackendStatus) string {
 	switch {
 	case b.Lost:
