--- a/catalog.go
+++ b/catalog.go
@@ -60,31 +60,68 @@
 	Content []byte
 }
 
+// Naming is a version of a model that operators named, and how long ago.
+type Naming struct {
+	Model   ModelID
+	Weights WeightsVersion
+	Age     Millis
+	// Witnessed says that the instance heard of the version within moments.
+	// Otherwise it has started since, and the age is a guess.
+	Witnessed bool
+}
+
 // CatalogAnswer is what another instance knows.
 type CatalogAnswer struct {
+	Namings []Naming
 	Config   CatalogPart
 	Backends CatalogPart
 }
 
-// BackendNews is a hint of one instance for the others. Lost or late hints
-// cost efficiency only.
-type BackendNews struct {
+// RestNews says that a backend server takes no new work for a while, or that
+// it does again. It is a hint: when it is lost or late, requests are refused by
+// the server and go elsewhere.
+type RestNews struct {
 	Backend BackendServerID
 	// Resting is for how long the server takes no new work. Zero ends a rest.
 	Resting Millis
+	// Weights is the version of Model that the server serves now. Zero says
+	// nothing.
 	Model   ModelID
-	// Weights is the version that the server serves now. Zero says nothing.
 	Weights WeightsVersion
-	// Saved names parts of prompts that the store of kept KV cache holds.
-	Saved []BlockHash
+}
+
+// LoadNews is what the sender has at a backend server, in place of what it
+// said before.
+type LoadNews struct {
+	Backend BackendServerID
+	// Inside counts attempts, Work is the time to compute what those without
+	// a first byte still need.
+	Inside int
+	Work   Millis
+}
+
+// PartNews says that the sender has sent a part of a prompt to an engine.
+type PartNews struct {
+	Backend BackendServerID
+	// Key names the part in its cache: the part under its cache root.
+	Key uint64
+	// Tokens is the length of the part, Own what the request reads beyond it.
+	Tokens, Own int
+	// Work is the time that the request needs at the engine.
+	Work Millis
+	// Ready says that the engine has read the part. Saved says that it was
+	// told to export it.
+	Ready, Saved bool
 }
 
 // News is a message to other instances: hints, and whether the sender's
 // catalog has changed, so that asking for it is worth while.
 type News struct {
-	From     InstanceID
-	Changed  bool
-	Backends []BackendNews
+	From    InstanceID
+	Changed bool
+	Rests   []RestNews
+	Loads   []LoadNews
+	Parts   []PartNews
 }
 
 // CatalogPeers calls other instances about the catalog. Implementations are
--- a/config.go
+++ b/config.go
@@ -59,6 +59,11 @@
 	// CacheTokens is how many tokens one engine keeps, cached and running.
 	// Zero means that it is not known.
 	CacheTokens int `json:"cache_tokens,omitempty"`
+	// TokenBytes is the size of one cached token, and LinkMegabits how much an
+	// engine's link for cached tokens carries in a second. Zero means that
+	// they are not known.
+	TokenBytes   int     `json:"token_bytes,omitempty"`
+	LinkMegabits float64 `json:"link_megabits,omitempty"`
 }
 
 // KeptCache is a store of KV cache that engines export to and import from.
@@ -69,6 +74,8 @@
 	Zone    AvailabilityZone `json:"zone"`
 	// CacheTokens is how many tokens the store keeps.
 	CacheTokens int `json:"cache_tokens,omitempty"`
+	// LinkMegabits is how much the store's link carries in a second.
+	LinkMegabits float64 `json:"link_megabits,omitempty"`
 }
 
 // PoolShare is a pool with its part of the requests of a rule.
@@ -192,8 +199,8 @@
 	KeptCaches []KeptCache `json:"kept_caches,omitempty"`
 	// CallerLimits bounds what callers may take up. Zero fields mean the
 	// limits of the settings.
-	CallerLimits CallerLimits `json:"caller_limits,omitzero"`
-	Version ConfigVersion `json:"version"`
+	CallerLimits CallerLimits  `json:"caller_limits,omitzero"`
+	Version      ConfigVersion `json:"version"`
 	// OperatorKeyHashes are hexadecimal SHA-256 hashes of operators' keys.
 	OperatorKeyHashes []string        `json:"operator_key_hashes,omitempty"`
 	Accounts          []ClientAccount `json:"accounts"`
--- a/decision.go
+++ b/decision.go
@@ -116,6 +116,13 @@
 	Until   Millis
 }
 
+// PeerPlaced says what another instance has sent to backend servers.
+type PeerPlaced struct {
+	From  InstanceID
+	Loads []LoadNews
+	Parts []PartNews
+}
+
 // KeptCacheSeen says whether a store of kept KV cache can be reached.
 type KeptCacheSeen struct {
 	Address string
@@ -141,6 +148,7 @@
 func (WeightsReported) isEvent()   {}
 func (WeightsNamed) isEvent()      {}
 func (BackendResting) isEvent()    {}
+func (PeerPlaced) isEvent()        {}
 func (KeptCacheSeen) isEvent()     {}
 func (ConfigAdopted) isEvent()     {}
 func (Ticked) isEvent()            {}
@@ -171,6 +179,9 @@
 	// only where the request may go to another server after it. Zero means no
 	// bound of its own.
 	FirstByte Millis
+	// ExpectedWait and Why are those of the Placement, for the log.
+	ExpectedWait Millis
+	Why          string
 }
 
 // Cancel asks to give up an attempt. An AttemptEnded event still follows.
--- a/internal/wasabicatalog/keeper.go
+++ b/internal/wasabicatalog/keeper.go
@@ -24,7 +24,7 @@
 	tellTimeout = 500 * time.Millisecond
 )
 
-// Options are the parts of a Keeper. Log, Changed and Hints may be left out.
+// Options are the parts of a Keeper. Log, Changed and News may be left out.
 type Options struct {
 	Self wasabiridge.InstanceID
 	// Clock goes on while the instance is suspended.
@@ -35,10 +35,10 @@
 	// use.
 	Members func() []wasabiridge.Member
 	Log     zerolog.Logger
-	// Changed is called after the content has changed, Hints with hints of
+	// Changed is called after the content has changed, News with news of
 	// other instances. Both must not block.
 	Changed func(v View)
-	Hints   func(hints []wasabiridge.BackendNews)
+	News    func(n wasabiridge.News)
 }
 
 // View is what is known. It is an immutable value.
@@ -49,6 +49,8 @@
 	// the parts. ConfigKnown and BackendsKnown say that there were such.
 	ConfigProven, BackendsProven wasabiridge.Millis
 	ConfigKnown, BackendsKnown   bool
+	// Namings tell when versions of weights were named.
+	Namings []Named
 }
 
 // Keeper drives a Machine with a clock, the platform and the peers. It is safe
@@ -171,7 +173,7 @@
 	k.view.Store(&View{
 		Snapshot: m.snapshot, Backends: m.list,
 		ConfigProven: m.config.proven, BackendsProven: m.backends.proven,
-		ConfigKnown: m.config.known, BackendsKnown: m.backends.known,
+		ConfigKnown: m.config.known, BackendsKnown: m.backends.known, Namings: slices.Clone(m.namings),
 	})
 }
 
@@ -228,8 +230,8 @@
 
 // HandleTellNews implements wasabiridge.CatalogHandler.
 func (k *Keeper) HandleTellNews(_ context.Context, n wasabiridge.News) error {
-	if len(n.Backends) > 0 && k.options.Hints != nil {
-		k.options.Hints(n.Backends)
+	if k.options.News != nil {
+		k.options.News(n)
 	}
 	if !n.Changed {
 		return nil
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -37,6 +37,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -167,6 +168,24 @@
 	return now - p.proven
 }
 
+// Named is a version of a model that operators named, and when.
+type Named struct {
+	Model   wasabiridge.ModelID
+	Weights wasabiridge.WeightsVersion
+	At      wasabiridge.Millis
+	// Witnessed says that some instance heard of the version within moments.
+	// Otherwise At is when this instance first read of it after its start.
+	Witnessed bool
+}
+
+const (
+	// namingsKept bounds the remembered versions.
+	namingsKept = 64
+	// namingLife is how long other instances are told when a version was
+	// named.
+	namingLife = 30 * wasabiridge.Second
+)
+
 // Machine decides when to read and whom to ask. It is deterministic and not
 // safe for concurrent use.
 type Machine struct {
@@ -179,6 +198,9 @@
 	list             wasabiridge.BackendSnapshot
 	// lapsed is until when entries that vanish are kept.
 	lapsed wasabiridge.Millis
+	// namings are the versions of weights that were named, in the order in
+	// which they were heard of.
+	namings []Named
 
 	asking   bool
 	askedAt  wasabiridge.Millis
@@ -293,7 +315,9 @@
 	if err != nil {
 		return
 	}
+	first := !m.config.known
 	m.accept(&m.config, s.Revision, e.Sent, content, true, func() { m.snapshot = s })
+	m.name(now, !first)
 }
 
 // strip leaves out the revision, which rises with every write of anybody.
@@ -377,7 +401,10 @@
 		return
 	}
 	before := m.config.proven + m.backends.proven
+	first := !m.config.known
 	m.takeConfig(e)
+	m.takeNamings(e)
+	m.name(now, !first)
 	m.takeBackends(e)
 	if m.config.proven+m.backends.proven == before && max(m.config.age(now), m.backends.age(now)) > baseAge+rankStep {
 		// That one knows no better; another one may.
@@ -385,6 +412,47 @@
 	}
 }
 
+// name notes versions that were not heard of before.
+func (m *Machine) name(now wasabiridge.Millis, witnessed bool) {
+	models := make([]wasabiridge.ModelID, 0, len(m.snapshot.Weights))
+	for model := range m.snapshot.Weights {
+		models = append(models, model)
+	}
+	slices.Sort(models)
+	for _, model := range models {
+		m.addNaming(Named{Model: model, Weights: m.snapshot.Weights[model], At: now, Witnessed: witnessed})
+	}
+}
+
+// addNaming notes a version, or a better time for one that is known.
+func (m *Machine) addNaming(n Named) {
+	for i := range m.namings {
+		known := &m.namings[i]
+		if known.Model != n.Model || known.Weights != n.Weights {
+			continue
+		}
+		if n.Witnessed && !known.Witnessed {
+			*known = n
+			m.emit(Changed{})
+		}
+		return
+	}
+	if len(m.namings) == namingsKept {
+		m.namings = m.namings[1:]
+	}
+	m.namings = append(m.namings, n)
+}
+
+// takeNamings takes when another instance heard of versions. An instance that
+// has just started would otherwise take all of them for new.
+func (m *Machine) takeNamings(e PeerAnswered) {
+	for _, n := range e.Answer.Namings {
+		if n.Witnessed {
+			m.addNaming(Named{Model: n.Model, Weights: n.Weights, At: e.Sent - n.Age, Witnessed: true})
+		}
+	}
+}
+
 // fits reports whether an answered part says more than what is known.
 func (p *part) fits(a wasabiridge.CatalogPart, sent wasabiridge.Millis) bool {
 	switch {
@@ -431,7 +499,14 @@
 
 // Answer tells another instance what is known here.
 func (m *Machine) Answer(now wasabiridge.Millis, q wasabiridge.CatalogQuery) wasabiridge.CatalogAnswer {
+	var namings []wasabiridge.Naming
+	for _, n := range m.namings {
+		if now-n.At < namingLife {
+			namings = append(namings, wasabiridge.Naming{Model: n.Model, Weights: n.Weights, Age: now - n.At, Witnessed: n.Witnessed})
+		}
+	}
 	return wasabiridge.CatalogAnswer{
+		Namings:  namings,
 		Config:   m.config.answer(now, q.ConfigDigest),
 		Backends: m.backends.answer(now, q.BackendDigest),
 	}
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -127,6 +127,8 @@
 		FetchFrom:     p.FetchFrom,
 		SaveTo:        p.SaveTo,
 		FirstByte:     p.FirstByte,
+		ExpectedWait:  p.ExpectedWait,
+		Why:           p.Why,
 	})
 	if en.request.Action.Hedge && !en.request.Action.NonIdempotent && why != placeHedge {
 		delay := max(p.ExpectedWait*wasabiridge.Millis(c.options.HedgeFactor), c.options.HedgeFloor)
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -29,6 +29,7 @@
 	go n.upgrade.Run(ctx)
 	go n.countInstances(ctx)
 	go n.watchKept(ctx)
+	go n.share(ctx)
 	if s, ok := n.options.Platform.Runner.(interface{ Sweep(context.Context) }); ok {
 		go s.Sweep(ctx)
 	}
--- a/internal/wasabinode/force.go
+++ b/internal/wasabinode/force.go
@@ -28,8 +28,8 @@
 	before := n.inForce.Load()
 	n.inForce.Store(&inForce{config: &cfg, sharing: sharingOf(cfg.Accounts)})
 	n.loop.Post(wasabiridge.ConfigAdopted{Config: cfg})
-	for _, model := range sortedModels(v.Snapshot.Weights) {
-		n.loop.Post(wasabiridge.WeightsNamed{Model: model, Weights: v.Snapshot.Weights[model], At: n.options.Clock.Now()})
+	for _, named := range v.Namings {
+		n.loop.Post(wasabiridge.WeightsNamed{Model: named.Model, Weights: named.Weights, At: n.namedAt(named)})
 	}
 	for _, e := range v.Backends.Entries {
 		for _, model := range sortedModels(e.Weights) {
@@ -43,6 +43,20 @@
 	}
 }
 
+// freshStart is for how long after its start an instance that found a version
+// named, and nobody who knows since when, lets older weights answer. Without
+// that time nothing could be served until the first replicas are upgraded.
+const freshStart = 2500 * wasabiridge.Millis(1)
+
+// namedAt is since when a version counts as named. One of unknown age may be
+// nearly due.
+func (n *Node) namedAt(v wasabicatalog.Named) wasabiridge.Millis {
+	if v.Witnessed {
+		return v.At
+	}
+	return v.At - (n.bounds.WeightsLife - weightsMargin) + freshStart
+}
+
 // withBackends fills the pools with the backend servers that may get work.
 func withBackends(cfg wasabiridge.Config, entries []wasabiridge.BackendEntry) wasabiridge.Config {
 	byPool := map[wasabiridge.PoolID][]wasabiridge.BackendServer{}
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -109,6 +109,8 @@
 	incarnation wasabiridge.Incarnation
 	timeline    *wasabitimeline.Log
 	loop        *wasabiloop.Loop
+	placer      *wasabireplica.Placer
+	placed      chan struct{}
 	relay       *wasabirelay.Relay
 	catalog     *wasabicatalog.Keeper
 	upgrade     *wasabiupgrade.Keeper
@@ -138,6 +140,7 @@
 		bounds:      o.Settings.Hosted.Bounds.Terms(),
 		incarnation: wasabiridge.Incarnation(o.Clock.Now()),
 		drained:     make(chan struct{}),
+		placed:      make(chan struct{}, 1),
 	}
 	n.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
 	n.inForce.Store(&inForce{config: &wasabiridge.Config{}})
@@ -156,21 +159,23 @@
 		seed = rand.Uint64()
 	}
 	n.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: o.Clock})
-	placer := wasabireplica.New(wasabireplica.Options{
+	n.placer = wasabireplica.New(wasabireplica.Options{
 		Seed: seed, Zone: s.Zone, WeightsBound: n.bounds.WeightsLife - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
 	})
 	core := wasabicore.New(wasabicore.Options{
-		Placer: placer, Limiter: wasabireplica.NewLimiter(placer), Instance: s.Instance,
+		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Instance: s.Instance,
 		FirstAttempt: wasabiridge.AttemptID(n.incarnation) << attemptBits,
 	})
-	n.loop = wasabiloop.New(wasabiloop.Options{Decider: core, Clock: o.Clock, Recorder: n.timeline, Ring: ringSize})
+	n.loop = wasabiloop.New(wasabiloop.Options{
+		Decider: core, Clock: o.Clock, Recorder: placements{next: n.timeline, wake: n.placed}, Ring: ringSize,
+	})
 	if err := n.joinPeers(seed); err != nil {
 		return err
 	}
 	n.catalog = wasabicatalog.NewKeeper(wasabicatalog.Options{
 		Self: s.Instance, Clock: o.Clock, Source: o.Platform.Source, Peers: n.client, Members: n.members.Members,
-		Log: wasabilog.Part(n.log, "catalog"), Changed: n.adopt, Hints: n.takeHints,
+		Log: wasabilog.Part(n.log, "catalog"), Changed: n.adopt, News: n.takeNews,
 	})
 	n.upgrade = wasabiupgrade.NewKeeper(wasabiupgrade.Options{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Table: o.Platform.Table, Engines: o.Platform.Engines,
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -29,20 +29,25 @@
 }
 
 // tell hands a hint to all instances, this one first.
-func (n *Node) tell(b wasabiridge.BackendNews) {
-	n.takeHints([]wasabiridge.BackendNews{b})
-	n.catalog.Tell(context.Background(), wasabiridge.News{Backends: []wasabiridge.BackendNews{b}})
+func (n *Node) tell(r wasabiridge.RestNews) {
+	news := wasabiridge.News{Rests: []wasabiridge.RestNews{r}}
+	n.takeNews(news)
+	n.catalog.Tell(context.Background(), news)
 }
 
-// takeHints hands hints of an instance to the decisions.
-func (n *Node) takeHints(hints []wasabiridge.BackendNews) {
+// takeNews hands hints of an instance to the decisions. Those that find the
+// loop full are lost.
+func (n *Node) takeNews(news wasabiridge.News) {
 	now := n.options.Clock.Now()
-	for _, h := range hints {
-		n.loop.Observe(wasabiridge.BackendResting{Backend: h.Backend, Until: now + h.Resting})
-		if h.Weights > 0 {
-			n.loop.Observe(wasabiridge.WeightsReported{Backend: h.Backend, Model: h.Model, Weights: h.Weights})
+	for _, r := range news.Rests {
+		n.loop.Observe(wasabiridge.BackendResting{Backend: r.Backend, Until: now + r.Resting})
+		if r.Weights > 0 {
+			n.loop.Observe(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights})
 		}
 	}
+	if len(news.Loads) > 0 || len(news.Parts) > 0 {
+		n.loop.Observe(wasabiridge.PeerPlaced{From: news.From, Loads: news.Loads, Parts: news.Parts})
+	}
 }
 
 // nearest returns the addresses for a caller of a zone.
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -9,11 +9,11 @@
 	pb "github.com/wasabiridge/wasabiridge/internal/wasabipeer/wasabipeerpb"
 )
 
-// maxNews bounds the backend servers that one message of news tells of, and
-// the saved parts that it names for each.
+// maxNews bounds each list of one message of news, maxTokens the length that
+// one part of a prompt may claim.
 const (
-	maxNews  = 1024
-	maxSaved = 4096
+	maxNews   = 4096
+	maxTokens = 1 << 24
 )
 
 var _ wasabiridge.CatalogPeers = (*Client)(nil)
@@ -30,7 +30,14 @@
 	if err != nil {
 		return wasabiridge.CatalogAnswer{}, err
 	}
-	return wasabiridge.CatalogAnswer{Config: decodePart(out.GetConfig()), Backends: decodePart(out.GetBackends())}, nil
+	answer := wasabiridge.CatalogAnswer{Config: decodePart(out.GetConfig()), Backends: decodePart(out.GetBackends())}
+	for _, n := range out.GetNamings() {
+		answer.Namings = append(answer.Namings, wasabiridge.Naming{
+			Model: wasabiridge.ModelID(n.Model), Weights: wasabiridge.WeightsVersion(n.Weights), Witnessed: n.Witnessed,
+			Age: wasabiridge.Millis(min(n.AgeMs, uint64(wasabiridge.Day))),
+		})
+	}
+	return answer, nil
 }
 
 // TellNews hands news to another instance.
@@ -52,7 +59,13 @@
 	if err != nil {
 		return nil, toStatus(ctx, err)
 	}
-	return &pb.CatalogAnswer{Config: encodePart(answer.Config), Backends: encodePart(answer.Backends)}, nil
+	out := &pb.CatalogAnswer{Config: encodePart(answer.Config), Backends: encodePart(answer.Backends)}
+	for _, n := range answer.Namings {
+		out.Namings = append(out.Namings, &pb.Naming{
+			Model: string(n.Model), Weights: uint64(n.Weights), AgeMs: uint64(max(n.Age, 0)), Witnessed: n.Witnessed,
+		})
+	}
+	return out, nil
 }
 
 // TellNews takes the news of another instance.
@@ -88,35 +101,46 @@
 
 func encodeNews(n wasabiridge.News) *pb.News {
 	out := &pb.News{From: string(n.From), Changed: n.Changed}
-	for _, b := range n.Backends {
-		one := &pb.BackendNews{
-			Backend: string(b.Backend), RestingMs: uint64(max(b.Resting, 0)), Model: string(b.Model), Weights: uint64(b.Weights),
-		}
-		for _, part := range b.Saved {
-			one.Saved = append(one.Saved, uint64(part))
-		}
-		out.Backends = append(out.Backends, one)
+	for _, r := range n.Rests {
+		out.Rests = append(out.Rests, &pb.RestNews{
+			Backend: string(r.Backend), RestingMs: uint64(max(r.Resting, 0)), Model: string(r.Model), Weights: uint64(r.Weights),
+		})
+	}
+	for _, l := range n.Loads {
+		out.Loads = append(out.Loads, &pb.LoadNews{Backend: string(l.Backend), Inside: uint32(max(l.Inside, 0)), WorkMs: uint32(max(l.Work, 0))})
+	}
+	for _, p := range n.Parts {
+		out.Parts = append(out.Parts, &pb.PartNews{
+			Backend: string(p.Backend), Key: p.Key, Tokens: uint32(max(p.Tokens, 0)), Own: uint32(max(p.Own, 0)), Ready: p.Ready, Saved: p.Saved,
+			WorkMs: uint32(max(p.Work, 0)),
+		})
 	}
 	return out
 }
 
 func decodeNews(in *pb.News) (wasabiridge.News, error) {
-	if len(in.Backends) > maxNews {
-		return wasabiridge.News{}, wasabiridge.ErrInvalid.New("peer: news of %d backend servers", len(in.Backends))
+	if len(in.Rests) > maxNews || len(in.Loads) > maxNews || len(in.Parts) > maxNews {
+		return wasabiridge.News{}, wasabiridge.ErrInvalid.New("peer: news exceed their bounds")
 	}
 	n := wasabiridge.News{From: wasabiridge.InstanceID(in.From), Changed: in.Changed}
-	for _, b := range in.Backends {
-		if len(b.Saved) > maxSaved || len(b.Backend) > maxNameLen || len(b.Model) > maxNameLen {
-			return wasabiridge.News{}, wasabiridge.ErrInvalid.New("peer: news exceed their bounds")
-		}
-		one := wasabiridge.BackendNews{
-			Backend: wasabiridge.BackendServerID(b.Backend), Model: wasabiridge.ModelID(b.Model),
-			Resting: wasabiridge.Millis(min(b.RestingMs, uint64(wasabiridge.Minute))), Weights: wasabiridge.WeightsVersion(b.Weights),
-		}
-		for _, part := range b.Saved {
-			one.Saved = append(one.Saved, wasabiridge.BlockHash(part))
-		}
-		n.Backends = append(n.Backends, one)
+	for _, r := range in.Rests {
+		n.Rests = append(n.Rests, wasabiridge.RestNews{
+			Backend: wasabiridge.BackendServerID(r.Backend), Model: wasabiridge.ModelID(r.Model),
+			Resting: wasabiridge.Millis(min(r.RestingMs, uint64(wasabiridge.Minute))), Weights: wasabiridge.WeightsVersion(r.Weights),
+		})
+	}
+	for _, l := range in.Loads {
+		n.Loads = append(n.Loads, wasabiridge.LoadNews{
+			Backend: wasabiridge.BackendServerID(l.Backend), Inside: int(min(l.Inside, maxNews)),
+			Work: wasabiridge.Millis(min(uint64(l.WorkMs), uint64(wasabiridge.Minute))),
+		})
+	}
+	for _, p := range in.Parts {
+		n.Parts = append(n.Parts, wasabiridge.PartNews{
+			Backend: wasabiridge.BackendServerID(p.Backend), Key: p.Key, Tokens: int(min(p.Tokens, maxTokens)),
+			Own: int(min(p.Own, maxTokens)), Ready: p.Ready, Saved: p.Saved,
+			Work: wasabiridge.Millis(min(uint64(p.WorkMs), uint64(wasabiridge.Minute))),
+		})
 	}
 	return n, nil
 }
--- a/internal/wasabiprefix/prefix.go
+++ b/internal/wasabiprefix/prefix.go
@@ -70,6 +70,14 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// PartKey names a part of a prompt in a cache: the part behind what the key
+// before it names, under a root. The first part has zero before it.
+func PartKey(root wasabiridge.CacheRoot, before uint64, part wasabiridge.BlockHash) uint64 {
+	out := encode(root)
+	out = binary.LittleEndian.AppendUint64(out, before)
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(out, uint64(part)))
+}
+
 func rootHash(root wasabiridge.CacheRoot) uint64 {
 	return xxhash.Sum64(encode(root))
 }
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -129,6 +129,7 @@
 func (x *exchange) try(d wasabiridge.Dispatch) bool {
 	x.attempts++
 	x.backend = d.Backend.ID
+	x.logPlaced(d)
 	s := &sink{exchange: x, dispatch: d}
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
@@ -264,6 +265,30 @@
 	panic(http.ErrAbortHandler)
 }
 
+func (x *exchange) logPlaced(d wasabiridge.Dispatch) {
+	shared := 0
+	for i := range max(0, len(x.request.Chain.Lengths)-1) {
+		shared += x.request.Chain.Lengths[i]
+	}
+	x.relay.options.Log.Info().
+		Str(wasabilog.RequestField, string(x.request.ID)).
+		Uint64("attempt", uint64(d.Attempt)).
+		Str("account", string(x.request.Account)).
+		Str("rule", string(x.request.Rule)).
+		Str(wasabilog.BackendField, string(d.Backend.ID)).
+		Str("why", d.Why).
+		Int64("expected_ms", int64(d.ExpectedWait)).
+		Int("prompt_tokens", x.request.Chain.Tokens).
+		Int("shared_tokens", shared).
+		Uint64("weights", uint64(d.Weights)).
+		Bool("fetch", d.FetchFrom != "").
+		Bool("save", d.SaveTo != "").
+		Int("priority", int(x.request.Action.Priority)).
+		Int64("left_ms", int64(x.until-x.relay.options.Clock.Now())).
+		Uint64("config_version", uint64(x.view.Config.Version)).
+		Msg("Request placed.")
+}
+
 func (x *exchange) log(message, cause string) {
 	now := x.relay.options.Clock.Now()
 	first := wasabiridge.Millis(-1)
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -14,7 +14,7 @@
 	case wasabiridge.ConfigAdopted:
 		p.adopt(e.Config)
 	case wasabiridge.WeightsNamed:
-		p.name(e.Model, naming{weights: e.Weights, at: e.At})
+		p.named.name(e.Model, naming{weights: e.Weights, at: e.At})
 	case wasabiridge.WeightsReported:
 		p.weightsReported(e)
 	case wasabiridge.BackendResting:
@@ -22,11 +22,9 @@
 			r.restUntil = e.Until
 		}
 	case wasabiridge.KeptCacheSeen:
-		if p.keptUp[e.Address] && !e.Up {
-			// The store returns empty.
-			clear(p.saved)
-		}
-		p.keptUp[e.Address] = e.Up
+		p.kept.seen(e)
+	case wasabiridge.PeerPlaced:
+		p.peerPlaced(now, e)
 	case wasabiridge.LoadReported:
 		if r := p.replicas[e.Report.Backend]; r != nil {
 			r.running, r.waiting, r.reported, r.insideThen = e.Report.Running, e.Report.Waiting, now, r.inside
@@ -54,7 +52,7 @@
 		return
 	}
 	if r.weights[e.Model] != 0 {
-		r.forgetCache()
+		r.cache.clear()
 		// New weights serve: the rest is over.
 		r.restUntil = 0
 	}
@@ -79,9 +77,12 @@
 		return
 	}
 	a.first = true
-	a.replica.work = max(0, a.replica.work-a.work)
 	a.replica.learnDelay(max(0, float64(now-a.sent)-a.work))
 	a.replica.recovered()
+	for i, key := range a.keys {
+		a.replica.cache.finish(key)
+		p.news.add(wasabiridge.PartNews{Backend: a.replica.server.ID, Key: key, Tokens: a.prompt.lengths[i], Ready: true})
+	}
 	p.attempts[id] = a
 }
 
@@ -94,14 +95,13 @@
 	r := a.replica
 	r.inside--
 	if !a.first {
-		r.work = max(0, r.work-a.work)
-	}
-	if r.inside <= 0 {
-		r.inside, r.work = 0, 0
-		if r.gone {
-			delete(p.replicas, r.server.ID)
+		for _, key := range a.keys {
+			r.cache.drop(key)
 		}
 	}
+	if r.gone && r.inside <= 0 {
+		delete(p.replicas, r.server.ID)
+	}
 	r.trying = false
 	p.learn(now, r, a.first, e)
 }
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -4,21 +4,21 @@
 //
 // # Score
 //
-// All replicas of the pool that may serve are weighed. The score of a replica,
-// in milliseconds, is the work that waits there, the time to compute the parts
-// of the prompt that it is not believed to hold, the distance, and what is
-// learned of its faults. The lowest score wins.
+// All replicas of the pool that may serve are weighed by what a request is
+// expected to lose there, as a part of what a whole answer in time is worth:
+// the chance that its first byte comes late, by the work that waits, the parts
+// of the prompt that are missing, and what is learned of the replica; the
+// surcharge for older weights; tokens that are computed again; and the time
+// that it takes from the requests behind it. The lowest loss wins.
 //
 // # What a replica holds
 //
-// The first part of a prompt has homes: the replicas with the highest
-// rendezvous weights for it. Every instance knows the same homes without a
-// message, so requests that share a part meet at one replica, whichever
-// instance they come through. What this instance sent lately is known better.
-//
-// A store of kept KV cache, where there is one that can be reached, is named
-// with every long prompt: a replica fetches from it what it does not hold
-// itself, which takes a third of the time to compute it.
+// Instances tell each other which parts they sent where, so each has a picture
+// of what every replica holds: the parts that were sent there, less those that
+// have had to yield since. A part that a replica does not hold is fetched from
+// one that does, or from a store of kept KV cache, in a fraction of the time to
+// compute it. Computing a part again that some replica has read, or is reading,
+// is the last resort.
 //
 // # Weights
 //
@@ -48,42 +48,6 @@
 	"github.com/wasabiridge/wasabiridge"
 )
 
-// Defaults of Options, and weights of the score.
-const (
-	// tokensPerMilli is how many prompt tokens an engine computes in a
-	// millisecond: 157, by the data sheet of today's engines.
-	tokensPerMilli = 157.0
-	// fetchShare is the time to fetch a token from the store of kept cache, as
-	// a part of the time to compute it: 18 KB over a 54 Gbit/s link against
-	// 1/157 ms.
-	fetchShare = 0.4
-	// keepLeast is the length from which parts are worth keeping outside an
-	// engine. Shorter ones are computed sooner than a transfer is set up.
-	keepLeast = 1024
-	// homeTrust is the chance that the first home of a part holds it, sentTrust
-	// that a replica does to which this instance sent the part within sentLife.
-	homeTrust = 0.7
-	sentTrust = 0.9
-	sentLife  = 10 * wasabiridge.Second
-	// otherZone is the surcharge for a replica of another zone: the way there
-	// and back, and what bytes between zones cost.
-	otherZone = 3.0
-	// oldWeights is the surcharge for weights that were replaced longer ago
-	// than oldGrace, within which answers are worth as much as new ones.
-	oldWeights = 90.0
-	oldGrace   = wasabiridge.Second
-	// waitingCost is the time that a request waiting inside a replica adds,
-	// runningCost that of a running one.
-	waitingCost = 8.0
-	runningCost = 0.5
-	// fullCost is the surcharge for each request beyond the replica's slots.
-	fullCost = 25.0
-	// near is the difference in score that counts as none.
-	near = 1.0
-	// savedMost bounds the remembered parts.
-	savedMost = 16384
-)
-
 // Options holds the knobs of a Placer. The zero value works.
 type Options struct {
 	// Seed starts the source that decides between nearly equal scores.
@@ -124,65 +88,24 @@
 	random   *rand.Rand
 	replicas map[wasabiridge.BackendServerID]*replica
 	pools    map[wasabiridge.PoolID]*pool
-	// named are the versions that operators want, the newest last. Those that
-	// every replica has reached are dropped.
-	named    map[wasabiridge.ModelID][]naming
+	named    namings
 	attempts map[wasabiridge.AttemptID]sending
-	kept     []wasabiridge.KeptCache
-	keptUp   map[string]bool
-	saved    map[partKey]bool
+	kept     keptCaches
+	news     news
 	// instances is how many share the replicas.
 	instances int
 }
 
-// naming is a version of a model that operators want, and since when.
-type naming struct {
-	weights wasabiridge.WeightsVersion
-	at      wasabiridge.Millis
-}
-
-// namedMost bounds the remembered versions of one model.
-const namedMost = 64
-
-// name notes a version.
-func (p *Placer) name(m wasabiridge.ModelID, n naming) {
-	list := p.named[m]
-	if len(list) > 0 && n.weights <= list[len(list)-1].weights {
-		return
-	}
-	if len(list) == namedMost {
-		list = list[1:]
-	}
-	p.named[m] = append(list, n)
-}
-
-// overdue returns how long ago the first version was named that is newer than
-// the given one. It reports false when that is the newest.
-func (p *Placer) overdue(now wasabiridge.Millis, m wasabiridge.ModelID, v wasabiridge.WeightsVersion) (wasabiridge.Millis, bool) {
-	for _, n := range p.named[m] {
-		if n.weights > v {
-			return now - n.at, true
-		}
-	}
-	return 0, false
-}
-
 // sending is an attempt that has not ended.
 type sending struct {
-	request wasabiridge.RequestID
 	replica *replica
-	pool    wasabiridge.PoolID
 	sent    wasabiridge.Millis
 	work    float64
+	prompt  prompt
+	keys    []uint64
 	first   bool
 }
 
-// partKey names a part of a prompt in a cache.
-type partKey struct {
-	root wasabiridge.CacheRoot
-	part wasabiridge.BlockHash
-}
-
 var _ wasabiridge.Placer = (*Placer)(nil)
 
 // New returns a Placer that knows nothing yet.
@@ -192,10 +115,9 @@
 		random:    rand.New(rand.NewPCG(o.Seed, 0)),
 		replicas:  map[wasabiridge.BackendServerID]*replica{},
 		pools:     map[wasabiridge.PoolID]*pool{},
-		named:     map[wasabiridge.ModelID][]naming{},
+		named:     namings{},
 		attempts:  map[wasabiridge.AttemptID]sending{},
-		keptUp:    map[string]bool{},
-		saved:     map[partKey]bool{},
+		kept:      keptCaches{up: map[string]bool{}, saved: map[uint64]bool{}},
 		instances: 1,
 	}
 }
@@ -206,31 +128,37 @@
 	if pl == nil {
 		return wasabiridge.Placement{}, false
 	}
-	prompt := p.promptOf(q.Request)
-	homes := pl.homesOf(prompt.home)
-	var best *replica
-	bestScore, count := 0.0, 0
-	homeRank := 0
-	for _, r := range homes {
+	pr := promptOf(q.Request)
+	var best choice
+	found, count := false, 0
+	for _, r := range pl.replicas {
 		if !p.eligible(now, r, q) {
 			continue
 		}
-		score := p.score(now, pl, r, prompt, homeRank)
-		homeRank++
+		c := p.weigh(now, pl, r, &pr, q.Request.Action.FirstByteTarget)
 		switch {
-		case best == nil || score < bestScore-near:
-			best, bestScore, count = r, score, 1
-		case score <= bestScore+near:
+		case !found || c.score < best.score-near:
+			best, found, count = c, true, 1
+		case c.score <= best.score+near:
 			count++
 			if p.random.IntN(count) == 0 {
-				best, bestScore = r, min(score, bestScore)
+				best = c
 			}
 		}
 	}
-	if best == nil {
+	if !found {
 		return wasabiridge.Placement{}, false
 	}
-	return p.placement(now, pl, best, q.Request, prompt, bestScore), true
+	return p.placement(pl, best, q.Request, &pr), true
+}
+
+// choice is a replica that was weighed.
+type choice struct {
+	replica *replica
+	// score is the expected loss, expected the time to the first byte.
+	score    float64
+	expected float64
+	source   source
 }
 
 // eligible reports whether a replica may get the request now.
@@ -251,96 +179,47 @@
 	if q.Weights != 0 {
 		return serves == q.Weights
 	}
-	age, older := p.overdue(now, model, serves)
+	age, older := p.named.overdue(now, model, serves)
 	return !older || serves == 0 || age < p.options.WeightsBound
 }
 
-// prompt is what the score needs to know of a request's prompt.
-type prompt struct {
-	root wasabiridge.CacheRoot
-	// home is the part by which homes are chosen.
-	home uint64
-	// shared counts the tokens of the parts that other requests have too, own
-	// those of the rest.
-	shared, own int
-	parts       []wasabiridge.BlockHash
-	engine      bool
-}
-
-func (p *Placer) promptOf(r wasabiridge.Request) prompt {
-	c := r.Chain
-	out := prompt{root: c.Root, own: c.Tokens, parts: c.Blocks, engine: r.Model != ""}
-	if len(c.Blocks) < 2 {
-		return out
-	}
-	// The last part belongs to the request or its session.
-	for i := range len(c.Blocks) - 1 {
-		out.shared += c.BlockLength(i)
-	}
-	out.own = max(0, c.Tokens-out.shared)
-	out.home = uint64(c.Blocks[0])
-	return out
-}
-
-// score is the expected cost of a replica in milliseconds.
-func (p *Placer) score(now wasabiridge.Millis, pl *pool, r *replica, pr prompt, homeRank int) float64 {
-	score := r.queue(now, p.instances) + r.faults(pl)
-	if p.options.Zone != "" && r.server.Zone != p.options.Zone {
-		score += otherZone
-	}
+// weigh works out what a request is expected to lose at a replica.
+func (p *Placer) weigh(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt, target wasabiridge.Millis) choice {
+	c := choice{replica: r}
+	wait := r.queue(now, p.instances) + r.faults(pl)
 	if !pr.engine {
-		return score
-	}
-	missing := float64(pr.shared) * (1 - p.trust(now, r, pr, homeRank))
-	score += missing / tokensPerMilli
-	if age, older := p.overdue(now, pr.root.Model, r.weights[pr.root.Model]); older && age > oldGrace {
-		score += oldWeights
-	}
-	return score
-}
-
-// trust is the chance that a replica holds the shared parts of a prompt.
-func (p *Placer) trust(now wasabiridge.Millis, r *replica, pr prompt, homeRank int) float64 {
-	if pr.shared == 0 {
-		return 0
-	}
-	root := pr.root
-	root.Weights = r.weights[root.Model]
-	if at, ok := r.sent[partKey{root, pr.parts[0]}]; ok && now-at < sentLife {
-		return sentTrust
+		c.score = lateLoss(wait+pl.delay, target)
+	} else {
+		c.source = p.sourceOf(pl, r, pr)
+		c.expected = wait + c.source.cost + firstStep
+		c.score = lateLoss(c.expected, target) + againLoss*float64(c.source.again) + workLoss*c.source.work
+		if age, older := p.named.overdue(now, pr.root.Model, r.weights[pr.root.Model]); older && age > oldGrace {
+			c.score += oldLoss
+		}
 	}
-	if homeRank == 0 && pr.shared >= keepLeast {
-		return homeTrust
+	if p.options.Zone != "" && r.server.Zone != p.options.Zone {
+		c.score += zoneLoss
 	}
-	return 0
+	c.score += waitLoss * wait
+	return c
 }
 
-func (p *Placer) placement(now wasabiridge.Millis, pl *pool, r *replica, q wasabiridge.Request, pr prompt, score float64) wasabiridge.Placement {
-	out := wasabiridge.Placement{Backend: r.server, ExpectedWait: wasabiridge.Millis(score), Why: "load"}
-	if pr.shared >= keepLeast {
-		out.Why = "home"
-	}
+func (p *Placer) placement(pl *pool, c choice, q wasabiridge.Request, pr *prompt) wasabiridge.Placement {
+	out := wasabiridge.Placement{Backend: c.replica.server, ExpectedWait: wasabiridge.Millis(c.expected), Why: WhyLoad}
 	if q.Action.Retry && len(pl.replicas) > 1 {
 		out.FirstByte = silenceOf(q)
 	}
 	if !pr.engine {
 		return out
 	}
-	out.Weights = r.weights[q.Model]
-	if pr.shared < keepLeast {
+	out.Weights = c.replica.weights[q.Model]
+	if !pr.isLong() {
 		return out
 	}
-	root := pr.root
-	root.Weights = out.Weights
-	for _, k := range p.kept {
-		if !p.keptUp[k.Address] {
-			continue
-		}
-		out.FetchFrom = k.Address
-		if !p.saved[partKey{root, pr.parts[0]}] {
-			out.SaveTo = k.Address
-		}
-		break
+	out.Why, out.FetchFrom, out.ClaimedTokens = c.source.why, c.source.fetchFrom, c.source.held
+	keys := pr.keysFor(out.Weights)
+	if address := p.kept.address(); address != "" && !p.kept.saved[keys[len(keys)-1]] {
+		out.SaveTo = address
 	}
 	return out
 }
@@ -351,32 +230,31 @@
 	if rep == nil {
 		return
 	}
-	pr := p.promptOf(r)
-	work := 1.0
-	if pr.engine {
-		work = float64(pr.own) / tokensPerMilli
-		root := pr.root
-		root.Weights = pl.Weights
-		if pr.shared > 0 {
-			key := partKey{root, pr.parts[0]}
-			if at, ok := rep.sent[key]; !ok || now-at > sentLife {
-				work += float64(pr.shared) / tokensPerMilli * fetchShare
-			}
-			rep.remember(now, key)
-			if pl.SaveTo != "" {
-				p.remember(key)
-			}
-		}
-	}
+	a := sending{replica: rep, sent: now, work: plainWork, prompt: promptOf(r)}
 	rep.inside++
-	rep.work += work
-	p.attempts[id] = sending{request: r.ID, replica: rep, pool: r.Action.Pool, sent: now, work: work}
+	if a.prompt.engine {
+		a.work = a.prompt.workFor(pl.Why, pl.ClaimedTokens)
+	}
+	if a.prompt.isLong() {
+		a.keys = a.prompt.keysFor(pl.Weights)
+		p.sendParts(rep, &a, pl.SaveTo != "")
+	}
+	rep.addWork(now, a.work)
+	p.attempts[id] = a
 }
 
-// remember notes that a part was saved.
-func (p *Placer) remember(k partKey) {
-	if len(p.saved) >= savedMost {
-		clear(p.saved)
+// sendParts notes the parts of a long prompt and tells the other instances.
+func (p *Placer) sendParts(rep *replica, a *sending, save bool) {
+	for i, key := range a.keys {
+		rep.cache.use(key, a.prompt.lengths[i])
+		n := wasabiridge.PartNews{Backend: rep.server.ID, Key: key, Tokens: a.prompt.lengths[i], Saved: save}
+		if i == len(a.keys)-1 {
+			n.Own, n.Work = a.prompt.own, wasabiridge.Millis(a.work)
+		}
+		if save {
+			p.kept.remember(key)
+		}
+		p.news.add(n)
 	}
-	p.saved[k] = true
+	rep.cache.fill(a.prompt.own)
 }
--- /dev/null
+++ b/internal/wasabireplica/prompt.go
@@ -0,0 +1,210 @@
+package wasabireplica
+
+import (
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
+)
+
+const (
+	// tokensPerMilli is how many prompt tokens an engine computes in a
+	// millisecond, by the data sheet of today's engines, and stepShare what the
+	// steps of other requests in between add to it.
+	tokensPerMilli = 157.0
+	stepShare      = 1.2
+	// pairsPerMilli is how many pairs of a token and one before it an engine
+	// attends to in a millisecond.
+	pairsPerMilli = 1e6 / 0.109
+	// firstStep is the time from the end of a prompt to its first token, in
+	// milliseconds, the way there and back included.
+	firstStep = 45.0
+	// keepLeast is the length from which shared parts are worth looking for.
+	// Shorter ones are computed sooner than a transfer is set up.
+	keepLeast = 1024
+	// partsMost bounds the parts that are looked at.
+	partsMost = 16
+	// fetchSetup is what a fetch costs beside the transfer.
+	fetchSetup = 4.0
+	// otherZoneTransfer is how much longer transfers between zones take.
+	otherZoneTransfer = 2.0
+	// defaultTransfer is the time to fetch a token, in milliseconds, when the
+	// configuration does not tell the links.
+	defaultTransfer = 0.4 / tokensPerMilli
+)
+
+// Reasons of a placement, as the log shows them.
+const (
+	// WhyLoad stands for requests without a long prompt.
+	WhyLoad     = "load"
+	whyHeld     = "held"
+	whyReading  = "being_read"
+	whyFetched  = "fetched"
+	whyKept     = "kept"
+	whyComputed = "computed"
+)
+
+// prompt is what the score needs to know of a request's prompt.
+type prompt struct {
+	root   wasabiridge.CacheRoot
+	engine bool
+	// parts and lengths are those that other requests have too; shared sums up
+	// their tokens, and own counts the rest.
+	parts       []wasabiridge.BlockHash
+	lengths     []int
+	shared, own int
+	// keys are the names of the parts by weights, worked out when needed.
+	weights wasabiridge.WeightsVersion
+	keys    []uint64
+}
+
+func promptOf(r wasabiridge.Request) prompt {
+	c := r.Chain
+	out := prompt{root: c.Root, engine: r.Model != "", own: c.Tokens}
+	// The last part belongs to the request or its session.
+	for i := 0; i < len(c.Blocks)-1 && i < partsMost; i++ {
+		out.parts = append(out.parts, c.Blocks[i])
+		out.lengths = append(out.lengths, c.BlockLength(i))
+		out.shared += c.BlockLength(i)
+	}
+	out.own = max(0, c.Tokens-out.shared)
+	return out
+}
+
+func (p *prompt) isLong() bool { return p.shared >= keepLeast }
+
+func (p *prompt) tokens() int { return p.shared + p.own }
+
+// keysFor returns the names of the parts under a version of the weights.
+func (p *prompt) keysFor(w wasabiridge.WeightsVersion) []uint64 {
+	if p.keys != nil && p.weights == w {
+		return p.keys
+	}
+	root := p.root
+	root.Weights = w
+	keys := make([]uint64, len(p.parts))
+	before := uint64(0)
+	for i, part := range p.parts {
+		before = wasabiprefix.PartKey(root, before, part)
+		keys[i] = before
+	}
+	p.weights, p.keys = w, keys
+	return keys
+}
+
+// compute is the time, in milliseconds, to compute tokens behind others.
+func compute(tokens, behind int) float64 {
+	n := float64(tokens)
+	return stepShare*n/tokensPerMilli + n*(float64(behind)+n/2)/pairsPerMilli
+}
+
+// workFor is the time that the prompt needs at an engine that got it for the
+// given reason and holds so many tokens of it.
+func (p *prompt) workFor(why string, held int) float64 {
+	if why == whyFetched || why == whyKept {
+		held = p.shared
+	}
+	return compute(p.tokens()-held, held)
+}
+
+// source is where a replica would get the shared parts of a prompt from.
+type source struct {
+	why       string
+	fetchFrom string
+	// held counts tokens that the replica holds already, or is reading.
+	held int
+	// cost is the time to come by the whole prompt, work that part of it in
+	// which the engine computes, in milliseconds.
+	cost, work float64
+	// again counts tokens that are computed although another replica has read
+	// them or is reading them.
+	again int
+}
+
+// sourceOf finds the cheapest way for a replica to come by a prompt.
+func (p *Placer) sourceOf(pl *pool, r *replica, pr *prompt) source {
+	if !pr.isLong() {
+		work := compute(pr.tokens(), 0)
+		return source{why: WhyLoad, cost: work, work: work}
+	}
+	keys := pr.keysFor(r.weights[pr.root.Model])
+	held, reading := r.cache.depth(keys, pr.lengths)
+	out := source{why: whyHeld, held: held + reading}
+	if reading > 0 {
+		out.why = whyReading
+	}
+	out.work = pr.workFor(out.why, out.held)
+	out.cost = out.work
+	missing := pr.shared - out.held
+	if missing <= 0 {
+		return out
+	}
+	// Unless a better source is known, the store is asked: a miss there costs
+	// a millisecond.
+	out.why, out.fetchFrom = whyComputed, p.kept.address()
+	if p.isRead(pl, keys[len(keys)-1], r) {
+		out.again = missing
+	}
+	last := keys[len(keys)-1]
+	if k := p.kept.first(); k != nil && p.kept.saved[last] {
+		out.consider(pr, whyKept, k.Address, float64(missing)*transfer(pl.config.TokenBytes, k.LinkMegabits)*distance(k.Zone, r))
+	}
+	for _, other := range pl.replicas {
+		if other == r || other.gone || other.pause > 0 {
+			continue
+		}
+		if ready, ok := other.cache.find(last); ok && ready {
+			time := float64(missing) * transfer(pl.config.TokenBytes, pl.config.LinkMegabits) * distance(other.server.Zone, r)
+			out.consider(pr, whyFetched, hostPort(other.server.URL), time)
+		}
+	}
+	return out
+}
+
+// consider takes a fetch that takes the given time, if it is cheaper.
+func (s *source) consider(pr *prompt, why, address string, time float64) {
+	work := compute(pr.own, pr.shared)
+	if cost := fetchSetup + time + work; cost < s.cost || s.again > 0 {
+		s.why, s.fetchFrom, s.cost, s.work, s.again = why, address, cost, work, 0
+	}
+}
+
+// isRead reports whether a replica other than r holds a part or is reading it.
+func (p *Placer) isRead(pl *pool, key uint64, r *replica) bool {
+	for _, other := range pl.replicas {
+		if _, held := other.cache.find(key); held && other != r && !other.gone {
+			return true
+		}
+	}
+	return false
+}
+
+// transfer is the time to fetch a token, in milliseconds.
+func transfer(tokenBytes int, megabits float64) float64 {
+	if tokenBytes <= 0 || megabits <= 0 {
+		return defaultTransfer
+	}
+	return float64(tokenBytes) * 8 / (megabits * 1000)
+}
+
+func distance(zone wasabiridge.AvailabilityZone, r *replica) float64 {
+	if zone != r.server.Zone {
+		return otherZoneTransfer
+	}
+	return 1
+}
+
+// depth returns how many tokens of a chain of parts are held from its start,
+// those that have been read and those that are being read.
+func (c *cache) depth(keys []uint64, lengths []int) (held, reading int) {
+	for i, key := range keys {
+		ready, ok := c.find(key)
+		if !ok {
+			break
+		}
+		if ready && reading == 0 {
+			held += lengths[i]
+		} else {
+			reading += lengths[i]
+		}
+	}
+	return held, reading
+}
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -1,6 +1,8 @@
 package wasabireplica
 
 import (
+	"strings"
+
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -21,13 +23,26 @@
 	// faultFree is the share of failures that counts as none: some requests
 	// fail at every replica.
 	faultFree = 0.2
-	// sentMost bounds the remembered parts of one replica.
-	sentMost = 4096
+	// enoughSamples is how many answers tell how slow a replica is, and
+	// slowFactor how much slower than the pool counts.
+	enoughSamples = 8
+	slowFactor    = 2
 	// silenceFactor and silenceLeast say how long a replica may send nothing
 	// before an idempotent request goes to another one: four times the target
 	// of the first byte.
 	silenceFactor = 4
 	silenceLeast  = 800 * wasabiridge.Millis(1)
+	// plainWork is the work of a request without a prompt, in milliseconds.
+	plainWork = 0
+	// waitingCost is the time that a request waiting inside a replica adds, in
+	// milliseconds, runningCost that of all slots running.
+	waitingCost = 8.0
+	runningCost = 8.0
+	// fullCost is the surcharge for each request beyond the replica's slots.
+	fullCost = 25.0
+	// fewInstances is up to how many instances tell each other all that they
+	// send.
+	fewInstances = 16
 )
 
 // replica is what is known of one replica.
@@ -36,10 +51,14 @@
 	gone   bool
 	// weights are the versions that it serves, by model.
 	weights map[wasabiridge.ModelID]wasabiridge.WeightsVersion
-	// inside counts this instance's attempts there, work the milliseconds of
-	// computing that those without a first byte wait for.
-	inside int
-	work   float64
+	cache   cache
+	// inside counts this instance's attempts there, told what the others were
+	// told of it, peers what they told.
+	inside, told int
+	peers        map[wasabiridge.InstanceID]peerLoad
+	// idleAt is when the work that was sent, by all instances, is expected to
+	// be done, in milliseconds.
+	idleAt float64
 	// running and waiting are from the last report, insideThen what inside was
 	// when it came.
 	running, waiting int
@@ -56,11 +75,18 @@
 	failures float64
 	delay    float64
 	samples  int
-	sent     map[partKey]wasabiridge.Millis
 }
 
 func newReplica(b wasabiridge.BackendServer) *replica {
-	return &replica{server: b, weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}, sent: map[partKey]wasabiridge.Millis{}}
+	return &replica{
+		server: b, weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}, cache: newCache(),
+		peers: map[wasabiridge.InstanceID]peerLoad{},
+	}
+}
+
+// addWork puts work behind what waits.
+func (r *replica) addWork(now wasabiridge.Millis, ms float64) {
+	r.idleAt = max(r.idleAt, float64(now)) + ms
 }
 
 // mayTry reports whether the replica may get work as far as its failures go.
@@ -84,17 +110,26 @@
 // load is how many requests are believed to be inside, those of other
 // instances included.
 func (r *replica) load(now wasabiridge.Millis, instances int) float64 {
-	if now-r.reported > reportLife {
-		return float64(r.inside) * max(1, float64(instances)/2)
+	known := r.inside
+	for _, p := range r.peers {
+		if now-p.at < peerLife {
+			known += p.inside
+		}
+	}
+	if now-r.reported <= reportLife {
+		return max(float64(known), float64(r.running+r.waiting+r.inside-r.insideThen))
+	}
+	if instances > fewInstances {
+		return float64(r.inside) * float64(instances) / 2
 	}
-	return max(float64(r.inside), float64(r.running+r.waiting+r.inside-r.insideThen))
+	return float64(known)
 }
 
 // queue is the expected wait in milliseconds.
 func (r *replica) queue(now wasabiridge.Millis, instances int) float64 {
 	load := r.load(now, instances)
 	slots := float64(max(1, r.server.Slots))
-	wait := r.work + load*runningCost*16/slots
+	wait := max(0, r.idleAt-float64(now)) + load*runningCost/slots
 	if now-r.reported <= reportLife {
 		wait += float64(r.waiting) * waitingCost
 	}
@@ -107,22 +142,12 @@
 // faults is the surcharge for what was learned, compared with the pool.
 func (r *replica) faults(pl *pool) float64 {
 	cost := max(0, r.failures-faultFree-pl.failures) * faultCost
-	if r.samples > 8 && r.delay > 2*pl.delay {
+	if r.samples > enoughSamples && r.delay > slowFactor*pl.delay {
 		cost += r.delay - pl.delay
 	}
 	return cost
 }
 
-func (r *replica) remember(now wasabiridge.Millis, k partKey) {
-	if len(r.sent) >= sentMost {
-		clear(r.sent)
-	}
-	r.sent[k] = now
-}
-
-// reborn drops what a new life or new weights make untrue.
-func (r *replica) forgetCache() { clear(r.sent) }
-
 func (r *replica) learnFailure(failed bool) {
 	sample := 0.0
 	if failed {
@@ -145,3 +170,12 @@
 func silenceOf(q wasabiridge.Request) wasabiridge.Millis {
 	return max(silenceLeast, silenceFactor*q.Action.FirstByteTarget)
 }
+
+// hostPort returns the address in a URL.
+func hostPort(url string) string {
+	_, address, ok := strings.Cut(url, "://")
+	if !ok {
+		return url
+	}
+	return address
+}
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -43,7 +43,7 @@
 	// Rank is this instance's place among the living ones.
 	Rank func() int
 	// Tell tells all instances, this one included. It must not block.
-	Tell   func(n wasabiridge.BackendNews)
+	Tell   func(n wasabiridge.RestNews)
 	Log    zerolog.Logger
 	Timing Timing
 }
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -121,7 +121,7 @@
 type Effect interface{ isEffect() }
 
 // Tell asks to tell all instances, this one included.
-type Tell struct{ News wasabiridge.BackendNews }
+type Tell struct{ News wasabiridge.RestNews }
 
 // SendOrder asks for an order that must not be sent after Before.
 type SendOrder struct {
@@ -303,7 +303,7 @@
 		r.phase, r.since, r.target = resting, now, m.wanted[r.model]
 		starting++
 		serving--
-		m.effects = append(m.effects, Tell{News: wasabiridge.BackendNews{Backend: id, Resting: restLife}})
+		m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: id, Resting: restLife}})
 	}
 }
 
@@ -356,7 +356,7 @@
 	}
 	if now-r.since > m.timing.Patience {
 		r.phase = idle
-		m.effects = append(m.effects, Tell{News: wasabiridge.BackendNews{Backend: r.server.ID}})
+		m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID}})
 		return
 	}
 	if now >= r.readAt {
@@ -377,7 +377,7 @@
 	if e.Fenced || e.Refused {
 		// Nothing was ordered. The replica serves on as it is.
 		r.phase, r.notBefore = idle, now+wasabiridge.Second
-		m.effects = append(m.effects, Tell{News: wasabiridge.BackendNews{Backend: e.Backend}})
+		m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: e.Backend}})
 	}
 }
 
@@ -399,5 +399,5 @@
 // finish lets a replica serve again.
 func (m *Machine) finish(r *replica) {
 	r.phase = idle
-	m.effects = append(m.effects, Tell{News: wasabiridge.BackendNews{Backend: r.server.ID, Model: r.model, Weights: r.serves}})
+	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Model: r.model, Weights: r.serves}})
 }
