Upgrade: the next instance takes over sooner, turns counted by replica

Cause: with the holder of the lease cut from the store, nobody ordered for ten seconds (4 s until the next rank contends, 3 s to outwait the lease, 3 s for the turn). Instances hear of orders, so only replicas told of lately are left alone, and the next rank contends after 1.5 s without progress.

--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -30,7 +30,7 @@
 
 // tell hands a hint to all instances, this one first.
 func (n *Node) tell(r wasabiridge.RestNews) {
-	news := wasabiridge.News{Rests: []wasabiridge.RestNews{r}}
+	news := wasabiridge.News{From: n.options.Settings.Instance, Rests: []wasabiridge.RestNews{r}}
 	n.takeNews(news)
 	n.catalog.Tell(context.Background(), news)
 }
@@ -40,6 +40,9 @@
 func (n *Node) takeNews(news wasabiridge.News) {
 	now := n.options.Clock.Now()
 	for _, r := range news.Rests {
+		if news.From != n.options.Settings.Instance {
+			n.upgrade.Hear(r.Backend)
+		}
 		n.loop.Observe(wasabiridge.BackendResting{Backend: r.Backend, Until: now + r.Resting})
 		if r.Weights > 0 {
 			n.loop.Observe(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights})
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -23,7 +23,7 @@
 	readTimeout = 500 * time.Millisecond
 	// rankWait is how long work must lie undone for each rank before this
 	// instance's own, until it contends too.
-	rankWait = 4 * wasabiridge.Second
+	rankWait = 1500 * wasabiridge.Millis(1)
 )
 
 // LeaseTiming is the pace of the lease. The holder believes for less than the
@@ -71,6 +71,14 @@
 	}
 }
 
+// Hear takes that another instance told of a replica.
+func (k *Keeper) Hear(b wasabiridge.BackendServerID) {
+	select {
+	case k.results <- Heard{Backend: b}:
+	default:
+	}
+}
+
 // Run drives the machine until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	go k.lease.Run(ctx)
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -21,8 +21,8 @@
 // # Turns of holders
 //
 // Orders of an earlier holder may still be on their way when its lease has
-// ended. A new holder therefore waits for the length of a lease before its
-// first order, unless nobody held the lease since its own last time.
+// ended. Instances hear of each other's orders, so a new holder leaves a
+// replica alone for the length of a turn after another one has told of it.
 //
 // # Usage
 //
@@ -58,7 +58,7 @@
 	// new version gets it again, 5 s by default: orders may be carried out
 	// late.
 	Patience wasabiridge.Millis
-	// Turn is how long a new holder waits before its first order, 3 s by
+	// Turn is how long orders of two holders to one replica lie apart, 3 s by
 	// default.
 	Turn wasabiridge.Millis
 	// OrderTime bounds one order. The lease must cover it. 800 ms by default.
@@ -113,7 +113,12 @@
 	Failed  bool
 }
 
+// Heard says that another instance told of a replica, as it does when it gives
+// orders.
+type Heard struct{ Backend wasabiridge.BackendServerID }
+
 func (Ticked) isEvent()    {}
+func (Heard) isEvent()     {}
 func (Ordered) isEvent()   {}
 func (StateRead) isEvent() {}
 
@@ -173,10 +178,8 @@
 	order    []wasabiridge.BackendServerID
 	wanted   map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	grant    wasabilease.Grant
-	// lastFencing is that of this instance's last turn, mayOrder when orders
-	// may begin in this one.
-	lastFencing wasabiridge.FencingNumber
-	mayOrder    wasabiridge.Millis
+	// heard is when another instance last told of a replica.
+	heard map[wasabiridge.BackendServerID]wasabiridge.Millis
 	// fenced is the fencing number that a replica refused.
 	fenced  wasabiridge.FencingNumber
 	effects []Effect
@@ -184,7 +187,10 @@
 
 // NewMachine returns a machine that knows no replica.
 func NewMachine(t Timing) *Machine {
-	return &Machine{timing: t.withDefaults(), replicas: map[wasabiridge.BackendServerID]*replica{}}
+	return &Machine{
+		timing: t.withDefaults(), replicas: map[wasabiridge.BackendServerID]*replica{},
+		heard: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
+	}
 }
 
 // Handle takes one event and returns what has to be done. The returned slice is
@@ -194,12 +200,14 @@
 	switch e := e.(type) {
 	case Ticked:
 		m.take(e)
-		m.turn(now, e.Grant)
+		m.grant = e.Grant
 		m.step(now)
 	case Ordered:
 		m.ordered(now, e)
 	case StateRead:
 		m.stateRead(e)
+	case Heard:
+		m.heard[e.Backend] = now
 	}
 	return m.effects
 }
@@ -243,6 +251,7 @@
 	for id, r := range m.replicas {
 		if !r.present {
 			delete(m.replicas, id)
+			delete(m.heard, id)
 			continue
 		}
 		m.order = append(m.order, id)
@@ -250,22 +259,9 @@
 	sort.Slice(m.order, func(a, b int) bool { return m.order[a] < m.order[b] })
 }
 
-// turn notes the lease. Whoever held it in between may have orders on their
-// way.
-func (m *Machine) turn(now wasabiridge.Millis, g wasabilease.Grant) {
-	if g.Fencing != 0 && g.Fencing != m.grant.Fencing {
-		m.mayOrder = now
-		if g.Fencing > 1 && g.Fencing != m.lastFencing+1 {
-			m.mayOrder = now + m.timing.Turn
-		}
-		m.lastFencing = g.Fencing
-	}
-	m.grant = g
-}
-
 // holds reports whether this instance may give an order now.
 func (m *Machine) holds(now wasabiridge.Millis) bool {
-	return m.grant.Covers(now, m.timing.OrderTime) && now >= m.mayOrder && m.fenced < m.grant.Fencing
+	return m.grant.Covers(now, m.timing.OrderTime) && m.fenced < m.grant.Fencing
 }
 
 // step lets every replica go on.
@@ -297,7 +293,7 @@
 	}
 	for _, id := range m.oldestFirst() {
 		r := m.replicas[id]
-		if r.phase != idle || r.serves >= m.wanted[r.model] || now < r.notBefore || starting >= m.timing.MaxLoads || serving < 2 && len(m.order) > 1 {
+		if r.phase != idle || r.serves >= m.wanted[r.model] || now < r.notBefore || m.isTurnOfOther(now, id) || starting >= m.timing.MaxLoads || serving < 2 && len(m.order) > 1 {
 			continue
 		}
 		r.phase, r.since, r.target = resting, now, m.wanted[r.model]
@@ -307,6 +303,13 @@
 	}
 }
 
+// isTurnOfOther reports whether another instance may have given the replica an
+// order a short time ago.
+func (m *Machine) isTurnOfOther(now wasabiridge.Millis, id wasabiridge.BackendServerID) bool {
+	at, ok := m.heard[id]
+	return ok && now-at < m.timing.Turn
+}
+
 // oldestFirst returns the replicas with the oldest weights first: with versions
 // named in quick succession, those at the end would otherwise never have their
 // turn.
