Placement: queues are not silence, transfers of the store of kept cache counted

Cause: with a quarter of the replicas dark, first bytes took a second in the queues of the others; idempotent requests were then taken for stuck after 1.2 s and sent elsewhere, which doubled the work and kept the queues long for 18 s. The bound now grows with the expected wait. The store's link carried more than it could (saves and fetches together), so its queue is counted, parts that had to yield there are saved again, and fetching a copy costs what it displaces.

--- a/catalog.go
+++ b/catalog.go
@@ -112,6 +112,9 @@
 	// Ready says that the engine has read the part. Saved says that it was
 	// told to export it.
 	Ready, Saved bool
+	// Kept says that the engine was told to import the part from the store of
+	// kept cache.
+	Kept bool
 }
 
 // News is a message to other instances: hints, and whether the sender's
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -112,7 +112,7 @@
 	for _, p := range n.Parts {
 		out.Parts = append(out.Parts, &pb.PartNews{
 			Backend: string(p.Backend), Key: p.Key, Tokens: uint32(max(p.Tokens, 0)), Own: uint32(max(p.Own, 0)), Ready: p.Ready, Saved: p.Saved,
-			WorkMs: uint32(max(p.Work, 0)),
+			WorkMs: uint32(max(p.Work, 0)), Kept: p.Kept,
 		})
 	}
 	return out
@@ -138,7 +138,7 @@
 	for _, p := range in.Parts {
 		n.Parts = append(n.Parts, wasabiridge.PartNews{
 			Backend: wasabiridge.BackendServerID(p.Backend), Key: p.Key, Tokens: int(min(p.Tokens, maxTokens)),
-			Own: int(min(p.Own, maxTokens)), Ready: p.Ready, Saved: p.Saved,
+			Own: int(min(p.Own, maxTokens)), Ready: p.Ready, Saved: p.Saved, Kept: p.Kept,
 			Work: wasabiridge.Millis(min(uint64(p.WorkMs), uint64(wasabiridge.Minute))),
 		})
 	}
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -267,10 +267,12 @@
 }
 
 func (x *exchange) logPlaced(d wasabiridge.Dispatch) {
-	shared, part := 0, uint64(0)
+	shared, key := 0, uint64(0)
+	root := x.request.Chain.Root
+	root.Weights = d.Weights
 	for i := range max(0, len(x.request.Chain.Lengths)-1) {
 		shared += x.request.Chain.Lengths[i]
-		part = uint64(x.request.Chain.Blocks[i])
+		key = wasabiprefix.PartKey(root, key, x.request.Chain.Blocks[i])
 	}
 	x.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(x.request.ID)).
@@ -282,7 +284,7 @@
 		Int64("expected_ms", int64(d.ExpectedWait)).
 		Int("prompt_tokens", x.request.Chain.Tokens).
 		Int("shared_tokens", shared).
-		Str("part", strconv.FormatUint(part, 16)).
+		Str("part_key", strconv.FormatUint(key, 16)).
 		Uint64("weights", uint64(d.Weights)).
 		Bool("fetch", d.FetchFrom != "").
 		Bool("save", d.SaveTo != "").
--- a/internal/wasabireplica/loss.go
+++ b/internal/wasabireplica/loss.go
@@ -24,6 +24,9 @@
 	// againLoss is for each token that is computed although some replica has
 	// read it or is reading it.
 	againLoss = 0.14 / 1000
+	// copyLoss is for each token that a replica takes in beside another one
+	// that holds it: it displaces others that may be asked for again.
+	copyLoss = 0.03 / 1000
 	// workLoss is for each millisecond of computing, which those behind wait
 	// for, and waitLoss for each millisecond of waiting.
 	workLoss = 0.0008
--- a/internal/wasabireplica/news.go
+++ b/internal/wasabireplica/news.go
@@ -60,16 +60,12 @@
 		if r == nil {
 			continue
 		}
-		if part.Saved {
-			p.kept.remember(part.Key)
-		}
 		if part.Ready {
 			r.cache.use(part.Key, part.Tokens)
 			r.cache.finish(part.Key)
 			continue
 		}
-		r.cache.use(part.Key, part.Tokens)
-		r.cache.fill(part.Own)
+		p.notePart(now, r, part)
 		r.addWork(now, float64(part.Work))
 	}
 }
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -117,7 +117,7 @@
 		pools:     map[wasabiridge.PoolID]*pool{},
 		named:     namings{},
 		attempts:  map[wasabiridge.AttemptID]sending{},
-		kept:      keptCaches{up: map[string]bool{}, saved: map[uint64]bool{}},
+		kept:      newKeptCaches(),
 		instances: 1,
 	}
 }
@@ -190,9 +190,9 @@
 	if !pr.engine {
 		c.score = lateLoss(wait+pl.delay, target)
 	} else {
-		c.source = p.sourceOf(pl, r, pr)
+		c.source = p.sourceOf(now, pl, r, pr)
 		c.expected = wait + c.source.cost + firstStep
-		c.score = lateLoss(c.expected, target) + againLoss*float64(c.source.again) + workLoss*c.source.work
+		c.score = lateLoss(c.expected, target) + againLoss*float64(c.source.again) + copyLoss*float64(c.source.copied) + workLoss*c.source.work
 		if age, older := p.named.overdue(now, pr.root.Model, r.weights[pr.root.Model]); older && age > oldGrace {
 			c.score += oldLoss
 		}
@@ -207,7 +207,7 @@
 func (p *Placer) placement(pl *pool, c choice, q wasabiridge.Request, pr *prompt) wasabiridge.Placement {
 	out := wasabiridge.Placement{Backend: c.replica.server, ExpectedWait: wasabiridge.Millis(c.expected), Why: WhyLoad}
 	if q.Action.Retry && len(pl.replicas) > 1 {
-		out.FirstByte = silenceOf(q)
+		out.FirstByte = silenceOf(q, c.expected)
 	}
 	if !pr.engine {
 		return out
@@ -218,7 +218,7 @@
 	}
 	out.Why, out.FetchFrom, out.ClaimedTokens = c.source.why, c.source.fetchFrom, c.source.held
 	keys := pr.keysFor(out.Weights)
-	if address := p.kept.address(); address != "" && !p.kept.saved[keys[len(keys)-1]] {
+	if address := p.kept.address(); address != "" && !p.kept.holds(keys[len(keys)-1]) {
 		out.SaveTo = address
 	}
 	return out
@@ -237,24 +237,34 @@
 	}
 	if a.prompt.isLong() {
 		a.keys = a.prompt.keysFor(pl.Weights)
-		p.sendParts(rep, &a, pl.SaveTo != "")
+		p.sendParts(now, rep, &a, pl)
 	}
 	rep.addWork(now, a.work)
 	p.attempts[id] = a
 }
 
 // sendParts notes the parts of a long prompt and tells the other instances.
-func (p *Placer) sendParts(rep *replica, a *sending, save bool) {
+func (p *Placer) sendParts(now wasabiridge.Millis, rep *replica, a *sending, pl wasabiridge.Placement) {
 	for i, key := range a.keys {
-		rep.cache.use(key, a.prompt.lengths[i])
-		n := wasabiridge.PartNews{Backend: rep.server.ID, Key: key, Tokens: a.prompt.lengths[i], Saved: save}
+		n := wasabiridge.PartNews{
+			Backend: rep.server.ID, Key: key, Tokens: a.prompt.lengths[i], Saved: pl.SaveTo != "", Kept: pl.Why == whyKept,
+		}
 		if i == len(a.keys)-1 {
 			n.Own, n.Work = a.prompt.own, wasabiridge.Millis(a.work)
 		}
-		if save {
-			p.kept.remember(key)
-		}
+		p.notePart(now, rep, n)
 		p.news.add(n)
 	}
-	rep.cache.fill(a.prompt.own)
+}
+
+// notePart notes what a part that was sent does to the caches.
+func (p *Placer) notePart(now wasabiridge.Millis, rep *replica, n wasabiridge.PartNews) {
+	rep.cache.use(n.Key, n.Tokens)
+	rep.cache.fill(n.Own)
+	switch {
+	case n.Saved:
+		p.kept.save(now, n.Key, n.Tokens, n.Own)
+	case n.Kept:
+		p.kept.fetch(now, n.Key, n.Tokens)
+	}
 }
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -19,7 +19,7 @@
 // adopt takes the pools of a configuration. What was learned of replicas that
 // stay is kept.
 func (p *Placer) adopt(c wasabiridge.Config) {
-	p.kept.stores = c.KeptCaches
+	p.kept.adopt(c)
 	seen := map[wasabiridge.BackendServerID]bool{}
 	pools := map[wasabiridge.PoolID]*pool{}
 	for _, cp := range c.Pools {
--- a/internal/wasabireplica/prompt.go
+++ b/internal/wasabireplica/prompt.go
@@ -117,10 +117,12 @@
 	// again counts tokens that are computed although another replica has read
 	// them or is reading them.
 	again int
+	// copied counts tokens that are fetched.
+	copied int
 }
 
 // sourceOf finds the cheapest way for a replica to come by a prompt.
-func (p *Placer) sourceOf(pl *pool, r *replica, pr *prompt) source {
+func (p *Placer) sourceOf(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt) source {
 	if !pr.isLong() {
 		work := compute(pr.tokens(), 0)
 		return source{why: WhyLoad, cost: work, work: work}
@@ -144,8 +146,9 @@
 		out.again = missing
 	}
 	last := keys[len(keys)-1]
-	if k := p.kept.first(); k != nil && p.kept.saved[last] {
-		out.consider(pr, whyKept, k.Address, float64(missing)*transfer(pl.config.TokenBytes, k.LinkMegabits)*distance(k.Zone, r))
+	if k := p.kept.first(); k != nil && p.kept.holds(last) {
+		time := p.kept.wait(now) + float64(missing)*transfer(pl.config.TokenBytes, k.LinkMegabits)*distance(k.Zone, r)
+		out.consider(pr, whyKept, k.Address, time)
 	}
 	for _, other := range pl.replicas {
 		if other == r || other.gone || other.pause > 0 {
@@ -163,7 +166,8 @@
 func (s *source) consider(pr *prompt, why, address string, time float64) {
 	work := compute(pr.own, pr.shared)
 	if cost := fetchSetup + time + work; cost < s.cost || s.again > 0 {
-		s.why, s.fetchFrom, s.cost, s.work, s.again = why, address, cost, work, 0
+		s.why, s.fetchFrom, s.cost, s.work = why, address, cost, work
+		s.again, s.copied = 0, pr.shared-s.held
 	}
 }
 
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -32,6 +32,8 @@
 	// of the first byte.
 	silenceFactor = 4
 	silenceLeast  = 800 * wasabiridge.Millis(1)
+	// queueFactor is by how much longer than expected a queue may take.
+	queueFactor = 2
 	// plainWork is the work of a request without a prompt, in milliseconds.
 	plainWork = 0
 	// waitingCost is the time that a request waiting inside a replica adds, in
@@ -166,9 +168,10 @@
 }
 
 // silenceOf is how long a replica may send nothing before the request goes to
-// another one.
-func silenceOf(q wasabiridge.Request) wasabiridge.Millis {
-	return max(silenceLeast, silenceFactor*q.Action.FirstByteTarget)
+// another one. What waits in a long queue is not silent: sending it elsewhere
+// would only make the queues longer, everywhere.
+func silenceOf(q wasabiridge.Request, expected float64) wasabiridge.Millis {
+	return max(silenceLeast, silenceFactor*q.Action.FirstByteTarget) + wasabiridge.Millis(queueFactor*expected)
 }
 
 // hostPort returns the address in a URL.
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -49,8 +49,11 @@
 	// most answers take less, and those that take longer are finished under
 	// the old weights.
 	Rest wasabiridge.Millis
-	// Load is how long a load is expected to take, 1.1 s by default.
-	Load wasabiridge.Millis
+	// Load is how long a load takes at least, 1.1 s by default, and Usual how
+	// long it usually takes from the order on, with the answers that are
+	// finished before it, 1.4 s by default.
+	Load  wasabiridge.Millis
+	Usual wasabiridge.Millis
 	// Poll is the time between two readings of a replica that loads, 200 ms by
 	// default.
 	Poll wasabiridge.Millis
@@ -76,6 +79,7 @@
 	}
 	set(&t.Rest, 200)
 	set(&t.Load, 1100)
+	set(&t.Usual, 1400)
 	set(&t.Poll, 200)
 	set(&t.Patience, 5*wasabiridge.Second)
 	set(&t.Turn, 3*wasabiridge.Second)
@@ -328,7 +332,7 @@
 		switch r := m.replicas[id]; r.phase {
 		case ordered:
 			loading++
-			if now-r.since < m.timing.Load-m.timing.Rest {
+			if now-r.since < m.timing.Usual-m.timing.Rest {
 				starting++
 			}
 		case resting:
