--- a/internal/wasabireplica/news.go
+++ b/internal/wasabireplica/news.go
@@ -63,9 +63,12 @@
 		if part.Ready {
 			r.cache.use(part.Key, part.Tokens)
 			r.cache.finish(part.Key)
+			r.line.begun(now, func(w waitingPrompt) bool { return w.attempt == 0 && w.key == part.Key })
 			continue
 		}
 		p.notePart(now, r, part)
-		r.addWork(now, float64(part.Work))
+		if part.Work > 0 {
+			r.line.enter(now, waitingPrompt{key: part.Key, work: float64(part.Work)})
+		}
 	}
 }
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -53,6 +53,7 @@
 	}
 	if r.weights[e.Model] != 0 {
 		r.cache.clear()
+		r.line.clear()
 		// New weights serve: the rest is over.
 		r.restUntil = 0
 	}
@@ -79,6 +80,7 @@
 	a.first = true
 	a.replica.learnDelay(max(0, float64(now-a.sent)-a.work))
 	a.replica.recovered()
+	a.replica.line.begun(now, func(w waitingPrompt) bool { return w.attempt == id })
 	for i, key := range a.keys {
 		a.replica.cache.finish(key)
 		p.news.add(wasabiridge.PartNews{Backend: a.replica.server.ID, Key: key, Tokens: a.prompt.lengths[i], Ready: true})
@@ -95,6 +97,7 @@
 	r := a.replica
 	r.inside--
 	if !a.first {
+		r.line.leave(now, func(w waitingPrompt) bool { return w.attempt == e.Attempt })
 		for _, key := range a.keys {
 			r.cache.drop(key)
 		}
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -238,8 +238,10 @@
 	if a.prompt.isLong() {
 		a.keys = a.prompt.keysFor(pl.Weights)
 		p.sendParts(now, rep, &a, pl)
+		rep.line.enter(now, waitingPrompt{attempt: id, work: a.work})
+	} else {
+		rep.line.add(now, a.work)
 	}
-	rep.addWork(now, a.work)
 	p.attempts[id] = a
 }
 
--- a/internal/wasabireplica/prompt.go
+++ b/internal/wasabireplica/prompt.go
@@ -142,10 +142,10 @@
 	// Unless a better source is known, the store is asked: a miss there costs
 	// a millisecond.
 	out.why, out.fetchFrom = whyComputed, p.kept.address()
-	if p.isRead(pl, keys[len(keys)-1], r) {
+	last := keys[len(keys)-1]
+	if p.kept.holds(last) || p.isRead(pl, last, r) {
 		out.again = missing
 	}
-	last := keys[len(keys)-1]
 	if k := p.kept.first(); k != nil && p.kept.holds(last) {
 		time := p.kept.wait(now) + float64(missing)*transfer(pl.config.TokenBytes, k.LinkMegabits)*distance(k.Zone, r)
 		out.consider(pr, whyKept, k.Address, time)
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -58,9 +58,8 @@
 	// told of it, peers what they told.
 	inside, told int
 	peers        map[wasabiridge.InstanceID]peerLoad
-	// idleAt is when the work that was sent, by all instances, is expected to
-	// be done, in milliseconds.
-	idleAt float64
+	// line is the work that was sent, by all instances.
+	line line
 	// running and waiting are from the last report, insideThen what inside was
 	// when it came.
 	running, waiting int
@@ -86,11 +85,6 @@
 	}
 }
 
-// addWork puts work behind what waits.
-func (r *replica) addWork(now wasabiridge.Millis, ms float64) {
-	r.idleAt = max(r.idleAt, float64(now)) + ms
-}
-
 // mayTry reports whether the replica may get work as far as its failures go.
 // After a pause one request tries it; the others follow when that is answered.
 func (r *replica) mayTry(now wasabiridge.Millis) bool {
@@ -131,7 +125,7 @@
 func (r *replica) queue(now wasabiridge.Millis, instances int) float64 {
 	load := r.load(now, instances)
 	slots := float64(max(1, r.server.Slots))
-	wait := max(0, r.idleAt-float64(now)) + load*runningCost/slots
+	wait := r.line.wait(now) + load*runningCost/slots
 	if now-r.reported <= reportLife {
 		wait += float64(r.waiting) * waitingCost
 	}
