--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -23,7 +23,7 @@
 	readTimeout = 500 * time.Millisecond
 	// rankWait is how long work must lie undone for each rank before this
 	// instance's own, until it contends too.
-	rankWait = 1500 * wasabiridge.Millis(1)
+	rankWait = 900 * wasabiridge.Millis(1)
 )
 
 // LeaseTiming is the pace of the lease. The holder believes for less than the
