Many instances: few are named to callers, a fifth of the replicas loads at once

Cause: with 60 instances each knew a sixtieth of what was sent, two loads at once took half a minute for 44 replicas, and a replica whose weights were not known yet could get a request without a version (VERSION on restarts). Address answers now name 12 instances, which tell each other what they send.

--- a/internal/wasabiaddress/book.go
+++ b/internal/wasabiaddress/book.go
@@ -99,16 +99,57 @@
 	return b.options.Lifetime
 }
 
-// Nearest returns the instances of a zone that serve, and further ones when
-// there are fewer than two, so that a caller never depends on a single one.
-// Callers choose at random among them, and bytes between zones cost.
+// Few instances take the requests of many: they tell each other what they send
+// where, and the fewer they are, the more each knows at once.
+const (
+	// activeLeast is up to how many instances all are named.
+	activeLeast = 12
+	// activeShare is the part of a larger number that is named.
+	activeShare = 6
+)
+
+// Active returns the instances that callers are sent to: all of a small number,
+// and of a large one the first of each zone by their hashes, the same at every
+// instance. When one of them goes, the next one stands in.
+func (b *Book) Active() []wasabiridge.InstanceEntry {
+	all := b.candidates("")
+	want := max(activeLeast, len(all)/activeShare)
+	if len(all) <= want {
+		return entriesOf(all)
+	}
+	zones := map[wasabiridge.AvailabilityZone]int{}
+	for _, c := range all {
+		zones[c.entry.Zone] = 0
+	}
+	each := max(leastNamed, (want+len(zones)-1)/len(zones))
+	var out []wasabiridge.InstanceEntry
+	for _, c := range all {
+		if zones[c.entry.Zone] < each {
+			zones[c.entry.Zone]++
+			out = append(out, c.entry)
+		}
+	}
+	return out
+}
+
+func entriesOf(list []candidate) []wasabiridge.InstanceEntry {
+	out := make([]wasabiridge.InstanceEntry, len(list))
+	for i, c := range list {
+		out[i] = c.entry
+	}
+	return out
+}
+
+// Nearest returns the active instances of a zone, and further ones when there
+// are fewer than two, so that a caller never depends on a single one. Callers
+// choose at random among them, and bytes between zones cost.
 func (b *Book) Nearest(zone wasabiridge.AvailabilityZone) []wasabiridge.InstanceEntry {
 	var near, far []wasabiridge.InstanceEntry
-	for _, c := range b.candidates(wasabiridge.ClientAccountID(zone)) {
-		if c.entry.Zone == zone {
-			near = append(near, c.entry)
+	for _, e := range b.Active() {
+		if e.Zone == zone {
+			near = append(near, e)
 		} else {
-			far = append(far, c.entry)
+			far = append(far, e)
 		}
 	}
 	for len(near) < leastNamed && len(far) > 0 {
--- a/internal/wasabicatalog/keeper.go
+++ b/internal/wasabicatalog/keeper.go
@@ -209,8 +209,13 @@
 
 // Tell hands news to all living members. It does not wait for them.
 func (k *Keeper) Tell(ctx context.Context, n wasabiridge.News) {
+	k.TellSome(ctx, k.peers(), n)
+}
+
+// TellSome hands news to some members. It does not wait for them.
+func (k *Keeper) TellSome(ctx context.Context, peers []Peer, n wasabiridge.News) {
 	n.From = k.options.Self
-	for _, p := range k.peers() {
+	for _, p := range peers {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 			defer cancel()
--- a/internal/wasabinode/share.go
+++ b/internal/wasabinode/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 )
 
@@ -51,7 +52,19 @@
 		var news wasabiridge.News
 		n.loop.Inspect(func() { news.Loads, news.Parts = n.placer.TakeNews() })
 		if len(news.Loads) > 0 || len(news.Parts) > 0 {
-			n.catalog.Tell(ctx, news)
+			n.catalog.TellSome(ctx, n.active(), news)
 		}
 	}
 }
+
+// active returns the other instances that callers are sent to. Only they place
+// requests, so only they need to know.
+func (n *Node) active() []wasabicatalog.Peer {
+	var peers []wasabicatalog.Peer
+	for _, e := range n.book.Active() {
+		if e.ID != n.options.Settings.Instance && e.PeerAddress != "" {
+			peers = append(peers, wasabicatalog.Peer{ID: e.ID, Address: e.PeerAddress})
+		}
+	}
+	return peers
+}
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -43,7 +43,7 @@
 	q := wasabiridge.PlaceQuery{Request: r}
 	share := fullShare + (urgentShare-fullShare)*float64(min(max(r.Action.Priority, 0), priorityMost))/priorityMost
 	for _, rep := range pl.replicas {
-		if l.placer.eligible(now, rep, q) && (rep.server.Slots == 0 || rep.load(now, l.placer.instances) < share*float64(rep.server.Slots)) {
+		if l.placer.eligible(now, rep, q) && (rep.server.Slots == 0 || rep.load(now) < share*float64(rep.server.Slots)) {
 			return wasabiridge.Admission{Verdict: wasabiridge.Admitted}
 		}
 	}
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -179,14 +179,16 @@
 	if q.Weights != 0 {
 		return serves == q.Weights
 	}
+	// A replica whose weights are not known yet could answer from any, and
+	// from what any left in its cache.
 	age, older := p.named.overdue(now, model, serves)
-	return !older || serves == 0 || age < p.options.WeightsBound
+	return serves != 0 && (!older || age < p.options.WeightsBound)
 }
 
 // weigh works out what a request is expected to lose at a replica.
 func (p *Placer) weigh(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt, target wasabiridge.Millis) choice {
 	c := choice{replica: r}
-	wait := r.queue(now, p.instances) + r.faults(pl)
+	wait := r.queue(now) + r.faults(pl)
 	if !pr.engine {
 		c.score = lateLoss(wait+pl.delay, target)
 	} else {
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -42,9 +42,6 @@
 	runningCost = 8.0
 	// fullCost is the surcharge for each request beyond the replica's slots.
 	fullCost = 25.0
-	// fewInstances is up to how many instances tell each other all that they
-	// send.
-	fewInstances = 16
 )
 
 // replica is what is known of one replica.
@@ -105,7 +102,7 @@
 
 // load is how many requests are believed to be inside, those of other
 // instances included.
-func (r *replica) load(now wasabiridge.Millis, instances int) float64 {
+func (r *replica) load(now wasabiridge.Millis) float64 {
 	known := r.inside
 	for _, p := range r.peers {
 		if now-p.at < peerLife {
@@ -115,15 +112,12 @@
 	if now-r.reported <= reportLife {
 		return max(float64(known), float64(r.running+r.waiting+r.inside-r.insideThen))
 	}
-	if instances > fewInstances {
-		return float64(r.inside) * float64(instances) / 2
-	}
 	return float64(known)
 }
 
 // queue is the expected wait in milliseconds.
-func (r *replica) queue(now wasabiridge.Millis, instances int) float64 {
-	load := r.load(now, instances)
+func (r *replica) queue(now wasabiridge.Millis) float64 {
+	load := r.load(now)
 	slots := float64(max(1, r.server.Slots))
 	wait := r.line.wait(now) + load*runningCost/slots
 	if now-r.reported <= reportLife {
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -14,9 +14,10 @@
 //
 // # How many at once
 //
-// The weight store serves two loads at full speed, and more take longer each.
-// The next replicas begin to run dry shortly before the loads before them are
-// expected to end.
+// The weight store serves few loads at full speed, and more take longer each; a
+// pool should not miss more than a fifth of its replicas either. The next
+// replicas begin to run dry shortly before the loads before them are expected
+// to end.
 //
 // # Turns of holders
 //
@@ -43,7 +44,8 @@
 
 // Timing sets the pace. A zero field takes its default.
 type Timing struct {
-	// MaxLoads is how many replicas load at once, 2 by default.
+	// MaxLoads is how many replicas load at once. The default is a fifth of
+	// all, and at least 2.
 	MaxLoads int
 	// Rest is how long a replica runs dry before its order, 200 ms by default:
 	// most answers take less, and those that take longer are finished under
@@ -74,9 +76,6 @@
 			*field = value
 		}
 	}
-	if t.MaxLoads == 0 {
-		t.MaxLoads = 2
-	}
 	set(&t.Rest, 200)
 	set(&t.Load, 1100)
 	set(&t.Usual, 1400)
@@ -87,6 +86,21 @@
 	return t
 }
 
+const (
+	// loadsLeast is how many replicas may load at once however few there are,
+	// loadShare the part of them that may when there are many.
+	loadsLeast = 2
+	loadShare  = 5
+)
+
+// maxLoads is how many replicas may load at once.
+func (m *Machine) maxLoads() int {
+	if m.timing.MaxLoads > 0 {
+		return m.timing.MaxLoads
+	}
+	return max(loadsLeast, len(m.order)/loadShare)
+}
+
 // restLife is how long the others leave a replica alone without further news.
 // It covers a load with others beside it.
 const restLife = 4 * wasabiridge.Second
@@ -290,14 +304,14 @@
 	loading, starting, serving := m.count(now)
 	for _, id := range m.order {
 		r := m.replicas[id]
-		if r.phase == resting && now-r.since >= m.timing.Rest && loading < m.timing.MaxLoads && !r.busy {
+		if r.phase == resting && now-r.since >= m.timing.Rest && loading < m.maxLoads() && !r.busy {
 			m.send(now, r)
 			loading++
 		}
 	}
 	for _, id := range m.oldestFirst() {
 		r := m.replicas[id]
-		if r.phase != idle || r.serves >= m.wanted[r.model] || now < r.notBefore || m.isTurnOfOther(now, id) || starting >= m.timing.MaxLoads || serving < 2 && len(m.order) > 1 {
+		if r.phase != idle || r.serves >= m.wanted[r.model] || now < r.notBefore || m.isTurnOfOther(now, id) || starting >= m.maxLoads() || serving < 2 && len(m.order) > 1 {
 			continue
 		}
 		r.phase, r.since, r.target = resting, now, m.wanted[r.model]
