--- a/internal/wasabicatalog/keeper.go
+++ b/internal/wasabicatalog/keeper.go
@@ -173,7 +173,7 @@
 	k.view.Store(&View{
 		Snapshot: m.snapshot, Backends: m.list,
 		ConfigProven: m.config.proven, BackendsProven: m.backends.proven,
-		ConfigKnown: m.config.known, BackendsKnown: m.backends.known, Namings: slices.Clone(m.namings),
+		ConfigKnown: m.config.known, BackendsKnown: m.backends.known, Namings: m.Namings(),
 	})
 }
 
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -189,9 +189,10 @@
 // Machine decides when to read and whom to ask. It is deterministic and not
 // safe for concurrent use.
 type Machine struct {
-	self  wasabiridge.InstanceID
-	peers []Peer
-	rank  int
+	self wasabiridge.InstanceID
+	// given are the peers as they were told, peers the same by rank.
+	given, peers []Peer
+	rank         int
 
 	config, backends part
 	snapshot         wasabiridge.ConfigSnapshot
@@ -240,6 +241,10 @@
 
 // order sorts the peers by rank and finds this instance's own.
 func (m *Machine) order(peers []Peer) {
+	if slices.Equal(peers, m.given) {
+		return
+	}
+	m.given = append(m.given[:0], peers...)
 	m.peers = append(m.peers[:0], peers...)
 	sort.Slice(m.peers, func(a, b int) bool { return before(m.peers[a].ID, m.peers[b].ID) })
 	m.rank = 0
@@ -497,6 +502,18 @@
 	m.accept(&m.backends, a.Revision, e.Sent-a.Age, a.Content, false, func() { m.list = s })
 }
 
+// Config returns the version of the configuration that is known, and when it
+// was proven. It reports false when none is known.
+func (m *Machine) Config() (wasabiridge.ConfigVersion, wasabiridge.Millis, bool) {
+	return m.snapshot.Config.Version, m.config.proven, m.config.known
+}
+
+// Backends returns the list of backend servers that is known.
+func (m *Machine) Backends() wasabiridge.BackendSnapshot { return m.list }
+
+// Namings returns the versions of weights that were named.
+func (m *Machine) Namings() []Named { return slices.Clone(m.namings) }
+
 // Answer tells another instance what is known here.
 func (m *Machine) Answer(now wasabiridge.Millis, q wasabiridge.CatalogQuery) wasabiridge.CatalogAnswer {
 	var namings []wasabiridge.Naming
--- /dev/null
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -0,0 +1,229 @@
+package wasabiupgrade_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiupgrade"
+)
+
+func TestUpgrade(t *testing.T) { wasabitest.Run(t, "upgrade") }
+
+const model wasabiridge.ModelID = "m"
+
+// fleet is a machine with engines that carry out orders in virtual time.
+type fleet struct {
+	machine *wasabiupgrade.Machine
+	now     wasabiridge.Millis
+	wanted  wasabiridge.WeightsVersion
+	grant   wasabilease.Grant
+	serves  map[wasabiridge.BackendServerID]wasabiridge.WeightsVersion
+	// done is when an order is carried out, target what it asks for.
+	done   map[wasabiridge.BackendServerID]wasabiridge.Millis
+	target map[wasabiridge.BackendServerID]wasabiridge.WeightsVersion
+	// lose drops the orders for which it reports true, after delay unanswered.
+	lose    func(id wasabiridge.BackendServerID) bool
+	orders  []wasabiupgrade.SendOrder
+	rests   []wasabiridge.RestNews
+	loading int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{
+		machine: wasabiupgrade.NewMachine(wasabiupgrade.Timing{}), now: 1e6, wanted: 1,
+		serves: map[wasabiridge.BackendServerID]wasabiridge.WeightsVersion{}, done: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
+		target: map[wasabiridge.BackendServerID]wasabiridge.WeightsVersion{},
+	}
+	for i := range n {
+		f.serves[id(i)] = 1
+	}
+	return f
+}
+
+func id(i int) wasabiridge.BackendServerID { return wasabiridge.BackendServerID(fmt.Sprintf("e%02d", i)) }
+
+func (f *fleet) hold(fencing wasabiridge.FencingNumber) {
+	f.grant = wasabilease.Grant{Lease: "l", Fencing: fencing, Until: f.now + wasabiridge.Minute}
+}
+
+func (f *fleet) entries() []wasabiridge.BackendEntry {
+	var out []wasabiridge.BackendEntry
+	for id, v := range f.serves {
+		out = append(out, wasabiridge.BackendEntry{
+			Server: wasabiridge.BackendServer{ID: id}, Weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: v},
+		})
+	}
+	return out
+}
+
+// run lets time pass in ticks of 50 ms.
+func (f *fleet) run(span wasabiridge.Millis) {
+	for end := f.now + span; f.now < end; f.now += 50 {
+		for id, at := range f.done {
+			if f.now >= at {
+				f.serves[id] = f.target[id]
+				delete(f.done, id)
+			}
+		}
+		f.loading = max(f.loading, len(f.done))
+		f.handle(wasabiupgrade.Ticked{
+			Entries: f.entries(), Wanted: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: f.wanted}, Grant: f.grant,
+		})
+	}
+}
+
+func (f *fleet) handle(e wasabiupgrade.Event) {
+	for _, effect := range slices.Clone(f.machine.Handle(f.now, e)) {
+		switch x := effect.(type) {
+		case wasabiupgrade.Tell:
+			f.rests = append(f.rests, x.News)
+		case wasabiupgrade.SendOrder:
+			f.orders = append(f.orders, x)
+			id := x.Server.ID
+			if f.lose == nil || !f.lose(id) {
+				f.done[id], f.target[id] = f.now+1100, x.Order.Weights
+			}
+			f.handle(wasabiupgrade.Ordered{Backend: id, Fencing: x.Order.Fencing})
+		case wasabiupgrade.ReadState:
+			id := x.Server.ID
+			_, busy := f.done[id]
+			f.handle(wasabiupgrade.StateRead{Backend: id, State: wasabiridge.EngineState{Weights: f.serves[id], Loading: busy}})
+		}
+	}
+}
+
+func (f *fleet) left() int {
+	n := 0
+	for _, v := range f.serves {
+		if v < f.wanted {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("An upgrade", func() {
+	sizes := map[int]struct {
+		most   int
+		within wasabiridge.Millis
+	}{1: {1, 2000}, 2: {1, 4000}, 9: {2, 8000}, 44: {8, 11000}}
+	for n, c := range sizes {
+		It(fmt.Sprintf("of %d replicas loads %d at once and is soon done", n, c.most), func() {
+			f := newFleet(n)
+			f.hold(1)
+			f.wanted = 2
+			f.run(c.within)
+			Expect(f.left()).To(BeZero())
+			Expect(f.loading).To(Equal(c.most))
+			Expect(f.orders).To(HaveLen(n))
+		})
+	}
+
+	It("tells all instances before the order, and after the load", func() {
+		f := newFleet(1)
+		f.hold(1)
+		f.wanted = 2
+		f.run(3000)
+		Expect(f.rests).To(HaveLen(2))
+		Expect(f.rests[0].Resting).To(BeNumerically(">", 0))
+		Expect(f.rests[1]).To(Equal(wasabiridge.RestNews{Backend: id(0), Model: model, Weights: 2}))
+	})
+
+	It("gives no order without the lease, and stops when it ends", func() {
+		f := newFleet(9)
+		f.wanted = 2
+		f.run(2000)
+		Expect(f.orders).To(BeEmpty())
+		f.hold(1)
+		f.grant.Until = f.now + 1500
+		f.run(5000)
+		Expect(len(f.orders)).To(BeNumerically("<", 5))
+	})
+
+	It("goes straight to the newest version", func() {
+		f := newFleet(9)
+		f.hold(1)
+		f.wanted = 2
+		f.run(2000)
+		f.wanted = 5
+		f.run(12000)
+		Expect(f.left()).To(BeZero())
+		for _, o := range f.orders {
+			Expect(o.Order.Weights).To(Or(BeEquivalentTo(2), BeEquivalentTo(5)))
+		}
+	})
+
+	// Story: versions are named every four seconds, less than an upgrade takes.
+	// With replicas ordered by name, the last ones never had their turn and
+	// served weights that were replaced long ago.
+	It("reaches every replica in turn when versions follow each other quickly", func() {
+		f := newFleet(9)
+		f.hold(1)
+		named := map[wasabiridge.WeightsVersion]wasabiridge.Millis{1: f.now}
+		for v := wasabiridge.WeightsVersion(2); v < 8; v++ {
+			f.wanted = v
+			named[v] = f.now
+			f.run(4000)
+			for id, serves := range f.serves {
+				Expect(f.now-named[min(serves+1, v)]).To(BeNumerically("<", 9500), string(id))
+			}
+		}
+	})
+
+	It("orders again what was lost or is late", func() {
+		f := newFleet(3)
+		f.hold(1)
+		f.wanted = 2
+		f.lose = func(wasabiridge.BackendServerID) bool { return len(f.orders) <= 2 }
+		f.run(14000)
+		Expect(f.left()).To(BeZero())
+	})
+
+	It("brings a replica up that came back with old weights", func() {
+		f := newFleet(3)
+		f.hold(1)
+		f.wanted = 2
+		f.run(5000)
+		delete(f.serves, id(0))
+		f.serves["reborn"] = 1
+		f.run(3000)
+		Expect(f.left()).To(BeZero())
+	})
+
+	// Story: the holder of the lease is cut off. Its last order is on its way to
+	// a replica when the next holder orders the same replica; the replica is
+	// ordered by two holders in turn.
+	It("leaves a replica alone of which another instance told a moment ago", func() {
+		f := newFleet(2)
+		f.hold(7)
+		f.wanted = 2
+		f.handle(wasabiupgrade.Heard{Backend: id(0)})
+		f.run(2900)
+		for _, o := range f.orders {
+			Expect(o.Server.ID).To(Equal(id(1)))
+		}
+		f.run(4000)
+		Expect(f.left()).To(BeZero())
+	})
+
+	It("stops for good under a fencing number that a replica refused", func() {
+		f := newFleet(3)
+		f.hold(3)
+		f.wanted = 2
+		f.run(400)
+		sent := len(f.orders)
+		f.handle(wasabiupgrade.Ordered{Backend: id(0), Fencing: 3, Fenced: true})
+		f.run(6000)
+		Expect(f.orders).To(HaveLen(sent))
+		f.hold(4)
+		f.run(12000)
+		Expect(f.left()).To(BeZero())
+	})
+})
