--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -47,7 +47,9 @@
 	return f
 }
 
-func id(i int) wasabiridge.BackendServerID { return wasabiridge.BackendServerID(fmt.Sprintf("e%02d", i)) }
+func id(i int) wasabiridge.BackendServerID {
+	return wasabiridge.BackendServerID(fmt.Sprintf("e%02d", i))
+}
 
 func (f *fleet) hold(fencing wasabiridge.FencingNumber) {
 	f.grant = wasabilease.Grant{Lease: "l", Fencing: fencing, Until: f.now + wasabiridge.Minute}
