Node: settings reloaded, served as a process; a plain service serves requests that name a model

Cause of the last: without weights none of its servers counted as knowing them, and such requests were refused.

--- a/catalog.go
+++ b/catalog.go
@@ -72,7 +72,7 @@
 
 // CatalogAnswer is what another instance knows.
 type CatalogAnswer struct {
-	Namings []Naming
+	Namings  []Naming
 	Config   CatalogPart
 	Backends CatalogPart
 }
--- a/cmd/wasabirouter/hosted.go
+++ b/cmd/wasabirouter/hosted.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
@@ -14,7 +16,7 @@
 
 // serveHosted serves on the users' platform. The first SIGTERM or SIGINT makes
 // the node leave; further ones change nothing.
-func serveHosted(s wasabisettings.Settings) error {
+func serveHosted(s wasabisettings.Settings, file string) error {
 	clock := wasabiclock.Boot()
 	parts := platform.Connect(platform.Options{Store: s.Hosted.Store, Clock: clock, Instance: s.Instance})
 	var node *wasabinode.Node
@@ -30,12 +32,48 @@
 	parts.Replicas.Observe = func(e wasabiridge.Event) { node.Observe(e) }
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	go func() {
-		for sig := range signals {
+	go watch(node, file, signals)
+	return node.Run()
+}
+
+// fileInterval is how often the settings file is looked at. It may change
+// without a signal.
+const fileInterval = 2 * time.Second
+
+// watch lets the node leave at the first signal to end, and hands it the
+// settings when they change. Settings that are wrong are logged and not taken.
+func watch(node *wasabinode.Node, file string, signals <-chan os.Signal) {
+	ticker := time.NewTicker(fileInterval)
+	defer ticker.Stop()
+	seen := modified(file)
+	for {
+		select {
+		case sig := <-signals:
 			if sig != syscall.SIGHUP {
 				node.Drain()
+				continue
+			}
+		case <-ticker.C:
+			if modified(file).Equal(seen) {
+				continue
 			}
 		}
-	}()
-	return node.Run()
+		seen = modified(file)
+		s, err := wasabisettings.Load(file)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			continue
+		}
+		node.Reload(s)
+	}
+}
+
+// modified returns when the file was last changed, or zero when it is not
+// there.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
--- a/cmd/wasabirouter/main.go
+++ b/cmd/wasabirouter/main.go
@@ -47,7 +47,7 @@
 
 // newCheckCommand reads the settings and says what is wrong with them.
 func newCheckCommand(code *int) *cobra.Command {
-	return settingsCommand("check", "Check a settings file", code, func(wasabisettings.Settings) error {
+	return settingsCommand("check", "Check a settings file", code, func(wasabisettings.Settings, string) error {
 		fmt.Println("The settings are right.")
 		return nil
 	})
@@ -58,7 +58,7 @@
 	return settingsCommand("run", "Serve callers", code, serve)
 }
 
-func settingsCommand(use, short string, code *int, do func(wasabisettings.Settings) error) *cobra.Command {
+func settingsCommand(use, short string, code *int, do func(wasabisettings.Settings, string) error) *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
 		Use:   use,
@@ -71,7 +71,7 @@
 				*code = exitSettings
 				return err
 			}
-			return do(s)
+			return do(s, file)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
@@ -83,9 +83,9 @@
 
 // serve runs the daemon. The first SIGTERM or SIGINT makes it leave; further
 // ones change nothing, so that an impatient supervisor cuts no stream.
-func serve(s wasabisettings.Settings) error {
+func serve(s wasabisettings.Settings, file string) error {
 	if s.Hosted != nil {
-		return serveHosted(s)
+		return serveHosted(s, file)
 	}
 	var d *wasabidaemon.Daemon
 	var err error
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -120,11 +120,11 @@
 // Effect is something that the machine wants done.
 type Effect interface{ isEffect() }
 
-// ReadConfig and ReadBackends ask for a read of the platform.
-type (
-	ReadConfig   struct{}
-	ReadBackends struct{}
-)
+// ReadConfig asks for a read of the configuration.
+type ReadConfig struct{}
+
+// ReadBackends asks for a read of the list of backend servers.
+type ReadBackends struct{}
 
 // AskPeer asks for a question to another instance.
 type AskPeer struct {
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -54,6 +54,10 @@
 	// weightsMargin is the same for older weights, and for the time that the
 	// news of newer ones may take to come here.
 	weightsMargin = 2500 * wasabiridge.Millis(1)
+	// denyShare is the part, in hundredths, of the time in which a
+	// configuration must be in force after which a caller is not told any more
+	// that its route or key does not exist.
+	denyShare = 75
 	// drainShare is the part of the grace time in which requests are still
 	// accepted after the node began to leave.
 	drainShare = 0.4
@@ -103,8 +107,11 @@
 
 // Node is one router. It is safe for concurrent use.
 type Node struct {
-	options     Options
-	bounds      wasabisettings.Terms
+	options Options
+	bounds  wasabisettings.Terms
+	// terms are the bounds by the newest settings. Those that only count at the
+	// start are taken from bounds.
+	terms       atomic.Pointer[wasabisettings.Terms]
 	log         zerolog.Logger
 	incarnation wasabiridge.Incarnation
 	timeline    *wasabitimeline.Log
@@ -144,6 +151,7 @@
 	}
 	n.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
 	n.inForce.Store(&inForce{config: &wasabiridge.Config{}})
+	n.terms.Store(&n.bounds)
 	if err := n.join(); err != nil {
 		n.close()
 		return nil, err
@@ -185,7 +193,9 @@
 	n.relay = wasabirelay.New(wasabirelay.Options{
 		Instance: s.Instance, Clock: o.Clock, Log: wasabilog.Part(n.log, "relay"), Loop: n.loop,
 		Runner: o.Platform.Runner, Protocol: o.Platform.Protocol, View: n.view,
-		KeyLife: n.bounds.KeyLife - keyMargin, DenyLife: n.bounds.ConfigLife * 3 / 4, Leaving: n.leaving.Load,
+		KeyLife:  func() wasabiridge.Millis { return n.terms.Load().KeyLife - keyMargin },
+		DenyLife: func() wasabiridge.Millis { return n.terms.Load().ConfigLife * denyShare / 100 },
+		Leaving:  n.leaving.Load,
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
 		Self: n.self(), Members: n.members.Members, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLife)),
@@ -193,6 +203,9 @@
 	return n.listen()
 }
 
+// Entry describes this instance as the other instances know it.
+func (n *Node) Entry() wasabiridge.InstanceEntry { return n.self() }
+
 // self describes this instance to callers and to other instances.
 func (n *Node) self() wasabiridge.InstanceEntry {
 	s := n.options.Settings
@@ -276,6 +289,20 @@
 	return n.finish()
 }
 
+// Reload takes the bounds of new settings. What only counts at the start, such
+// as addresses, stays as it is, and the log says so.
+func (n *Node) Reload(s wasabisettings.Settings) {
+	if s.Hosted == nil {
+		n.log.Error().Msg("Settings without a section hosted are not taken.")
+		return
+	}
+	terms := s.Hosted.Bounds.Terms()
+	n.terms.Store(&terms)
+	n.log.Info().Int64("key_life_ms", int64(terms.KeyLife)).Int64("config_life_ms", int64(terms.ConfigLife)).
+		Bool("restart_needed", s.Caller.Listen != n.options.Settings.Caller.Listen || s.Hosted.Store != n.options.Settings.Hosted.Store).
+		Msg("Settings reloaded.")
+}
+
 // Drain makes the node leave. It returns at once; Run returns when the last
 // request is answered. A second call changes nothing.
 func (n *Node) Drain() {
--- /dev/null
+++ b/internal/wasabinode/node_test.go
@@ -0,0 +1,331 @@
+package wasabinode_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabinode"
+	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+	"github.com/wasabiridge/wasabiridge/platform"
+	"github.com/wasabiridge/wasabiridge/platform/standin"
+)
+
+func TestNode(t *testing.T) { wasabitest.Run(t, "node") }
+
+// rig is a platform with nodes on loopback ports.
+type rig struct {
+	store   *standin.Store
+	address string
+	nodes   []*running
+}
+
+// running is one node and where it listens.
+type running struct {
+	node                     *wasabinode.Node
+	caller, ready, directory string
+	done                     chan error
+	log                      *buffer
+}
+
+// buffer takes log lines of many goroutines.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+func newRig() *rig {
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	DeferCleanup(server.Close)
+	return &rig{store: store, address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+func address() string {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer socket.Close()
+	return socket.Addr().String()
+}
+
+func (g *rig) start() *running {
+	r := &running{caller: address(), ready: address(), directory: address(), done: make(chan error, 1), log: &buffer{}}
+	peer := address()
+	seeds := ""
+	if len(g.nodes) > 0 {
+		first := g.nodes[0].node.Entry()
+		seeds = fmt.Sprintf(`{"instance": %q, "address": %q}`, first.ID, first.PeerAddress)
+	}
+	s, err := wasabisettings.Parse([]byte(fmt.Sprintf(`{"instance": "n%d", "zone": "z", "caller": {"listen": %q},
+		"peer": {"listen": %q, "open": true, "seeds": [%s]},
+		"hosted": {"store": %q, "ready": %q, "directory": %q, "metrics": %q, "bounds": {"grace_s": 3, "key_life_ms": 1500}}}`,
+		len(g.nodes), r.caller, peer, seeds, g.address, r.ready, r.directory, address())))
+	Expect(err).NotTo(HaveOccurred())
+	clock := wasabiclock.Boot()
+	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance})
+	r.node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: r.log, Platform: wasabinode.Platform{
+		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders,
+		Directory: platform.Directory, Ready: platform.Ready,
+	}})
+	Expect(err).NotTo(HaveOccurred())
+	parts.Replicas.Limit, parts.Replicas.Observe = r.node.ConnectionLimit, r.node.Observe
+	go func() { r.done <- r.node.Run() }()
+	DeferCleanup(func() {
+		r.node.Drain()
+		Eventually(r.done, "8s").Should(Receive())
+	})
+	g.nodes = append(g.nodes, r)
+	return r
+}
+
+func (g *rig) configure(version int, keys ...string) {
+	g.store.PutConfig(standin.Config{
+		Version: version,
+		Routes: []standin.Route{
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: "streaming", Resumable: true, Service: "lm", Timeout: 3000, Target: 300, Attempts: 2},
+			{Name: "book", Host: "h", Prefix: "/book/", Kind: "unsafe", Service: "app", Timeout: 2000, Attempts: 1},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: "unsafe", Service: "app", Timeout: 2000, Attempts: 1, Anonymous: true},
+		},
+		Services: []standin.Service{
+			{Name: "lm", Connections: 50, Engine: &standin.Engine{Slots: 8, CacheTokens: 1e5, TokenBytes: 10, Link: 1e5, Models: []standin.Model{{Name: "m"}}}},
+			{Name: "app", Connections: 50},
+		},
+		Tenants: []standin.Tenant{{Name: "t", Keys: keys}},
+	})
+}
+
+func (g *rig) replica(o standin.ReplicaOptions) *standin.Replica {
+	o.Zone, o.Store = "z", g.store
+	r := standin.NewReplica(o)
+	DeferCleanup(r.Close)
+	return r
+}
+
+func ask(caller, path, id, key string) (int, string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+caller+path, strings.NewReader("q"))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set("Wasabiridge-Attempt-Id", id)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Wasabiridge-Deadline-Ms", "3000")
+	r.Header.Set("Wasabiridge-Model", "m")
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+func status(caller, path, key string) func() int {
+	return func() int {
+		s, _, _ := ask(caller, path, fmt.Sprint(time.Now().UnixNano()), key)
+		return s
+	}
+}
+
+var _ = Describe("A node", func() {
+	It("refuses as not run until it knows a configuration, and then serves", func() {
+		g := newRig()
+		n := g.start()
+		Expect(status(n.caller, "/book/x", "k")()).To(Equal(http.StatusServiceUnavailable))
+		g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(1, "k")
+		Eventually(status(n.caller, "/book/x", "k"), "3s").Should(Equal(http.StatusOK))
+		Expect(status(n.caller, "/none/x", "k")()).To(Equal(http.StatusNotFound))
+		Expect(status(n.caller, "/book/x", "other")()).To(Equal(http.StatusUnauthorized))
+	})
+
+	// Story: the store is down and a node restarts. The others serve, and know
+	// all that it needs.
+	It("learns what it needs from another one while the store is away", func() {
+		g := newRig()
+		first := g.start()
+		g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(1, "k")
+		Eventually(status(first.caller, "/book/x", "k"), "3s").Should(Equal(http.StatusOK))
+		g.store.Fail(standin.Busy)
+		second := g.start()
+		Eventually(status(second.caller, "/open/x", ""), "3s").Should(Equal(http.StatusOK))
+	})
+
+	// Story: a key is taken away while nobody can reach the store. What was
+	// proven before lasts for a while and no longer.
+	It("lets no key in that was not proven lately, but those in that need none", func() {
+		g := newRig()
+		n := g.start()
+		g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(1, "k")
+		Eventually(status(n.caller, "/book/x", "k"), "3s").Should(Equal(http.StatusOK))
+		g.store.Fail(standin.Reset)
+		g.configure(2)
+		Eventually(status(n.caller, "/book/x", "k"), "4s").Should(Equal(http.StatusServiceUnavailable))
+		Expect(status(n.caller, "/open/x", "")()).To(Equal(http.StatusOK))
+		g.store.Fail(standin.Well)
+		Eventually(status(n.caller, "/book/x", "k"), "3s").Should(Equal(http.StatusUnauthorized))
+	})
+
+	It("gives a replica that leaves nothing new", func() {
+		g := newRig()
+		n := g.start()
+		first := g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(1, "k")
+		Eventually(status(n.caller, "/book/x", "k"), "3s").Should(Equal(http.StatusOK))
+		second := g.replica(standin.ReplicaOptions{ID: "s2", Service: "app"})
+		first.Leave()
+		Eventually(func() int { return len(second.Runs()) + status(n.caller, "/book/x", "k")()*0 }, "3s").Should(BeNumerically(">", 0))
+		before := len(first.Runs())
+		for range 10 {
+			Expect(status(n.caller, "/book/x", "k")()).To(Equal(http.StatusOK))
+		}
+		Expect(first.Runs()).To(HaveLen(before))
+	})
+
+	It("brings engines to new weights, under one holder, and asks for the version it counts on", func() {
+		g := newRig()
+		n := g.start()
+		g.start()
+		var engines []*standin.Replica
+		for i := range 3 {
+			engines = append(engines, g.replica(standin.ReplicaOptions{ID: fmt.Sprint("e", i), Service: "lm", Model: "m", Load: 50 * time.Millisecond}))
+		}
+		g.store.NameWeights("m", 1)
+		g.configure(1, "k")
+		Eventually(status(n.caller, "/chat/x", "k"), "3s").Should(Equal(http.StatusOK))
+		g.store.NameWeights("m", 2)
+		holders := map[string]bool{}
+		for _, e := range engines {
+			Eventually(e.Orders, "12s").ShouldNot(BeEmpty())
+			for _, o := range e.Orders() {
+				holders[o.Holder] = true
+			}
+		}
+		Expect(holders).To(HaveLen(1))
+		Eventually(func() int {
+			_ = status(n.caller, "/chat/x", "k")()
+			newest := 0
+			for _, e := range engines {
+				for _, run := range e.Runs() {
+					newest = max(newest, run.Weights)
+				}
+			}
+			return newest
+		}, "5s").Should(Equal(2))
+		salts := map[string]int{}
+		for _, e := range engines {
+			for _, run := range e.Runs() {
+				if before, ok := salts[run.Salt]; ok {
+					Expect(before).To(Equal(run.Weights), "a cache of older weights was looked at")
+				}
+				salts[run.Salt] = run.Weights
+			}
+		}
+	})
+
+	// Story: a process gets SIGTERM. Callers that ask for addresses must not be
+	// sent to it, those that come all the same are served, and nobody is cut.
+	It("that leaves is not named, serves what comes, and cuts nothing", func() {
+		g := newRig()
+		leaving, staying := g.start(), g.start()
+		g.replica(standin.ReplicaOptions{ID: "s1", Service: "app", Work: 700 * time.Millisecond})
+		g.configure(1, "k")
+		Eventually(status(leaving.caller, "/open/x", ""), "5s").Should(Equal(http.StatusOK))
+		named := func(at, who string) func() bool {
+			return func() bool {
+				response, err := http.Get("http://" + at + "/api/resolve?zone=z")
+				if err != nil {
+					return false
+				}
+				defer response.Body.Close()
+				body, _ := io.ReadAll(response.Body)
+				return strings.Contains(string(body), who)
+			}
+		}
+		Eventually(named(staying.directory, leaving.caller), "5s").Should(BeTrue())
+		answers := make(chan string, 20)
+		for i := range 10 {
+			go func() {
+				_, body, err := ask(leaving.caller, "/open/x", fmt.Sprint("r", i), "")
+				answers <- fmt.Sprint(body, err)
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		leaving.node.Drain()
+		for i := range 10 {
+			go func() {
+				_, body, err := ask(leaving.caller, "/open/x", fmt.Sprint("l", i), "")
+				answers <- fmt.Sprint(body, err)
+			}()
+		}
+		response, err := http.Get("http://" + leaving.ready + "/api/readyz")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Eventually(named(staying.directory, leaving.caller), "5s").Should(BeFalse())
+		for range 20 {
+			Expect(<-answers).To(MatchRegexp(`^answer to [rl]\d<nil>$`))
+		}
+		Eventually(leaving.done, "5s").Should(Receive(BeNil()))
+		leaving.done <- nil
+	})
+
+	It("says in its log what it decided, by the request's identifier", func() {
+		g := newRig()
+		n := g.start()
+		g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(1, "secret-key")
+		Eventually(status(n.caller, "/book/x", "secret-key"), "3s").Should(Equal(http.StatusOK))
+		_, _, err := ask(n.caller, "/book/x", "told", "secret-key")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(n.log.String).Should(ContainSubstring(`"request_id":"told"`))
+		lines := slices.DeleteFunc(strings.Split(n.log.String(), "\n"), func(l string) bool { return !strings.Contains(l, `"request_id":"told"`) })
+		Expect(strings.Join(lines, "")).To(And(ContainSubstring("Request placed."), ContainSubstring("Request answered.")))
+		Expect(n.log.String()).NotTo(ContainSubstring("secret-key"))
+	})
+
+	reloads := map[string]struct {
+		hosted *wasabisettings.Hosted
+		want   string
+	}{
+		"with bounds":  {&wasabisettings.Hosted{Bounds: wasabisettings.Bounds{KeyLife: 9000}}, `"key_life_ms":9000`},
+		"without them": {nil, "not taken"},
+	}
+	for _, name := range slices.Sorted(maps.Keys(reloads)) {
+		It("takes new settings "+name, func() {
+			n := newRig().start()
+			n.node.Reload(wasabisettings.Settings{Hosted: reloads[name].hosted})
+			Expect(n.log.String()).To(ContainSubstring(reloads[name].want))
+		})
+	}
+
+	It("needs to be told of the platform", func() {
+		_, err := wasabinode.New(wasabinode.Options{Clock: wasabiclock.System()})
+		Expect(err).To(MatchError(ContainSubstring("hosted")))
+	})
+})
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -79,12 +79,13 @@
 	Protocol wasabiridge.CallerProtocol
 	// View returns what is known. It is safe for concurrent use.
 	View func() View
-	// KeyLife is how old the proof of a key may be.
-	KeyLife wasabiridge.Millis
-	// DenyLife is how old the configuration may be for a caller to hear that
-	// its route or its key does not exist. Behind an older one stands the
+	// KeyLife returns how old the proof of a key may be. It is safe for
+	// concurrent use, like DenyLife.
+	KeyLife func() wasabiridge.Millis
+	// DenyLife returns how old the configuration may be for a caller to hear
+	// that its route or its key does not exist. Behind an older one stands the
 	// possibility that it was added since.
-	DenyLife wasabiridge.Millis
+	DenyLife func() wasabiridge.Millis
 	// Leaving reports whether the instance is about to go. Nil means never.
 	Leaving func() bool
 }
@@ -246,7 +247,7 @@
 // deny turns a request down that the configuration does not allow, if the
 // configuration is new enough to say so.
 func (c *call) deny(kind wasabiridge.RefusalKind, cause string) *wasabiridge.Refusal {
-	if c.arrived-c.view.Proven > c.relay.options.DenyLife {
+	if c.arrived-c.view.Proven > c.relay.options.DenyLife() {
 		return c.notRun(cause + ", by a configuration that may be old")
 	}
 	return &wasabiridge.Refusal{Kind: kind, Cause: cause}
@@ -264,7 +265,7 @@
 // looks at the newest proof, not at that of the request's arrival.
 func (c *call) proven() bool {
 	view := c.relay.options.View()
-	if c.relay.options.Clock.Now()-view.Proven > c.relay.options.KeyLife {
+	if c.relay.options.Clock.Now()-view.Proven > c.relay.options.KeyLife() {
 		return false
 	}
 	if view.Config == c.view.Config {
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -114,7 +114,9 @@
 	DeferCleanup(loop.Close)
 	loop.Post(wasabiridge.ConfigAdopted{Config: *cfg})
 	relay := wasabirelay.New(wasabirelay.Options{
-		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen, KeyLife: 4000, DenyLife: 1500,
+		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen,
+		KeyLife:  func() wasabiridge.Millis { return 4000 },
+		DenyLife: func() wasabiridge.Millis { return 1500 },
 	})
 	g.server = httptest.NewServer(relay)
 	DeferCleanup(g.server.Close)
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -40,7 +40,7 @@
 		return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedNoBackend, RetryAfter: returnAfter}
 	}
 	pl.budget.request(now, l.placer.options.RetryWindow)
-	q := wasabiridge.PlaceQuery{Request: r}
+	q := wasabiridge.PlaceQuery{Request: pl.asServed(r)}
 	share := fullShare + (urgentShare-fullShare)*float64(min(max(r.Action.Priority, 0), priorityMost))/priorityMost
 	for _, rep := range pl.replicas {
 		if l.placer.eligible(now, rep, q) && (rep.server.Slots == 0 || rep.load(now) < share*float64(rep.server.Slots)) {
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -128,6 +128,7 @@
 	if pl == nil {
 		return wasabiridge.Placement{}, false
 	}
+	q.Request = pl.asServed(q.Request)
 	pr := promptOf(q.Request)
 	var best choice
 	found, count := false, 0
@@ -232,6 +233,9 @@
 	if rep == nil {
 		return
 	}
+	if pool := p.pools[r.Action.Pool]; pool != nil {
+		r = pool.asServed(r)
+	}
 	a := sending{replica: rep, sent: now, work: plainWork, prompt: promptOf(r)}
 	rep.inside++
 	if a.prompt.engine {
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -16,6 +16,15 @@
 	budget          budget
 }
 
+// asServed returns a request without its model when the pool's servers have
+// none: a caller may name one to any service.
+func (pl *pool) asServed(r wasabiridge.Request) wasabiridge.Request {
+	if len(pl.config.Models) == 0 {
+		r.Model = ""
+	}
+	return r
+}
+
 // adopt takes the pools of a configuration. What was learned of replicas that
 // stay is kept.
 func (p *Placer) adopt(c wasabiridge.Config) {
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -373,12 +373,7 @@
 		g := newRig(1)
 		least, most := short(), short()
 		most.Action.Priority = 9
-		refused := 0
-		for refused == 0 {
-			if g.limiter.Offer(g.now, least).Verdict == wasabiridge.Rejected {
-				refused++
-				break
-			}
+		for g.limiter.Offer(g.now, least).Verdict == wasabiridge.Admitted {
 			g.place(least)
 		}
 		Expect(g.limiter.Offer(g.now, most).Verdict).To(Equal(wasabiridge.Admitted))
@@ -387,6 +382,19 @@
 		Expect(a.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	// Story: a caller names a model with a request to a plain service. The
+	// service has no weights, so none of its servers counted as knowing them,
+	// and all such requests were refused.
+	It("a plain service serves requests that name a model", func() {
+		g := newRig(1)
+		g.pool.Models, g.pool.Backends = nil, []wasabiridge.BackendServer{{ID: "s", Kind: wasabiridge.BackendService, URL: "http://s:1", Slots: 2}}
+		g.adopt()
+		Expect(g.limiter.Offer(g.now, long(1)).Verdict).To(Equal(wasabiridge.Admitted))
+		pl, id := g.place(long(1))
+		Expect(id).NotTo(BeZero())
+		Expect(pl.Weights).To(BeZero())
+	})
+
 	It("nothing is refused while a replica has a free place", func() {
 		g := newRig(4)
 		for range 31 {
