--- a/cmd/wasabirouter/hosted.go
+++ b/cmd/wasabirouter/hosted.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabinode"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/platform"
@@ -18,10 +19,12 @@
 // the node leave; further ones change nothing.
 func serveHosted(s wasabisettings.Settings, file string) error {
 	clock := wasabiclock.Boot()
+	log := wasabilog.NewRing(os.Stdout)
+	defer func() { _ = log.Close() }()
 	parts := platform.Connect(platform.Options{Store: s.Hosted.Store, Clock: clock, Instance: s.Instance})
 	var node *wasabinode.Node
 	var err error
-	node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: os.Stdout, Platform: wasabinode.Platform{
+	node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: log, LinesDropped: log.Dropped, Platform: wasabinode.Platform{
 		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders,
 		Directory: platform.Directory, Ready: platform.Ready,
 	}})
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -3,33 +3,48 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 )
 
-// writeMetrics writes counters and ages, one a line.
+// writeMetrics writes counters, ages and times, one a line, ordered by name.
 func (n *Node) writeMetrics(w io.Writer) {
-	counts := n.relay.Counts()
 	now := n.options.Clock.Now()
 	v := n.catalog.View()
 	reads, failed, asked := n.catalog.Calls()
-	for _, line := range []struct {
-		name  string
-		value int64
-	}{
-		{"requests_open", int64(n.relay.Open())},
-		{"requests_answered", int64(counts.Answered.Load())},
-		{"requests_refused", int64(counts.Refused.Load())},
-		{"requests_broken", int64(counts.Broken.Load())},
-		{"requests_cut", int64(counts.Cut.Load())},
-		{"callers_gone", int64(counts.Gone.Load())},
-		{"config_version", int64(v.Snapshot.Config.Version)},
-		{"config_age_ms", int64(now - v.ConfigProven)},
-		{"backends_age_ms", int64(now - v.BackendsProven)},
-		{"members", int64(len(n.members.Members()))},
-		{"platform_reads", int64(reads)},
-		{"platform_reads_failed", int64(failed)},
-		{"peers_asked", int64(asked)},
-		{"events_dropped", int64(n.loop.Dropped())},
-	} {
-		_, _ = fmt.Fprintf(w, "wasabiridge_%s %d\n", line.name, line.value)
+	dropped := uint64(0)
+	if n.options.LinesDropped != nil {
+		dropped = n.options.LinesDropped()
 	}
+	lines := []string{
+		line("requests_open", int64(n.relay.Open())),
+		line("config_version", int64(v.Snapshot.Config.Version)),
+		line("config_age_ms", int64(now-v.ConfigProven)),
+		line("backends_age_ms", int64(now-v.BackendsProven)),
+		line("backends_listed", int64(len(v.Backends.Entries))),
+		line("members", int64(len(n.members.Members()))),
+		line("platform_reads_total", int64(reads)),
+		line("platform_reads_failed_total", int64(failed)),
+		line("peers_asked_total", int64(asked)),
+		line("events_dropped_total", int64(n.loop.Dropped())),
+		line("log_lines_dropped_total", int64(dropped)),
+	}
+	for _, c := range n.relay.Counts().Times() {
+		lines = append(lines,
+			line("requests_total{outcome=\""+c.Name+"\"}", c.Total),
+			line("requests_ms{outcome=\""+c.Name+"\",quantile=\"0.5\"}", c.P50),
+			line("requests_ms{outcome=\""+c.Name+"\",quantile=\"0.95\"}", c.P95),
+			line("requests_ms{outcome=\""+c.Name+"\",quantile=\"0.99\"}", c.P99),
+		)
+	}
+	for cause, count := range n.relay.Counts().Causes() {
+		lines = append(lines, line("requests_by_cause_total{cause=\""+cause+"\"}", int64(count)))
+	}
+	slices.Sort(lines)
+	for _, l := range lines {
+		_, _ = io.WriteString(w, l)
+	}
+}
+
+func line(name string, value int64) string {
+	return fmt.Sprintf("wasabiridge_%s %d\n", name, value)
 }
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -101,8 +101,10 @@
 	Settings wasabisettings.Settings
 	Clock    wasabiridge.Clock
 	Platform Platform
-	// Log is where log lines go. Nil drops them.
+	// Log is where log lines go. Nil drops them. It must not block.
 	Log io.Writer
+	// LinesDropped counts the lines that Log has lost. Nil means none.
+	LinesDropped func() uint64
 }
 
 // Node is one router. It is safe for concurrent use.
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -38,6 +38,7 @@
 type running struct {
 	node                     *wasabinode.Node
 	caller, ready, directory string
+	metrics                  string
 	done                     chan error
 	log                      *buffer
 }
@@ -75,7 +76,7 @@
 }
 
 func (g *rig) start() *running {
-	r := &running{caller: address(), ready: address(), directory: address(), done: make(chan error, 1), log: &buffer{}}
+	r := &running{caller: address(), ready: address(), directory: address(), metrics: address(), done: make(chan error, 1), log: &buffer{}}
 	peer := address()
 	seeds := ""
 	if len(g.nodes) > 0 {
@@ -85,7 +86,7 @@
 	s, err := wasabisettings.Parse([]byte(fmt.Sprintf(`{"instance": "n%d", "zone": "z", "caller": {"listen": %q},
 		"peer": {"listen": %q, "open": true, "seeds": [%s]},
 		"hosted": {"store": %q, "ready": %q, "directory": %q, "metrics": %q, "bounds": {"grace_s": 3, "key_life_ms": 1500}}}`,
-		len(g.nodes), r.caller, peer, seeds, g.address, r.ready, r.directory, address())))
+		len(g.nodes), r.caller, peer, seeds, g.address, r.ready, r.directory, r.metrics)))
 	Expect(err).NotTo(HaveOccurred())
 	clock := wasabiclock.Boot()
 	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance})
@@ -309,6 +310,25 @@
 		Expect(n.log.String()).NotTo(ContainSubstring("secret-key"))
 	})
 
+	It("tells counters, ages and times on its metrics address", func() {
+		g := newRig()
+		n := g.start()
+		g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(3, "k")
+		Eventually(status(n.caller, "/book/x", "k"), "3s").Should(Equal(http.StatusOK))
+		response, err := http.Get("http://" + n.metrics)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		for _, want := range []string{
+			"wasabiridge_config_version 3\n", `wasabiridge_requests_total{outcome="answered"} 1`, `wasabiridge_requests_ms{outcome="answered",quantile="0.99"}`,
+			`requests_by_cause_total{cause="refused/no configuration known yet"}`, "wasabiridge_config_age_ms ", "wasabiridge_platform_reads_total ",
+		} {
+			Expect(string(body)).To(ContainSubstring(want))
+		}
+	})
+
 	reloads := map[string]struct {
 		hosted *wasabisettings.Hosted
 		want   string
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -208,8 +208,7 @@
 	if len(x.held) > 0 {
 		_, _ = x.w.Write(x.held)
 	}
-	x.relay.counts.Answered.Add(1)
-	x.log("Request answered.", "")
+	x.log("Request answered.", OutcomeAnswered, "")
 }
 
 // begin writes the head of the answer to the caller.
@@ -233,7 +232,6 @@
 	case x.disposition == wasabiridge.NotRun:
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: string(e.Reason), RetryAfter: x.comeBack(e.RetryAfter)})
 	default:
-		x.relay.counts.Broken.Add(1)
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalBroken, Cause: string(e.Reason)})
 	}
 }
@@ -243,8 +241,7 @@
 	x.relay.options.Loop.Post(wasabiridge.CallerGone{Request: x.request.ID})
 	switch {
 	case x.r.Context().Err() != nil:
-		x.relay.counts.Gone.Add(1)
-		x.log("Caller left.", "caller_gone")
+		x.log("Caller left.", OutcomeGone, "")
 		// Nobody reads the connection any more.
 		panic(http.ErrAbortHandler)
 	case x.began:
@@ -254,15 +251,13 @@
 	case x.disposition == wasabiridge.NotRun:
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: "deadline", RetryAfter: x.comeBack(0)})
 	default:
-		x.relay.counts.Broken.Add(1)
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalTimeout, Cause: "deadline"})
 	}
 }
 
 // cut breaks an answer off of which the caller has a part.
 func (x *exchange) cut(cause string) {
-	x.relay.counts.Cut.Add(1)
-	x.log("Answer cut.", cause)
+	x.log("Answer cut.", OutcomeCut, cause)
 	panic(http.ErrAbortHandler)
 }
 
@@ -294,8 +289,9 @@
 		Msg("Request placed.")
 }
 
-func (x *exchange) log(message, cause string) {
+func (x *exchange) log(message, outcome, cause string) {
 	now := x.relay.options.Clock.Now()
+	x.relay.counts.add(outcome, cause, now-x.arrived)
 	first := wasabiridge.Millis(-1)
 	if x.firstByte > 0 {
 		first = x.firstByte - x.arrived
@@ -310,6 +306,7 @@
 		Int("events", x.events).
 		Int64("first_byte_ms", int64(first)).
 		Int64("took_ms", int64(now-x.arrived)).
+		Str("outcome", outcome).
 		Str("cause", cause).
 		Msg(message)
 }
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -96,24 +96,19 @@
 	index   ruleIndex
 	keys    keyIndex
 	open    atomic.Int64
-	counts  Counts
-}
-
-// Counts are the answers given since the start.
-type Counts struct {
-	Answered, Refused, Broken, Cut, Gone atomic.Uint64
+	counts  *Counts
 }
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{options: o}
+	return &Relay{options: o, counts: newCounts()}
 }
 
 // Open returns how many requests are being served.
 func (l *Relay) Open() int { return int(l.open.Load()) }
 
 // Counts returns the counters.
-func (l *Relay) Counts() *Counts { return &l.counts }
+func (l *Relay) Counts() *Counts { return l.counts }
 
 // ServeHTTP implements http.Handler.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -296,7 +291,11 @@
 }
 
 func (c *call) refuse(f wasabiridge.Refusal) {
-	c.relay.counts.Refused.Add(1)
+	outcome := OutcomeBroken
+	if f.Kind != wasabiridge.RefusalBroken && f.Kind != wasabiridge.RefusalTimeout {
+		outcome = OutcomeRefused
+	}
+	c.relay.counts.add(outcome, f.Cause, c.relay.options.Clock.Now()-c.arrived)
 	c.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(c.asked.ID)).
 		Str("account", string(c.account.ID)).
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -60,6 +60,7 @@
 	x := s.exchange
 	if x.firstByte == 0 {
 		x.firstByte = x.relay.options.Clock.Now()
+		x.relay.counts.first(s.stream, x.firstByte-x.arrived)
 		x.relay.options.Loop.Post(wasabiridge.AttemptFirstToken{Request: s.dispatch.Request, Attempt: s.dispatch.Attempt})
 	}
 	if !s.stream && len(x.held)+len(data) <= heldBytes && !x.began {
