--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -75,9 +75,9 @@
 	// else can reach.
 	openPeerKey = "wasabiridge: open peer network"
 	// idleTimeout is how long a caller's connection may wait for its next
-	// request when the configuration does not say; it is longer than callers
-	// keep connections.
-	idleTimeout = 30 * time.Second
+	// request. It is longer than callers keep connections: a request that
+	// crosses the closing of its connection is lost to its caller.
+	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 5 * time.Second
 	maxHeader     = 64 << 10
@@ -127,6 +127,7 @@
 	server      *wasabipeer.Server
 	members     *wasabimember.Keeper
 	book        *wasabiaddress.Book
+	roster      *roster
 	inForce     atomic.Pointer[inForce]
 	sockets     []net.Listener
 	servers     []*http.Server
@@ -226,9 +227,10 @@
 	if n.server, err = wasabipeer.Listen(s.Listen, peerHandler{node: n}, o); err != nil {
 		return err
 	}
+	n.roster = &roster{seeds: s.Seeds, table: n.options.Platform.Table, self: n.self(), alone: n.isAlone}
 	n.members = wasabimember.NewKeeper(wasabimember.KeeperOptions{
 		Self: n.self(), Incarnation: n.incarnation, Seed: seed, Clock: n.options.Clock,
-		List: seedList{seeds: s.Seeds}, Peers: n.client, Log: wasabilog.Part(n.log, "member"), Recorder: n.timeline,
+		List: n.roster, Peers: n.client, Log: wasabilog.Part(n.log, "member"), Recorder: n.timeline,
 		HybridNow: n.timeline.Now, ObserveHybrid: n.timeline.Observe,
 	})
 	return nil
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -32,6 +32,7 @@
 	store   *standin.Store
 	address string
 	nodes   []*running
+	started int
 }
 
 // running is one node and where it listens.
@@ -76,6 +77,7 @@
 }
 
 func (g *rig) start() *running {
+	g.started++
 	r := &running{caller: address(), ready: address(), directory: address(), metrics: address(), done: make(chan error, 1), log: &buffer{}}
 	peer := address()
 	seeds := ""
@@ -86,7 +88,7 @@
 	s, err := wasabisettings.Parse([]byte(fmt.Sprintf(`{"instance": "n%d", "zone": "z", "caller": {"listen": %q},
 		"peer": {"listen": %q, "open": true, "seeds": [%s]},
 		"hosted": {"store": %q, "ready": %q, "directory": %q, "metrics": %q, "bounds": {"grace_s": 3, "key_life_ms": 1500}}}`,
-		len(g.nodes), r.caller, peer, seeds, g.address, r.ready, r.directory, r.metrics)))
+		g.started, r.caller, peer, seeds, g.address, r.ready, r.directory, r.metrics)))
 	Expect(err).NotTo(HaveOccurred())
 	clock := wasabiclock.Boot()
 	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance})
@@ -164,6 +166,27 @@
 		Expect(status(n.caller, "/book/x", "other")()).To(Equal(http.StatusUnauthorized))
 	})
 
+	// Story: every machine that the settings name was replaced.
+	It("that finds none of its seeds finds the others in the store", func() {
+		g := newRig()
+		g.start()
+		first := g.nodes
+		g.nodes = nil
+		second := g.start()
+		g.nodes = append(first, second)
+		g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(1, "k")
+		Eventually(func() string {
+			response, err := http.Get("http://" + second.directory + "/api/resolve?zone=z")
+			if err != nil {
+				return ""
+			}
+			defer response.Body.Close()
+			body, _ := io.ReadAll(response.Body)
+			return string(body)
+		}, "20s").Should(ContainSubstring(first[0].caller))
+	})
+
 	// Story: the store is down and a node restarts. The others serve, and know
 	// all that it needs.
 	It("learns what it needs from another one while the store is away", func() {
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -5,24 +5,8 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
-	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 )
 
-// seedList stands for a list of instances where the platform has none: those
-// that the settings name. The others are heard of through them.
-type seedList struct {
-	seeds []wasabisettings.Seed
-}
-
-// Instances implements wasabiridge.InstanceList.
-func (l seedList) Instances(context.Context) ([]wasabiridge.InstanceEntry, error) {
-	entries := make([]wasabiridge.InstanceEntry, 0, len(l.seeds))
-	for _, s := range l.seeds {
-		entries = append(entries, wasabiridge.InstanceEntry{ID: s.Instance, PeerAddress: s.Address})
-	}
-	return entries, nil
-}
-
 // rank is this instance's place among the living ones.
 func (n *Node) rank() int {
 	return wasabicatalog.RankOf(n.options.Settings.Instance, n.members.Members())
--- a/internal/wasabirelay/index.go
+++ b/internal/wasabirelay/index.go
@@ -6,18 +6,21 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
 
-// hostOf returns the host that the caller asked for, without a port.
+// hostOf returns the host that the caller asked for, without a port and in
+// lower case, in which configurations name hosts.
 func hostOf(r *http.Request) string {
-	if host, _, err := net.SplitHostPort(r.Host); err == nil {
-		return host
+	host := strings.ToLower(r.Host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
 	}
-	return r.Host
+	return host
 }
 
 // ruleIndex finds rules by host, so that hundreds of rules of other hosts are
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -132,7 +132,7 @@
 // send gives an order, unless its time was used up on the way here. The lease
 // covers an order only until then.
 func (k *Keeper) send(ctx context.Context, e SendOrder) {
-	result := Ordered{Backend: e.Server.ID, Fencing: e.Order.Fencing}
+	result := Ordered{Backend: e.Server.ID, Model: e.Order.Model, Fencing: e.Order.Fencing}
 	defer func() { k.post(ctx, result) }()
 	rest := e.Before - k.options.Clock.Now()
 	if rest <= 0 {
@@ -156,7 +156,7 @@
 	timed, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	state, err := k.options.Engines.ReadState(timed, e.Server)
-	k.post(ctx, StateRead{Backend: e.Server.ID, State: state, Failed: err != nil})
+	k.post(ctx, StateRead{Backend: e.Server.ID, Model: e.Model, State: state, Failed: err != nil})
 }
 
 func (k *Keeper) post(ctx context.Context, e Event) {
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -36,7 +36,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
@@ -119,6 +118,7 @@
 // Ordered is the outcome of a SendOrder.
 type Ordered struct {
 	Backend wasabiridge.BackendServerID
+	Model   wasabiridge.ModelID
 	Fencing wasabiridge.FencingNumber
 	Fenced  bool
 	Refused bool
@@ -127,6 +127,7 @@
 // StateRead is the outcome of a ReadState.
 type StateRead struct {
 	Backend wasabiridge.BackendServerID
+	Model   wasabiridge.ModelID
 	State   wasabiridge.EngineState
 	Failed  bool
 }
@@ -154,7 +155,10 @@
 }
 
 // ReadState asks what a replica is now.
-type ReadState struct{ Server wasabiridge.BackendServer }
+type ReadState struct {
+	Server wasabiridge.BackendServer
+	Model  wasabiridge.ModelID
+}
 
 func (Tell) isEffect()      {}
 func (SendOrder) isEffect() {}
@@ -171,7 +175,13 @@
 	ordered
 )
 
-// replica is one that needs new weights, or did.
+// unit is a model at a replica.
+type unit struct {
+	backend wasabiridge.BackendServerID
+	model   wasabiridge.ModelID
+}
+
+// replica is a unit that needs new weights, or did.
 type replica struct {
 	server wasabiridge.BackendServer
 	model  wasabiridge.ModelID
@@ -192,8 +202,8 @@
 // not safe for concurrent use.
 type Machine struct {
 	timing   Timing
-	replicas map[wasabiridge.BackendServerID]*replica
-	order    []wasabiridge.BackendServerID
+	replicas map[unit]*replica
+	order    []unit
 	wanted   map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	grant    wasabilease.Grant
 	// heard is when another instance last told of a replica.
@@ -206,7 +216,7 @@
 // NewMachine returns a machine that knows no replica.
 func NewMachine(t Timing) *Machine {
 	return &Machine{
-		timing: t.withDefaults(), replicas: map[wasabiridge.BackendServerID]*replica{},
+		timing: t.withDefaults(), replicas: map[unit]*replica{},
 		heard: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 	}
 }
@@ -257,10 +267,11 @@
 			if e.Wanted[model] == 0 {
 				continue
 			}
-			r := m.replicas[entry.Server.ID]
+			u := unit{entry.Server.ID, model}
+			r := m.replicas[u]
 			if r == nil {
 				r = &replica{server: entry.Server, model: model}
-				m.replicas[entry.Server.ID] = r
+				m.replicas[u] = r
 			}
 			r.present, r.server = true, entry.Server
 			r.serves = max(r.serves, version)
@@ -269,12 +280,14 @@
 	for id, r := range m.replicas {
 		if !r.present {
 			delete(m.replicas, id)
-			delete(m.heard, id)
+			delete(m.heard, id.backend)
 			continue
 		}
 		m.order = append(m.order, id)
 	}
-	sort.Slice(m.order, func(a, b int) bool { return m.order[a] < m.order[b] })
+	slices.SortFunc(m.order, func(a, b unit) int {
+		return cmp.Or(cmp.Compare(a.backend, b.backend), cmp.Compare(a.model, b.model))
+	})
 }
 
 // holds reports whether this instance may give an order now.
@@ -311,13 +324,13 @@
 	}
 	for _, id := range m.oldestFirst() {
 		r := m.replicas[id]
-		if r.phase != idle || r.serves >= m.wanted[r.model] || now < r.notBefore || m.isTurnOfOther(now, id) || starting >= m.maxLoads() || serving < 2 && len(m.order) > 1 {
+		if r.phase != idle || r.serves >= m.wanted[r.model] || now < r.notBefore || m.isTurnOfOther(now, id.backend) || m.isBusy(id.backend) || starting >= m.maxLoads() || serving < 2 && len(m.order) > 1 {
 			continue
 		}
 		r.phase, r.since, r.target = resting, now, m.wanted[r.model]
 		starting++
 		serving--
-		m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: id, Resting: restLife}})
+		m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: id.backend, Resting: restLife}})
 	}
 }
 
@@ -328,12 +341,23 @@
 	return ok && now-at < m.timing.Turn
 }
 
+// isBusy reports whether a replica rests or loads for any of its models. It
+// takes one order at a time.
+func (m *Machine) isBusy(id wasabiridge.BackendServerID) bool {
+	for _, u := range m.order {
+		if u.backend == id && m.replicas[u].phase != idle {
+			return true
+		}
+	}
+	return false
+}
+
 // oldestFirst returns the replicas with the oldest weights first: with versions
 // named in quick succession, those at the end would otherwise never have their
 // turn.
-func (m *Machine) oldestFirst() []wasabiridge.BackendServerID {
+func (m *Machine) oldestFirst() []unit {
 	ids := slices.Clone(m.order)
-	slices.SortStableFunc(ids, func(a, b wasabiridge.BackendServerID) int {
+	slices.SortStableFunc(ids, func(a, b unit) int {
 		return cmp.Compare(m.replicas[a].serves, m.replicas[b].serves)
 	})
 	return ids
@@ -382,12 +406,12 @@
 	}
 	if now >= r.readAt {
 		r.busy, r.readAt = true, now+m.timing.Poll
-		m.effects = append(m.effects, ReadState{Server: r.server})
+		m.effects = append(m.effects, ReadState{Server: r.server, Model: r.model})
 	}
 }
 
 func (m *Machine) ordered(now wasabiridge.Millis, e Ordered) {
-	r := m.replicas[e.Backend]
+	r := m.replicas[unit{e.Backend, e.Model}]
 	if e.Fenced {
 		m.fenced = max(m.fenced, e.Fencing)
 	}
@@ -403,15 +427,19 @@
 }
 
 func (m *Machine) stateRead(e StateRead) {
-	r := m.replicas[e.Backend]
+	r := m.replicas[unit{e.Backend, e.Model}]
 	if r == nil {
 		return
 	}
 	r.busy = false
-	if e.Failed || e.State.Loading || e.State.Weights < r.target {
+	serves := e.State.Weights
+	if e.State.Models != nil {
+		serves = e.State.Models[e.Model]
+	}
+	if e.Failed || e.State.Loading || serves < r.target {
 		return
 	}
-	r.serves = max(r.serves, e.State.Weights)
+	r.serves = max(r.serves, serves)
 	if r.phase != idle {
 		m.finish(r)
 	}
--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -92,11 +93,11 @@
 			if f.lose == nil || !f.lose(id) {
 				f.done[id], f.target[id] = f.now+1100, x.Order.Weights
 			}
-			f.handle(wasabiupgrade.Ordered{Backend: id, Fencing: x.Order.Fencing})
+			f.handle(wasabiupgrade.Ordered{Backend: id, Model: x.Order.Model, Fencing: x.Order.Fencing})
 		case wasabiupgrade.ReadState:
 			id := x.Server.ID
 			_, busy := f.done[id]
-			f.handle(wasabiupgrade.StateRead{Backend: id, State: wasabiridge.EngineState{Weights: f.serves[id], Loading: busy}})
+			f.handle(wasabiupgrade.StateRead{Backend: id, Model: x.Model, State: wasabiridge.EngineState{Weights: f.serves[id], Loading: busy}})
 		}
 	}
 }
@@ -215,13 +216,46 @@
 		Expect(f.left()).To(BeZero())
 	})
 
+	// Story: engines serve two models, whose versions are numbered apart. Taking
+	// the higher number for that of both, an upgrade of the other model would
+	// never begin, or never be seen to end.
+	It("tells the models of one replica apart, and orders one at a time", func() {
+		m := wasabiupgrade.NewMachine(wasabiupgrade.Timing{})
+		serves := map[wasabiridge.ModelID]wasabiridge.WeightsVersion{"a": 7, "b": 2}
+		wanted := map[wasabiridge.ModelID]wasabiridge.WeightsVersion{"a": 8, "b": 3}
+		grant := wasabilease.Grant{Lease: "l", Fencing: 1, Until: 1e9}
+		loading, most := 0, 0
+		for now := wasabiridge.Millis(1e6); now < 1e6+12000; now += 50 {
+			entry := wasabiridge.BackendEntry{Server: wasabiridge.BackendServer{ID: "e"}, Weights: maps.Clone(serves)}
+			events := []wasabiupgrade.Event{wasabiupgrade.Ticked{Entries: []wasabiridge.BackendEntry{entry}, Wanted: wanted, Grant: grant}}
+			for len(events) > 0 {
+				e := events[0]
+				events = events[1:]
+				for _, effect := range slices.Clone(m.Handle(now, e)) {
+					switch x := effect.(type) {
+					case wasabiupgrade.SendOrder:
+						loading++
+						most = max(most, loading)
+						events = append(events, wasabiupgrade.Ordered{Backend: "e", Model: x.Order.Model, Fencing: 1})
+					case wasabiupgrade.ReadState:
+						serves[x.Model] = wanted[x.Model]
+						loading = 0
+						events = append(events, wasabiupgrade.StateRead{Backend: "e", Model: x.Model, State: wasabiridge.EngineState{Models: maps.Clone(serves)}})
+					}
+				}
+			}
+		}
+		Expect(serves).To(Equal(wanted))
+		Expect(most).To(Equal(1))
+	})
+
 	It("stops for good under a fencing number that a replica refused", func() {
 		f := newFleet(3)
 		f.hold(3)
 		f.wanted = 2
 		f.run(400)
 		sent := len(f.orders)
-		f.handle(wasabiupgrade.Ordered{Backend: id(0), Fencing: 3, Fenced: true})
+		f.handle(wasabiupgrade.Ordered{Backend: id(0), Model: model, Fencing: 3, Fenced: true})
 		f.run(6000)
 		Expect(f.orders).To(HaveLen(sent))
 		f.hold(4)
--- a/order.go
+++ b/order.go
@@ -22,6 +22,9 @@
 type EngineState struct {
 	// Weights is the version that serves.
 	Weights WeightsVersion
+	// Models are the versions that serve, by model, where the engine tells
+	// them apart. Nil means that it has one.
+	Models map[ModelID]WeightsVersion
 	// Loading says that other weights are being loaded.
 	Loading bool
 	// Role is empty when the engine does not say.
