Placement: silence of a replica counts before its requests are over; long prompts that cannot be read in time are refused at once

Cause: at scale with replicas dark or loading, long prompts piled up at the rest, and short ones, of which forty fit into the time of a long one, came late behind them for many seconds. A dark replica was found only when its first idempotent request had waited 1.2 s.

--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -1,6 +1,8 @@
 package wasabireplica
 
 import (
+	"math"
+
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -15,6 +17,9 @@
 	priorityMost = 9
 	// returnAfter is when a refused request may find room.
 	returnAfter = 250 * wasabiridge.Millis(1)
+	// longPatience is how long a long prompt may wait at a replica, as a
+	// multiple of the target of its first byte.
+	longPatience = 1.0
 	// spareInstances is by how much the number of instances may be
 	// underestimated when the retry budget is shared out: others may have been
 	// added that are not known here yet.
@@ -41,15 +46,46 @@
 	}
 	pl.budget.request(now, l.placer.options.RetryWindow)
 	q := wasabiridge.PlaceQuery{Request: pl.asServed(r)}
+	shortest := math.Inf(1)
 	share := fullShare + (urgentShare-fullShare)*float64(min(max(r.Action.Priority, 0), priorityMost))/priorityMost
+	patience := patienceOf(q.Request)
 	for _, rep := range pl.replicas {
-		if l.placer.eligible(now, rep, q) && (rep.server.Slots == 0 || rep.load(now) < share*float64(rep.server.Slots)) {
+		if !l.placer.eligible(now, rep, q) || rep.server.Slots > 0 && rep.load(now) >= share*float64(rep.server.Slots) {
+			continue
+		}
+		wait := rep.line.wait(now)
+		if wait <= patience {
 			return wasabiridge.Admission{Verdict: wasabiridge.Admitted}
 		}
+		shortest = min(shortest, wait-patience)
+	}
+	if !math.IsInf(shortest, 1) {
+		return wasabiridge.Admission{
+			Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedOverload, RetryAfter: max(returnAfter, wasabiridge.Millis(shortest)),
+		}
 	}
 	return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedOverload, RetryAfter: returnAfter}
 }
 
+// patienceOf is how long a request may wait at a replica, in milliseconds.
+//
+// The failure it guards against: long prompts pile up at the replicas that are
+// left, while others are dark or load. Each takes as long to compute as forty
+// short ones, which all come late behind it, and the queues stay long after
+// the cause is over. Long prompts that cannot be read in time anyhow come back
+// later.
+func patienceOf(r wasabiridge.Request) float64 {
+	pr := promptOf(r)
+	if !pr.engine || !pr.isLong() {
+		return math.Inf(1)
+	}
+	target := r.Action.FirstByteTarget
+	if target <= 0 {
+		target = defaultTarget
+	}
+	return longPatience * float64(target)
+}
+
 // Next implements wasabiridge.Limiter. Nothing waits here.
 func (l *Limiter) Next(wasabiridge.Millis) (wasabiridge.Request, bool) {
 	return wasabiridge.Request{}, false
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -11,6 +11,7 @@
 		for _, pl := range p.pools {
 			pl.review()
 		}
+		p.suspect(now)
 	case wasabiridge.ConfigAdopted:
 		p.adopt(e.Config)
 	case wasabiridge.WeightsNamed:
@@ -27,6 +28,7 @@
 		p.peerPlaced(now, e)
 	case wasabiridge.LoadReported:
 		if r := p.replicas[e.Report.Backend]; r != nil {
+			r.heard = now
 			r.running, r.waiting, r.reported, r.insideThen = e.Report.Running, e.Report.Waiting, now, r.inside
 		}
 	case wasabiridge.InstancesCounted:
@@ -44,6 +46,23 @@
 	}
 }
 
+// suspect leaves replicas alone that have said nothing at all since a request
+// was sent that should have been answered long ago.
+//
+// The failure it guards against: a replica goes dark. Its kept connections do
+// not break for seconds, and every request that is sent there meanwhile is
+// lost.
+func (p *Placer) suspect(now wasabiridge.Millis) {
+	for id, a := range p.attempts {
+		if a.first || a.suspected || a.replica.heard >= a.sent || now-a.sent < a.bound {
+			continue
+		}
+		a.suspected = true
+		p.attempts[id] = a
+		a.replica.fail(now)
+	}
+}
+
 // weightsReported takes which version a replica serves. Versions only rise
 // within a life; a replica that restarts has a new name.
 func (p *Placer) weightsReported(e wasabiridge.WeightsReported) {
@@ -78,6 +97,7 @@
 		return
 	}
 	a.first = true
+	a.replica.heard = now
 	a.replica.learnDelay(max(0, float64(now-a.sent)-a.work))
 	a.replica.recovered()
 	a.replica.line.begun(now, func(w waitingPrompt) bool { return w.attempt == id })
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -104,6 +104,10 @@
 	prompt  prompt
 	keys    []uint64
 	first   bool
+	// bound is when, after it was sent, silence counts against the replica.
+	// suspected says that it did.
+	bound     wasabiridge.Millis
+	suspected bool
 }
 
 var _ wasabiridge.Placer = (*Placer)(nil)
@@ -237,6 +241,7 @@
 		r = pool.asServed(r)
 	}
 	a := sending{replica: rep, sent: now, work: plainWork, prompt: promptOf(r)}
+	a.bound = suspectAfter + wasabiridge.Millis(queueFactor*float64(pl.ExpectedWait))
 	rep.inside++
 	if a.prompt.engine {
 		a.work = a.prompt.workFor(pl.Why, pl.ClaimedTokens)
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -32,6 +32,10 @@
 	// of the first byte.
 	silenceFactor = 4
 	silenceLeast  = 800 * wasabiridge.Millis(1)
+	// suspectAfter is how long after it was sent, and twice what was expected
+	// besides, a request may be without an answer from a replica that says
+	// nothing at all. Plain services take up to half a second.
+	suspectAfter = 600 * wasabiridge.Millis(1)
 	// queueFactor is by how much longer than expected a queue may take.
 	queueFactor = 2
 	// plainWork is the work of a request without a prompt, in milliseconds.
@@ -62,6 +66,8 @@
 	running, waiting int
 	reported         wasabiridge.Millis
 	insideThen       int
+	// heard is when anything last came from the replica.
+	heard wasabiridge.Millis
 	// restUntil is until when the replica takes no new work.
 	restUntil wasabiridge.Millis
 	// pausedUntil and pause leave it alone after failures.
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -265,6 +265,36 @@
 		})
 	}
 
+	// Story: a replica goes dark with requests in it. Its kept connections do not
+	// break for seconds, and all that is sent there meanwhile is lost.
+	It("that says nothing at all is left alone before its requests are over", func() {
+		g := newRig(1)
+		_, first := g.place(short())
+		g.now += 500
+		g.tell(wasabiridge.Ticked{})
+		_, id := g.place(short())
+		Expect(id).NotTo(BeZero())
+		g.now += 300
+		g.tell(wasabiridge.Ticked{})
+		_, id = g.place(short())
+		Expect(id).To(BeZero())
+		g.answer(first)
+		_, id = g.place(short())
+		Expect(id).NotTo(BeZero())
+	})
+
+	It("that is slow with one request and answers others is used on", func() {
+		g := newRig(1)
+		g.place(short())
+		g.now += 500
+		_, second := g.place(short())
+		g.answer(second)
+		g.now += 300
+		g.tell(wasabiridge.Ticked{})
+		_, id := g.place(short())
+		Expect(id).NotTo(BeZero())
+	})
+
 	// Story: a quarter of the replicas go dark. Each that is tried again takes
 	// one request, not all that wait.
 	It("that was left alone is tried by one request, and used when that is answered", func() {
@@ -395,6 +425,27 @@
 		Expect(pl.Weights).To(BeZero())
 	})
 
+	// Story: some replicas are dark and others load. Long prompts pile up at the
+	// rest, short ones come late behind them, and so it stays.
+	It("long prompts are refused at once that would wait too long, and short ones are not", func() {
+		g := newRig(1)
+		admitted := 0
+		for i := range 20 {
+			if g.limiter.Offer(g.now, long(uint64(i))).Verdict != wasabiridge.Admitted {
+				break
+			}
+			admitted++
+			g.place(long(uint64(i)))
+		}
+		Expect(admitted).To(BeNumerically("~", 3, 1))
+		a := g.limiter.Offer(g.now, long(99))
+		Expect(a.Verdict).To(Equal(wasabiridge.Rejected))
+		Expect(a.RetryAfter).To(BeNumerically(">", 0))
+		Expect(g.limiter.Offer(g.now, short()).Verdict).To(Equal(wasabiridge.Admitted))
+		g.now += 2000
+		Expect(g.limiter.Offer(g.now, long(99)).Verdict).To(Equal(wasabiridge.Admitted))
+	})
+
 	It("nothing is refused while a replica has a free place", func() {
 		g := newRig(4)
 		for range 31 {
