Keys are looked up in one place; one logger for net/http; one reading of addresses

Cause: the look-up of client accounts by key stood twice, and the copy in the relay compared a hash with itself. A map look-up finds the same accounts, but the constant-time comparison did nothing there. Ruled out: no answer changes; both copies found the same accounts.

--- a/internal/wasabidaemon/daemon.go
+++ b/internal/wasabidaemon/daemon.go
@@ -201,7 +201,7 @@
 		// The gateway turns down large headers itself, in the shape of the
 		// API. This limit holds against what is larger by far.
 		MaxHeaderBytes: 2 * limits.HeaderBytes,
-		ErrorLog:       errorLog(wasabilog.Part(d.log, part)),
+		ErrorLog:       wasabilog.ServerErrors(wasabilog.Part(d.log, part)),
 	}
 }
 
--- a/internal/wasabidaemon/listener.go
+++ b/internal/wasabidaemon/listener.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
-	stdlog "log"
 	"net"
 	"strings"
 
-	"github.com/rs/zerolog"
-
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
@@ -57,19 +54,3 @@
 		_ = l.socket.Close()
 	}
 }
-
-// errorLog hands lines of net/http to the part's log. They name addresses and
-// protocol errors, never contents.
-func errorLog(log zerolog.Logger) *stdlog.Logger {
-	return stdlog.New(lineWriter{log: log}, "", 0)
-}
-
-type lineWriter struct {
-	log zerolog.Logger
-}
-
-// Write logs one line.
-func (w lineWriter) Write(line []byte) (int, error) {
-	w.log.Debug().Str("detail", strings.TrimSpace(string(line))).Msg("Connection failed.")
-	return len(line), nil
-}
--- a/internal/wasabigateway/filter.go
+++ b/internal/wasabigateway/filter.go
@@ -86,7 +86,7 @@
 			g.fail(w, r, failNoKey)
 			return
 		}
-		if c.account, ok = g.keys.find(c.config, key); !ok {
+		if c.account, ok = g.keys.Find(c.config, key); !ok {
 			g.fail(w, r, failWrongKey)
 			return
 		}
--- a/internal/wasabigateway/gateway.go
+++ b/internal/wasabigateway/gateway.go
@@ -47,6 +47,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
+	"github.com/wasabiridge/wasabiridge/internal/wasabikey"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 )
@@ -83,7 +84,7 @@
 type Gateway struct {
 	options  Options
 	router   chi.Router
-	keys     keyIndex
+	keys     wasabikey.Index
 	requests atomic.Uint64
 	open     atomic.Int64
 	// work counts attempts and claims that outlive their request.
--- a/internal/wasabilog/log.go
+++ b/internal/wasabilog/log.go
@@ -13,6 +13,8 @@
 
 import (
 	"io"
+	stdlog "log"
+	"strings"
 
 	"github.com/rs/zerolog"
 )
@@ -48,3 +50,19 @@
 func Part(root zerolog.Logger, name string) zerolog.Logger {
 	return root.Hook(prefix(name))
 }
+
+// ServerErrors returns a logger for net/http whose lines go to log. They name
+// addresses and protocol errors, never contents.
+func ServerErrors(log zerolog.Logger) *stdlog.Logger {
+	return stdlog.New(lineWriter{log: log}, "", 0)
+}
+
+type lineWriter struct {
+	log zerolog.Logger
+}
+
+// Write logs one line.
+func (w lineWriter) Write(line []byte) (int, error) {
+	w.log.Debug().Str("detail", strings.TrimSpace(string(line))).Msg("Connection failed.")
+	return len(line), nil
+}
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	stdlog "log"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -87,29 +83,6 @@
 	return true
 }
 
-// hostPort returns the address in a URL.
-func hostPort(url string) string {
-	_, address, ok := strings.Cut(url, "://")
-	if !ok {
-		return url
-	}
-	return address
-}
-
-// errorLog hands lines of net/http to the part's log. They name addresses and
-// protocol errors, never contents.
-func errorLog(log zerolog.Logger) *stdlog.Logger {
-	return stdlog.New(lineWriter{log: log}, "", 0)
-}
-
-type lineWriter struct{ log zerolog.Logger }
-
-// Write logs one line.
-func (w lineWriter) Write(line []byte) (int, error) {
-	w.log.Debug().Str("detail", strings.TrimSpace(string(line))).Msg("Connection failed.")
-	return len(line), nil
-}
-
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	n.writeMetrics(w)
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -263,7 +263,7 @@
 	n.sockets = append(n.sockets, socket)
 	n.servers = append(n.servers, &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: errorLog(wasabilog.Part(n.log, part)),
+		ErrorLog: wasabilog.ServerErrors(wasabilog.Part(n.log, part)),
 	})
 	return nil
 }
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
 )
 
@@ -41,7 +42,7 @@
 func (n *Node) nearest(zone wasabiridge.AvailabilityZone) ([]string, wasabiridge.Millis) {
 	var out []string
 	for _, e := range n.book.Nearest(zone) {
-		out = append(out, hostPort(e.CallerURL))
+		out = append(out, wasabiaddress.HostPort(e.CallerURL))
 	}
 	return out, n.book.Lifetime()
 }
--- a/internal/wasabirelay/index.go
+++ b/internal/wasabirelay/index.go
@@ -1,9 +1,6 @@
 package wasabirelay
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"strings"
@@ -70,39 +67,3 @@
 	}
 	return t
 }
-
-// keyIndex finds client accounts by their keys. It is built once for each set
-// of accounts. The zero value is safe for concurrent use.
-type keyIndex struct {
-	table atomic.Pointer[keyTable]
-}
-
-type keyTable struct {
-	config  *wasabiridge.Config
-	entries map[[sha256.Size]byte]wasabiridge.ClientAccount
-}
-
-// find returns the client account of a key. Hashes of keys are looked up, so
-// that the time it takes tells nothing of other keys.
-func (x *keyIndex) find(cfg *wasabiridge.Config, key string) (wasabiridge.ClientAccount, bool) {
-	t := x.table.Load()
-	if t == nil || t.config != cfg {
-		t = newKeyTable(cfg)
-		x.table.Store(t)
-	}
-	hash := sha256.Sum256([]byte(key))
-	account, ok := t.entries[hash]
-	return account, ok && subtle.ConstantTimeCompare(hash[:], hash[:]) == 1
-}
-
-func newKeyTable(cfg *wasabiridge.Config) *keyTable {
-	t := &keyTable{config: cfg, entries: map[[sha256.Size]byte]wasabiridge.ClientAccount{}}
-	for _, account := range cfg.Accounts {
-		for _, text := range account.KeyHashes {
-			if hash, err := hex.DecodeString(text); err == nil && len(hash) == sha256.Size {
-				t.entries[[sha256.Size]byte(hash)] = account
-			}
-		}
-	}
-	return t
-}
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -37,6 +37,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabikey"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 )
@@ -94,7 +95,7 @@
 type Relay struct {
 	options Options
 	index   ruleIndex
-	keys    keyIndex
+	keys    wasabikey.Index
 	open    atomic.Int64
 	counts  *Counts
 }
@@ -233,7 +234,7 @@
 	if c.asked.Key == "" {
 		return c.deny(wasabiridge.RefusalNoKey, "no key given")
 	}
-	if c.account, ok = c.relay.keys.find(c.view.Config, c.asked.Key); !ok {
+	if c.account, ok = c.relay.keys.Find(c.view.Config, c.asked.Key); !ok {
 		return c.deny(wasabiridge.RefusalNoKey, "key not known")
 	}
 	return nil
@@ -266,7 +267,7 @@
 	if view.Config == c.view.Config {
 		return true
 	}
-	account, ok := c.relay.keys.find(view.Config, c.asked.Key)
+	account, ok := c.relay.keys.Find(view.Config, c.asked.Key)
 	return ok && account.ID == c.account.ID
 }
 
--- a/internal/wasabireplica/prompt.go
+++ b/internal/wasabireplica/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
 )
 
@@ -156,7 +157,7 @@
 		}
 		if ready, ok := other.cache.find(last); ok && ready {
 			time := float64(missing) * transfer(pl.config.TokenBytes, pl.config.LinkMegabits) * distance(other.server.Zone, r)
-			out.consider(pr, whyFetched, hostPort(other.server.URL), time)
+			out.consider(pr, whyFetched, wasabiaddress.HostPort(other.server.URL), time)
 		}
 	}
 	return out
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -1,8 +1,6 @@
 package wasabireplica
 
 import (
-	"strings"
-
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -167,12 +165,3 @@
 func silenceOf(q wasabiridge.Request, expected float64) wasabiridge.Millis {
 	return max(silenceLeast, silenceFactor*q.Action.FirstByteTarget) + wasabiridge.Millis(queueFactor*expected)
 }
-
-// hostPort returns the address in a URL.
-func hostPort(url string) string {
-	_, address, ok := strings.Cut(url, "://")
-	if !ok {
-		return url
-	}
-	return address
-}
