--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -74,118 +74,6 @@
 	lapseLife = 2 * wasabiridge.Second
 )
 
-// Peer is another living instance.
-type Peer struct {
-	ID      wasabiridge.InstanceID
-	Address string
-}
-
-// Event is something that the machine is told.
-type Event interface{ isEvent() }
-
-// Ticked says that time has passed, and which other instances live.
-type Ticked struct{ Peers []Peer }
-
-// ConfigRead is the outcome of a ReadConfig that was sent at Sent.
-type ConfigRead struct {
-	Sent     wasabiridge.Millis
-	Snapshot wasabiridge.ConfigSnapshot
-	Err      error
-}
-
-// BackendsRead is the outcome of a ReadBackends that was sent at Sent.
-type BackendsRead struct {
-	Sent     wasabiridge.Millis
-	Snapshot wasabiridge.BackendSnapshot
-	Err      error
-}
-
-// PeerAnswered is the outcome of an AskPeer that was sent at Sent.
-type PeerAnswered struct {
-	Sent   wasabiridge.Millis
-	Peer   wasabiridge.InstanceID
-	Answer wasabiridge.CatalogAnswer
-	Err    error
-}
-
-// NewsHeard says that another instance's catalog has changed.
-type NewsHeard struct{ From wasabiridge.InstanceID }
-
-func (Ticked) isEvent()       {}
-func (ConfigRead) isEvent()   {}
-func (BackendsRead) isEvent() {}
-func (PeerAnswered) isEvent() {}
-func (NewsHeard) isEvent()    {}
-
-// Effect is something that the machine wants done.
-type Effect interface{ isEffect() }
-
-// ReadConfig asks for a read of the configuration.
-type ReadConfig struct{}
-
-// ReadBackends asks for a read of the list of backend servers.
-type ReadBackends struct{}
-
-// AskPeer asks for a question to another instance.
-type AskPeer struct {
-	Peer  Peer
-	Query wasabiridge.CatalogQuery
-}
-
-// Changed says that the content has changed. FromPlatform says that this
-// instance read it itself, so that the others are told.
-type Changed struct{ FromPlatform bool }
-
-// Proven says that the proofs have changed.
-type Proven struct{}
-
-func (ReadConfig) isEffect()   {}
-func (ReadBackends) isEffect() {}
-func (AskPeer) isEffect()      {}
-func (Changed) isEffect()      {}
-func (Proven) isEffect()       {}
-
-// part is one snapshot with its proof.
-type part struct {
-	revision uint64
-	digest   uint64
-	// proven is when the read was sent that proved it. known says that there
-	// was one.
-	proven  wasabiridge.Millis
-	known   bool
-	content []byte
-	// reading says that a read is under way, nextRead when the next may begin.
-	reading  bool
-	nextRead wasabiridge.Millis
-	failures int
-}
-
-// age returns how old the proof is.
-func (p *part) age(now wasabiridge.Millis) wasabiridge.Millis {
-	if !p.known {
-		return wasabiridge.Day
-	}
-	return now - p.proven
-}
-
-// Named is a version of a model that operators named, and when.
-type Named struct {
-	Model   wasabiridge.ModelID
-	Weights wasabiridge.WeightsVersion
-	At      wasabiridge.Millis
-	// Witnessed says that some instance heard of the version within moments.
-	// Otherwise At is when this instance first read of it after its start.
-	Witnessed bool
-}
-
-const (
-	// namingsKept bounds the remembered versions.
-	namingsKept = 64
-	// namingLife is how long other instances are told when a version was
-	// named.
-	namingLife = 30 * wasabiridge.Second
-)
-
 // Machine decides when to read and whom to ask. It is deterministic and not
 // safe for concurrent use.
 type Machine struct {
@@ -371,18 +259,6 @@
 	return out
 }
 
-// readEnded notes the end of a read. Failed ones are repeated at a growing
-// pace.
-func (p *part) readEnded(now wasabiridge.Millis, err error) {
-	p.reading = false
-	if err == nil {
-		p.failures, p.nextRead = 0, 0
-		return
-	}
-	p.failures++
-	p.nextRead = now + min(retryMost, retryPause*wasabiridge.Millis(p.failures))
-}
-
 // accept takes content with its proof.
 func (m *Machine) accept(p *part, revision uint64, proven wasabiridge.Millis, content []byte, own bool, use func()) {
 	digest := xxhash.Sum64(content)
@@ -417,58 +293,6 @@
 	}
 }
 
-// name notes versions that were not heard of before.
-func (m *Machine) name(now wasabiridge.Millis, witnessed bool) {
-	models := make([]wasabiridge.ModelID, 0, len(m.snapshot.Weights))
-	for model := range m.snapshot.Weights {
-		models = append(models, model)
-	}
-	slices.Sort(models)
-	for _, model := range models {
-		m.addNaming(Named{Model: model, Weights: m.snapshot.Weights[model], At: now, Witnessed: witnessed})
-	}
-}
-
-// addNaming notes a version, or a better time for one that is known.
-func (m *Machine) addNaming(n Named) {
-	for i := range m.namings {
-		known := &m.namings[i]
-		if known.Model != n.Model || known.Weights != n.Weights {
-			continue
-		}
-		if n.Witnessed && !known.Witnessed {
-			*known = n
-			m.emit(Changed{})
-		}
-		return
-	}
-	if len(m.namings) == namingsKept {
-		m.namings = m.namings[1:]
-	}
-	m.namings = append(m.namings, n)
-}
-
-// takeNamings takes when another instance heard of versions. An instance that
-// has just started would otherwise take all of them for new.
-func (m *Machine) takeNamings(e PeerAnswered) {
-	for _, n := range e.Answer.Namings {
-		if n.Witnessed {
-			m.addNaming(Named{Model: n.Model, Weights: n.Weights, At: e.Sent - n.Age, Witnessed: true})
-		}
-	}
-}
-
-// fits reports whether an answered part says more than what is known.
-func (p *part) fits(a wasabiridge.CatalogPart, sent wasabiridge.Millis) bool {
-	switch {
-	case a.Age < 0, a.Revision < p.revision && p.known:
-		return false
-	case a.Digest == p.digest && p.known:
-		return sent-a.Age > p.proven
-	}
-	return len(a.Content) > 0
-}
-
 func (m *Machine) takeConfig(e PeerAnswered) {
 	a := e.Answer.Config
 	if !m.config.fits(a, e.Sent) {
@@ -511,9 +335,6 @@
 // Backends returns the list of backend servers that is known.
 func (m *Machine) Backends() wasabiridge.BackendSnapshot { return m.list }
 
-// Namings returns the versions of weights that were named.
-func (m *Machine) Namings() []Named { return slices.Clone(m.namings) }
-
 // Answer tells another instance what is known here.
 func (m *Machine) Answer(now wasabiridge.Millis, q wasabiridge.CatalogQuery) wasabiridge.CatalogAnswer {
 	var namings []wasabiridge.Naming
@@ -528,15 +349,3 @@
 		Backends: m.backends.answer(now, q.BackendDigest),
 	}
 }
-
-func (p *part) answer(now wasabiridge.Millis, has uint64) wasabiridge.CatalogPart {
-	if !p.known {
-		return wasabiridge.CatalogPart{Age: -1}
-	}
-	// An age that is rounded down would make the proof younger than it is.
-	out := wasabiridge.CatalogPart{Revision: p.revision, Digest: p.digest, Age: max(0, now-p.proven) + 1}
-	if has != p.digest {
-		out.Content = p.content
-	}
-	return out
-}
--- /dev/null
+++ b/internal/wasabicatalog/naming.go
@@ -0,0 +1,69 @@
+package wasabicatalog
+
+import (
+	"slices"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// Named is a version of a model that operators named, and when.
+type Named struct {
+	Model   wasabiridge.ModelID
+	Weights wasabiridge.WeightsVersion
+	At      wasabiridge.Millis
+	// Witnessed says that some instance heard of the version within moments.
+	// Otherwise At is when this instance first read of it after its start.
+	Witnessed bool
+}
+
+const (
+	// namingsKept bounds the remembered versions.
+	namingsKept = 64
+	// namingLife is how long other instances are told when a version was
+	// named.
+	namingLife = 30 * wasabiridge.Second
+)
+
+// name notes versions that were not heard of before.
+func (m *Machine) name(now wasabiridge.Millis, witnessed bool) {
+	models := make([]wasabiridge.ModelID, 0, len(m.snapshot.Weights))
+	for model := range m.snapshot.Weights {
+		models = append(models, model)
+	}
+	slices.Sort(models)
+	for _, model := range models {
+		m.addNaming(Named{Model: model, Weights: m.snapshot.Weights[model], At: now, Witnessed: witnessed})
+	}
+}
+
+// addNaming notes a version, or a better time for one that is known.
+func (m *Machine) addNaming(n Named) {
+	for i := range m.namings {
+		known := &m.namings[i]
+		if known.Model != n.Model || known.Weights != n.Weights {
+			continue
+		}
+		if n.Witnessed && !known.Witnessed {
+			*known = n
+			m.emit(Changed{})
+		}
+		return
+	}
+	if len(m.namings) == namingsKept {
+		m.namings = m.namings[1:]
+	}
+	m.namings = append(m.namings, n)
+}
+
+// takeNamings takes when another instance heard of versions. An instance that
+// has just started would otherwise take all of them for new.
+func (m *Machine) takeNamings(e PeerAnswered) {
+	for _, n := range e.Answer.Namings {
+		if n.Witnessed {
+			m.addNaming(Named{Model: n.Model, Weights: n.Weights, At: e.Sent - n.Age, Witnessed: true})
+		}
+	}
+}
+
+// Namings returns the versions of weights that were named.
+func (m *Machine) Namings() []Named { return slices.Clone(m.namings) }
--- a/internal/wasabisettings/settings_test.go
+++ b/internal/wasabisettings/settings_test.go
@@ -59,10 +59,10 @@
 		Expect(s.Limits.BodyBytes).To(Equal(int64(8 << 20)))
 	})
 
-	It("stand as examples for both deployments", func() {
+	It("stand as examples for both deployments and for the users' platform", func() {
 		files, err := filepath.Glob("../../examples/settings/*.jsonc")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(files).To(HaveLen(2))
+		Expect(files).To(HaveLen(3))
 		for _, file := range files {
 			_, err := wasabisettings.Load(file)
 			Expect(err).NotTo(HaveOccurred(), file)
