What vanished while an instance stood still has left, and has not lapsed

Cause: an instance that was frozen for eight seconds found its proof of the list older than an outage, kept the entries that had vanished meanwhile as lapsed, and told the others, who took its list: a replica that had left got new requests from all of them 3 s after it had said so. Ruled out: stale answers of the frozen instance (ages count suspensions); the big configuration at the same time (no read failed). The test of an outage had no failed read in it, which cannot be told from standing still; it has two now, and asserts the same. An instance cut from the store and from all others is listed as open.

--- a/internal/wasabicatalog/catalog_test.go
+++ b/internal/wasabicatalog/catalog_test.go
@@ -332,6 +332,10 @@
 		return ids
 	}
 
+	fail := func(m *wasabicatalog.Machine, at wasabiridge.Millis) {
+		m.Handle(at, wasabicatalog.BackendsRead{Sent: at, Err: wasabiridge.ErrUnavailable.New("no answer")})
+	}
+
 	It("loses an entry that vanishes at once", func() {
 		m := wasabicatalog.NewMachine("i")
 		Expect(read(m, 1000, 1, entry("a", false), entry("b", false))).To(Equal([]string{"a", "b"}))
@@ -344,11 +348,25 @@
 	It("keeps what lapsed in an outage for two seconds after it, but nothing that was leaving", func() {
 		m := wasabicatalog.NewMachine("i")
 		read(m, 1000, 1, entry("a", false), entry("b", false), entry("c", true))
+		fail(m, 2000)
+		fail(m, 4000)
 		Expect(read(m, 7000, 2)).To(Equal([]string{"a", "b"}))
 		Expect(read(m, 8000, 3, entry("a", false))).To(Equal([]string{"a", "b"}))
 		Expect(read(m, 9100, 4, entry("a", false))).To(Equal([]string{"a"}))
 	})
 
+	// Story: an instance stands still for eight seconds. Meanwhile a replica says
+	// that it leaves, finishes its requests and is taken off the list. When the
+	// instance goes on, its last read fails and the next one succeeds. If it took
+	// the replica for lapsed, it would tell the others so, and all of them would
+	// send requests to a replica that has left.
+	It("loses what vanished while the instance itself stood still", func() {
+		m := wasabicatalog.NewMachine("i")
+		read(m, 1000, 1, entry("a", false), entry("b", false))
+		fail(m, 9000)
+		Expect(read(m, 9400, 2, entry("a", false))).To(Equal([]string{"a"}))
+	})
+
 	It("ignores a read that is behind", func() {
 		m := wasabicatalog.NewMachine("i")
 		read(m, 1000, 5, entry("a", false))
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -72,6 +72,10 @@
 	// vanished from it to be kept for lapseLife.
 	outage    = 2500 * wasabiridge.Millis(1)
 	lapseLife = 2 * wasabiridge.Second
+	// outageFailures is how many reads must have failed in an outage. An
+	// instance that stood still finds its proof old too, with one read failed at
+	// most, and what vanished meanwhile has left.
+	outageFailures = 2
 )
 
 // Machine decides when to read and whom to ask. It is deterministic and not
@@ -221,12 +225,12 @@
 
 func (m *Machine) backendsRead(now wasabiridge.Millis, e BackendsRead) {
 	age := m.backends.age(now)
-	known := m.backends.known
+	known, failures := m.backends.known, m.backends.failures
 	m.backends.readEnded(now, e.Err)
 	if e.Err != nil || e.Snapshot.Revision < m.backends.revision {
 		return
 	}
-	if known && age > outage {
+	if known && age > outage && failures >= outageFailures {
 		m.lapsed = now + lapseLife
 	}
 	list := m.withLapsed(now, e.Snapshot)
