--- a/cmd/wasabirouter/rig_test.go
+++ b/cmd/wasabirouter/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -243,10 +244,27 @@
 func (p *router) restart() {
 	GinkgoHelper()
 	p.kill()
+	p.awaitFree()
 	p.launch()
 	p.awaitListening()
 }
 
+// awaitFree waits until the addresses of the first start can be listened on.
+// While nobody listens there, the system may give one of their ports to an
+// outgoing connection of any process of the machine for a moment.
+func (p *router) awaitFree() {
+	GinkgoHelper()
+	for _, address := range []string{p.settings.Caller.Listen, p.settings.Operator.Listen} {
+		Eventually(func() error {
+			socket, err := net.Listen("tcp", address)
+			if err != nil {
+				return err
+			}
+			return socket.Close()
+		}, soon).Should(Succeed(), address)
+	}
+}
+
 func (r *rig) urls() []string {
 	var urls []string
 	for _, p := range r.routers {
