Instances ask after their start what the caches hold

Cause: after the final fault all instances know nothing of what was sent where. Change: an instance that starts asks engines and the store of kept cache once what they hold, as soon as it has a configuration and knows the others, if callers are sent to it at all. Parts are named by salt and identifier alone, as the caches tell them. Ruled out: that the lists hold up the engines; all were there after 4 to 37 ms, six instances at once, and first bytes beside them were as before.

--- a/catalog.go
+++ b/catalog.go
@@ -100,8 +100,10 @@
 	Work   Millis
 }
 
-// PartNews says that the sender has sent a part of a prompt to an engine.
+// PartNews says that the sender has sent a part of a prompt to an engine, or
+// knows that it is held there.
 type PartNews struct {
+	// Backend is the engine. Empty stands for the store of kept cache.
 	Backend BackendServerID
 	// Key names the part in its cache: the part under its cache root.
 	Key uint64
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -90,6 +90,7 @@
 	Source   wasabiridge.CatalogSource
 	Table    wasabiridge.Table
 	Engines  wasabiridge.EngineOperator
+	Caches   wasabiridge.CacheReader
 	// Directory makes the handler that tells callers where to connect, Ready
 	// the one that tells the platform whether requests are taken.
 	Directory func(nearest func(wasabiridge.AvailabilityZone) ([]string, wasabiridge.Millis)) http.Handler
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -142,7 +142,7 @@
 	clock := wasabiclock.Boot()
 	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance})
 	r.node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: r.log, Platform: wasabinode.Platform{
-		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders,
+		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches,
 		Directory: platform.Directory, Ready: platform.Ready,
 	}})
 	if err != nil {
@@ -176,6 +176,11 @@
 }
 
 func ask(caller, path, id, key string) (int, string, error) {
+	return askPrompt(caller, path, id, key, "")
+}
+
+// askPrompt asks with the parts of a prompt, given as ID:TOKENS.
+func askPrompt(caller, path, id, key, prompt string) (int, string, error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+caller+path, strings.NewReader("q"))
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "h"
@@ -183,6 +188,9 @@
 	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set("Wasabiridge-Deadline-Ms", "3000")
 	r.Header.Set("Wasabiridge-Model", "m")
+	if prompt != "" {
+		r.Header.Set("Wasabiridge-Prefix-Hash", prompt)
+	}
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 	if err != nil {
 		return 0, "", err
@@ -318,6 +326,27 @@
 		}
 	})
 
+	// Story: all instances are restarted at once. They know nothing of what was
+	// sent where, so prompts that one engine holds are computed again at others.
+	It("asks after its start what the engines hold", func() {
+		g := newRig()
+		for i := range 4 {
+			g.replica(standin.ReplicaOptions{ID: fmt.Sprint("e", i), Service: "lm", Model: "m"})
+		}
+		g.store.NameWeights("m", 1)
+		g.configure(1, "k")
+		before := g.start()
+		Eventually(status(before.caller, "/chat/x", "k"), "3s").Should(Equal(http.StatusOK))
+		code, _, err := askPrompt(before.caller, "/chat/x", "first", "k", "ab:4000,1:10")
+		Expect(code, err).To(Equal(http.StatusOK))
+		after := g.start()
+		Eventually(after.log.String, "3s").Should(ContainSubstring("Caches listed."))
+		Eventually(status(after.caller, "/chat/x", "k"), "3s").Should(Equal(http.StatusOK))
+		code, _, err = askPrompt(after.caller, "/chat/x", "second", "k", "ab:4000,2:10")
+		Expect(code, err).To(Equal(http.StatusOK))
+		Eventually(after.log.String).Should(MatchRegexp(`"request_id":"second".*"why":"held"`))
+	})
+
 	// Story: a process gets SIGTERM. Callers that ask for addresses must not be
 	// sent to it, those that come all the same are served, and nobody is cut.
 	It("that leaves is not named, serves what comes, and cuts nothing", func() {
--- a/internal/wasabiprefix/prefix.go
+++ b/internal/wasabiprefix/prefix.go
@@ -70,12 +70,16 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// PartKey names a part of a prompt in a cache: the part behind what the key
-// before it names, under a root. The first part has zero before it.
-func PartKey(root wasabiridge.CacheRoot, before uint64, part wasabiridge.BlockHash) uint64 {
-	out := encode(root)
-	out = binary.LittleEndian.AppendUint64(out, before)
-	return xxhash.Sum64(binary.LittleEndian.AppendUint64(out, uint64(part)))
+// shortDigits is the length of a short salt: 96 bits, far beyond what could meet
+// by chance.
+const shortDigits = 24
+
+// ShortSalt returns the first part of Salt, for caches that tell their salts.
+func ShortSalt(root wasabiridge.CacheRoot) string { return Salt(root)[:shortDigits] }
+
+// PartKey names a part of a prompt in the caches that find it under a salt.
+func PartKey(salt string, part wasabiridge.BlockHash) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(salt), uint64(part)))
 }
 
 func rootHash(root wasabiridge.CacheRoot) uint64 {
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -191,15 +191,11 @@
 	if x.request.Model != "" {
 		root := x.request.Chain.Root
 		root.Weights = d.Weights
-		a.CacheSalt = wasabiprefix.Salt(root)[:saltDigits]
+		a.CacheSalt = wasabiprefix.ShortSalt(root)
 	}
 	return a
 }
 
-// saltDigits is how much of a salt is sent: 96 bits, far beyond what could
-// meet by chance.
-const saltDigits = 24
-
 // finish hands on what was held back. The answer is whole then.
 func (x *exchange) finish() {
 	if !x.began {
@@ -265,9 +261,10 @@
 	shared, key := 0, uint64(0)
 	root := x.request.Chain.Root
 	root.Weights = d.Weights
+	salt := wasabiprefix.ShortSalt(root)
 	for i := range max(0, len(x.request.Chain.Lengths)-1) {
 		shared += x.request.Chain.Lengths[i]
-		key = wasabiprefix.PartKey(root, key, x.request.Chain.Blocks[i])
+		key = wasabiprefix.PartKey(salt, x.request.Chain.Blocks[i])
 	}
 	x.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(x.request.ID)).
--- a/internal/wasabireplica/prompt.go
+++ b/internal/wasabireplica/prompt.go
@@ -82,10 +82,9 @@
 	root := p.root
 	root.Weights = w
 	keys := make([]uint64, len(p.parts))
-	before := uint64(0)
+	salt := wasabiprefix.ShortSalt(root)
 	for i, part := range p.parts {
-		before = wasabiprefix.PartKey(root, before, part)
-		keys[i] = before
+		keys[i] = wasabiprefix.PartKey(salt, part)
 	}
 	p.weights, p.keys = w, keys
 	return keys
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
@@ -101,6 +102,19 @@
 		Expect(second.Why).To(Equal("being_read"))
 	})
 
+	It("is fetched from the store of kept cache that is said to hold it", func() {
+		g := newRig(5)
+		g.tell(wasabiridge.KeptCacheSeen{Address: "kv:1", Up: true})
+		root := wasabiridge.CacheRoot{Model: model, Weights: 1}
+		g.tell(wasabiridge.PeerPlaced{From: "n2", Parts: []wasabiridge.PartNews{
+			{Key: wasabiprefix.PartKey(wasabiprefix.ShortSalt(root), 7), Tokens: 13000, Ready: true},
+		}})
+		pl, _ := g.place(long(7))
+		Expect(pl.Why).To(Equal("kept"))
+		Expect(pl.FetchFrom).To(Equal("kv:1"))
+		Expect(pl.SaveTo).To(BeEmpty())
+	})
+
 	It("goes where it is held, or has it fetched when that one is busy", func() {
 		g := newRig(5)
 		first, id := g.place(long(7))
