Callers of many instances are sent to the largest

Up to twelve instances all are named as before. Test: wasabiaddress, 'are the largest of many', did not exist before; a negative capacity is told by check.

--- a/internal/wasabiaddress/book.go
+++ b/internal/wasabiaddress/book.go
@@ -104,34 +104,60 @@
 const (
 	// activeLeast is up to how many instances all are named.
 	activeLeast = 12
-	// activeShare is the part of a larger number that is named.
+	// activeShare is the part of the capacity of a larger number that is named,
+	// and at least that of activeLeast average instances.
 	activeShare = 6
 )
 
 // Active returns the instances that callers are sent to: all of a small number,
-// and of a large one the first of each zone by their hashes, the same at every
-// instance. When one of them goes, the next one stands in.
+// and of a large one the largest of each zone, the same at every instance.
+// Instances of one size go by their hashes. When one of them goes, the next one
+// stands in.
+//
+// The failure it guards against: an instance with a fifth of a core and a slow
+// link gets as many requests as one four times its size, and its answers come
+// late.
 func (b *Book) Active() []wasabiridge.InstanceEntry {
 	all := b.candidates("")
-	want := max(activeLeast, len(all)/activeShare)
-	if len(all) <= want {
+	if len(all) <= activeLeast {
 		return entriesOf(all)
 	}
-	zones := map[wasabiridge.AvailabilityZone]int{}
+	total := 0.0
+	zones := map[wasabiridge.AvailabilityZone]taken{}
 	for _, c := range all {
-		zones[c.entry.Zone] = 0
+		total += capacityOf(c.entry)
+		zones[c.entry.Zone] = taken{}
 	}
-	each := max(leastNamed, (want+len(zones)-1)/len(zones))
+	each := total / float64(len(zones)) * max(1.0/activeShare, float64(activeLeast)/float64(len(all)))
+	sort.SliceStable(all, func(i, j int) bool { return capacityOf(all[i].entry) > capacityOf(all[j].entry) })
 	var out []wasabiridge.InstanceEntry
 	for _, c := range all {
-		if zones[c.entry.Zone] < each {
-			zones[c.entry.Zone]++
-			out = append(out, c.entry)
+		zone := zones[c.entry.Zone]
+		if zone.count >= leastNamed && zone.capacity >= each-rounding {
+			continue
 		}
+		zones[c.entry.Zone] = taken{count: zone.count + 1, capacity: zone.capacity + capacityOf(c.entry)}
+		out = append(out, c.entry)
 	}
 	return out
 }
 
+// taken is what was named of a zone.
+type taken struct {
+	count    int
+	capacity float64
+}
+
+// rounding is the difference in capacity that counts as none.
+const rounding = 1e-6
+
+func capacityOf(e wasabiridge.InstanceEntry) float64 {
+	if e.Capacity <= 0 {
+		return 1
+	}
+	return e.Capacity
+}
+
 func entriesOf(list []candidate) []wasabiridge.InstanceEntry {
 	out := make([]wasabiridge.InstanceEntry, len(list))
 	for i, c := range list {
--- a/internal/wasabiaddress/book_test.go
+++ b/internal/wasabiaddress/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"testing"
 
@@ -136,3 +137,55 @@
 	e.Leaving = true
 	return e
 }
+
+var _ = Describe("The instances that callers are sent to", func() {
+	sized := func(sizes ...float64) []wasabiridge.Member {
+		members := fleet(len(sizes))
+		for i, size := range sizes {
+			members[i].Capacity = size
+		}
+		return members
+	}
+	ids := func(entries []wasabiridge.InstanceEntry) []string {
+		var out []string
+		for _, e := range entries {
+			out = append(out, string(e.ID))
+		}
+		return out
+	}
+	many := make([]float64, 60)
+	for i := range many {
+		many[i] = 0.2
+	}
+
+	It("are all of a few", func() {
+		members := sized(0.8, 0.2, 0.2, 0.2, 0.2, 0.2)
+		Expect(bookOf(members[0].InstanceEntry, members).Active()).To(HaveLen(6))
+	})
+
+	// Story: most machines have a fifth of a core and a slow link, a few have
+	// four times as much. Callers were sent to all alike, and answers of the
+	// small ones came late.
+	It("are the largest of many, two of each zone, the same everywhere", func() {
+		sizes := append([]float64{0.8, 0.8, 0.8, 0.8, 0.8, 0.8}, many...)
+		members := sized(sizes...)
+		want := []string{"i0", "i1", "i2", "i3", "i4", "i5"}
+		for _, m := range members {
+			Expect(ids(bookOf(m.InstanceEntry, members).Active())).To(ConsistOf(want))
+		}
+	})
+
+	It("are a sixth of many of one size, and others when some of them go", func() {
+		members := sized(many...)
+		active := bookOf(members[0].InstanceEntry, members).Active()
+		Expect(len(active)).To(BeNumerically("~", 12, 2))
+		perZone := map[wasabiridge.AvailabilityZone]int{}
+		for _, e := range active {
+			perZone[e.Zone]++
+		}
+		Expect(perZone).To(HaveLen(3))
+		gone := active[0].ID
+		rest := slices.DeleteFunc(slices.Clone(members), func(m wasabiridge.Member) bool { return m.ID == gone })
+		Expect(ids(bookOf(rest[0].InstanceEntry, rest).Active())).To(And(HaveLen(len(active)), Not(ContainElement(string(gone)))))
+	})
+})
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -215,6 +215,7 @@
 	s := n.options.Settings
 	return wasabiridge.InstanceEntry{
 		ID: s.Instance, Zone: s.Zone, Region: s.Region, CallerURL: s.Caller.URL, PeerAddress: s.Peer.Address,
+		Capacity: s.Capacity,
 	}
 }
 
--- a/internal/wasabipeer/codec.go
+++ b/internal/wasabipeer/codec.go
@@ -10,6 +10,10 @@
 	maxOthers   = 256
 	maxBackends = 256
 	maxNameLen  = 256
+	// maxCapacity bounds the capacity of an instance, which goes over the wire
+	// in thousandths.
+	maxCapacity = 1e6
+	milli       = 1000
 )
 
 func encodeMember(m wasabiridge.Member) *pb.Member {
@@ -27,6 +31,8 @@
 		CallerUrl:   m.CallerURL,
 		Zone:        string(m.Zone),
 		Region:      string(m.Region),
+
+		CapacityMilli: uint32(min(max(m.Capacity, 0), maxCapacity) * milli),
 	}
 }
 
@@ -56,6 +62,7 @@
 	out.Dead = m.Dead
 	out.Vouched = m.Vouched
 	out.Age = wasabiridge.Millis(m.AgeMs)
+	out.Capacity = float64(m.CapacityMilli) / milli
 	return out, nil
 }
 
--- a/internal/wasabisettings/check.go
+++ b/internal/wasabisettings/check.go
@@ -20,6 +20,9 @@
 	c := checker{}
 	c.filled("/instance", string(s.Instance))
 	c.filled("/zone", string(s.Zone))
+	if s.Capacity < 0 {
+		c.report("/capacity", "must not be negative")
+	}
 	c.filled("/caller/listen", s.Caller.Listen)
 	c.listener("/caller", s.Caller)
 	c.listener("/operator", s.Operator.Listener)
--- a/internal/wasabisettings/settings.go
+++ b/internal/wasabisettings/settings.go
@@ -28,6 +28,10 @@
 	Instance wasabiridge.InstanceID       `json:"instance"`
 	Zone     wasabiridge.AvailabilityZone `json:"zone"`
 	Region   wasabiridge.Region           `json:"region,omitempty"`
+	// Capacity is how much the instance can take beside others, such as its
+	// share of a core. Zero counts as one. Where there are many instances,
+	// callers are sent to the largest.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Caller is the listener of callers.
 	Caller Listener `json:"caller"`
 	// Operator is the listener of operators. It is off when Listen is empty.
--- a/platform.go
+++ b/platform.go
@@ -71,6 +71,9 @@
 	Zone      AvailabilityZone
 	Region    Region
 	Leaving   bool
+	// Capacity is how much the instance can take beside others, such as its
+	// share of a core. Zero counts as one.
+	Capacity float64
 }
 
 // InstanceList is the platform's list of live and leaving instances. It lags
