The largest instances read the platform and give orders; their news goes to those who need it

It told 68 others of each of eight replicas in messages of their own, wrote no line for up to 2.5 s meanwhile, and its orders ran into their time limits one after the other; loads took 2 to 4 s, others rested for them and were given up. Change: ranks go by capacity first; what one event says of replicas is one message, to the instances that place requests and the five lowest ranks; the usual length of a load is learned. Test: wasabicatalog, 'the largest instances have the lowest ranks'.

--- a/internal/wasabiaddress/book.go
+++ b/internal/wasabiaddress/book.go
@@ -125,18 +125,18 @@
 	total := 0.0
 	zones := map[wasabiridge.AvailabilityZone]taken{}
 	for _, c := range all {
-		total += capacityOf(c.entry)
+		total += c.entry.Weight()
 		zones[c.entry.Zone] = taken{}
 	}
 	each := total / float64(len(zones)) * max(1.0/activeShare, float64(activeLeast)/float64(len(all)))
-	sort.SliceStable(all, func(i, j int) bool { return capacityOf(all[i].entry) > capacityOf(all[j].entry) })
+	sort.SliceStable(all, func(i, j int) bool { return all[i].entry.Weight() > all[j].entry.Weight() })
 	var out []wasabiridge.InstanceEntry
 	for _, c := range all {
 		zone := zones[c.entry.Zone]
 		if zone.count >= leastNamed && zone.capacity >= each-rounding {
 			continue
 		}
-		zones[c.entry.Zone] = taken{count: zone.count + 1, capacity: zone.capacity + capacityOf(c.entry)}
+		zones[c.entry.Zone] = taken{count: zone.count + 1, capacity: zone.capacity + c.entry.Weight()}
 		out = append(out, c.entry)
 	}
 	return out
@@ -151,13 +151,6 @@
 // rounding is the difference in capacity that counts as none.
 const rounding = 1e-6
 
-func capacityOf(e wasabiridge.InstanceEntry) float64 {
-	if e.Capacity <= 0 {
-		return 1
-	}
-	return e.Capacity
-}
-
 func entriesOf(list []candidate) []wasabiridge.InstanceEntry {
 	out := make([]wasabiridge.InstanceEntry, len(list))
 	for i, c := range list {
--- a/internal/wasabicatalog/catalog_test.go
+++ b/internal/wasabicatalog/catalog_test.go
@@ -59,7 +59,7 @@
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), now: 1e6, changed: []wasabiridge.Millis{0}}
 	for i := range n {
 		id := wasabiridge.InstanceID(fmt.Sprint("i", i))
-		f.nodes = append(f.nodes, &node{id: id, machine: wasabicatalog.NewMachine(id)})
+		f.nodes = append(f.nodes, &node{id: id, machine: wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: id})})
 		f.tick(f.nodes[i])
 	}
 	return f
@@ -90,7 +90,7 @@
 	peers := make([]wasabicatalog.Peer, 0, len(f.nodes))
 	for _, other := range f.nodes {
 		if other != n && !other.dead {
-			peers = append(peers, wasabicatalog.Peer{ID: other.id, Address: string(other.id)})
+			peers = append(peers, wasabicatalog.PeerOf(wasabiridge.InstanceEntry{ID: other.id, PeerAddress: string(other.id)}))
 		}
 	}
 	return peers
@@ -223,7 +223,7 @@
 			}
 		case 3:
 			// A restart forgets everything.
-			n.machine, n.version = wasabicatalog.NewMachine(n.id), 0
+			n.machine, n.version = wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: n.id}), 0
 		case 4:
 			f.changed = append(f.changed, f.now)
 		}
@@ -300,7 +300,7 @@
 			f.run(3 * wasabiridge.Second)
 			ids := slices.Clone(f.nodes)
 			slices.SortFunc(ids, func(a, b *node) int {
-				return wasabicatalog.RankOf(a.id, members(f.nodes)) - wasabicatalog.RankOf(b.id, members(f.nodes))
+				return wasabicatalog.RankOf(wasabiridge.InstanceEntry{ID: a.id}, members(f.nodes)) - wasabicatalog.RankOf(wasabiridge.InstanceEntry{ID: b.id}, members(f.nodes))
 			})
 			failures[name](f, ids[0])
 			f.run(4 * wasabiridge.Second)
@@ -311,6 +311,21 @@
 	}
 })
 
+// Story: readers and the instance that gives orders were chosen by their hashes.
+// One with a fifth of a core was chosen and stood still for seconds at a time.
+var _ = It("the largest instances have the lowest ranks", func() {
+	var all []wasabiridge.Member
+	for i := range 20 {
+		all = append(all, wasabiridge.Member{InstanceEntry: wasabiridge.InstanceEntry{
+			ID: wasabiridge.InstanceID(fmt.Sprint("i", i)), Capacity: 0.2 + 0.6*float64(i%4/3),
+		}})
+	}
+	for _, m := range all {
+		rank := wasabicatalog.RankOf(m.InstanceEntry, all)
+		Expect(rank < 5).To(Equal(m.Capacity > 0.5), "%s has rank %d", m.ID, rank)
+	}
+})
+
 func members(nodes []*node) []wasabiridge.Member {
 	var out []wasabiridge.Member
 	for _, n := range nodes {
@@ -337,7 +352,7 @@
 	}
 
 	It("loses an entry that vanishes at once", func() {
-		m := wasabicatalog.NewMachine("i")
+		m := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "i"})
 		Expect(read(m, 1000, 1, entry("a", false), entry("b", false))).To(Equal([]string{"a", "b"}))
 		Expect(read(m, 1600, 2, entry("a", false))).To(Equal([]string{"a"}))
 	})
@@ -346,7 +361,7 @@
 	// replicas are well. An instance that took them for gone would refuse every
 	// request until they have registered again.
 	It("keeps what lapsed in an outage for two seconds after it, but nothing that was leaving", func() {
-		m := wasabicatalog.NewMachine("i")
+		m := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "i"})
 		read(m, 1000, 1, entry("a", false), entry("b", false), entry("c", true))
 		fail(m, 2000)
 		fail(m, 4000)
@@ -361,14 +376,14 @@
 	// the replica for lapsed, it would tell the others so, and all of them would
 	// send requests to a replica that has left.
 	It("loses what vanished while the instance itself stood still", func() {
-		m := wasabicatalog.NewMachine("i")
+		m := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "i"})
 		read(m, 1000, 1, entry("a", false), entry("b", false))
 		fail(m, 9000)
 		Expect(read(m, 9400, 2, entry("a", false))).To(Equal([]string{"a"}))
 	})
 
 	It("ignores a read that is behind", func() {
-		m := wasabicatalog.NewMachine("i")
+		m := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "i"})
 		read(m, 1000, 5, entry("a", false))
 		Expect(read(m, 1200, 4, entry("b", false))).To(Equal([]string{"a"}))
 	})
@@ -385,10 +400,10 @@
 	// If it took them for new, it would send requests to replicas on the old
 	// ones for another twelve seconds.
 	It("keep the time at which they were named across a restart of one instance", func() {
-		old := wasabicatalog.NewMachine("old")
+		old := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "old"})
 		old.Handle(1000, wasabicatalog.ConfigRead{Sent: 1000, Snapshot: snapshot(1)})
 		old.Handle(2000, wasabicatalog.ConfigRead{Sent: 2000, Snapshot: snapshot(2)})
-		fresh := wasabicatalog.NewMachine("fresh")
+		fresh := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "fresh"})
 		fresh.Handle(9000, wasabicatalog.ConfigRead{Sent: 9000, Snapshot: snapshot(2)})
 		Expect(fresh.Namings()[0].Witnessed).To(BeFalse())
 		fresh.Handle(9100, wasabicatalog.PeerAnswered{Sent: 9050, Answer: old.Answer(9070, wasabiridge.CatalogQuery{})})
--- a/internal/wasabicatalog/event.go
+++ b/internal/wasabicatalog/event.go
@@ -6,6 +6,8 @@
 type Peer struct {
 	ID      wasabiridge.InstanceID
 	Address string
+	// Weight is how much the instance can take beside others.
+	Weight float64
 }
 
 // Event is something that the machine is told.
--- a/internal/wasabicatalog/keeper.go
+++ b/internal/wasabicatalog/keeper.go
@@ -26,7 +26,7 @@
 
 // Options are the parts of a Keeper. Log, Changed and News may be left out.
 type Options struct {
-	Self wasabiridge.InstanceID
+	Self wasabiridge.InstanceEntry
 	// Clock goes on while the instance is suspended.
 	Clock  wasabiridge.Clock
 	Source wasabiridge.CatalogSource
@@ -105,7 +105,7 @@
 	var peers []Peer
 	for _, m := range k.options.Members() {
 		if !m.Leaving && m.PeerAddress != "" {
-			peers = append(peers, Peer{ID: m.ID, Address: m.PeerAddress})
+			peers = append(peers, PeerOf(m.InstanceEntry))
 		}
 	}
 	return peers
@@ -130,7 +130,7 @@
 				k.options.Changed(k.View())
 			}
 			if f.FromPlatform {
-				k.Tell(ctx, wasabiridge.News{From: k.options.Self, Changed: true})
+				k.Tell(ctx, wasabiridge.News{From: k.options.Self.ID, Changed: true})
 			}
 		case Proven:
 			k.publish()
@@ -207,6 +207,18 @@
 	k.post(ctx, PeerAnswered{Sent: sent, Peer: e.Peer.ID, Answer: answer, Err: err})
 }
 
+// LowestRanks returns the other living members of the lowest ranks.
+func (k *Keeper) LowestRanks(n int) []Peer {
+	peers := k.peers()
+	slices.SortFunc(peers, func(a, b Peer) int {
+		if before(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return peers[:min(n, len(peers))]
+}
+
 // Tell hands news to all living members. It does not wait for them.
 func (k *Keeper) Tell(ctx context.Context, n wasabiridge.News) {
 	k.TellSome(ctx, k.peers(), n)
@@ -214,7 +226,7 @@
 
 // TellSome hands news to some members. It does not wait for them.
 func (k *Keeper) TellSome(ctx context.Context, peers []Peer, n wasabiridge.News) {
-	n.From = k.options.Self
+	n.From = k.options.Self.ID
 	for _, p := range peers {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -6,8 +6,8 @@
 // # Few readers
 //
 // Every call to the platform costs its operators, so few instances read. Each
-// instance has a rank, its place among the living members in the order of
-// their hashes. An instance reads when its proof is older than a base and a
+// instance has a rank, its place among the living members: the largest first,
+// those of one size in the order of their hashes. An instance reads when its proof is older than a base and a
 // step for each rank before it; the others ask those of the lowest ranks
 // first. When a reader dies, stands still or is cut from the platform, proofs
 // grow old everywhere and the next rank reads: nobody is elected.
@@ -81,7 +81,7 @@
 // Machine decides when to read and whom to ask. It is deterministic and not
 // safe for concurrent use.
 type Machine struct {
-	self wasabiridge.InstanceID
+	self Peer
 	// given are the peers as they were told, peers the same by rank.
 	given, peers []Peer
 	rank         int
@@ -104,8 +104,8 @@
 }
 
 // NewMachine returns a machine that knows nothing.
-func NewMachine(self wasabiridge.InstanceID) *Machine {
-	return &Machine{self: self}
+func NewMachine(self wasabiridge.InstanceEntry) *Machine {
+	return &Machine{self: PeerOf(self)}
 }
 
 // Handle takes one event and returns what has to be done. The returned slice is
@@ -138,27 +138,37 @@
 	}
 	m.given = append(m.given[:0], peers...)
 	m.peers = append(m.peers[:0], peers...)
-	sort.Slice(m.peers, func(a, b int) bool { return before(m.peers[a].ID, m.peers[b].ID) })
+	sort.Slice(m.peers, func(a, b int) bool { return before(m.peers[a], m.peers[b]) })
 	m.rank = 0
-	for m.rank < len(m.peers) && before(m.peers[m.rank].ID, m.self) {
+	for m.rank < len(m.peers) && before(m.peers[m.rank], m.self) {
 		m.rank++
 	}
 }
 
 // RankOf returns the place of an instance among the living members.
-func RankOf(self wasabiridge.InstanceID, members []wasabiridge.Member) int {
+func RankOf(self wasabiridge.InstanceEntry, members []wasabiridge.Member) int {
 	rank := 0
 	for _, m := range members {
-		if !m.Leaving && before(m.ID, self) {
+		if !m.Leaving && before(PeerOf(m.InstanceEntry), PeerOf(self)) {
 			rank++
 		}
 	}
 	return rank
 }
 
-func before(a, b wasabiridge.InstanceID) bool {
-	x, y := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
-	return x < y || x == y && a < b
+// PeerOf returns an instance as the catalog knows it.
+func PeerOf(e wasabiridge.InstanceEntry) Peer {
+	return Peer{ID: e.ID, Address: e.PeerAddress, Weight: e.Weight()}
+}
+
+// before orders the ranks. Reading the platform and giving orders is work, and
+// a small instance that does it answers late, itself and the others.
+func before(a, b Peer) bool {
+	if a.Weight != b.Weight {
+		return a.Weight > b.Weight
+	}
+	x, y := xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))
+	return x < y || x == y && a.ID < b.ID
 }
 
 func (m *Machine) tick(now wasabiridge.Millis) {
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -186,7 +186,7 @@
 		return err
 	}
 	n.catalog = wasabicatalog.NewKeeper(wasabicatalog.Options{
-		Self: s.Instance, Clock: o.Clock, Source: o.Platform.Source, Peers: n.client, Members: n.members.Members,
+		Self: n.self(), Clock: o.Clock, Source: o.Platform.Source, Peers: n.client, Members: n.members.Members,
 		Log: wasabilog.Part(n.log, "catalog"), Changed: n.adopt, News: n.takeNews,
 	})
 	n.upgrade = wasabiupgrade.NewKeeper(wasabiupgrade.Options{
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
@@ -10,14 +11,29 @@
 
 // rank is this instance's place among the living ones.
 func (n *Node) rank() int {
-	return wasabicatalog.RankOf(n.options.Settings.Instance, n.members.Members())
+	return wasabicatalog.RankOf(n.self(), n.members.Members())
 }
 
-// tell hands a hint to all instances, this one first.
-func (n *Node) tell(r wasabiridge.RestNews) {
-	news := wasabiridge.News{From: n.options.Settings.Instance, Rests: []wasabiridge.RestNews{r}}
+// nextHolders is how many of the lowest ranks are told of replicas that rest
+// although callers are not sent to them: one of them gives the orders next.
+const nextHolders = 5
+
+// tell hands hints on replicas to this instance first, and then to those that
+// place requests and those that may give orders next.
+//
+// The failure it guards against: the holder of the lease tells all of many
+// instances of each replica. It does nothing else for seconds, and the replicas
+// wait for their orders.
+func (n *Node) tell(rests []wasabiridge.RestNews) {
+	news := wasabiridge.News{From: n.options.Settings.Instance, Rests: rests}
 	n.takeNews(news)
-	n.catalog.Tell(context.Background(), news)
+	peers := n.active()
+	for _, p := range n.catalog.LowestRanks(nextHolders) {
+		if !slices.Contains(peers, p) {
+			peers = append(peers, p)
+		}
+	}
+	n.catalog.TellSome(context.Background(), peers, news)
 }
 
 // takeNews hands hints of an instance to the decisions. Those that find the
--- a/internal/wasabinode/share.go
+++ b/internal/wasabinode/share.go
@@ -63,7 +63,7 @@
 	var peers []wasabicatalog.Peer
 	for _, e := range n.book.Active() {
 		if e.ID != n.options.Settings.Instance && e.PeerAddress != "" {
-			peers = append(peers, wasabicatalog.Peer{ID: e.ID, Address: e.PeerAddress})
+			peers = append(peers, wasabicatalog.PeerOf(e))
 		}
 	}
 	return peers
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -42,8 +42,9 @@
 	Catalog func() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion)
 	// Rank is this instance's place among the living ones.
 	Rank func() int
-	// Tell tells all instances, this one included. It must not block.
-	Tell   func(n wasabiridge.RestNews)
+	// Tell tells the instances that place requests or may give orders next, this
+	// one included. It must not block.
+	Tell   func(news []wasabiridge.RestNews)
 	Log    zerolog.Logger
 	Timing Timing
 }
@@ -96,9 +97,15 @@
 			e = Ticked{Entries: entries, Wanted: wanted, Grant: k.lease.Grant()}
 		}
 		now := k.options.Clock.Now()
+		var told []wasabiridge.RestNews
 		for _, effect := range slices.Clone(m.Handle(now, e)) {
-			k.carryOut(ctx, effect)
+			if tell, ok := effect.(Tell); ok {
+				told = append(told, tell.News)
+			} else {
+				k.carryOut(ctx, effect)
+			}
 		}
+		k.tell(told)
 		k.lease.Contend(k.wants(now, m.Outstanding()))
 	}
 }
@@ -118,10 +125,6 @@
 
 func (k *Keeper) carryOut(ctx context.Context, e Effect) {
 	switch e := e.(type) {
-	case Tell:
-		k.options.Log.Info().Str("backend", string(e.News.Backend)).Int64("resting_ms", int64(e.News.Resting)).
-			Uint64("weights", uint64(e.News.Weights)).Uint64("fencing", uint64(k.lease.Grant().Fencing)).Msg("Replica told of.")
-		k.options.Tell(e.News)
 	case SendOrder:
 		go k.send(ctx, e)
 	case ReadState:
@@ -129,6 +132,18 @@
 	}
 }
 
+// tell hands on what one event brought, in one message.
+func (k *Keeper) tell(news []wasabiridge.RestNews) {
+	if len(news) == 0 {
+		return
+	}
+	for _, n := range news {
+		k.options.Log.Info().Str("backend", string(n.Backend)).Int64("resting_ms", int64(n.Resting)).
+			Uint64("weights", uint64(n.Weights)).Uint64("fencing", uint64(k.lease.Grant().Fencing)).Msg("Replica told of.")
+	}
+	k.options.Tell(news)
+}
+
 // send gives an order, unless its time was used up on the way here. The lease
 // covers an order only until then.
 func (k *Keeper) send(ctx context.Context, e SendOrder) {
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -67,7 +67,7 @@
 	// news. It covers a load with others beside it.
 	restLife = 4 * wasabiridge.Second
 	// restMost is how long a replica rests at most without an order.
-	restMost = 1500 * wasabiridge.Millis(1)
+	restMost = 2500 * wasabiridge.Millis(1)
 	// retryAfter is how long a replica is left as it is that could not be read
 	// or did not take its order.
 	retryAfter = wasabiridge.Second
@@ -76,7 +76,9 @@
 // Machine decides which replica gets which order when. It is deterministic and
 // not safe for concurrent use.
 type Machine struct {
-	timing   Timing
+	timing Timing
+	// usual is the learned time from an order to its end.
+	usual    wasabiridge.Millis
 	replicas map[unit]*replica
 	order    []unit
 	wanted   map[wasabiridge.ModelID]wasabiridge.WeightsVersion
@@ -90,8 +92,9 @@
 
 // NewMachine returns a machine that knows no replica.
 func NewMachine(t Timing) *Machine {
+	t = t.withDefaults()
 	return &Machine{
-		timing: t.withDefaults(), replicas: map[unit]*replica{},
+		timing: t, usual: t.Usual, replicas: map[unit]*replica{},
 		heard: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 	}
 }
@@ -177,7 +180,7 @@
 		switch {
 		case r.phase == idle:
 		case r.serves >= r.target && !r.busy:
-			m.finish(r)
+			m.finish(now, r)
 		case r.phase == ordered:
 			m.watch(now, r)
 		case now-r.since > restMost:
@@ -246,7 +249,7 @@
 		switch r := m.replicas[id]; r.phase {
 		case ordered:
 			loading++
-			if !r.endsSoon(now, m.timing) {
+			if !r.endsSoon(now, m.usual, m.timing.Rest) {
 				starting++
 			}
 		case resting:
@@ -337,7 +340,7 @@
 	case !e.State.Loading && serves >= r.target:
 		r.serves = max(r.serves, serves)
 		if r.phase != idle {
-			m.finish(r)
+			m.finish(now, r)
 		}
 	case r.phase == resting:
 		r.asked, r.orders = true, e.State.Orders
@@ -359,8 +362,14 @@
 	}
 }
 
+// learnShare is the weight of one load in what is learned of their length.
+const learnShare = 0.2
+
 // finish lets a replica serve again.
-func (m *Machine) finish(r *replica) {
+func (m *Machine) finish(now wasabiridge.Millis, r *replica) {
+	if r.phase == ordered && r.accepted {
+		m.usual += wasabiridge.Millis(learnShare * float64(now-r.since-m.usual))
+	}
 	r.phase = idle
 	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Model: r.model, Weights: r.serves}})
 }
--- a/internal/wasabiupgrade/replica.go
+++ b/internal/wasabiupgrade/replica.go
@@ -48,7 +48,7 @@
 
 // endsSoon reports whether the load is about to end, as far as such loads
 // usually go, so that the next replica may begin to run dry.
-func (r *replica) endsSoon(now wasabiridge.Millis, t Timing) bool {
+func (r *replica) endsSoon(now, usual, rest wasabiridge.Millis) bool {
 	age := now - r.since
-	return r.accepted && age >= t.Usual-t.Rest && age < overdue*t.Usual
+	return r.accepted && age >= usual-rest && age < overdue*usual
 }
--- a/internal/wasabiupgrade/timing.go
+++ b/internal/wasabiupgrade/timing.go
@@ -13,7 +13,7 @@
 	Rest wasabiridge.Millis
 	// Load is how long a load takes at least, 1.1 s by default, and Usual how
 	// long it usually takes from the order on, with the answers that are
-	// finished before it, 1.4 s by default.
+	// finished before it, until that is learned. 1.4 s by default.
 	Load  wasabiridge.Millis
 	Usual wasabiridge.Millis
 	// Poll is the time between two readings of a replica that loads, 200 ms by
--- a/platform.go
+++ b/platform.go
@@ -76,6 +76,14 @@
 	Capacity float64
 }
 
+// Weight returns the capacity, or one when none is told.
+func (e InstanceEntry) Weight() float64 {
+	if e.Capacity <= 0 {
+		return 1
+	}
+	return e.Capacity
+}
+
 // InstanceList is the platform's list of live and leaving instances. It lags
 // behind reality.
 type InstanceList interface {
