Catalog: content goes to other instances compressed, packed once for each change

Ruled out: the platform, which answered others (version in force there); a lost question, each next one ends the same way. Change: the machine keeps content as it goes to others, packed when it changes. Test: wasabicatalog, 'a configuration of thousands of rules fits an answer over a slow link', failed before (322,645 bytes).

--- a/catalog.go
+++ b/catalog.go
@@ -56,7 +56,8 @@
 	Digest   uint64
 	// Age is how long before the answer the read was sent that proved the
 	// snapshot. Negative means that nothing is known.
-	Age     Millis
+	Age Millis
+	// Content is compressed.
 	Content []byte
 }
 
--- a/internal/wasabicatalog/catalog_test.go
+++ b/internal/wasabicatalog/catalog_test.go
@@ -334,6 +334,38 @@
 	return out
 }
 
+// Story: operators add two thousand rules. Instances behind a slow link ask
+// another one for them, and the answer is not there within the time of the
+// question, however often they ask.
+var _ = It("a configuration of thousands of rules fits an answer over a slow link", func() {
+	cfg := wasabiridge.Config{Version: 2}
+	for i := range 2000 {
+		cfg.Rules = append(cfg.Rules, wasabiridge.Rule{
+			ID:   wasabiridge.RuleID(fmt.Sprintf("r-%x", i*7919)),
+			When: wasabiridge.Condition{Host: fmt.Sprintf("h%x.example", i*104729), Path: fmt.Sprintf("/p%d/*", i)},
+			Then: wasabiridge.Action{Pool: "p", Timeout: 4000, Attempts: 2, Retry: true, FirstByteTarget: 300},
+		})
+	}
+	knows := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "knows"})
+	knows.Handle(1000, wasabicatalog.ConfigRead{Sent: 1000, Snapshot: wasabiridge.ConfigSnapshot{Revision: 5, Config: cfg}})
+	answer := knows.Answer(1100, wasabiridge.CatalogQuery{})
+	Expect(len(answer.Config.Content)).To(BeNumerically("<", 100<<10))
+
+	asks := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "asks"})
+	asks.Handle(1200, wasabicatalog.PeerAnswered{Sent: 1150, Peer: "knows", Answer: answer})
+	version, proven, known := asks.Config()
+	Expect(known).To(BeTrue())
+	Expect(version).To(BeEquivalentTo(2))
+	Expect(proven).To(BeNumerically("<=", 1050))
+	Expect(asks.Answer(1200, wasabiridge.CatalogQuery{}).Config.Digest).To(Equal(answer.Config.Digest))
+
+	answer.Config.Content = answer.Config.Content[:100]
+	broken := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "broken"})
+	broken.Handle(1200, wasabicatalog.PeerAnswered{Sent: 1150, Peer: "knows", Answer: answer})
+	_, _, known = broken.Config()
+	Expect(known).To(BeFalse(), "content that is cut was taken")
+})
+
 var _ = Describe("The list of backend servers", func() {
 	entry := func(id string, leaving bool) wasabiridge.BackendEntry {
 		return wasabiridge.BackendEntry{Server: wasabiridge.BackendServer{ID: wasabiridge.BackendServerID(id)}, Leaving: leaving}
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -223,7 +223,9 @@
 		return
 	}
 	first := !m.config.known
-	m.accept(&m.config, s.Revision, e.Sent, content, true, func() { m.snapshot = s })
+	if m.read(&m.config, s.Revision, e.Sent, content) {
+		m.snapshot = s
+	}
 	m.name(now, !first)
 }
 
@@ -248,7 +250,9 @@
 	if err != nil {
 		return
 	}
-	m.accept(&m.backends, e.Snapshot.Revision, e.Sent, content, true, func() { m.list = list })
+	if m.read(&m.backends, e.Snapshot.Revision, e.Sent, content) {
+		m.list = list
+	}
 }
 
 // withLapsed adds the entries that vanished during an outage, as long as they
@@ -273,20 +277,54 @@
 	return out
 }
 
-// accept takes content with its proof.
-func (m *Machine) accept(p *part, revision uint64, proven wasabiridge.Millis, content []byte, own bool, use func()) {
+// prove takes that known content is still true.
+func (m *Machine) prove(p *part, revision uint64, proven wasabiridge.Millis) {
+	p.revision, p.proven = revision, max(p.proven, proven)
+	m.emit(Proven{})
+}
+
+// change takes new content with its proof, packed for those who ask.
+func (m *Machine) change(p *part, next part, own bool) {
+	next.known, next.reading, next.nextRead, next.failures = true, p.reading, p.nextRead, p.failures
+	*p = next
+	m.emit(Changed{FromPlatform: own})
+}
+
+// read takes content that this instance read from the platform. It reports
+// whether it is new.
+func (m *Machine) read(p *part, revision uint64, sent wasabiridge.Millis, content []byte) bool {
 	digest := xxhash.Sum64(content)
-	changed := !p.known || digest != p.digest
-	p.revision, p.known = revision, true
-	if changed {
-		p.proven = proven
-		p.digest, p.content = digest, content
-		use()
-		m.emit(Changed{FromPlatform: own})
-		return
+	if p.known && digest == p.digest {
+		m.prove(p, revision, sent)
+		return false
 	}
-	p.proven = max(p.proven, proven)
-	m.emit(Proven{})
+	packed, err := pack(content)
+	if err != nil {
+		return false
+	}
+	m.change(p, part{revision: revision, digest: digest, proven: sent, packed: packed}, true)
+	return true
+}
+
+// take takes what another instance answered. It returns new content, or nil.
+func (m *Machine) take(p *part, a wasabiridge.CatalogPart, sent wasabiridge.Millis) []byte {
+	if !p.fits(a, sent) {
+		return nil
+	}
+	if p.known && a.Digest == p.digest {
+		m.prove(p, a.Revision, sent-a.Age)
+		return nil
+	}
+	content, err := unpack(a.Content)
+	if err != nil {
+		return nil
+	}
+	return content
+}
+
+// answeredPart is the part that an answer makes of what is known.
+func answeredPart(a wasabiridge.CatalogPart, sent wasabiridge.Millis) part {
+	return part{revision: a.Revision, digest: a.Digest, proven: sent - a.Age, packed: a.Content}
 }
 
 func (m *Machine) answered(now wasabiridge.Millis, e PeerAnswered) {
@@ -309,35 +347,31 @@
 
 func (m *Machine) takeConfig(e PeerAnswered) {
 	a := e.Answer.Config
-	if !m.config.fits(a, e.Sent) {
-		return
-	}
-	if m.config.known && a.Digest == m.config.digest {
-		m.accept(&m.config, a.Revision, e.Sent-a.Age, m.config.content, false, nil)
+	content := m.take(&m.config, a, e.Sent)
+	if content == nil {
 		return
 	}
 	var s wasabiridge.ConfigSnapshot
-	if err := json.Unmarshal(a.Content, &s); err != nil || s.Config.Version < m.snapshot.Config.Version {
+	if err := json.Unmarshal(content, &s); err != nil || s.Config.Version < m.snapshot.Config.Version {
 		return
 	}
 	s.Revision = a.Revision
-	m.accept(&m.config, a.Revision, e.Sent-a.Age, a.Content, false, func() { m.snapshot = s })
+	m.snapshot = s
+	m.change(&m.config, answeredPart(a, e.Sent), false)
 }
 
 func (m *Machine) takeBackends(e PeerAnswered) {
 	a := e.Answer.Backends
-	if !m.backends.fits(a, e.Sent) {
-		return
-	}
-	if m.backends.known && a.Digest == m.backends.digest {
-		m.accept(&m.backends, a.Revision, e.Sent-a.Age, m.backends.content, false, nil)
+	content := m.take(&m.backends, a, e.Sent)
+	if content == nil {
 		return
 	}
 	s := wasabiridge.BackendSnapshot{Revision: a.Revision}
-	if err := json.Unmarshal(a.Content, &s.Entries); err != nil {
+	if err := json.Unmarshal(content, &s.Entries); err != nil {
 		return
 	}
-	m.accept(&m.backends, a.Revision, e.Sent-a.Age, a.Content, false, func() { m.list = s })
+	m.list = s
+	m.change(&m.backends, answeredPart(a, e.Sent), false)
 }
 
 // Config returns the version of the configuration that is known, and when it
--- a/internal/wasabicatalog/part.go
+++ b/internal/wasabicatalog/part.go
@@ -8,9 +8,10 @@
 	digest   uint64
 	// proven is when the read was sent that proved it. known says that there
 	// was one.
-	proven  wasabiridge.Millis
-	known   bool
-	content []byte
+	proven wasabiridge.Millis
+	known  bool
+	// packed is the content as it goes to others.
+	packed []byte
 	// reading says that a read is under way, nextRead when the next may begin.
 	reading  bool
 	nextRead wasabiridge.Millis
@@ -55,7 +56,7 @@
 	// An age that is rounded down would make the proof younger than it is.
 	out := wasabiridge.CatalogPart{Revision: p.revision, Digest: p.digest, Age: max(0, now-p.proven) + 1}
 	if has != p.digest {
-		out.Content = p.content
+		out.Content = p.packed
 	}
 	return out
 }
