Versions that are heard of late are remembered; an instance that leaves gives its lease back

Change: versions are kept in order whenever they are heard of; a keeper whose instance leaves does not want the lease, so it is released. Tests: wasabireplica, 'also when that is heard of last'; wasabiupgrade, 'gives the lease back when its instance leaves'; both failed before.

--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -191,7 +191,7 @@
 	})
 	n.upgrade = wasabiupgrade.NewKeeper(wasabiupgrade.Options{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Table: o.Platform.Table, Engines: o.Platform.Engines,
-		Recorder: n.timeline, Catalog: n.wantedWeights, Rank: n.rank, Tell: n.tell, Log: wasabilog.Part(n.log, "upgrade"),
+		Recorder: n.timeline, Catalog: n.wantedWeights, Rank: n.rank, Leaving: n.leaving.Load, Tell: n.tell, Log: wasabilog.Part(n.log, "upgrade"),
 		Timing: wasabiupgrade.Timing{Turn: n.bounds.Turn},
 	})
 	n.relay = wasabirelay.New(wasabirelay.Options{
--- a/internal/wasabireplica/naming.go
+++ b/internal/wasabireplica/naming.go
@@ -1,6 +1,9 @@
 package wasabireplica
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -17,21 +20,22 @@
 type namings map[wasabiridge.ModelID][]naming
 
 // name notes a version. A better time for a known version replaces its time.
+//
+// The failure it guards against: an instance that has just started reads the
+// newest version from the platform, and hears of the ones before it from others
+// a moment later. If it forgot those, a replica two versions behind would count
+// as replaced only since the newest one.
 func (n namings) name(m wasabiridge.ModelID, next naming) {
 	list := n[m]
-	for i := range list {
-		if list[i].weights == next.weights {
-			list[i].at = next.at
-			return
-		}
-	}
-	if len(list) > 0 && next.weights < list[len(list)-1].weights {
+	i, known := slices.BinarySearchFunc(list, next.weights, func(x naming, v wasabiridge.WeightsVersion) int {
+		return cmp.Compare(x.weights, v)
+	})
+	if known {
+		list[i].at = next.at
 		return
 	}
-	if len(list) == namedMost {
-		list = list[1:]
-	}
-	n[m] = append(list, next)
+	list = slices.Insert(list, i, next)
+	n[m] = list[max(0, len(list)-namedMost):]
 }
 
 // overdue returns how long ago the first version was named that is newer than
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -216,6 +216,20 @@
 		Expect(g.limiter.Offer(g.now, short()).Verdict).To(Equal(wasabiridge.Rejected), "refused at once, not held")
 	})
 
+	// Story: an instance starts seventeen seconds after version 2 was named. It
+	// reads version 3 from the platform and hears of version 2 from another
+	// instance. A replica still serves version 1. Its requests would be answered
+	// on weights that were replaced long ago.
+	It("are too old from the first newer version on, also when that is heard of last", func() {
+		g := newRig(1)
+		g.tell(wasabiridge.WeightsNamed{Model: model, Weights: 3, At: g.now - 1000})
+		_, id := g.place(short())
+		Expect(id).NotTo(BeZero())
+		g.tell(wasabiridge.WeightsNamed{Model: model, Weights: 2, At: g.now - 17000})
+		_, id = g.place(short())
+		Expect(id).To(BeZero())
+	})
+
 	It("that a stream began with are those it goes on with", func() {
 		g := newRig(3)
 		g.tell(wasabiridge.WeightsReported{Backend: "e1", Model: model, Weights: 2})
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -42,6 +42,10 @@
 	Catalog func() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion)
 	// Rank is this instance's place among the living ones.
 	Rank func() int
+	// Leaving reports whether the instance is about to go. It then gives the
+	// lease back, so that the next one need not wait for its end. Nil means
+	// never.
+	Leaving func() bool
 	// Tell tells the instances that place requests or may give orders next, this
 	// one included. It must not block.
 	Tell   func(news []wasabiridge.RestNews)
@@ -117,7 +121,7 @@
 		k.undone = now
 	}
 	k.seen = outstanding
-	if outstanding == 0 {
+	if outstanding == 0 || k.options.Leaving != nil && k.options.Leaving() {
 		return false
 	}
 	return k.lease.Grant().Fencing != 0 || now-k.undone >= wasabiridge.Millis(k.options.Rank())*rankWait
