Catalog: versions that others tell of count at once, and every instance asks for them once

Versions heard from others were noted and handed on only with the next change of the configuration; and the instance of the lowest rank reads everything itself, so it never asked anybody. Change: news of versions counts as a change; after its start an instance asks until one answer came. Tests: wasabicatalog, 'count at once when another instance tells of them', 'are asked for after the start'; both failed before.

--- a/internal/wasabicatalog/catalog_test.go
+++ b/internal/wasabicatalog/catalog_test.go
@@ -445,4 +445,41 @@
 			}
 		}
 	})
+
+	// Story: an instance starts when version 2 has been named eleven seconds ago
+	// and version 3 a moment ago, and reads the configuration itself. Another one
+	// tells it of version 2. Nothing else changes for seconds, and meanwhile it
+	// sends requests to replicas that still serve version 1.
+	It("count at once when another instance tells of them", func() {
+		old := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "old"})
+		for v, at := range []wasabiridge.Millis{1000, 2000} {
+			old.Handle(at, wasabicatalog.ConfigRead{Sent: at, Snapshot: snapshot(v + 1)})
+		}
+		fresh := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "fresh"})
+		fresh.Handle(13100, wasabicatalog.ConfigRead{Sent: 13100, Snapshot: snapshot(3)})
+		answer := old.Answer(13200, wasabiridge.CatalogQuery{})
+		effects := fresh.Handle(13200, wasabicatalog.PeerAnswered{Sent: 13200, Peer: "old", Answer: answer})
+		Expect(effects).To(ContainElement(wasabicatalog.Changed{}))
+		Expect(fresh.Namings()).To(ContainElement(wasabicatalog.Named{Model: "m", Weights: 2, At: 2000, Witnessed: true}))
+	})
+
+	// Story: the instance that starts has the lowest rank. It reads everything
+	// itself, so it never asked another one, and never heard of version 2.
+	It("are asked for after the start, also by an instance that reads everything itself", func() {
+		fresh := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "fresh", Capacity: 2})
+		fresh.Handle(13100, wasabicatalog.ConfigRead{Sent: 13100, Snapshot: snapshot(3)})
+		fresh.Handle(13100, wasabicatalog.BackendsRead{Sent: 13100})
+		tick := wasabicatalog.Ticked{Peers: []wasabicatalog.Peer{{ID: "old", Address: "old", Weight: 1}}}
+		asks := func(at wasabiridge.Millis) bool {
+			return slices.ContainsFunc(fresh.Handle(at, tick), func(e wasabicatalog.Effect) bool {
+				_, ok := e.(wasabicatalog.AskPeer)
+				return ok
+			})
+		}
+		Expect(asks(13400)).To(BeTrue())
+		fresh.Handle(13450, wasabicatalog.PeerAnswered{Sent: 13400, Peer: "old", Answer: wasabiridge.CatalogAnswer{
+			Config: wasabiridge.CatalogPart{Age: -1}, Backends: wasabiridge.CatalogPart{Age: -1},
+		}})
+		Expect(asks(13700)).To(BeFalse())
+	})
 })
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -95,9 +95,11 @@
 	// which they were heard of.
 	namings []Named
 
-	asking   bool
-	askedAt  wasabiridge.Millis
-	askTurn  int
+	asking  bool
+	askedAt wasabiridge.Millis
+	askTurn int
+	// answers counts the questions that were answered.
+	answers  int
 	wantFrom wasabiridge.InstanceID
 
 	effects []Effect
@@ -195,7 +197,10 @@
 	}
 	wanted := m.wantFrom != ""
 	old := max(m.config.age(now), m.backends.age(now))
-	if !wanted && (old < askAge || now-m.askedAt < askPause || m.rank == 0 && m.config.known) {
+	// Nobody but others can tell since when versions of weights are named, so
+	// even an instance that reads everything itself asks once after its start.
+	enough := m.answers > 0 && (old < askAge || m.rank == 0 && m.config.known)
+	if !wanted && (enough || now-m.askedAt < askPause) {
 		return
 	}
 	to := m.peers[m.askTurn%min(readers, len(m.peers))]
@@ -333,6 +338,7 @@
 		m.askTurn++
 		return
 	}
+	m.answers++
 	before := m.config.proven + m.backends.proven
 	first := !m.config.known
 	m.takeConfig(e)
--- a/internal/wasabicatalog/naming.go
+++ b/internal/wasabicatalog/naming.go
@@ -36,33 +36,41 @@
 	}
 }
 
-// addNaming notes a version, or a better time for one that is known.
-func (m *Machine) addNaming(n Named) {
+// addNaming notes a version, or a better time for one that is known. It reports
+// whether that is news.
+func (m *Machine) addNaming(n Named) bool {
 	for i := range m.namings {
 		known := &m.namings[i]
 		if known.Model != n.Model || known.Weights != n.Weights {
 			continue
 		}
-		if n.Witnessed && !known.Witnessed {
+		better := n.Witnessed && !known.Witnessed
+		if better {
 			*known = n
-			m.emit(Changed{})
 		}
-		return
+		return better
 	}
 	if len(m.namings) == namingsKept {
 		m.namings = m.namings[1:]
 	}
 	m.namings = append(m.namings, n)
+	return true
 }
 
 // takeNamings takes when another instance heard of versions. An instance that
-// has just started would otherwise take all of them for new.
+// has just started would otherwise take all of them for new, and know nothing of
+// those before the newest. What it hears must count at once, and not only with
+// the next change of the configuration.
 func (m *Machine) takeNamings(e PeerAnswered) {
+	news := false
 	for _, n := range e.Answer.Namings {
-		if n.Witnessed {
-			m.addNaming(Named{Model: n.Model, Weights: n.Weights, At: e.Sent - n.Age, Witnessed: true})
+		if n.Witnessed && m.addNaming(Named{Model: n.Model, Weights: n.Weights, At: e.Sent - n.Age, Witnessed: true}) {
+			news = true
 		}
 	}
+	if news {
+		m.emit(Changed{})
+	}
 }
 
 // Namings returns the versions of weights that were named.
