--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -37,11 +37,8 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -133,46 +130,6 @@
 
 func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
 
-// order sorts the peers by rank and finds this instance's own.
-func (m *Machine) order(peers []Peer) {
-	if slices.Equal(peers, m.given) {
-		return
-	}
-	m.given = append(m.given[:0], peers...)
-	m.peers = append(m.peers[:0], peers...)
-	sort.Slice(m.peers, func(a, b int) bool { return before(m.peers[a], m.peers[b]) })
-	m.rank = 0
-	for m.rank < len(m.peers) && before(m.peers[m.rank], m.self) {
-		m.rank++
-	}
-}
-
-// RankOf returns the place of an instance among the living members.
-func RankOf(self wasabiridge.InstanceEntry, members []wasabiridge.Member) int {
-	rank := 0
-	for _, m := range members {
-		if !m.Leaving && before(PeerOf(m.InstanceEntry), PeerOf(self)) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// PeerOf returns an instance as the catalog knows it.
-func PeerOf(e wasabiridge.InstanceEntry) Peer {
-	return Peer{ID: e.ID, Address: e.PeerAddress, Weight: e.Weight()}
-}
-
-// before orders the ranks. Reading the platform and giving orders is work, and
-// a small instance that does it answers late, itself and the others.
-func before(a, b Peer) bool {
-	if a.Weight != b.Weight {
-		return a.Weight > b.Weight
-	}
-	x, y := xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))
-	return x < y || x == y && a.ID < b.ID
-}
-
 func (m *Machine) tick(now wasabiridge.Millis) {
 	limit := baseAge + wasabiridge.Millis(min(m.rank, ranksCounted))*rankStep
 	for _, p := range [...]*part{&m.config, &m.backends} {
@@ -282,56 +239,6 @@
 	return out
 }
 
-// prove takes that known content is still true.
-func (m *Machine) prove(p *part, revision uint64, proven wasabiridge.Millis) {
-	p.revision, p.proven = revision, max(p.proven, proven)
-	m.emit(Proven{})
-}
-
-// change takes new content with its proof, packed for those who ask.
-func (m *Machine) change(p *part, next part, own bool) {
-	next.known, next.reading, next.nextRead, next.failures = true, p.reading, p.nextRead, p.failures
-	*p = next
-	m.emit(Changed{FromPlatform: own})
-}
-
-// read takes content that this instance read from the platform. It reports
-// whether it is new.
-func (m *Machine) read(p *part, revision uint64, sent wasabiridge.Millis, content []byte) bool {
-	digest := xxhash.Sum64(content)
-	if p.known && digest == p.digest {
-		m.prove(p, revision, sent)
-		return false
-	}
-	packed, err := pack(content)
-	if err != nil {
-		return false
-	}
-	m.change(p, part{revision: revision, digest: digest, proven: sent, packed: packed}, true)
-	return true
-}
-
-// take takes what another instance answered. It returns new content, or nil.
-func (m *Machine) take(p *part, a wasabiridge.CatalogPart, sent wasabiridge.Millis) []byte {
-	if !p.fits(a, sent) {
-		return nil
-	}
-	if p.known && a.Digest == p.digest {
-		m.prove(p, a.Revision, sent-a.Age)
-		return nil
-	}
-	content, err := unpack(a.Content)
-	if err != nil {
-		return nil
-	}
-	return content
-}
-
-// answeredPart is the part that an answer makes of what is known.
-func answeredPart(a wasabiridge.CatalogPart, sent wasabiridge.Millis) part {
-	return part{revision: a.Revision, digest: a.Digest, proven: sent - a.Age, packed: a.Content}
-}
-
 func (m *Machine) answered(now wasabiridge.Millis, e PeerAnswered) {
 	m.asking = false
 	if e.Err != nil {
@@ -351,35 +258,6 @@
 	}
 }
 
-func (m *Machine) takeConfig(e PeerAnswered) {
-	a := e.Answer.Config
-	content := m.take(&m.config, a, e.Sent)
-	if content == nil {
-		return
-	}
-	var s wasabiridge.ConfigSnapshot
-	if err := json.Unmarshal(content, &s); err != nil || s.Config.Version < m.snapshot.Config.Version {
-		return
-	}
-	s.Revision = a.Revision
-	m.snapshot = s
-	m.change(&m.config, answeredPart(a, e.Sent), false)
-}
-
-func (m *Machine) takeBackends(e PeerAnswered) {
-	a := e.Answer.Backends
-	content := m.take(&m.backends, a, e.Sent)
-	if content == nil {
-		return
-	}
-	s := wasabiridge.BackendSnapshot{Revision: a.Revision}
-	if err := json.Unmarshal(content, &s.Entries); err != nil {
-		return
-	}
-	m.list = s
-	m.change(&m.backends, answeredPart(a, e.Sent), false)
-}
-
 // Config returns the version of the configuration that is known, and when it
 // was proven. It reports false when none is known.
 func (m *Machine) Config() (wasabiridge.ConfigVersion, wasabiridge.Millis, bool) {
