--- a/internal/wasabinode/restore.go
+++ b/internal/wasabinode/restore.go
@@ -24,7 +24,8 @@
 )
 
 // restore asks after the start what the caches hold. It costs one short call a
-// cache; measured, lists are there within 50 ms and hold up no answer.
+// cache; measured with nine engines, lists are there within 50 ms. How long they
+// hold up an engine's work is not measured.
 //
 // The failure it guards against: all instances are restarted at once. None of
 // them knows any more what was sent where, so prompts that engines hold are
