Streams do not go on with weights past their bound, and do not wait for none

Cause: a resumed stream is pinned to the weights that it began on, and the check against replaced weights was skipped then. It had also waited seconds for a replica that could not come.

Now such a stream ends at once when its weights may not answer any more or no replica has them: tokens of two versions do not make one answer. The caller sees its connection end and may resume by itself, on the newest weights.

Ruled out: that only the list was late; the replica's answers told the version.

--- a/decision.go
+++ b/decision.go
@@ -260,6 +260,9 @@
 	FetchFrom string
 	SaveTo    string
 	FirstByte Millis
+	// Never says, of a placement that was not found, that none will be found
+	// however long the request waits.
+	Never bool
 }
 
 // Placer chooses backend servers. Implementations are deterministic and not
--- a/internal/wasabicore/core_test.go
+++ b/internal/wasabicore/core_test.go
@@ -24,11 +24,13 @@
 	// before is the time before which no further server can be had for a
 	// request that failed somewhere.
 	before wasabiridge.Millis
+	// never says that none will ever be had.
+	never bool
 }
 
 func (f firstServer) Place(now wasabiridge.Millis, q wasabiridge.PlaceQuery) (wasabiridge.Placement, bool) {
 	if len(q.Excluded) > 0 && now < f.before {
-		return wasabiridge.Placement{}, false
+		return wasabiridge.Placement{Never: f.never}, false
 	}
 	for _, b := range q.Pool.Backends {
 		if !slices.Contains(q.Excluded, b.ID) {
@@ -175,6 +177,22 @@
 	}
 })
 
+var _ = Describe("A stream that breaks and can go on nowhere", func() {
+	// The engines have newer weights than the stream began on. Waiting for one that
+	// could go on with it only keeps the caller from asking again.
+	It("is cut at once", func() {
+		core := newCoreWith(firstServer{before: 1e9, never: true})
+		first := pick(core.Handle(1, wasabiridge.RequestArrived{Request: request(wasabiridge.Action{Resume: true})}))[0].(wasabiridge.Dispatch)
+		core.Handle(2, wasabiridge.AttemptSent{Request: "r", Attempt: first.Attempt})
+		effects := pick(core.Handle(3, wasabiridge.AttemptEnded{
+			Request: "r", Attempt: first.Attempt, Backend: first.Backend.ID, Result: wasabiridge.AttemptBroken, Delivered: 7,
+		}))
+		Expect(effects).To(HaveLen(1))
+		Expect(effects[0]).To(HaveField("Disposition", wasabiridge.MaybeRun))
+		Expect(core.Open()).To(BeZero())
+	})
+})
+
 var _ = Describe("A hedge", func() {
 	It("is cancelled when the first attempt answers after all", func() {
 		// An engine is slow, so a second attempt starts; then the first one
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -53,12 +53,14 @@
 // when none may serve; then the request has its final answer, unless another
 // attempt of it still runs.
 func (c *Core) place(now wasabiridge.Millis, en *entry, why placeReason) bool {
+	never := false
 	for _, id := range [...]wasabiridge.PoolID{en.request.Action.Pool, en.request.Action.Fallback} {
 		pool, ok := c.config.Pool(id)
 		if !ok {
 			continue
 		}
 		p, found, full := c.choose(now, en, pool)
+		never = never || p.Never
 		if found {
 			c.dispatch(now, en, p, why)
 			return true
@@ -73,8 +75,9 @@
 	}
 	// Engines of a pool may die shortly after each other. A stream that breaks
 	// while none of them is known to serve would be cut, although one is just
-	// coming back. It waits and is placed again, for a bounded time.
-	if why == placeResume && now < en.resumeBy {
+	// coming back. It waits and is placed again, for a bounded time, unless none
+	// can come.
+	if why == placeResume && now < en.resumeBy && !never {
 		c.timers.add(now+roomRetry, timer{kind: timerRoom, request: en.request.ID, why: why})
 		return true
 	}
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -44,6 +44,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -141,6 +142,9 @@
 			continue
 		}
 		c := p.weigh(now, pl, r, &pr, q.Request.Action.FirstByteTarget)
+		if !p.beginsInTime(now, &pr, c) {
+			continue
+		}
 		switch {
 		case !found || c.score < best.score-near:
 			best, found, count = c, true, 1
@@ -152,7 +156,7 @@
 		}
 	}
 	if !found {
-		return wasabiridge.Placement{}, false
+		return wasabiridge.Placement{Never: p.isOver(now, pl, q)}, false
 	}
 	return p.placement(pl, best, q.Request, &pr), true
 }
@@ -181,13 +185,50 @@
 		return true
 	}
 	serves := r.weights[model]
-	if q.Weights != 0 {
-		return serves == q.Weights
+	if q.Weights != 0 && serves != q.Weights {
+		return false
 	}
 	// A replica whose weights are not known yet could answer from any, and
 	// from what any left in its cache.
-	age, older := p.named.overdue(now, model, serves)
-	return serves != 0 && (!older || age < p.options.WeightsBound)
+	return serves != 0 && p.mayServe(now, model, serves)
+}
+
+// mayServe reports whether a version may still answer.
+func (p *Placer) mayServe(now wasabiridge.Millis, m wasabiridge.ModelID, v wasabiridge.WeightsVersion) bool {
+	age, older := p.named.overdue(now, m, v)
+	return !older || age < p.options.WeightsBound
+}
+
+// beginWait is how long after it was sent a request may begin without counting
+// against the bound of older weights. The bound that is set leaves this much
+// room.
+const beginWait = wasabiridge.Second
+
+// beginsInTime reports whether the first token of a request is expected while
+// the replica's weights may still answer.
+//
+// The failure it guards against: queues are long in an overload. A request is
+// sent to a replica whose weights may just be used, waits there for seconds, and
+// begins on weights that were replaced too long ago.
+func (p *Placer) beginsInTime(now wasabiridge.Millis, pr *prompt, c choice) bool {
+	if !pr.engine {
+		return true
+	}
+	late := max(0, wasabiridge.Millis(c.expected)-beginWait)
+	return p.mayServe(now+late, pr.root.Model, c.replica.weights[pr.root.Model])
+}
+
+// isOver reports whether no replica will ever be able to go on with a stream: its
+// weights may not answer any more, or no replica has them. Replicas never go back
+// to older weights, so waiting would only keep the caller from asking again.
+func (p *Placer) isOver(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery) bool {
+	model := q.Request.Model
+	if model == "" || q.Weights == 0 {
+		return false
+	}
+	return !p.mayServe(now, model, q.Weights) || !slices.ContainsFunc(pl.replicas, func(r *replica) bool {
+		return !r.gone && r.weights[model] == q.Weights
+	})
 }
 
 // weigh works out what a request is expected to lose at a replica.
