The time that engines take is learned from their answers

Cause: the speed of reading (157 tokens a ms), the time of pairs and of the first step, the length from which shared parts are looked for (1,024 tokens) were figures of the first customers' engines. Here engines read 66 tokens a ms, so queues were taken for less than half of what they are, and parts of 568 tokens, which sixty requests a second share, were read again each time.

Change: package wasabicost fits a fixed part, a part a token and a part a pair of tokens to the first tokens that come, by weighted least squares that forget; a prior in the middle of 20 to 400 tokens a ms stands in until some answers have come. A shared part is looked for when reading it takes longer than a fetch takes to begin. Heavy and light prompts are told apart by the mean work of the pool in place of a length. A late answer counts as a loss of 0.8, between the 0.7 and 0.9 that deployments show; nothing observable tells it.

Tests: the estimate comes within 30% of three kinds of engines in thirty answers of which a third are held up, follows a change, is never negative; the placer's expected time and what it looks for follow the speed.

--- a/internal/wasabireplica/kept.go
+++ b/internal/wasabireplica/kept.go
@@ -28,7 +28,7 @@
 	}
 	k.cache.limit = k.stores[0].CacheTokens
 	for _, pool := range c.Pools {
-		if pool.TokenBytes > 0 {
+		if pool.TokenBytes > 0 && k.stores[0].LinkMegabits > 0 {
 			k.tokenMillis = transfer(pool.TokenBytes, k.stores[0].LinkMegabits)
 		}
 	}
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -22,9 +22,13 @@
 	// deployments with a quarter of the engines dark: worth of the day 0.45
 	// without it, 0.58 with 0.8, 0.59 with 0.6; no difference on calm days.
 	longShare = 0.75
-	// longPatience is how long a long prompt may wait at a replica, as a
-	// multiple of the target of its first byte.
-	longPatience = 1.0
+	// patience is how long a prompt may wait at a replica, as a multiple of the
+	// target of its first byte, lightPatience the same for light ones: late answers
+	// to these are worth more than what their computing takes from others.
+	patience      = 1.0
+	lightPatience = 2.0
+	// lightShare is the part of the mean work below which a prompt is light.
+	lightShare = 0.5
 	// spareInstances is by how much the number of instances may be
 	// underestimated when the retry budget is shared out: others may have been
 	// added that are not known here yet.
@@ -52,17 +56,17 @@
 	pl.budget.request(now, l.placer.options.RetryWindow)
 	q := wasabiridge.PlaceQuery{Request: pl.asServed(r)}
 	shortest := math.Inf(1)
-	pr := promptOf(q.Request)
-	share, patience := shareOf(r.Action.Priority, &pr), patienceOf(q.Request, &pr)
+	pr := pl.promptOf(q.Request)
+	share, most := pl.shareOf(r.Action.Priority, &pr), pl.patienceOf(q.Request, &pr)
 	for _, rep := range pl.replicas {
 		if !l.placer.eligible(now, rep, q) || rep.server.Slots > 0 && rep.load(now) >= share*float64(rep.server.Slots) {
 			continue
 		}
 		wait := rep.line.wait(now)
-		if wait <= patience {
+		if wait <= most {
 			return wasabiridge.Admission{Verdict: wasabiridge.Admitted}
 		}
-		shortest = min(shortest, wait-patience)
+		shortest = min(shortest, wait-most)
 	}
 	if !math.IsInf(shortest, 1) {
 		return wasabiridge.Admission{
@@ -81,13 +85,25 @@
 // computed again: it stays slow long after the cause is over, for short prompts
 // too. Long prompts take most of the memory and of the computing, so they come
 // back later, while some slots are still free.
-func shareOf(priority wasabiridge.Priority, pr *prompt) float64 {
-	if pr.engine && pr.isLong() {
+func (pl *pool) shareOf(priority wasabiridge.Priority, pr *prompt) float64 {
+	if pr.engine && pl.isHeavy(pr) {
 		return longShare
 	}
 	return fullShare + (urgentShare-fullShare)*float64(min(max(priority, 0), priorityMost))/priorityMost
 }
 
+// isHeavy reports whether a prompt takes longer to compute than prompts do in the
+// mean.
+func (pl *pool) isHeavy(pr *prompt) bool {
+	return pr.compute(pr.tokens(), 0) > pl.meanWork
+}
+
+// isLight reports whether a prompt takes much less to compute than prompts do in the
+// mean.
+func (pl *pool) isLight(pr *prompt) bool {
+	return pr.compute(pr.tokens(), 0) < lightShare*pl.meanWork
+}
+
 // patienceOf is how long a request may wait at a replica, in milliseconds.
 //
 // The failure it guards against: long prompts pile up at the replicas that are
@@ -95,15 +111,18 @@
 // short ones, which all come late behind it, and the queues stay long after
 // the cause is over. Long prompts that cannot be read in time anyhow come back
 // later.
-func patienceOf(r wasabiridge.Request, pr *prompt) float64 {
-	if !pr.engine || !pr.isLong() {
+func (pl *pool) patienceOf(r wasabiridge.Request, pr *prompt) float64 {
+	if !pr.engine {
 		return math.Inf(1)
 	}
 	target := r.Action.FirstByteTarget
 	if target <= 0 {
 		target = defaultTarget
 	}
-	return longPatience * float64(target)
+	if pl.isLight(pr) {
+		return lightPatience * float64(target)
+	}
+	return patience * float64(target)
 }
 
 // Next implements wasabiridge.Limiter. Nothing waits here.
--- a/internal/wasabireplica/loss.go
+++ b/internal/wasabireplica/loss.go
@@ -9,7 +9,7 @@
 // Losses, as parts of what a whole answer in time is worth.
 const (
 	// lateShare is what an answer loses whose first byte comes late.
-	lateShare = 0.7
+	lateShare = 0.8
 	// lateCentre and lateWidth are where, as parts of the target, the chance
 	// of being late is a half, and how fast it rises around there. Expected
 	// times are rough, so it rises early.
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicost"
 )
 
 // Observe takes every event that the decider takes.
@@ -99,6 +100,7 @@
 	a.first = true
 	a.replica.heard = now
 	a.replica.learnDelay(max(0, float64(now-a.sent)-a.work))
+	a.learnCosts(now)
 	a.replica.recovered()
 	a.replica.line.begun(now, func(w waitingPrompt) bool { return w.attempt == id })
 	for i, key := range a.keys {
@@ -108,6 +110,20 @@
 	p.attempts[id] = a
 }
 
+// waitMost is how long a prompt may have waited, as a multiple of its own work,
+// for its time to tell how fast the engine computes. What it waited for is only
+// estimated.
+const waitMost = 1.0
+
+// learnCosts takes what the first token of a prompt tells of the engines.
+func (a *sending) learnCosts(now wasabiridge.Millis) {
+	if !a.measures || !a.prompt.engine || a.wait > waitMost*a.work {
+		return
+	}
+	work := wasabicost.Work{Tokens: a.prompt.tokens() - a.held, Behind: a.held}
+	a.prompt.costs.Observe(work, float64(now-a.sent)-a.wait)
+}
+
 func (p *Placer) ended(now wasabiridge.Millis, e wasabiridge.AttemptEnded) {
 	a, ok := p.attempts[e.Attempt]
 	if !ok {
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -105,6 +105,13 @@
 	prompt  prompt
 	keys    []uint64
 	first   bool
+	// wait is what the prompt was expected to wait for when it was sent, held how
+	// many of its tokens the replica was believed to hold. measures says that the
+	// time to the first byte tells how fast the engine computes: nothing had to be
+	// fetched, and nothing was read that others had asked for.
+	wait     float64
+	held     int
+	measures bool
 	// bound is when, after it was sent, silence counts against the replica.
 	// suspected says that it did.
 	bound     wasabiridge.Millis
@@ -134,7 +141,7 @@
 		return wasabiridge.Placement{}, false
 	}
 	q.Request = pl.asServed(q.Request)
-	pr := promptOf(q.Request)
+	pr := pl.promptOf(q.Request)
 	var best choice
 	found, count := false, 0
 	for _, r := range pl.replicas {
@@ -239,7 +246,7 @@
 		c.score = lateLoss(wait+pl.delay, target)
 	} else {
 		c.source = p.sourceOf(now, pl, r, pr)
-		c.expected = wait + c.source.cost + firstStep
+		c.expected = wait + c.source.cost + pr.costs.Fixed()
 		c.score = lateLoss(c.expected, target) + againLoss*float64(c.source.again) + copyLoss*float64(c.source.copied) + workLoss*c.source.work
 		if age, older := p.named.overdue(now, pr.root.Model, r.weights[pr.root.Model]); older && age > oldGrace {
 			c.score += oldLoss
@@ -261,7 +268,7 @@
 		return out
 	}
 	out.Weights = c.replica.weights[q.Model]
-	if !pr.isLong() {
+	if !pr.isTracked() {
 		return out
 	}
 	out.Why, out.FetchFrom, out.ClaimedTokens = c.source.why, c.source.fetchFrom, c.source.held
@@ -278,16 +285,22 @@
 	if rep == nil {
 		return
 	}
-	if pool := p.pools[r.Action.Pool]; pool != nil {
-		r = pool.asServed(r)
+	pool := p.pools[r.Action.Pool]
+	if pool == nil {
+		return
+	}
+	a := sending{replica: rep, sent: now, work: plainWork, prompt: pool.promptOf(pool.asServed(r)), wait: rep.line.wait(now)}
+	a.measures = pl.Why == WhyLoad || pl.Why == whyHeld || pl.Why == whyComputed
+	if a.measures {
+		a.held = pl.ClaimedTokens
 	}
-	a := sending{replica: rep, sent: now, work: plainWork, prompt: promptOf(r)}
 	a.bound = suspectAfter + wasabiridge.Millis(queueFactor*float64(pl.ExpectedWait))
 	rep.inside++
 	if a.prompt.engine {
 		a.work = a.prompt.workFor(pl.Why, pl.ClaimedTokens)
+		pool.learnWork(a.prompt.compute(a.prompt.tokens(), 0))
 	}
-	if a.prompt.isLong() {
+	if a.prompt.isTracked() {
 		a.keys = a.prompt.keysFor(pl.Weights)
 		p.sendParts(now, rep, &a, pl)
 		rep.line.enter(now, waitingPrompt{attempt: id, work: a.work})
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -5,8 +5,12 @@
 	"sort"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicost"
 )
 
+// workRate is the weight of one prompt in the mean work: some fifty make it up.
+const workRate = 0.02
+
 // pool is a pool, prepared for decisions.
 type pool struct {
 	config   wasabiridge.Pool
@@ -14,6 +18,31 @@
 	// failures and delay are the medians over the replicas.
 	failures, delay float64
 	budget          budget
+	// costs are what was learned of the engines, by model.
+	costs map[wasabiridge.ModelID]*wasabicost.Estimator
+	// meanWork is the learned mean time to compute a whole prompt, in
+	// milliseconds.
+	meanWork float64
+}
+
+// costsOf returns what was learned of the engines that serve a model.
+func (pl *pool) costsOf(m wasabiridge.ModelID) *wasabicost.Estimator {
+	costs := pl.costs[m]
+	if costs == nil {
+		costs = wasabicost.New()
+		if m != "" {
+			pl.costs[m] = costs
+		}
+	}
+	return costs
+}
+
+// learnWork takes the time to compute a whole prompt.
+func (pl *pool) learnWork(work float64) {
+	if pl.meanWork == 0 {
+		pl.meanWork = work
+	}
+	pl.meanWork += workRate * (work - pl.meanWork)
 }
 
 // asServed returns a request without its model when the pool's servers have
@@ -32,9 +61,10 @@
 	seen := map[wasabiridge.BackendServerID]bool{}
 	pools := map[wasabiridge.PoolID]*pool{}
 	for _, cp := range c.Pools {
-		pl := &pool{config: cp}
+		pl := &pool{config: cp, costs: map[wasabiridge.ModelID]*wasabicost.Estimator{}}
 		if before := p.pools[cp.ID]; before != nil {
 			pl.budget, pl.failures, pl.delay = before.budget, before.failures, before.delay
+			pl.costs, pl.meanWork = before.costs, before.meanWork
 		}
 		backends := slices.SortedFunc(slices.Values(cp.Backends), func(a, b wasabiridge.BackendServer) int {
 			return compare(a.ID, b.ID)
--- a/internal/wasabireplica/prompt.go
+++ b/internal/wasabireplica/prompt.go
@@ -3,33 +3,22 @@
 import (
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicost"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
 )
 
 const (
-	// tokensPerMilli is how many prompt tokens an engine computes in a
-	// millisecond, by the data sheet of today's engines, and stepShare what the
-	// steps of other requests in between add to it.
-	tokensPerMilli = 157.0
-	stepShare      = 1.2
-	// pairsPerMilli is how many pairs of a token and one before it an engine
-	// attends to in a millisecond.
-	pairsPerMilli = 1e6 / 0.109
-	// firstStep is the time from the end of a prompt to its first token, in
-	// milliseconds, the way there and back included.
-	firstStep = 45.0
-	// keepLeast is the length from which shared parts are worth looking for.
-	// Shorter ones are computed sooner than a transfer is set up.
-	keepLeast = 1024
 	// partsMost bounds the parts that are looked at.
 	partsMost = 16
-	// fetchSetup is what a fetch costs beside the transfer.
+	// fetchSetup is what a fetch costs beside the transfer, in milliseconds: a
+	// call from one engine to another and back. Shared parts that are computed
+	// sooner are not worth looking for.
 	fetchSetup = 4.0
 	// otherZoneTransfer is how much longer transfers between zones take.
 	otherZoneTransfer = 2.0
-	// defaultTransfer is the time to fetch a token, in milliseconds, when the
-	// configuration does not tell the links.
-	defaultTransfer = 0.4 / tokensPerMilli
+	// fetchShare is the time to fetch a token as a part of the time to compute
+	// it, when the configuration does not tell the links.
+	fetchShare = 0.4
 )
 
 // Reasons of a placement, as the log shows them.
@@ -47,6 +36,8 @@
 type prompt struct {
 	root   wasabiridge.CacheRoot
 	engine bool
+	// costs tell how long engines take for it.
+	costs *wasabicost.Estimator
 	// parts and lengths are those that other requests have too; shared sums up
 	// their tokens, and own counts the rest.
 	parts       []wasabiridge.BlockHash
@@ -57,9 +48,9 @@
 	keys    []uint64
 }
 
-func promptOf(r wasabiridge.Request) prompt {
+func (pl *pool) promptOf(r wasabiridge.Request) prompt {
 	c := r.Chain
-	out := prompt{root: c.Root, engine: r.Model != "", own: c.Tokens}
+	out := prompt{root: c.Root, engine: r.Model != "", own: c.Tokens, costs: pl.costsOf(r.Model)}
 	// The last part belongs to the request or its session.
 	for i := 0; i < len(c.Blocks)-1 && i < partsMost; i++ {
 		out.parts = append(out.parts, c.Blocks[i])
@@ -70,7 +61,14 @@
 	return out
 }
 
-func (p *prompt) isLong() bool { return p.shared >= keepLeast }
+// isTracked reports whether the shared parts are worth looking for: whether they
+// take longer to compute than a fetch takes to begin.
+func (p *prompt) isTracked() bool { return p.engine && p.compute(p.shared, 0) >= fetchSetup }
+
+// compute is the time, in milliseconds, to compute tokens behind others.
+func (p *prompt) compute(tokens, behind int) float64 {
+	return p.costs.Compute(wasabicost.Work{Tokens: tokens, Behind: behind})
+}
 
 func (p *prompt) tokens() int { return p.shared + p.own }
 
@@ -90,19 +88,13 @@
 	return keys
 }
 
-// compute is the time, in milliseconds, to compute tokens behind others.
-func compute(tokens, behind int) float64 {
-	n := float64(tokens)
-	return stepShare*n/tokensPerMilli + n*(float64(behind)+n/2)/pairsPerMilli
-}
-
 // workFor is the time that the prompt needs at an engine that got it for the
 // given reason and holds so many tokens of it.
 func (p *prompt) workFor(why string, held int) float64 {
 	if why == whyFetched || why == whyKept {
 		held = p.shared
 	}
-	return compute(p.tokens()-held, held)
+	return p.compute(p.tokens()-held, held)
 }
 
 // source is where a replica would get the shared parts of a prompt from.
@@ -123,8 +115,8 @@
 
 // sourceOf finds the cheapest way for a replica to come by a prompt.
 func (p *Placer) sourceOf(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt) source {
-	if !pr.isLong() {
-		work := compute(pr.tokens(), 0)
+	if !pr.isTracked() {
+		work := pr.compute(pr.tokens(), 0)
 		return source{why: WhyLoad, cost: work, work: work}
 	}
 	keys := pr.keysFor(r.weights[pr.root.Model])
@@ -147,7 +139,7 @@
 		out.again = missing
 	}
 	if k := p.kept.first(); k != nil && p.kept.holds(last) {
-		time := p.kept.wait(now) + float64(missing)*transfer(pl.config.TokenBytes, k.LinkMegabits)*distance(k.Zone, r)
+		time := p.kept.wait(now) + float64(missing)*pr.transfer(pl.config.TokenBytes, k.LinkMegabits)*distance(k.Zone, r)
 		out.consider(pr, whyKept, k.Address, time)
 	}
 	for _, other := range pl.replicas {
@@ -155,7 +147,7 @@
 			continue
 		}
 		if ready, ok := other.cache.find(last); ok && ready {
-			time := float64(missing) * transfer(pl.config.TokenBytes, pl.config.LinkMegabits) * distance(other.server.Zone, r)
+			time := float64(missing) * pr.transfer(pl.config.TokenBytes, pl.config.LinkMegabits) * distance(other.server.Zone, r)
 			out.consider(pr, whyFetched, wasabiaddress.HostPort(other.server.URL), time)
 		}
 	}
@@ -164,7 +156,7 @@
 
 // consider takes a fetch that takes the given time, if it is cheaper.
 func (s *source) consider(pr *prompt, why, address string, time float64) {
-	work := compute(pr.own, pr.shared)
+	work := pr.compute(pr.own, pr.shared)
 	if cost := fetchSetup + time + work; cost < s.cost || s.again > 0 {
 		s.why, s.fetchFrom, s.cost, s.work = why, address, cost, work
 		s.again, s.copied = 0, pr.shared-s.held
@@ -182,10 +174,15 @@
 }
 
 // transfer is the time to fetch a token, in milliseconds.
-func transfer(tokenBytes int, megabits float64) float64 {
+func (p *prompt) transfer(tokenBytes int, megabits float64) float64 {
 	if tokenBytes <= 0 || megabits <= 0 {
-		return defaultTransfer
+		return fetchShare * p.compute(1, 0)
 	}
+	return transfer(tokenBytes, megabits)
+}
+
+// transfer is the time that a token takes over a link, in milliseconds.
+func transfer(tokenBytes int, megabits float64) float64 {
 	return float64(tokenBytes) * 8 / (megabits * 1000)
 }
 
