What waits at an engine follows its priorities, its memory and overdue answers

The first token of an urgent prompt, which overtakes inside the engine, was taken to show that all before it were done, so engines with seconds of work passed for idle. Answers of some 400 tokens hold the memory of their prompts for seconds while prompts are read in between; memory ran out long before the slots, and nothing counted it.

Change: what waits is kept in the order in which an engine takes it, by priority; an own prompt whose first token is overdue adds the time by which it is. Tokens of prompts and answers count against an engine's memory as requests count against its slots, those of other instances included (LoadNews). A fetch that takes longer than reading again, weighed by what both lose, is not made: requests waited up to 3.7 s for the link of the store of kept cache to save 500 tokens. Instances may be told that an engine takes light work only; nobody says so yet.

--- a/catalog.go
+++ b/catalog.go
@@ -85,6 +85,8 @@
 	Backend BackendServerID
 	// Resting is for how long the server takes no new work. Zero ends a rest.
 	Resting Millis
+	// Easing is for how long the server takes only light work. Zero ends that.
+	Easing Millis
 	// Weights is the version of Model that the server serves now. Zero says
 	// nothing.
 	Model   ModelID
@@ -99,6 +101,8 @@
 	// a first byte still need.
 	Inside int
 	Work   Millis
+	// Tokens counts those of the prompts and answers of these attempts.
+	Tokens int
 }
 
 // PartNews says that the sender has sent a part of a prompt to an engine, or
@@ -110,8 +114,10 @@
 	Key uint64
 	// Tokens is the length of the part, Own what the request reads beyond it.
 	Tokens, Own int
-	// Work is the time that the request needs at the engine.
-	Work Millis
+	// Work is the time that the request needs at the engine, Priority its rank
+	// there.
+	Work     Millis
+	Priority Priority
 	// Ready says that the engine has read the part. Saved says that it was
 	// told to export it.
 	Ready, Saved bool
--- a/decision.go
+++ b/decision.go
@@ -116,6 +116,14 @@
 	Until   Millis
 }
 
+// BackendEasing says that a backend server takes only light work until a point in
+// time, because it will load weights soon and should have little to finish then.
+// A time that has passed ends that.
+type BackendEasing struct {
+	Backend BackendServerID
+	Until   Millis
+}
+
 // PeerPlaced says what another instance has sent to backend servers.
 type PeerPlaced struct {
 	From  InstanceID
@@ -148,6 +156,7 @@
 func (WeightsReported) isEvent()   {}
 func (WeightsNamed) isEvent()      {}
 func (BackendResting) isEvent()    {}
+func (BackendEasing) isEvent()     {}
 func (PeerPlaced) isEvent()        {}
 func (KeptCacheSeen) isEvent()     {}
 func (ConfigAdopted) isEvent()     {}
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -14,6 +14,10 @@
 const (
 	maxNews   = 4096
 	maxTokens = 1 << 24
+	// maxInsideTokens bounds the tokens that one instance may have inside a backend
+	// server, maxPriority the rank of a request.
+	maxInsideTokens = 1 << 30
+	maxPriority     = 1 << 20
 )
 
 var _ wasabiridge.CatalogPeers = (*Client)(nil)
@@ -103,16 +107,16 @@
 	out := &pb.News{From: string(n.From), Changed: n.Changed}
 	for _, r := range n.Rests {
 		out.Rests = append(out.Rests, &pb.RestNews{
-			Backend: string(r.Backend), RestingMs: uint64(max(r.Resting, 0)), Model: string(r.Model), Weights: uint64(r.Weights),
+			Backend: string(r.Backend), RestingMs: uint64(max(r.Resting, 0)), EasingMs: uint64(max(r.Easing, 0)), Model: string(r.Model), Weights: uint64(r.Weights),
 		})
 	}
 	for _, l := range n.Loads {
-		out.Loads = append(out.Loads, &pb.LoadNews{Backend: string(l.Backend), Inside: uint32(max(l.Inside, 0)), WorkMs: uint32(max(l.Work, 0))})
+		out.Loads = append(out.Loads, &pb.LoadNews{Backend: string(l.Backend), Inside: uint32(max(l.Inside, 0)), WorkMs: uint32(max(l.Work, 0)), Tokens: uint32(min(max(l.Tokens, 0), maxInsideTokens))})
 	}
 	for _, p := range n.Parts {
 		out.Parts = append(out.Parts, &pb.PartNews{
 			Backend: string(p.Backend), Key: p.Key, Tokens: uint32(max(p.Tokens, 0)), Own: uint32(max(p.Own, 0)), Ready: p.Ready, Saved: p.Saved,
-			WorkMs: uint32(max(p.Work, 0)), Kept: p.Kept,
+			WorkMs: uint32(max(p.Work, 0)), Kept: p.Kept, Priority: int32(min(max(p.Priority, -maxPriority), maxPriority)),
 		})
 	}
 	return out
@@ -126,20 +130,22 @@
 	for _, r := range in.Rests {
 		n.Rests = append(n.Rests, wasabiridge.RestNews{
 			Backend: wasabiridge.BackendServerID(r.Backend), Model: wasabiridge.ModelID(r.Model),
-			Resting: wasabiridge.Millis(min(r.RestingMs, uint64(wasabiridge.Minute))), Weights: wasabiridge.WeightsVersion(r.Weights),
+			Resting: wasabiridge.Millis(min(r.RestingMs, uint64(wasabiridge.Minute))),
+			Easing:  wasabiridge.Millis(min(r.EasingMs, uint64(wasabiridge.Minute))), Weights: wasabiridge.WeightsVersion(r.Weights),
 		})
 	}
 	for _, l := range in.Loads {
 		n.Loads = append(n.Loads, wasabiridge.LoadNews{
 			Backend: wasabiridge.BackendServerID(l.Backend), Inside: int(min(l.Inside, maxNews)),
-			Work: wasabiridge.Millis(min(uint64(l.WorkMs), uint64(wasabiridge.Minute))),
+			Work: wasabiridge.Millis(min(uint64(l.WorkMs), uint64(wasabiridge.Minute))), Tokens: int(min(l.Tokens, maxInsideTokens)),
 		})
 	}
 	for _, p := range in.Parts {
 		n.Parts = append(n.Parts, wasabiridge.PartNews{
 			Backend: wasabiridge.BackendServerID(p.Backend), Key: p.Key, Tokens: int(min(p.Tokens, maxTokens)),
 			Own: int(min(p.Own, maxTokens)), Ready: p.Ready, Saved: p.Saved, Kept: p.Kept,
-			Work: wasabiridge.Millis(min(uint64(p.WorkMs), uint64(wasabiridge.Minute))),
+			Work:     wasabiridge.Millis(min(uint64(p.WorkMs), uint64(wasabiridge.Minute))),
+			Priority: wasabiridge.Priority(min(max(p.Priority, -maxPriority), maxPriority)),
 		})
 	}
 	return n, nil
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -59,10 +59,10 @@
 	pr := pl.promptOf(q.Request)
 	share, most := pl.shareOf(r.Action.Priority, &pr), pl.patienceOf(q.Request, &pr)
 	for _, rep := range pl.replicas {
-		if !l.placer.eligible(now, rep, q) || rep.server.Slots > 0 && rep.load(now) >= share*float64(rep.server.Slots) {
+		if !l.placer.eligible(now, rep, q) || rep.fullness(now, pr.memory()) >= share {
 			continue
 		}
-		wait := rep.line.wait(now)
+		wait := rep.queue(now, &pr, pl.stay)
 		if wait <= most {
 			return wasabiridge.Admission{Verdict: wasabiridge.Admitted}
 		}
@@ -92,18 +92,6 @@
 	return fullShare + (urgentShare-fullShare)*float64(min(max(priority, 0), priorityMost))/priorityMost
 }
 
-// isHeavy reports whether a prompt takes longer to compute than prompts do in the
-// mean.
-func (pl *pool) isHeavy(pr *prompt) bool {
-	return pr.compute(pr.tokens(), 0) > pl.meanWork
-}
-
-// isLight reports whether a prompt takes much less to compute than prompts do in the
-// mean.
-func (pl *pool) isLight(pr *prompt) bool {
-	return pr.compute(pr.tokens(), 0) < lightShare*pl.meanWork
-}
-
 // patienceOf is how long a request may wait at a replica, in milliseconds.
 //
 // The failure it guards against: long prompts pile up at the replicas that are
--- a/internal/wasabireplica/loss.go
+++ b/internal/wasabireplica/loss.go
@@ -21,6 +21,10 @@
 	// than oldGrace.
 	oldLoss  = 0.2
 	oldGrace = 1200 * wasabiridge.Millis(1)
+	// easeLoss is for heavy work at a replica that takes light work only, so that
+	// it has little to finish before it loads new weights. It is more than the
+	// other replicas differ by while none of them is late.
+	easeLoss = 0.3
 	// againLoss is for each token that is computed although some replica has
 	// read it or is reading it.
 	againLoss = 0.14 / 1000
--- a/internal/wasabireplica/news.go
+++ b/internal/wasabireplica/news.go
@@ -33,9 +33,9 @@
 	p.news.parts = nil
 	var loads []wasabiridge.LoadNews
 	for id, r := range p.replicas {
-		if r.inside != r.told {
-			r.told = r.inside
-			loads = append(loads, wasabiridge.LoadNews{Backend: id, Inside: r.inside})
+		if r.own != r.told {
+			r.told = r.own
+			loads = append(loads, wasabiridge.LoadNews{Backend: id, Inside: r.own.inside, Tokens: r.own.tokens})
 		}
 	}
 	slices.SortFunc(loads, func(a, b wasabiridge.LoadNews) int { return compare(a.Backend, b.Backend) })
@@ -44,15 +44,15 @@
 
 // peerLoad is what another instance has at a replica.
 type peerLoad struct {
-	inside int
-	at     wasabiridge.Millis
+	occupation
+	at wasabiridge.Millis
 }
 
 // peerPlaced takes what another instance has sent.
 func (p *Placer) peerPlaced(now wasabiridge.Millis, e wasabiridge.PeerPlaced) {
 	for _, l := range e.Loads {
 		if r := p.replicas[l.Backend]; r != nil {
-			r.peers[e.From] = peerLoad{inside: l.Inside, at: now}
+			r.peers[e.From] = peerLoad{occupation: occupation{inside: l.Inside, tokens: l.Tokens}, at: now}
 		}
 	}
 	for _, part := range e.Parts {
@@ -72,7 +72,7 @@
 		}
 		p.notePart(now, r, part)
 		if part.Work > 0 {
-			r.line.enter(now, waitingPrompt{key: part.Key, work: float64(part.Work)})
+			r.line.enter(now, waitingPrompt{key: part.Key, priority: part.Priority, left: float64(part.Work)})
 		}
 	}
 }
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -23,6 +23,10 @@
 		if r := p.replicas[e.Backend]; r != nil {
 			r.restUntil = e.Until
 		}
+	case wasabiridge.BackendEasing:
+		if r := p.replicas[e.Backend]; r != nil {
+			r.easeUntil = e.Until
+		}
 	case wasabiridge.KeptCacheSeen:
 		p.kept.seen(e)
 	case wasabiridge.PeerPlaced:
@@ -30,7 +34,7 @@
 	case wasabiridge.LoadReported:
 		if r := p.replicas[e.Report.Backend]; r != nil {
 			r.heard = now
-			r.running, r.waiting, r.reported, r.insideThen = e.Report.Running, e.Report.Waiting, now, r.inside
+			r.running, r.waiting, r.reported, r.insideThen = e.Report.Running, e.Report.Waiting, now, r.own.inside
 		}
 	case wasabiridge.InstancesCounted:
 		p.instances = max(1, e.Count)
@@ -75,7 +79,7 @@
 		r.cache.clear()
 		r.line.clear()
 		// New weights serve: the rest is over.
-		r.restUntil = 0
+		r.restUntil, r.easeUntil = 0, 0
 	}
 	r.weights[e.Model] = e.Weights
 }
@@ -131,14 +135,18 @@
 	}
 	delete(p.attempts, e.Attempt)
 	r := a.replica
-	r.inside--
+	r.own.inside--
+	r.own.tokens -= a.prompt.memory()
+	if pl := p.pools[a.pool]; pl != nil && e.Result == wasabiridge.AttemptCompleted {
+		pl.learnStay(float64(now - a.sent))
+	}
 	if !a.first {
 		r.line.leave(now, func(w waitingPrompt) bool { return w.attempt == e.Attempt })
 		for _, key := range a.keys {
 			r.cache.drop(key)
 		}
 	}
-	if r.gone && r.inside <= 0 {
+	if r.gone && r.own.inside <= 0 {
 		delete(p.replicas, r.server.ID)
 	}
 	r.trying = false
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -100,6 +100,7 @@
 // sending is an attempt that has not ended.
 type sending struct {
 	replica *replica
+	pool    wasabiridge.PoolID
 	sent    wasabiridge.Millis
 	work    float64
 	prompt  prompt
@@ -241,7 +242,7 @@
 // weigh works out what a request is expected to lose at a replica.
 func (p *Placer) weigh(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt, target wasabiridge.Millis) choice {
 	c := choice{replica: r}
-	wait := r.queue(now) + r.faults(pl)
+	wait := r.queue(now, pr, pl.stay) + r.faults(pl)
 	if !pr.engine {
 		c.score = lateLoss(wait+pl.delay, target)
 	} else {
@@ -252,6 +253,9 @@
 			c.score += oldLoss
 		}
 	}
+	if now < r.easeUntil && pl.isHeavy(pr) {
+		c.score += easeLoss
+	}
 	if p.options.Zone != "" && r.server.Zone != p.options.Zone {
 		c.score += zoneLoss
 	}
@@ -289,23 +293,24 @@
 	if pool == nil {
 		return
 	}
-	a := sending{replica: rep, sent: now, work: plainWork, prompt: pool.promptOf(pool.asServed(r)), wait: rep.line.wait(now)}
+	a := sending{replica: rep, sent: now, work: plainWork, prompt: pool.promptOf(pool.asServed(r)), pool: r.Action.Pool}
+	a.wait = rep.line.wait(now, a.prompt.priority)
 	a.measures = pl.Why == WhyLoad || pl.Why == whyHeld || pl.Why == whyComputed
 	if a.measures {
 		a.held = pl.ClaimedTokens
 	}
 	a.bound = suspectAfter + wasabiridge.Millis(queueFactor*float64(pl.ExpectedWait))
-	rep.inside++
+	rep.own = rep.own.plus(occupation{inside: 1, tokens: a.prompt.memory()})
 	if a.prompt.engine {
 		a.work = a.prompt.workFor(pl.Why, pl.ClaimedTokens)
-		pool.learnWork(a.prompt.compute(a.prompt.tokens(), 0))
+		pool.learnWork(&a.prompt)
 	}
 	if a.prompt.isTracked() {
 		a.keys = a.prompt.keysFor(pl.Weights)
 		p.sendParts(now, rep, &a, pl)
-		rep.line.enter(now, waitingPrompt{attempt: id, work: a.work})
-	} else {
-		rep.line.add(now, a.work)
+	}
+	if a.prompt.engine {
+		rep.line.enter(now, waitingPrompt{attempt: id, priority: a.prompt.priority, left: a.work})
 	}
 	p.attempts[id] = a
 }
@@ -317,7 +322,7 @@
 			Backend: rep.server.ID, Key: key, Tokens: a.prompt.lengths[i], Saved: pl.SaveTo != "", Kept: pl.Why == whyKept,
 		}
 		if i == len(a.keys)-1 {
-			n.Own, n.Work = a.prompt.own, wasabiridge.Millis(a.work)
+			n.Own, n.Work, n.Priority = a.prompt.own, wasabiridge.Millis(a.work), a.prompt.priority
 		}
 		p.notePart(now, rep, n)
 		p.news.add(n)
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -21,8 +21,11 @@
 	// costs are what was learned of the engines, by model.
 	costs map[wasabiridge.ModelID]*wasabicost.Estimator
 	// meanWork is the learned mean time to compute a whole prompt, in
+	// milliseconds, meanOut the mean of the tokens that answers may have.
+	meanWork, meanOut float64
+	// stay is the learned mean time of an answer from first to last, in
 	// milliseconds.
-	meanWork float64
+	stay float64
 }
 
 // costsOf returns what was learned of the engines that serve a model.
@@ -37,12 +40,34 @@
 	return costs
 }
 
-// learnWork takes the time to compute a whole prompt.
-func (pl *pool) learnWork(work float64) {
+// learnWork takes the size of a request.
+func (pl *pool) learnWork(pr *prompt) {
+	work, out := pr.compute(pr.tokens(), 0), float64(pr.out)
 	if pl.meanWork == 0 {
-		pl.meanWork = work
+		pl.meanWork, pl.meanOut = work, out
 	}
 	pl.meanWork += workRate * (work - pl.meanWork)
+	pl.meanOut += workRate * (out - pl.meanOut)
+}
+
+// learnStay takes the time that an answer took from first to last.
+func (pl *pool) learnStay(ms float64) {
+	if pl.stay == 0 {
+		pl.stay = ms
+	}
+	pl.stay += workRate * (ms - pl.stay)
+}
+
+// isHeavy reports whether a request takes longer to compute, or to answer, than
+// requests do in the mean.
+func (pl *pool) isHeavy(pr *prompt) bool {
+	return pr.compute(pr.tokens(), 0) > pl.meanWork || float64(pr.out) > pl.meanOut
+}
+
+// isLight reports whether a request takes much less to compute than requests do in
+// the mean.
+func (pl *pool) isLight(pr *prompt) bool {
+	return pr.compute(pr.tokens(), 0) < lightShare*pl.meanWork
 }
 
 // asServed returns a request without its model when the pool's servers have
@@ -64,7 +89,7 @@
 		pl := &pool{config: cp, costs: map[wasabiridge.ModelID]*wasabicost.Estimator{}}
 		if before := p.pools[cp.ID]; before != nil {
 			pl.budget, pl.failures, pl.delay = before.budget, before.failures, before.delay
-			pl.costs, pl.meanWork = before.costs, before.meanWork
+			pl.costs, pl.meanWork, pl.meanOut, pl.stay = before.costs, before.meanWork, before.meanOut, before.stay
 		}
 		backends := slices.SortedFunc(slices.Values(cp.Backends), func(a, b wasabiridge.BackendServer) int {
 			return compare(a.ID, b.ID)
@@ -77,6 +102,7 @@
 				p.replicas[b.ID] = r
 			}
 			r.server, r.gone = b, false
+			r.memory = cp.CacheTokens
 			r.cache.limit = int(cacheShare * float64(cp.CacheTokens))
 			pl.replicas = append(pl.replicas, r)
 		}
@@ -88,7 +114,7 @@
 			continue
 		}
 		r.gone = true
-		if r.inside <= 0 {
+		if r.own.inside <= 0 {
 			delete(p.replicas, id)
 		}
 	}
--- a/internal/wasabireplica/prompt.go
+++ b/internal/wasabireplica/prompt.go
@@ -38,6 +38,9 @@
 	engine bool
 	// costs tell how long engines take for it.
 	costs *wasabicost.Estimator
+	// out is how many tokens the answer may have.
+	out      int
+	priority wasabiridge.Priority
 	// parts and lengths are those that other requests have too; shared sums up
 	// their tokens, and own counts the rest.
 	parts       []wasabiridge.BlockHash
@@ -50,7 +53,7 @@
 
 func (pl *pool) promptOf(r wasabiridge.Request) prompt {
 	c := r.Chain
-	out := prompt{root: c.Root, engine: r.Model != "", own: c.Tokens, costs: pl.costsOf(r.Model)}
+	out := prompt{root: c.Root, engine: r.Model != "", own: c.Tokens, costs: pl.costsOf(r.Model), out: r.MaxTokens, priority: r.Action.Priority}
 	// The last part belongs to the request or its session.
 	for i := 0; i < len(c.Blocks)-1 && i < partsMost; i++ {
 		out.parts = append(out.parts, c.Blocks[i])
@@ -72,6 +75,14 @@
 
 func (p *prompt) tokens() int { return p.shared + p.own }
 
+// memory is how many tokens the request takes up in a replica's memory.
+func (p *prompt) memory() int {
+	if !p.engine {
+		return 0
+	}
+	return p.tokens() + p.out
+}
+
 // keysFor returns the names of the parts under a version of the weights.
 func (p *prompt) keysFor(w wasabiridge.WeightsVersion) []uint64 {
 	if p.keys != nil && p.weights == w {
@@ -154,10 +165,14 @@
 	return out
 }
 
+// againWait is how long a fetch may take longer than computing for each token
+// that would be computed again, in milliseconds: by as much as both lose the same.
+const againWait = againLoss / workLoss
+
 // consider takes a fetch that takes the given time, if it is cheaper.
 func (s *source) consider(pr *prompt, why, address string, time float64) {
 	work := pr.compute(pr.own, pr.shared)
-	if cost := fetchSetup + time + work; cost < s.cost || s.again > 0 {
+	if cost := fetchSetup + time + work; cost < s.cost+againWait*float64(s.again) {
 		s.why, s.fetchFrom, s.cost, s.work = why, address, cost, work
 		s.again, s.copied = 0, pr.shared-s.held
 	}
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -38,14 +38,23 @@
 	queueFactor = 2
 	// plainWork is the work of a request without a prompt, in milliseconds.
 	plainWork = 0
-	// waitingCost is the time that a request waiting inside a replica adds, in
-	// milliseconds, runningCost that of all slots running.
-	waitingCost = 8.0
+	// runningCost is the time that all slots running add to an answer, in
+	// milliseconds: the steps of the others, in which a prompt is not computed. It
+	// decides between replicas of which none has a queue.
 	runningCost = 8.0
-	// fullCost is the surcharge for each request beyond the replica's slots.
-	fullCost = 25.0
+	// spareCost is the surcharge, in milliseconds, for each request beyond the
+	// slots of a server whose answers' times are not learned yet.
+	spareCost = 25.0
 )
 
+// occupation is what an instance has inside a replica: attempts, and the tokens
+// of their prompts and answers.
+type occupation struct{ inside, tokens int }
+
+func (o occupation) plus(other occupation) occupation {
+	return occupation{inside: o.inside + other.inside, tokens: o.tokens + other.tokens}
+}
+
 // replica is what is known of one replica.
 type replica struct {
 	server wasabiridge.BackendServer
@@ -53,10 +62,13 @@
 	// weights are the versions that it serves, by model.
 	weights map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	cache   cache
-	// inside counts this instance's attempts there, told what the others were
-	// told of it, peers what they told.
-	inside, told int
-	peers        map[wasabiridge.InstanceID]peerLoad
+	// own is what this instance has there, told what the others were told of it,
+	// peers what they told.
+	own, told occupation
+	peers     map[wasabiridge.InstanceID]peerLoad
+	// memory is how many tokens the replica has room for. Zero means that it is
+	// not known.
+	memory int
 	// line is the work that was sent, by all instances.
 	line line
 	// running and waiting are from the last report, insideThen what inside was
@@ -68,6 +80,9 @@
 	heard wasabiridge.Millis
 	// restUntil is until when the replica takes no new work.
 	restUntil wasabiridge.Millis
+	// easeUntil is until when the replica takes light work only, if others can
+	// take the rest.
+	easeUntil wasabiridge.Millis
 	// pausedUntil and pause leave it alone after failures.
 	pausedUntil wasabiridge.Millis
 	pause       wasabiridge.Millis
@@ -104,33 +119,47 @@
 	r.pause, r.pausedUntil, r.trying = 0, 0, false
 }
 
-// load is how many requests are believed to be inside, those of other
-// instances included.
-func (r *replica) load(now wasabiridge.Millis) float64 {
-	known := r.inside
+// occupied is what is believed to be inside, that of other instances included.
+func (r *replica) occupied(now wasabiridge.Millis) occupation {
+	known := r.own
 	for _, p := range r.peers {
 		if now-p.at < peerLife {
-			known += p.inside
+			known = known.plus(p.occupation)
 		}
 	}
 	if now-r.reported <= reportLife {
-		return max(float64(known), float64(r.running+r.waiting+r.inside-r.insideThen))
+		known.inside = max(known.inside, r.running+r.waiting+r.own.inside-r.insideThen)
 	}
-	return float64(known)
+	return known
 }
 
-// queue is the expected wait in milliseconds.
-func (r *replica) queue(now wasabiridge.Millis) float64 {
-	load := r.load(now)
-	slots := float64(max(1, r.server.Slots))
-	wait := r.line.wait(now) + load*runningCost/slots
-	if now-r.reported <= reportLife {
-		wait += float64(r.waiting) * waitingCost
+// fullness is what is inside as a part of the replica's slots or of its memory,
+// whichever is more, with so many further tokens.
+func (r *replica) fullness(now wasabiridge.Millis, tokens int) float64 {
+	o := r.occupied(now)
+	full := 0.0
+	if r.server.Slots > 0 {
+		full = float64(o.inside) / float64(r.server.Slots)
+	}
+	if r.memory > 0 {
+		full = max(full, float64(o.tokens+tokens)/float64(r.memory))
+	}
+	return full
+}
+
+// queue is the expected wait of a request in milliseconds: for what is computed
+// before it, and for a slot and memory. Answers take stay milliseconds in the
+// mean, so what is taken by then is free.
+func (r *replica) queue(now wasabiridge.Millis, pr *prompt, stay float64) float64 {
+	full := r.fullness(now, pr.tokens())
+	wait := r.line.wait(now, pr.priority) + min(full, 1)*runningCost
+	if full <= 1 {
+		return wait
 	}
-	if load >= slots {
-		wait += (load - slots + 1) * fullCost
+	if stay == 0 {
+		stay = spareCost * float64(max(1, r.server.Slots))
 	}
-	return wait
+	return wait + (full-1)*stay
 }
 
 // faults is the surcharge for what was learned, compared with the pool.
