Replicas are emptied before they load weights: light work only, and running answers are moved

Change: a replica is read before its turn, so dark ones take none, and one that falls silent under its order is not counted. While it waits for its turn it takes light work only; it rests when there is a place. Every instance then moves its resumable streams that run there to a replica with the same weights and room, one after the other: the engine stops the answer, copies its memory, and the stream goes on from it within the same answer. What cannot be moved runs on. No constant for the length of a load is left; replicas are read every 150 ms.

Tests: moves in the core, the relay (a table of failures), the platform and the placer's choice; dark and silent replicas, and easing, in wasabiupgrade.

--- a/attempt.go
+++ b/attempt.go
@@ -46,6 +46,9 @@
 	// neither.
 	FetchFrom string
 	SaveTo    string
+	// MemoryFrom names the memory of an earlier attempt that was moved to the
+	// engine, which goes on from it. Empty means none.
+	MemoryFrom string
 	// MaySend is asked right before the first byte is handed to a connection.
 	// When it reports false nothing is sent. Nil always allows it.
 	MaySend func() bool
--- a/cmd/wasabirouter/hosted.go
+++ b/cmd/wasabirouter/hosted.go
@@ -25,7 +25,7 @@
 	var node *wasabinode.Node
 	var err error
 	node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: log, LinesDropped: log.Dropped, Platform: wasabinode.Platform{
-		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches,
+		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches, Mover: parts.Moves,
 		Directory: platform.Directory, Ready: platform.Ready,
 	}})
 	if err != nil {
--- a/config.go
+++ b/config.go
@@ -64,6 +64,9 @@
 	// they are not known.
 	TokenBytes   int     `json:"token_bytes,omitempty"`
 	LinkMegabits float64 `json:"link_megabits,omitempty"`
+	// MovesRuns says that the pool's engines move the memory of running answers to
+	// each other.
+	MovesRuns bool `json:"moves_runs,omitempty"`
 }
 
 // KeptCache is a store of KV cache that engines export to and import from.
--- a/decision.go
+++ b/decision.go
@@ -78,6 +78,9 @@
 	// Delivered counts output tokens that already reached the caller.
 	Delivered int
 	Usage     Usage
+	// Moved says where the answer goes on, when its memory was moved. It is not a
+	// failure of the server then, and the next attempt not one more run.
+	Moved Moved
 }
 
 // LoadReported carries a load report.
@@ -184,6 +187,9 @@
 	// parts of the prompt, as IP:port. Empty means nowhere.
 	FetchFrom string
 	SaveTo    string
+	// MemoryFrom names the memory of the attempt before, which was moved to this
+	// server.
+	MemoryFrom string
 	// FirstByte bounds the wait for the first byte of the answer. It is set
 	// only where the request may go to another server after it. Zero means no
 	// bound of its own.
@@ -269,11 +275,16 @@
 	FetchFrom string
 	SaveTo    string
 	FirstByte Millis
+	// MemoryFrom goes to the Dispatch.
+	MemoryFrom string
 	// Never says, of a placement that was not found, that none will be found
 	// however long the request waits.
 	Never bool
 }
 
+// WhyMoved is why an attempt goes where the memory of the one before was moved.
+const WhyMoved = "moved"
+
 // Placer chooses backend servers. Implementations are deterministic and not
 // safe for concurrent use.
 type Placer interface {
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -122,8 +122,13 @@
 	if en.running() > 0 {
 		return
 	}
+	if e.Moved.Memory != "" && en.delivered > 0 {
+		a.moved = true
+		c.goOn(now, en, e.Moved)
+		return
+	}
 	why, allowed := recovery(en)
-	if !allowed || len(en.attempts) >= c.options.MaxAttempts || en.usedUp() {
+	if !allowed || en.tries() >= c.options.MaxAttempts || en.usedUp() {
 		c.refuse(now, en, wasabiridge.RefusedBroken, e.RetryAfter)
 		return
 	}
@@ -139,6 +144,12 @@
 	c.place(now, en, why)
 }
 
+// goOn sends an attempt to where the memory of the one before was moved. It is the
+// same run, so that neither the budget nor the attempts of the rule are used up.
+func (c *Core) goOn(now wasabiridge.Millis, en *entry, m wasabiridge.Moved) {
+	c.dispatch(now, en, wasabiridge.Placement{Backend: m.To, Weights: en.weights, Why: wasabiridge.WhyMoved, MemoryFrom: m.Memory}, placeResume)
+}
+
 // recovery says which kind of further attempt the request allows.
 func recovery(en *entry) (placeReason, bool) {
 	action := en.request.Action
--- a/internal/wasabicore/core_test.go
+++ b/internal/wasabicore/core_test.go
@@ -177,6 +177,38 @@
 	}
 })
 
+var _ = Describe("A stream whose memory was moved", func() {
+	// An engine is about to load weights. The answer that runs there is stopped, its
+	// memory goes to another engine, and the stream goes on from it: the same run,
+	// so that a rule that allows one attempt allows this.
+	moved := func(core *wasabicore.Core) (first, second wasabiridge.Dispatch) {
+		first = pick(core.Handle(1, wasabiridge.RequestArrived{Request: request(wasabiridge.Action{Resume: true, Attempts: 1})}))[0].(wasabiridge.Dispatch)
+		core.Handle(2, wasabiridge.AttemptSent{Request: "r", Attempt: first.Attempt})
+		second = pick(core.Handle(3, wasabiridge.AttemptEnded{
+			Request: "r", Attempt: first.Attempt, Backend: first.Backend.ID, Result: wasabiridge.AttemptBroken,
+			Delivered: 7, Usage: wasabiridge.Usage{Weights: 4}, Moved: wasabiridge.Moved{To: wasabiridge.BackendServer{ID: "e5"}, Memory: "a/1"},
+		}))[0].(wasabiridge.Dispatch)
+		return first, second
+	}
+
+	It("goes on where the memory is, with the same weights", func() {
+		_, second := moved(newCore())
+		Expect(second.Backend.ID).To(BeEquivalentTo("e5"))
+		Expect(second.MemoryFrom).To(Equal("a/1"))
+		Expect(second.ResumeFrom).To(Equal(7))
+		Expect(second.Weights).To(Equal(wasabiridge.WeightsVersion(4)))
+	})
+
+	It("goes on elsewhere when the memory is not there any more", func() {
+		core := newCore()
+		_, second := moved(core)
+		third := pick(core.Handle(4, wasabiridge.AttemptEnded{Request: "r", Attempt: second.Attempt, Backend: "e5", Result: wasabiridge.AttemptNotRun}))[0].(wasabiridge.Dispatch)
+		Expect(third.Backend.ID).NotTo(BeEquivalentTo("e5"))
+		Expect(third.MemoryFrom).To(BeEmpty())
+		Expect(third.ResumeFrom).To(Equal(7))
+	})
+})
+
 var _ = Describe("A stream that breaks and can go on nowhere", func() {
 	// The engines have newer weights than the stream began on. Waiting for one that
 	// could go on with it only keeps the caller from asking again.
--- a/internal/wasabicore/entry.go
+++ b/internal/wasabicore/entry.go
@@ -30,6 +30,8 @@
 	over        bool
 	cancelled   bool
 	firstToken  bool
+	// moved says that the run goes on at another server.
+	moved bool
 }
 
 func (e *entry) find(id wasabiridge.AttemptID) *attempt {
@@ -61,6 +63,17 @@
 	return d
 }
 
+// tries counts the attempts, those that go on elsewhere left out.
+func (e *entry) tries() int {
+	n := 0
+	for i := range e.attempts {
+		if !e.attempts[i].moved {
+			n++
+		}
+	}
+	return n
+}
+
 // usedUp reports whether as many attempts may have run as the rule allows.
 // Attempts that did not run do not count.
 func (e *entry) usedUp() bool {
@@ -70,7 +83,7 @@
 	}
 	n := 0
 	for i := range e.attempts {
-		if e.attempts[i].disposition != wasabiridge.NotRun {
+		if e.attempts[i].disposition != wasabiridge.NotRun && !e.attempts[i].moved {
 			n++
 		}
 	}
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -129,6 +129,7 @@
 		Hedge:         why == placeHedge,
 		FetchFrom:     p.FetchFrom,
 		SaveTo:        p.SaveTo,
+		MemoryFrom:    p.MemoryFrom,
 		FirstByte:     p.FirstByte,
 		ExpectedWait:  p.ExpectedWait,
 		Why:           p.Why,
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -91,6 +91,8 @@
 	Table    wasabiridge.Table
 	Engines  wasabiridge.EngineOperator
 	Caches   wasabiridge.CacheReader
+	// Mover moves running answers. Nil means that none are moved.
+	Mover wasabiridge.RunMover
 	// Directory makes the handler that tells callers where to connect, Ready
 	// the one that tells the platform whether requests are taken.
 	Directory func(nearest func(wasabiridge.AvailabilityZone) ([]string, wasabiridge.Millis)) http.Handler
@@ -121,6 +123,7 @@
 	loop        *wasabiloop.Loop
 	placer      *wasabireplica.Placer
 	placed      chan struct{}
+	emptied     chan wasabiridge.BackendServerID
 	relay       *wasabirelay.Relay
 	catalog     *wasabicatalog.Keeper
 	upgrade     *wasabiupgrade.Keeper
@@ -152,6 +155,7 @@
 		incarnation: wasabiridge.Incarnation(o.Clock.Now()),
 		drained:     make(chan struct{}),
 		placed:      make(chan struct{}, 1),
+		emptied:     make(chan wasabiridge.BackendServerID, emptiedSize),
 	}
 	n.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
 	n.inForce.Store(&inForce{config: &wasabiridge.Config{}})
@@ -199,7 +203,7 @@
 		Runner: o.Platform.Runner, Protocol: o.Platform.Protocol, View: n.view,
 		KeyLife:  func() wasabiridge.Millis { return n.terms.Load().KeyLife - keyMargin },
 		DenyLife: func() wasabiridge.Millis { return n.terms.Load().ConfigLife * denyShare / 100 },
-		Leaving:  n.leaving.Load,
+		Leaving:  n.leaving.Load, Mover: o.Platform.Mover,
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
 		Self: n.self(), Members: n.members.Members, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLife)),
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -45,6 +45,9 @@
 			n.upgrade.Hear(r.Backend)
 		}
 		n.loop.Observe(wasabiridge.BackendResting{Backend: r.Backend, Until: now + r.Resting})
+		if r.Resting > 0 {
+			n.empty(r.Backend)
+		}
 		n.loop.Observe(wasabiridge.BackendEasing{Backend: r.Backend, Until: now + r.Easing})
 		if r.Weights > 0 {
 			n.loop.Observe(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights})
--- a/internal/wasabirelay/counts.go
+++ b/internal/wasabirelay/counts.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// move counts a move of an answer by its outcome.
+func (c *Counts) move(outcome string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.causes["move/"+outcome]++
+}
+
 func (c *Counts) observe(name string, took wasabiridge.Millis) {
 	h := c.byName[name]
 	if h == nil {
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -131,9 +131,9 @@
 	x.attempts++
 	x.backend = d.Backend.ID
 	x.logPlaced(d)
-	s := &sink{exchange: x, dispatch: d}
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
+	s := &sink{exchange: x, dispatch: d, cut: cancel}
 	if d.FirstByte > 0 {
 		s.silence = time.AfterFunc(d.FirstByte.Duration(), func() { cancel(errSilent) })
 		defer s.silence.Stop()
@@ -158,6 +158,7 @@
 		// A part of an answer is none to hand on.
 		x.status, x.head, x.held = 0, nil, nil
 	}
+	end.Moved = x.takeMove(d, end)
 	x.relay.options.Loop.Post(end)
 	switch {
 	case whole:
@@ -183,7 +184,7 @@
 		Method: x.r.Method, Path: x.r.URL.RequestURI(), Header: x.header, Body: x.body, Host: x.r.Host, Model: x.request.Model,
 		Stream: x.request.Stream, NonIdempotent: x.request.Action.NonIdempotent, Priority: x.request.Action.Priority,
 		Weights: d.Weights, ResumeFrom: d.ResumeFrom, LastEvent: x.lastEvent,
-		FetchFrom: d.FetchFrom, SaveTo: d.SaveTo, Until: x.until,
+		FetchFrom: d.FetchFrom, SaveTo: d.SaveTo, MemoryFrom: d.MemoryFrom, Until: x.until,
 	}
 	if x.account.ID != "" {
 		a.MaySend = x.proven
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -87,6 +87,8 @@
 	// that its route or its key does not exist. Behind an older one stands the
 	// possibility that it was added since.
 	DenyLife func() wasabiridge.Millis
+	// Mover moves answers between engines. Nil means that none are moved.
+	Mover wasabiridge.RunMover
 	// Leaving reports whether the instance is about to go. Nil means never.
 	Leaving func() bool
 }
@@ -98,11 +100,12 @@
 	keys    wasabikey.Index
 	open    atomic.Int64
 	counts  *Counts
+	running *running
 }
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{options: o, counts: newCounts()}
+	return &Relay{options: o, counts: newCounts(), running: newRunning()}
 }
 
 // Open returns how many requests are being served.
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -90,6 +90,21 @@
 	mu     sync.Mutex
 	view   wasabirelay.View
 	clock  *wasabiclock.Virtual
+	relay  *wasabirelay.Relay
+	mover  moverOf
+}
+
+// moverOf hands moves to the mover of a test.
+type moverOf struct{ wasabiridge.RunMover }
+
+// move lets the relay move answers with a mover.
+func (g *rig) move(m wasabiridge.RunMover) { g.mover.RunMover = m }
+
+// first returns the first attempt.
+func (g *rig) first() wasabiridge.Attempt {
+	g.runner.mu.Lock()
+	defer g.runner.mu.Unlock()
+	return g.runner.attempts[0]
 }
 
 func newRig(then wasabiridge.Action, script ...try) *rig {
@@ -113,12 +128,12 @@
 	loop := wasabiloop.New(wasabiloop.Options{Decider: core, Clock: g.clock})
 	DeferCleanup(loop.Close)
 	loop.Post(wasabiridge.ConfigAdopted{Config: *cfg})
-	relay := wasabirelay.New(wasabirelay.Options{
-		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen,
+	g.relay = wasabirelay.New(wasabirelay.Options{
+		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen, Mover: &g.mover,
 		KeyLife:  func() wasabiridge.Millis { return 4000 },
 		DenyLife: func() wasabiridge.Millis { return 1500 },
 	})
-	g.server = httptest.NewServer(relay)
+	g.server = httptest.NewServer(g.relay)
 	DeferCleanup(g.server.Close)
 	return g
 }
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -1,6 +1,7 @@
 package wasabirelay
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -19,7 +20,11 @@
 	dispatch wasabiridge.Dispatch
 	// silence ends the attempt when no byte comes. Nil when nothing does.
 	silence *time.Timer
-	stream  bool
+	// cut ends the attempt.
+	cut    context.CancelCauseFunc
+	stream bool
+	// first says that the first piece of the answer has come.
+	first bool
 }
 
 var _ wasabiridge.AttemptSink = (*sink)(nil)
@@ -61,6 +66,12 @@
 	if x.firstByte == 0 {
 		x.firstByte = x.relay.options.Clock.Now()
 		x.relay.counts.first(s.stream, x.firstByte-x.arrived)
+	}
+	if !s.first {
+		s.first = true
+		if s.stream && x.request.Action.Resume {
+			x.relay.running.add(&run{request: x.request, dispatch: s.dispatch, cut: s.cut})
+		}
 		x.relay.options.Loop.Post(wasabiridge.AttemptFirstToken{Request: s.dispatch.Request, Attempt: s.dispatch.Attempt})
 	}
 	if !s.stream && len(x.held)+len(data) <= heldBytes && !x.began {
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -156,6 +156,7 @@
 // learn takes what the end of an attempt tells of its replica.
 func (p *Placer) learn(now wasabiridge.Millis, r *replica, first bool, e wasabiridge.AttemptEnded) {
 	switch {
+	case e.Moved.Memory != "":
 	case e.Misdirected:
 		// Another replica has the address now.
 		r.gone = true
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -248,6 +248,25 @@
 		Expect(pl.Weights).To(BeEquivalentTo(2))
 	})
 
+	// Story: an engine loads weights next. What runs there long must end first, so
+	// long work goes to others while there are any.
+	It("that are loaded soon keep heavy work away and let light work in", func() {
+		g := newRig(2)
+		for range 20 {
+			_, id := g.place(short())
+			g.now += 20
+			g.answer(id)
+		}
+		g.tell(wasabiridge.BackendEasing{Backend: "e0", Until: g.now + 4000})
+		pl, _ := g.place(long(100))
+		Expect(pl.Backend.ID).To(BeEquivalentTo("e1"))
+		pl, _ = g.place(short())
+		Expect(pl.Backend.ID).To(BeEquivalentTo("e0"))
+		g.tell(wasabiridge.BackendEasing{Backend: "e0", Until: g.now})
+		pl, _ = g.place(long(200))
+		Expect(pl.Backend.ID).To(BeEquivalentTo("e0"))
+	})
+
 	It("that are about to be loaded keep work away, until the rest is over", func() {
 		g := newRig(2)
 		g.tell(wasabiridge.BackendResting{Backend: "e0", Until: g.now + 4000})
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -142,7 +142,7 @@
 		return
 	}
 	for _, n := range news {
-		k.options.Log.Info().Str("backend", string(n.Backend)).Int64("resting_ms", int64(n.Resting)).
+		k.options.Log.Info().Str("backend", string(n.Backend)).Int64("resting_ms", int64(n.Resting)).Int64("easing_ms", int64(n.Easing)).
 			Uint64("weights", uint64(n.Weights)).Uint64("fencing", uint64(k.lease.Grant().Fencing)).Msg("Replica told of.")
 	}
 	k.options.Tell(news)
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -6,9 +6,12 @@
 //
 // # One replica
 //
-// First all instances are told that the replica takes no new work. When it has
-// had a short time to run dry it gets its order, and is read back until it
-// serves the new version; then all instances are told so.
+// A replica is read before anything else: one that does not answer takes nobody's
+// turn. While it waits for its turn to load, all instances are told that it takes
+// only light work, so that it has little to finish then. Next they are told that
+// it takes no new work. When it has had a short time to run dry it gets its
+// order, and is read back until it serves the new version; then all instances are
+// told so.
 //
 // # Orders without an answer
 //
@@ -21,9 +24,9 @@
 // # How many at once
 //
 // The weight store serves few loads at full speed, and more take longer each; a
-// pool should not miss more than a fifth of its replicas either. The next
-// replicas begin to run dry shortly before the loads before them are expected
-// to end.
+// pool should not miss more than a fifth of its replicas either. So many are away
+// at once, and as many more take light work only. One that fell silent under its
+// order does not count.
 //
 // # Turns of holders
 //
@@ -52,6 +55,8 @@
 	// loadShare the part of them that may when there are many.
 	loadsLeast = 2
 	loadShare  = 5
+	// servingLeast is how many replicas must serve for one of them to go.
+	servingLeast = 2
 )
 
 // maxLoads is how many replicas may load at once.
@@ -68,6 +73,12 @@
 	restLife = 4 * wasabiridge.Second
 	// restMost is how long a replica rests at most without an order.
 	restMost = 2500 * wasabiridge.Millis(1)
+	// easeLife is how long a replica takes light work only without further news.
+	// It covers the load of the replicas before it.
+	easeLife = 4 * wasabiridge.Second
+	// silentAfter is for how long a replica that loads may not be read until it
+	// does not count any more among those that are away.
+	silentAfter = 800 * wasabiridge.Millis(1)
 	// retryAfter is how long a replica is left as it is that could not be read
 	// or did not take its order.
 	retryAfter = wasabiridge.Second
@@ -76,9 +87,7 @@
 // Machine decides which replica gets which order when. It is deterministic and
 // not safe for concurrent use.
 type Machine struct {
-	timing Timing
-	// usual is the learned time from an order to its end.
-	usual    wasabiridge.Millis
+	timing   Timing
 	replicas map[unit]*replica
 	order    []unit
 	wanted   map[wasabiridge.ModelID]wasabiridge.WeightsVersion
@@ -94,7 +103,7 @@
 func NewMachine(t Timing) *Machine {
 	t = t.withDefaults()
 	return &Machine{
-		timing: t, usual: t.Usual, replicas: map[unit]*replica{},
+		timing: t, replicas: map[unit]*replica{},
 		heard: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 	}
 }
@@ -176,43 +185,70 @@
 // step lets every replica go on.
 func (m *Machine) step(now wasabiridge.Millis) {
 	for _, id := range m.order {
-		r := m.replicas[id]
-		switch {
-		case r.phase == idle:
-		case r.serves >= r.target && !r.busy:
-			m.finish(now, r)
-		case r.phase == ordered:
-			m.watch(now, r)
-		case now-r.since > restMost:
-			// The lease has ended, or no place to load became free. The replica
-			// serves on as it is.
-			m.giveUp(now, r)
-		}
+		m.advance(now, m.replicas[id])
 	}
 	if !m.holds(now) {
 		return
 	}
-	loading, starting, serving := m.count(now)
 	for _, id := range m.order {
 		r := m.replicas[id]
-		if r.phase == resting && now-r.since >= m.timing.Rest && loading < m.maxLoads() && r.asked && !r.busy {
+		if r.phase == resting && now-r.since >= m.timing.Rest && r.asked && !r.busy {
 			m.send(now, r)
-			loading++
 		}
 	}
-	for _, id := range m.oldestFirst() {
+	m.begin(now)
+}
+
+// advance takes a replica on that is in some phase.
+func (m *Machine) advance(now wasabiridge.Millis, r *replica) {
+	switch {
+	case r.phase == idle:
+	case r.serves >= r.target && !r.busy:
+		m.finish(now, r)
+	case r.phase == ordered:
+		m.watch(now, r)
+	case r.phase == easing && now-r.since > easeLife, r.phase == resting && now-r.since > restMost:
+		// The lease has ended, or no place to load became free. The replica
+		// serves on as it is.
+		m.giveUp(now, r)
+	}
+}
+
+// begin lets the next replicas rest while fewer are away than may be, and as many
+// more ease.
+func (m *Machine) begin(now wasabiridge.Millis) {
+	away, eased, serving := m.count(now)
+	for _, id := range m.next() {
 		r := m.replicas[id]
-		if r.phase != idle || r.serves >= m.wanted[r.model] || now < r.notBefore || m.isTurnOfOther(now, id.backend) || m.isBusy(id.backend) || starting >= m.maxLoads() || serving < 2 && len(m.order) > 1 {
+		if r.busy || r.serves >= m.wanted[r.model] {
 			continue
 		}
-		r.phase, r.since, r.target = resting, now, m.wanted[r.model]
-		r.asked, r.busy = false, true
-		starting++
-		serving--
-		m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: id.backend, Resting: restLife}}, ReadState{Server: r.server, Model: r.model})
+		switch {
+		case r.phase == easing && away < m.maxLoads() && m.maySpare(serving):
+			m.rest(now, r)
+			away, eased, serving = away+1, eased-1, serving-1
+		case r.phase == idle && away+eased < 2*m.maxLoads() && now >= r.notBefore && !m.isTurnOfOther(now, id.backend) && !m.isBusy(id.backend):
+			r.phase, r.since, r.target = easing, now, m.wanted[r.model]
+			r.told, r.busy = false, true
+			eased++
+			m.effects = append(m.effects, ReadState{Server: r.server, Model: r.model})
+		}
 	}
 }
 
+// maySpare reports whether one of so many replicas that serve may go. The last one
+// goes only when it is the only one at all.
+func (m *Machine) maySpare(serving int) bool {
+	return serving >= servingLeast || len(m.order) == 1
+}
+
+// rest lets a replica run dry.
+func (m *Machine) rest(now wasabiridge.Millis, r *replica) {
+	r.phase, r.since, r.target = resting, now, m.wanted[r.model]
+	r.asked, r.busy = false, true
+	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Resting: restLife}}, ReadState{Server: r.server, Model: r.model})
+}
+
 // isTurnOfOther reports whether another instance may have given the replica an
 // order a short time ago.
 func (m *Machine) isTurnOfOther(now wasabiridge.Millis, id wasabiridge.BackendServerID) bool {
@@ -231,32 +267,39 @@
 	return false
 }
 
-// oldestFirst returns the replicas with the oldest weights first: with versions
-// named in quick succession, those at the end would otherwise never have their
-// turn.
-func (m *Machine) oldestFirst() []unit {
+// next returns the replicas in the order of their turns. Those that ease come
+// first, then those with the oldest weights: with versions named in quick
+// succession, those at the end would otherwise never have their turn.
+func (m *Machine) next() []unit {
 	ids := slices.Clone(m.order)
 	slices.SortStableFunc(ids, func(a, b unit) int {
-		return cmp.Compare(m.replicas[a].serves, m.replicas[b].serves)
+		ra, rb := m.replicas[a], m.replicas[b]
+		return cmp.Or(cmp.Compare(easesNot(ra), easesNot(rb)), cmp.Compare(ra.serves, rb.serves))
 	})
 	return ids
 }
 
-// count counts the replicas that load, those that take up the place of a load
-// when the rest of the next one is over, and those that serve.
-func (m *Machine) count(now wasabiridge.Millis) (loading, starting, serving int) {
+// easesNot is 0 for a replica that eases, and 1 for others.
+func easesNot(r *replica) int {
+	if r.phase == easing {
+		return 0
+	}
+	return 1
+}
+
+// count counts the replicas that are away, those that ease, and those that serve.
+func (m *Machine) count(now wasabiridge.Millis) (away, eased, serving int) {
 	for _, id := range m.order {
-		switch r := m.replicas[id]; r.phase {
-		case ordered:
-			loading++
-			if !r.endsSoon(now, m.usual, m.timing.Rest) {
-				starting++
-			}
-		case resting:
-			starting++
+		switch r := m.replicas[id]; {
+		case r.phase == resting, r.phase == ordered && !r.isSilent(now):
+			away++
+		case r.phase == ordered:
+		case r.phase == easing:
+			eased++
+			serving++
 		default:
 			serving++
 		}
 	}
-	return loading, starting, serving
+	return away, eased, serving
 }
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -4,7 +4,7 @@
 
 // send gives a replica that rests its order.
 func (m *Machine) send(now wasabiridge.Millis, r *replica) {
-	r.phase, r.since = ordered, now
+	r.phase, r.since, r.heardAt = ordered, now, now
 	r.target = max(r.target, m.wanted[r.model])
 	m.give(now, r)
 }
@@ -12,7 +12,7 @@
 // give sends the order to a replica, for the first time or again.
 func (m *Machine) give(now wasabiridge.Millis, r *replica) {
 	r.busy, r.accepted = true, false
-	r.readAt = now + m.timing.Load
+	r.readAt = now + m.timing.Poll
 	m.effects = append(m.effects, SendOrder{
 		Server: r.server,
 		Order: wasabiridge.EngineOrder{
@@ -40,7 +40,11 @@
 
 // giveUp lets a replica serve on as it is, and tries it again later.
 func (m *Machine) giveUp(now wasabiridge.Millis, r *replica) {
+	silent := r.phase == easing && !r.told
 	r.phase, r.notBefore = idle, now+retryAfter
+	if silent {
+		return
+	}
 	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID}})
 }
 
@@ -70,12 +74,15 @@
 		return
 	}
 	r.busy = false
+	if !e.Failed {
+		r.heardAt = now
+	}
 	serves := e.State.Weights
 	if e.State.Models != nil {
 		serves = e.State.Models[e.Model]
 	}
 	switch {
-	case e.Failed && r.phase == resting:
+	case e.Failed && (r.phase == resting || r.phase == easing):
 		m.giveUp(now, r)
 	case e.Failed:
 	case !e.State.Loading && serves >= r.target:
@@ -83,6 +90,8 @@
 		if r.phase != idle {
 			m.finish(now, r)
 		}
+	case r.phase == easing:
+		m.eased(now, r)
 	case r.phase == resting:
 		r.asked, r.orders = true, e.State.Orders
 	case r.phase == ordered && !r.accepted:
@@ -90,6 +99,21 @@
 	}
 }
 
+// eased takes that a replica answers. It rests at once when there is a place;
+// otherwise it takes light work only until there is one.
+func (m *Machine) eased(now wasabiridge.Millis, r *replica) {
+	away, _, serving := m.count(now)
+	switch {
+	case !m.holds(now):
+		r.phase = idle
+	case away < m.maxLoads() && m.maySpare(serving):
+		m.rest(now, r)
+	case !r.told:
+		r.told, r.since = true, now
+		m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Easing: easeLife}})
+	}
+}
+
 // orderAgain decides about an order of unsure outcome by what the replica says
 // a moment later.
 func (m *Machine) orderAgain(now wasabiridge.Millis, r *replica, s wasabiridge.EngineState) {
@@ -103,14 +127,8 @@
 	}
 }
 
-// learnShare is the weight of one load in what is learned of their length.
-const learnShare = 0.2
-
 // finish lets a replica serve again.
 func (m *Machine) finish(now wasabiridge.Millis, r *replica) {
-	if r.phase == ordered && r.accepted {
-		m.usual += wasabiridge.Millis(learnShare * float64(now-r.since-m.usual))
-	}
 	r.phase = idle
 	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Model: r.model, Weights: r.serves}})
 }
--- a/internal/wasabiupgrade/replica.go
+++ b/internal/wasabiupgrade/replica.go
@@ -2,15 +2,13 @@
 
 import "github.com/wasabiridge/wasabiridge"
 
-// overdue is after how many usual times a load is not counted on any more: the
-// replica finishes long answers first, or waits for the weight store.
-const overdue = 2
-
 // phase is how far a replica is.
 type phase uint8
 
 const (
 	idle phase = iota
+	// easing replicas wait for their turn.
+	easing
 	// resting replicas run dry.
 	resting
 	// ordered replicas load, or are about to.
@@ -36,6 +34,10 @@
 	readAt  wasabiridge.Millis
 	busy    bool
 	present bool
+	// told says that the others know that the replica eases, heardAt when it was
+	// last read.
+	told    bool
+	heardAt wasabiridge.Millis
 	// asked says that the replica was read since it rests, orders how many
 	// orders it had accepted then.
 	asked  bool
@@ -46,9 +48,5 @@
 	notBefore wasabiridge.Millis
 }
 
-// endsSoon reports whether the load is about to end, as far as such loads
-// usually go, so that the next replica may begin to run dry.
-func (r *replica) endsSoon(now, usual, rest wasabiridge.Millis) bool {
-	age := now - r.since
-	return r.accepted && age >= usual-rest && age < overdue*usual
-}
+// isSilent reports whether the replica has not been read for long.
+func (r *replica) isSilent(now wasabiridge.Millis) bool { return now-r.heardAt > silentAfter }
--- a/internal/wasabiupgrade/timing.go
+++ b/internal/wasabiupgrade/timing.go
@@ -11,13 +11,8 @@
 	// most answers take less, and those that take longer are finished under
 	// the old weights.
 	Rest wasabiridge.Millis
-	// Load is how long a load takes at least, 1.1 s by default, and Usual how
-	// long it usually takes from the order on, with the answers that are
-	// finished before it, until that is learned. 1.4 s by default.
-	Load  wasabiridge.Millis
-	Usual wasabiridge.Millis
-	// Poll is the time between two readings of a replica that loads, 200 ms by
-	// default.
+	// Poll is the time between two readings of a replica that loads, 150 ms by
+	// default: what replicas tell of themselves is about that old.
 	Poll wasabiridge.Millis
 	// Recheck is how long after an order of unsure outcome the replica is read.
 	// What replicas tell of themselves is a fifth of a second old. The default
@@ -41,9 +36,7 @@
 		}
 	}
 	set(&t.Rest, 200)
-	set(&t.Load, 1100)
-	set(&t.Usual, 1400)
-	set(&t.Poll, 200)
+	set(&t.Poll, 150)
 	set(&t.Recheck, 300)
 	set(&t.Patience, 5*wasabiridge.Second)
 	set(&t.Turn, 3*wasabiridge.Second)
--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -35,8 +35,10 @@
 	late     []lateOrder
 	// lose leaves the orders without an answer for which it reports true. They
 	// are carried out after lateBy, or never when that is zero.
-	lose    func(id wasabiridge.BackendServerID) bool
-	lateBy  wasabiridge.Millis
+	lose   func(id wasabiridge.BackendServerID) bool
+	lateBy wasabiridge.Millis
+	// dark engines do not answer.
+	dark    map[wasabiridge.BackendServerID]bool
 	orders  []wasabiupgrade.SendOrder
 	rests   []wasabiridge.RestNews
 	loading int
@@ -128,6 +130,10 @@
 			f.handle(result)
 		case wasabiupgrade.ReadState:
 			id := x.Server.ID
+			if f.dark[id] {
+				f.handle(wasabiupgrade.StateRead{Backend: id, Model: x.Model, Failed: true})
+				continue
+			}
 			_, busy := f.done[id]
 			f.handle(wasabiupgrade.StateRead{Backend: id, Model: x.Model, State: wasabiridge.EngineState{
 				Weights: f.serves[id], Loading: busy, Orders: f.accepted[id],
@@ -267,6 +273,55 @@
 		Expect(f.left()).To(BeZero())
 	})
 
+	// Story: two of nine engines are dark when new weights are named. They took the
+	// two places to load again and again, and the others waited.
+	It("does not wait for replicas that do not answer, and brings them up when they do", func() {
+		f := newFleet(9)
+		f.hold(1)
+		f.wanted = 2
+		f.dark = map[wasabiridge.BackendServerID]bool{id(0): true, id(1): true}
+		f.run(6500)
+		Expect(f.left()).To(Equal(2))
+		for _, news := range f.rests {
+			Expect(f.dark).NotTo(HaveKey(news.Backend), "nobody is told of a replica that does not answer")
+		}
+		f.dark = nil
+		f.run(3500)
+		Expect(f.left()).To(BeZero())
+	})
+
+	// Story: an engine goes dark under its order. It held one of two places for five
+	// seconds.
+	It("goes on beside a replica that falls silent while it loads", func() {
+		f := newFleet(6)
+		f.hold(1)
+		f.wanted = 2
+		f.run(400)
+		fell := f.orders[0].Server.ID
+		delete(f.done, fell)
+		f.dark = map[wasabiridge.BackendServerID]bool{fell: true}
+		f.run(5500)
+		Expect(f.left()).To(Equal(1))
+	})
+
+	// Story: an engine that is next to load is given long work until the last moment,
+	// and must finish it first.
+	It("lets those that come next take light work only, before they rest", func() {
+		f := newFleet(9)
+		f.hold(1)
+		f.wanted = 2
+		f.run(8000)
+		Expect(f.left()).To(BeZero())
+		eased := map[wasabiridge.BackendServerID]bool{}
+		for _, news := range f.rests {
+			if news.Easing > 0 {
+				eased[news.Backend] = true
+				Expect(news.Resting).To(BeZero())
+			}
+		}
+		Expect(eased).To(HaveLen(7), "all but the two that load at once")
+	})
+
 	It("brings a replica up that came back with old weights", func() {
 		f := newFleet(3)
 		f.hold(1)
