Older weights answer until shortly before their bound, and never begin after it

The margin of 2.5 s stood for news that is late and for prompts that wait inside a replica. Engines compute in the order of arrival; priority decides who is admitted when memory or slots are full.

Changes: a version counts from the last reading that did not have it; the margin is 0.4 s; a request must be expected to begin, in twice the expected time, before the bound, and its attempt is ended at the bound if it has not. A version keeps its time. An instance that finds its own name and address in the lease takes it at once under a new fencing number: its earlier life had the same listener, so it is over. An order without an answer is checked after 0.4 s. What waits counts in the order of its arrival.

--- a/decision.go
+++ b/decision.go
@@ -190,8 +190,9 @@
 	// MemoryFrom names the memory of the attempt before, which was moved to this
 	// server.
 	MemoryFrom string
-	// FirstByte bounds the wait for the first byte of the answer. It is set
-	// only where the request may go to another server after it. Zero means no
+	// FirstByte bounds the wait for the first byte of the answer. It is set where
+	// the request may go to another server after it, and where it must not begin
+	// later because the server's weights may not answer any more. Zero means no
 	// bound of its own.
 	FirstByte Millis
 	// ExpectedWait and Why are those of the Placement, for the log.
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -184,11 +184,21 @@
 	if err != nil {
 		return
 	}
-	first := !m.config.known
+	first, proven := !m.config.known, m.config.proven
 	if m.read(&m.config, s.Revision, e.Sent, content) {
 		m.snapshot = s
 	}
-	m.name(now, !first)
+	m.nameFound(now, first, proven)
+}
+
+// nameFound notes versions that a configuration brought. Those of the first one may
+// have been named at any time before.
+func (m *Machine) nameFound(now wasabiridge.Millis, first bool, proven wasabiridge.Millis) {
+	if first {
+		m.name(now, false)
+		return
+	}
+	m.name(namedSince(now, proven), true)
 }
 
 // strip leaves out the revision, which rises with every write of anybody.
@@ -247,10 +257,10 @@
 	}
 	m.answers++
 	before := m.config.proven + m.backends.proven
-	first := !m.config.known
+	first, proven := !m.config.known, m.config.proven
 	m.takeConfig(e)
 	m.takeNamings(e)
-	m.name(now, !first)
+	m.nameFound(now, first, proven)
 	m.takeBackends(e)
 	if m.config.proven+m.backends.proven == before && max(m.config.age(now), m.backends.age(now)) > baseAge+rankStep {
 		// That one knows no better; another one may.
--- a/internal/wasabicatalog/naming.go
+++ b/internal/wasabicatalog/naming.go
@@ -22,9 +22,22 @@
 	// namingLife is how long other instances are told when a version was
 	// named.
 	namingLife = 30 * wasabiridge.Second
+	// namingDoubt bounds the time that may lie between the naming of a version and
+	// its being heard of: proofs that old are renewed by every instance itself.
+	namingDoubt = baseAge + ranksCounted*rankStep
 )
 
-// name notes versions that were not heard of before.
+// namedSince is since when a version counts as named that is heard of now. It was
+// not yet known to the proof before, and may be as old as that.
+//
+// The failure it guards against: with the time at which it was heard of, older
+// weights answered longer than they may, by as much as the news was late.
+func namedSince(now, proven wasabiridge.Millis) wasabiridge.Millis {
+	return max(proven, now-namingDoubt)
+}
+
+// name notes versions that were not heard of before. One that is known keeps its
+// time: a later reading says nothing of when it was named.
 func (m *Machine) name(now wasabiridge.Millis, witnessed bool) {
 	models := make([]wasabiridge.ModelID, 0, len(m.snapshot.Weights))
 	for model := range m.snapshot.Weights {
@@ -32,10 +45,17 @@
 	}
 	slices.Sort(models)
 	for _, model := range models {
-		m.addNaming(Named{Model: model, Weights: m.snapshot.Weights[model], At: now, Witnessed: witnessed})
+		if n := (Named{Model: model, Weights: m.snapshot.Weights[model], At: now, Witnessed: witnessed}); !m.isNamed(n) {
+			m.addNaming(n)
+		}
 	}
 }
 
+// isNamed reports whether a version is known.
+func (m *Machine) isNamed(n Named) bool {
+	return slices.ContainsFunc(m.namings, func(known Named) bool { return known.Model == n.Model && known.Weights == n.Weights })
+}
+
 // addNaming notes a version, or a better time for one that is known. It reports
 // whether that is news.
 func (m *Machine) addNaming(n Named) bool {
--- a/internal/wasabilease/lease_test.go
+++ b/internal/wasabilease/lease_test.go
@@ -107,6 +107,35 @@
 		t.run(wasabiridge.Minute, t.a, t.b)
 		Expect(t.b.holds()).To(BeTrue())
 	},
+	// The holder's process is killed and started again on the same machine. The lease
+	// names it, and nobody else can have that name: it goes on at once, under a new
+	// number. Without that nobody gives orders until the lease has ended.
+	"a holder that is restarted and may reclaim": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a, t.b)
+		again := t.contender("a", 2, t.clock)
+		again.machine = wasabilease.NewMachine("orders", "a", 2, wasabilease.Timing{Reclaim: true})
+		again.feed(wasabilease.Contended{Wanted: true})
+		Expect(again.holds()).To(BeTrue())
+		Expect(again.grant.Fencing).To(BeEquivalentTo(2))
+		t.a = again
+		t.run(wasabiridge.Minute, t.a, t.b)
+		Expect(t.b.grant.Fencing).To(BeZero())
+	},
+	"a holder that is restarted and may not reclaim": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a, t.b)
+		again := t.contender("a", 2, t.clock)
+		again.feed(wasabilease.Contended{Wanted: true})
+		Expect(again.holds()).To(BeFalse())
+	},
+	// A machine that came in place of another has its name and another address.
+	"one that may reclaim and finds another holder": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a, t.b)
+		other := t.contender("c", 1, t.clock)
+		other.machine = wasabilease.NewMachine("orders", "a@elsewhere", 2, wasabilease.Timing{Reclaim: true})
+		other.feed(wasabilease.Contended{Wanted: true})
+		Expect(other.holds()).To(BeFalse())
+		t.run(wasabiridge.Second, t.a, t.b)
+	},
 	"a holder that gives the lease back": func(t *leaseTest) {
 		t.run(wasabiridge.Second, t.a, t.b)
 		t.a.feed(wasabilease.Contended{Wanted: false})
--- a/internal/wasabilease/machine.go
+++ b/internal/wasabilease/machine.go
@@ -34,6 +34,10 @@
 	Renew wasabiridge.Millis
 	// Poll is how often a contender reads the row, a third of TTL by default.
 	Poll wasabiridge.Millis
+	// Reclaim says that earlier lives of this instance are over for certain while
+	// it runs, and that no other process has its name. It then takes a lease that
+	// an earlier life held at once, under a new fencing number.
+	Reclaim bool
 }
 
 func (t Timing) withDefaults() Timing {
@@ -204,7 +208,7 @@
 	case !m.wanted:
 	case own && m.grant.Fencing == r.Fencing:
 		m.renew(now, revision, r)
-	case own || r.isFree():
+	case own || r.isFree() || m.timing.Reclaim && r.Holder == m.self:
 		m.drop()
 		m.take(now, revision, r)
 	default:
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -51,9 +51,8 @@
 	// keyMargin is how much earlier than the bound a key is not used any more.
 	// It covers the way of a request to a backend server.
 	keyMargin = 500 * wasabiridge.Millis(1)
-	// weightsMargin is the same for older weights, and for the time that the
-	// news of newer ones may take to come here.
-	weightsMargin = 2500 * wasabiridge.Millis(1)
+	// weightsMargin is the same for the begin of answers on older weights.
+	weightsMargin = 400 * wasabiridge.Millis(1)
 	// denyShare is the part, in hundredths, of the time in which a
 	// configuration must be in force after which a caller is not told any more
 	// that its route or key does not exist.
@@ -194,7 +193,7 @@
 		Log: wasabilog.Part(n.log, "catalog"), Changed: n.adopt, News: n.takeNews,
 	})
 	n.upgrade = wasabiupgrade.NewKeeper(wasabiupgrade.Options{
-		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Table: o.Platform.Table, Engines: o.Platform.Engines,
+		Self: s.Instance, Address: s.Peer.Address, Incarnation: n.incarnation, Clock: o.Clock, Table: o.Platform.Table, Engines: o.Platform.Engines,
 		Recorder: n.timeline, Catalog: n.wantedWeights, Rank: n.rank, Leaving: n.leaving.Load, Tell: n.tell, Log: wasabilog.Part(n.log, "upgrade"),
 		Timing: wasabiupgrade.Timing{Turn: n.bounds.Turn},
 	})
--- a/internal/wasabireplica/line.go
+++ b/internal/wasabireplica/line.go
@@ -9,9 +9,9 @@
 // lineMost bounds the prompts that are remembered of one replica.
 const lineMost = 256
 
-// line is the computing that waits at one replica, as far as it is known, in the
-// order in which the replica takes it: the most urgent first, and first come,
-// first served among equals.
+// line is the computing that waits at one replica, as far as it is known. A replica
+// computes the prompts that it has admitted in the order in which they came; the
+// urgent ones are only admitted first when its memory or its slots are full.
 type line struct {
 	waiting []waitingPrompt
 	// at is up to when the replica is taken to have computed.
@@ -53,7 +53,7 @@
 
 // wait is how long further work of a priority would wait, in milliseconds.
 //
-// Prompts of this instance whose first token is overdue show that the replica is
+// Prompts of this instance, as urgent or more so, whose first token is overdue show that the replica is
 // further behind than is known here: others have sent more, or its memory is full.
 // By how much is not known; the longer it has lasted, the longer it is taken to
 // last.
@@ -61,32 +61,25 @@
 	l.advance(now)
 	sum, overdue := 0.0, wasabiridge.Millis(0)
 	for _, p := range l.waiting {
-		if p.priority < priority {
-			break
-		}
 		sum += p.left
-		if p.attempt != 0 {
+		if p.attempt != 0 && p.priority >= priority {
 			overdue = max(overdue, now-p.due)
 		}
 	}
 	return sum + float64(overdue)
 }
 
-// enter puts a prompt behind what is as urgent or more so.
+// enter puts a prompt behind what waits.
 func (l *line) enter(now wasabiridge.Millis, p waitingPrompt) {
 	p.due = now + wasabiridge.Millis(l.wait(now, p.priority)+p.left)
 	if len(l.waiting) == lineMost {
 		l.waiting = l.waiting[1:]
 	}
-	i := len(l.waiting)
-	for i > 0 && l.waiting[i-1].priority < p.priority {
-		i--
-	}
-	l.waiting = slices.Insert(l.waiting, i, p)
+	l.waiting = append(l.waiting, p)
 }
 
-// begun notes the first token of a prompt. What others sent before it and is as
-// urgent is done too.
+// begun notes the first token of a prompt. What others sent before it is done too;
+// of what this instance sent, the answers tell.
 func (l *line) begun(now wasabiridge.Millis, is func(waitingPrompt) bool) {
 	l.advance(now)
 	i := slices.IndexFunc(l.waiting, is)
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -80,6 +80,7 @@
 		r.line.clear()
 		// New weights serve: the rest is over.
 		r.restUntil, r.easeUntil = 0, 0
+		r.recovered()
 	}
 	r.weights[e.Model] = e.Weights
 }
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -166,7 +166,7 @@
 	if !found {
 		return wasabiridge.Placement{Never: p.isOver(now, pl, q)}, false
 	}
-	return p.placement(pl, best, q.Request, &pr), true
+	return p.placement(now, pl, best, q.Request, &pr), true
 }
 
 // choice is a replica that was weighed.
@@ -207,25 +207,35 @@
 	return !older || age < p.options.WeightsBound
 }
 
-// beginWait is how long after it was sent a request may begin without counting
-// against the bound of older weights. The bound that is set leaves this much
-// room.
-const beginWait = wasabiridge.Second
+const (
+	// beginFactor is how much longer than expected a request may take to begin at a
+	// replica with older weights, beginWait what it may take however short that is.
+	beginFactor = 2
+	beginWait   = 200 * wasabiridge.Millis(1)
+)
 
 // beginsInTime reports whether the first token of a request is expected while
 // the replica's weights may still answer.
 //
 // The failure it guards against: queues are long in an overload. A request is
 // sent to a replica whose weights may just be used, waits there for seconds, and
-// begins on weights that were replaced too long ago.
+// begins on weights that were replaced too long ago. What takes longer than
+// expected is given up, see beginBy.
 func (p *Placer) beginsInTime(now wasabiridge.Millis, pr *prompt, c choice) bool {
 	if !pr.engine {
 		return true
 	}
-	late := max(0, wasabiridge.Millis(c.expected)-beginWait)
+	late := max(0, wasabiridge.Millis(beginFactor*c.expected)-beginWait)
 	return p.mayServe(now+late, pr.root.Model, c.replica.weights[pr.root.Model])
 }
 
+// beginBy is how long a request may wait for its first token at a replica until
+// its weights may not answer any more. It reports false when there is no bound.
+func (p *Placer) beginBy(now wasabiridge.Millis, m wasabiridge.ModelID, r *replica) (wasabiridge.Millis, bool) {
+	age, older := p.named.overdue(now, m, r.weights[m])
+	return max(1, p.options.WeightsBound-age), older
+}
+
 // isOver reports whether no replica will ever be able to go on with a stream: its
 // weights may not answer any more, or no replica has them. Replicas never go back
 // to older weights, so waiting would only keep the caller from asking again.
@@ -263,7 +273,7 @@
 	return c
 }
 
-func (p *Placer) placement(pl *pool, c choice, q wasabiridge.Request, pr *prompt) wasabiridge.Placement {
+func (p *Placer) placement(now wasabiridge.Millis, pl *pool, c choice, q wasabiridge.Request, pr *prompt) wasabiridge.Placement {
 	out := wasabiridge.Placement{Backend: c.replica.server, ExpectedWait: wasabiridge.Millis(c.expected), Why: WhyLoad}
 	if q.Action.Retry && len(pl.replicas) > 1 {
 		out.FirstByte = silenceOf(q, c.expected)
@@ -272,6 +282,9 @@
 		return out
 	}
 	out.Weights = c.replica.weights[q.Model]
+	if wait, bounded := p.beginBy(now, q.Model, c.replica); bounded && (out.FirstByte == 0 || wait < out.FirstByte) {
+		out.FirstByte = wait
+	}
 	if !pr.isTracked() {
 		return out
 	}
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -27,12 +27,18 @@
 )
 
 // LeaseTiming is the pace of the lease. The holder believes for less than the
-// platform's bound on turns.
-var LeaseTiming = wasabilease.Timing{TTL: 2400, Drift: 600, Renew: 1100, Poll: 600}
+// platform's bound on turns. What an earlier life of the same instance held is
+// taken at once: it had the same listener, and so is over. Without that, after a
+// restart of all instances nobody gives orders until the lease of one of them has
+// ended.
+var LeaseTiming = wasabilease.Timing{TTL: 2400, Drift: 600, Renew: 1100, Poll: 600, Reclaim: true}
 
 // Options are the parts of a Keeper. Log and Timing may be left out.
 type Options struct {
-	Self        wasabiridge.InstanceID
+	Self wasabiridge.InstanceID
+	// Address is where the instance listens. With its name it tells it from a
+	// successor on another machine.
+	Address     string
 	Incarnation wasabiridge.Incarnation
 	Clock       wasabiridge.Clock
 	Table       wasabiridge.Table
@@ -70,7 +76,7 @@
 		options: o,
 		results: make(chan Event, resultsSize),
 		lease: wasabilease.New(wasabilease.Options{
-			Name: leaseName, Self: o.Self, Incarnation: o.Incarnation, Table: o.Table, Clock: o.Clock,
+			Name: leaseName, Self: wasabiridge.InstanceID(string(o.Self) + "@" + o.Address), Incarnation: o.Incarnation, Table: o.Table, Clock: o.Clock,
 			Recorder: o.Recorder, Timing: LeaseTiming,
 		}),
 	}
--- a/internal/wasabiupgrade/timing.go
+++ b/internal/wasabiupgrade/timing.go
@@ -25,7 +25,8 @@
 	// Turn is how long orders of two holders to one replica lie apart, 3 s by
 	// default.
 	Turn wasabiridge.Millis
-	// OrderTime bounds one order. The lease must cover it. 800 ms by default.
+	// OrderTime bounds one order. The lease must cover it. 400 ms by default:
+	// replicas answer within a few.
 	OrderTime wasabiridge.Millis
 }
 
@@ -40,6 +41,6 @@
 	set(&t.Recheck, 300)
 	set(&t.Patience, 5*wasabiridge.Second)
 	set(&t.Turn, 3*wasabiridge.Second)
-	set(&t.OrderTime, 800)
+	set(&t.OrderTime, 400)
 	return t
 }
