Replicas that start again under their names hold nothing of before; unusable entries name none

Cause: a replica may restart under its name; it then holds nothing, counts orders anew and may serve older weights. born, which tells, was read nowhere, and versions of a name only rose, so such a replica passed for upgraded and for holding its cache. Entries without a state, with an unknown one, or with an address that is none named replicas to use.

The placer and the upgrade forget what they knew of the life before; parts and weights that instances tell each other of bear the life that they are about. Entries are checked; an unusable one is left out, and logged once until it changes.

--- a/catalog.go
+++ b/catalog.go
@@ -30,6 +30,16 @@
 type BackendSnapshot struct {
 	Revision uint64         `json:"revision"`
 	Entries  []BackendEntry `json:"entries"`
+	// Unusable are entries that name no server to use.
+	Unusable []UnusableEntry `json:"-"`
+}
+
+// UnusableEntry is an entry of the list that cannot be read, or says what no
+// server does. The others hold.
+type UnusableEntry struct {
+	ID BackendServerID
+	// Cause says what is wrong with it.
+	Cause string
 }
 
 // CatalogSource reads what the platform knows. A read tells what was true at
@@ -91,6 +101,9 @@
 	// nothing.
 	Model   ModelID
 	Weights WeightsVersion
+	// Incarnation is the life of the server that this is about. Zero means that it
+	// is not known.
+	Incarnation Incarnation
 }
 
 // LoadNews is what the sender has at a backend server, in place of what it
@@ -121,6 +134,8 @@
 	// Ready says that the engine has read the part. Saved says that it was
 	// told to export it.
 	Ready, Saved bool
+	// Incarnation is the life of the engine. Zero means that it is not known.
+	Incarnation Incarnation
 	// Kept says that the engine was told to import the part from the store of
 	// kept cache.
 	Kept bool
--- a/config.go
+++ b/config.go
@@ -41,6 +41,10 @@
 	// ChecksFencing says that the server refuses orders with an old fencing
 	// number.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// Incarnation is the life of the server, which rises with every start. One that
+	// starts again under its name holds nothing of before. Zero means that it does
+	// not say.
+	Incarnation Incarnation `json:"incarnation,omitempty"`
 }
 
 // Pool is a set of backend servers that serve the same work.
--- a/decision.go
+++ b/decision.go
@@ -101,6 +101,9 @@
 	Backend BackendServerID
 	Model   ModelID
 	Weights WeightsVersion
+	// Incarnation is the life in which the server said so. Zero means its present
+	// one, as far as that is known.
+	Incarnation Incarnation
 }
 
 // WeightsNamed says which version of a model the operators want served. At is
--- a/internal/wasabicatalog/keeper.go
+++ b/internal/wasabicatalog/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 )
 
 const (
@@ -66,6 +67,9 @@
 	mu      sync.Mutex
 	machine *Machine
 	lost    bool
+	// unusable are the entries that were last read and name no server to use, with
+	// the cause.
+	unusable map[wasabiridge.BackendServerID]string
 }
 
 // NewKeeper returns a keeper that knows nothing. Run starts it.
@@ -177,6 +181,21 @@
 	})
 }
 
+// logUnusable tells of entries that name no backend server to use, of each once until
+// it changes.
+func (k *Keeper) logUnusable(entries []wasabiridge.UnusableEntry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := map[wasabiridge.BackendServerID]string{}
+	for _, e := range entries {
+		now[e.ID] = e.Cause
+		if k.unusable[e.ID] != e.Cause {
+			k.options.Log.Warn().Str(wasabilog.BackendField, string(e.ID)).Str("cause", e.Cause).Msg("Entry cannot be used.")
+		}
+	}
+	k.unusable = now
+}
+
 func (k *Keeper) post(ctx context.Context, e Event) {
 	select {
 	case k.inbox <- e:
@@ -195,6 +214,9 @@
 	k.reads.Add(1)
 	sent := k.options.Clock.Now()
 	s, err := k.options.Source.ReadBackends(ctx)
+	if err == nil {
+		k.logUnusable(s.Unusable)
+	}
 	k.post(ctx, BackendsRead{Sent: sent, Snapshot: s, Err: err})
 }
 
--- a/internal/wasabinode/force.go
+++ b/internal/wasabinode/force.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirelay"
 )
 
@@ -33,9 +34,10 @@
 	}
 	for _, e := range v.Backends.Entries {
 		for _, model := range sortedModels(e.Weights) {
-			n.loop.Post(wasabiridge.WeightsReported{Backend: e.Server.ID, Model: model, Weights: e.Weights[model]})
+			n.loop.Post(wasabiridge.WeightsReported{Backend: e.Server.ID, Model: model, Weights: e.Weights[model], Incarnation: e.Server.Incarnation})
 		}
 	}
+	n.logRestarts(before.config, &cfg)
 	if before.config.Version != cfg.Version {
 		n.members.SetConfig(cfg.Version)
 		n.log.Info().Uint64("config_version", uint64(cfg.Version)).Int("rules", len(cfg.Rules)).Int("accounts", len(cfg.Accounts)).
@@ -43,6 +45,24 @@
 	}
 }
 
+// logRestarts tells of backend servers that started again under their names.
+func (n *Node) logRestarts(before, now *wasabiridge.Config) {
+	lives := map[wasabiridge.BackendServerID]wasabiridge.Incarnation{}
+	for _, pool := range before.Pools {
+		for _, b := range pool.Backends {
+			lives[b.ID] = b.Incarnation
+		}
+	}
+	for _, pool := range now.Pools {
+		for _, b := range pool.Backends {
+			if life := lives[b.ID]; life != 0 && b.Incarnation > life {
+				n.log.Info().Str(wasabilog.BackendField, string(b.ID)).Uint64("incarnation", uint64(b.Incarnation)).
+					Uint64("incarnation_before", uint64(life)).Msg("Backend server has restarted.")
+			}
+		}
+	}
+}
+
 // freshStart is for how long after its start an instance that found a version
 // named, and nobody who knows since when, lets older weights answer. Without
 // that time nothing could be served until the first replicas are upgraded.
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -50,7 +50,7 @@
 		}
 		n.loop.Observe(wasabiridge.BackendEasing{Backend: r.Backend, Until: now + r.Easing})
 		if r.Weights > 0 {
-			n.loop.Observe(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights})
+			n.loop.Observe(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights, Incarnation: r.Incarnation})
 		}
 	}
 	if len(news.Loads) > 0 || len(news.Parts) > 0 {
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -108,6 +108,7 @@
 	for _, r := range n.Rests {
 		out.Rests = append(out.Rests, &pb.RestNews{
 			Backend: string(r.Backend), RestingMs: uint64(max(r.Resting, 0)), EasingMs: uint64(max(r.Easing, 0)), Model: string(r.Model), Weights: uint64(r.Weights),
+			Incarnation: uint64(r.Incarnation),
 		})
 	}
 	for _, l := range n.Loads {
@@ -117,6 +118,7 @@
 		out.Parts = append(out.Parts, &pb.PartNews{
 			Backend: string(p.Backend), Key: p.Key, Tokens: uint32(max(p.Tokens, 0)), Own: uint32(max(p.Own, 0)), Ready: p.Ready, Saved: p.Saved,
 			WorkMs: uint32(max(p.Work, 0)), Kept: p.Kept, Priority: int32(min(max(p.Priority, -maxPriority), maxPriority)),
+			Incarnation: uint64(p.Incarnation),
 		})
 	}
 	return out
@@ -132,6 +134,7 @@
 			Backend: wasabiridge.BackendServerID(r.Backend), Model: wasabiridge.ModelID(r.Model),
 			Resting: wasabiridge.Millis(min(r.RestingMs, uint64(wasabiridge.Minute))),
 			Easing:  wasabiridge.Millis(min(r.EasingMs, uint64(wasabiridge.Minute))), Weights: wasabiridge.WeightsVersion(r.Weights),
+			Incarnation: wasabiridge.Incarnation(r.Incarnation),
 		})
 	}
 	for _, l := range in.Loads {
@@ -145,7 +148,7 @@
 			Backend: wasabiridge.BackendServerID(p.Backend), Key: p.Key, Tokens: int(min(p.Tokens, maxTokens)),
 			Own: int(min(p.Own, maxTokens)), Ready: p.Ready, Saved: p.Saved, Kept: p.Kept,
 			Work:     wasabiridge.Millis(min(uint64(p.WorkMs), uint64(wasabiridge.Minute))),
-			Priority: wasabiridge.Priority(min(max(p.Priority, -maxPriority), maxPriority)),
+			Priority: wasabiridge.Priority(min(max(p.Priority, -maxPriority), maxPriority)), Incarnation: wasabiridge.Incarnation(p.Incarnation),
 		})
 	}
 	return n, nil
--- a/internal/wasabireplica/news.go
+++ b/internal/wasabireplica/news.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		r := p.replicas[part.Backend]
-		if r == nil {
+		if r == nil || !r.live(now, part.Incarnation) {
 			continue
 		}
 		if part.Ready {
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -13,12 +13,13 @@
 			pl.review()
 		}
 		p.suspect(now)
+		p.reviewLives(now)
 	case wasabiridge.ConfigAdopted:
-		p.adopt(e.Config)
+		p.adopt(now, e.Config)
 	case wasabiridge.WeightsNamed:
 		p.named.name(e.Model, naming{weights: e.Weights, at: e.At})
 	case wasabiridge.WeightsReported:
-		p.weightsReported(e)
+		p.weightsReported(now, e)
 	case wasabiridge.BackendResting:
 		if r := p.replicas[e.Backend]; r != nil {
 			r.restUntil = e.Until
@@ -51,6 +52,15 @@
 	}
 }
 
+// reviewLives takes up lives that only doubt has kept from counting.
+func (p *Placer) reviewLives(now wasabiridge.Millis) {
+	for _, r := range p.replicas {
+		if life, due := r.life.Due(now); due {
+			r.live(now, life)
+		}
+	}
+}
+
 // suspect leaves replicas alone that have said nothing at all since a request
 // was sent that should have been answered long ago.
 //
@@ -68,11 +78,21 @@
 	}
 }
 
-// weightsReported takes which version a replica serves. Versions only rise
-// within a life; a replica that restarts has a new name.
-func (p *Placer) weightsReported(e wasabiridge.WeightsReported) {
+// weightsReported takes which version a replica serves. Versions only rise within a
+// life.
+func (p *Placer) weightsReported(now wasabiridge.Millis, e wasabiridge.WeightsReported) {
 	r := p.replicas[e.Backend]
-	if r == nil || e.Weights <= r.weights[e.Model] {
+	if r == nil {
+		return
+	}
+	if !r.live(now, e.Incarnation) {
+		if r.doubted == nil {
+			r.doubted = map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}
+		}
+		r.doubted[e.Model] = e.Weights
+		return
+	}
+	if e.Weights <= r.weights[e.Model] {
 		return
 	}
 	if r.weights[e.Model] != 0 {
@@ -113,7 +133,7 @@
 	a.replica.line.begun(now, func(w waitingPrompt) bool { return w.attempt == id })
 	for i, key := range a.keys {
 		a.replica.cache.finish(key)
-		p.news.add(wasabiridge.PartNews{Backend: a.replica.server.ID, Key: key, Tokens: a.prompt.lengths[i], Ready: true})
+		p.news.add(wasabiridge.PartNews{Backend: a.replica.server.ID, Key: key, Tokens: a.prompt.lengths[i], Ready: true, Incarnation: a.replica.server.Incarnation})
 	}
 	p.attempts[id] = a
 }
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -378,7 +378,7 @@
 func (p *Placer) sendParts(now wasabiridge.Millis, rep *replica, a *sending, pl wasabiridge.Placement) {
 	for i, key := range a.keys {
 		n := wasabiridge.PartNews{
-			Backend: rep.server.ID, Key: key, Tokens: a.prompt.lengths[i], Saved: pl.SaveTo != "", Kept: pl.Why == whyKept,
+			Backend: rep.server.ID, Incarnation: rep.server.Incarnation, Key: key, Tokens: a.prompt.lengths[i], Saved: pl.SaveTo != "", Kept: pl.Why == whyKept,
 		}
 		if i == len(a.keys)-1 {
 			n.Own, n.Work, n.Priority = a.prompt.own, wasabiridge.Millis(a.work), a.prompt.priority
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -106,7 +106,7 @@
 
 // adopt takes the pools of a configuration. What was learned of replicas that
 // stay is kept.
-func (p *Placer) adopt(c wasabiridge.Config) {
+func (p *Placer) adopt(now wasabiridge.Millis, c wasabiridge.Config) {
 	p.kept.adopt(c)
 	seen := map[wasabiridge.BackendServerID]bool{}
 	pools := map[wasabiridge.PoolID]*pool{}
@@ -127,6 +127,8 @@
 				r = newReplica(b)
 				p.replicas[b.ID] = r
 			}
+			r.live(now, b.Incarnation)
+			b.Incarnation = r.life.Known()
 			r.server, r.gone = b, false
 			r.memory = cp.CacheTokens
 			r.cache.limit = int(cacheShare * float64(cp.CacheTokens))
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -1,7 +1,10 @@
 package wasabireplica
 
 import (
+	"maps"
+
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
 )
 
 const (
@@ -59,6 +62,9 @@
 type replica struct {
 	server wasabiridge.BackendServer
 	gone   bool
+	life   wasabilife.Life
+	// doubted are the weights of an earlier life that is named again and may be new.
+	doubted map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	// weights are the versions that it serves, by model.
 	weights map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	cache   cache
@@ -101,6 +107,39 @@
 	}
 }
 
+// live takes in which life something was said of the replica. It reports false for
+// one that is over. A new life holds nothing of the one before: no cache, weights,
+// queue or load, and what was learned of its failures does not count.
+//
+// The failure it guards against: an engine starts again under its name, with an empty
+// cache and older weights. It would be sent prompts for parts that it does not hold,
+// and pass for one that has the newest weights.
+func (r *replica) live(now wasabiridge.Millis, said wasabiridge.Incarnation) bool {
+	switch r.life.Take(now, said) {
+	case wasabilife.Over:
+		return false
+	case wasabilife.New:
+		r.restart()
+	}
+	r.server.Incarnation = r.life.Known()
+	return true
+}
+
+// restart forgets what was known of the life before. What this instance has sent there
+// ends by itself, one by one.
+func (r *replica) restart() {
+	clear(r.weights)
+	clear(r.peers)
+	r.cache.clear()
+	r.line.clear()
+	r.running, r.waiting, r.reported, r.insideThen = 0, 0, 0, 0
+	r.restUntil, r.easeUntil = 0, 0
+	r.recovered()
+	r.failures, r.delay, r.samples = 0, 0, 0
+	maps.Copy(r.weights, r.doubted)
+	r.doubted = nil
+}
+
 // mayTry reports whether the replica may get work as far as its failures go.
 // After a pause one request tries it; the others follow when that is answered.
 func (r *replica) mayTry(now wasabiridge.Millis) bool {
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -114,7 +114,7 @@
 	m.effects = m.effects[:0]
 	switch e := e.(type) {
 	case Ticked:
-		m.take(e)
+		m.take(now, e)
 		m.grant = e.Grant
 		m.step(now)
 	case Ordered:
@@ -140,7 +140,7 @@
 }
 
 // take notes what the platform lists.
-func (m *Machine) take(e Ticked) {
+func (m *Machine) take(now wasabiridge.Millis, e Ticked) {
 	m.wanted = e.Wanted
 	for _, r := range m.replicas {
 		r.present = false
@@ -160,7 +160,12 @@
 				r = &replica{server: entry.Server, model: model}
 				m.replicas[u] = r
 			}
-			r.present, r.server = true, entry.Server
+			r.present = true
+			if !r.live(now, entry.Server.Incarnation) {
+				continue
+			}
+			entry.Server.Incarnation = r.life.Known()
+			r.server = entry.Server
 			r.serves = max(r.serves, version)
 		}
 	}
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -74,6 +74,9 @@
 		return
 	}
 	r.busy = false
+	if !e.Failed && !r.live(now, e.State.Incarnation) {
+		return
+	}
 	if !e.Failed {
 		r.heardAt = now
 	}
@@ -130,5 +133,5 @@
 // finish lets a replica serve again.
 func (m *Machine) finish(now wasabiridge.Millis, r *replica) {
 	r.phase = idle
-	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Model: r.model, Weights: r.serves}})
+	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Model: r.model, Weights: r.serves, Incarnation: r.server.Incarnation}})
 }
--- a/internal/wasabiupgrade/replica.go
+++ b/internal/wasabiupgrade/replica.go
@@ -1,6 +1,9 @@
 package wasabiupgrade
 
-import "github.com/wasabiridge/wasabiridge"
+import (
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
+)
 
 // phase is how far a replica is.
 type phase uint8
@@ -24,6 +27,7 @@
 // replica is a unit that needs new weights, or did.
 type replica struct {
 	server wasabiridge.BackendServer
+	life   wasabilife.Life
 	model  wasabiridge.ModelID
 	// serves is the newest version that the replica was seen to serve.
 	serves wasabiridge.WeightsVersion
@@ -48,5 +52,19 @@
 	notBefore wasabiridge.Millis
 }
 
+// live takes in which life something was said of the replica. It reports false for
+// one that is over. A new life has accepted no orders, may serve older weights, and
+// has its turn still to come; it can have it at once.
+func (r *replica) live(now wasabiridge.Millis, said wasabiridge.Incarnation) bool {
+	switch r.life.Take(now, said) {
+	case wasabilife.Over:
+		return false
+	case wasabilife.New:
+		*r = replica{server: r.server, life: r.life, model: r.model, present: r.present, busy: r.busy}
+	}
+	r.server.Incarnation = r.life.Known()
+	return true
+}
+
 // isSilent reports whether the replica has not been read for long.
 func (r *replica) isSilent(now wasabiridge.Millis) bool { return now-r.heardAt > silentAfter }
--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -37,6 +37,8 @@
 	// are carried out after lateBy, or never when that is zero.
 	lose   func(id wasabiridge.BackendServerID) bool
 	lateBy wasabiridge.Millis
+	// born are the starts of the engines, where they tell them.
+	born map[wasabiridge.BackendServerID]wasabiridge.Incarnation
 	// dark engines do not answer.
 	dark    map[wasabiridge.BackendServerID]bool
 	orders  []wasabiupgrade.SendOrder
@@ -73,7 +75,7 @@
 	var out []wasabiridge.BackendEntry
 	for id, v := range f.serves {
 		out = append(out, wasabiridge.BackendEntry{
-			Server: wasabiridge.BackendServer{ID: id}, Weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: v},
+			Server: wasabiridge.BackendServer{ID: id, Incarnation: f.born[id]}, Weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: v},
 		})
 	}
 	return out
@@ -136,7 +138,7 @@
 			}
 			_, busy := f.done[id]
 			f.handle(wasabiupgrade.StateRead{Backend: id, Model: x.Model, State: wasabiridge.EngineState{
-				Weights: f.serves[id], Loading: busy, Orders: f.accepted[id],
+				Weights: f.serves[id], Loading: busy, Orders: f.accepted[id], Incarnation: f.born[id],
 			}})
 		}
 	}
@@ -322,6 +324,26 @@
 		Expect(eased).To(HaveLen(7), "all but the two that load at once")
 	})
 
+	// Story: an engine that has been upgraded, or is about to be, starts again under its
+	// name with the weights that it had before. Taken for the same, it passed for
+	// upgraded and kept old weights; an order that counted on what it had accepted
+	// before was refused.
+	restarts := map[string]wasabiridge.Millis{"after its load": 7500, "while it rests": 100, "under its order": 700}
+	for _, name := range slices.Sorted(maps.Keys(restarts)) {
+		It("brings a replica up that starts again under its name "+name, func() {
+			f := newFleet(3)
+			f.born = map[wasabiridge.BackendServerID]wasabiridge.Incarnation{id(0): 10, id(1): 10, id(2): 10}
+			f.hold(1)
+			f.wanted = 2
+			f.run(restarts[name])
+			f.born[id(0)] = 20
+			f.serves[id(0)], f.accepted[id(0)] = 1, 0
+			delete(f.done, id(0))
+			f.run(9000)
+			Expect(f.left()).To(BeZero())
+		})
+	}
+
 	It("brings a replica up that came back with old weights", func() {
 		f := newFleet(3)
 		f.hold(1)
--- a/order.go
+++ b/order.go
@@ -37,6 +37,8 @@
 	Fencing FencingNumber
 	// Orders is how many orders the engine has accepted in its present life.
 	Orders uint64
+	// Incarnation is the life of the engine. Zero means that it does not say.
+	Incarnation Incarnation
 }
 
 // EngineOperator gives orders to model engines and reads them back.
