--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"slices"
+
+	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 )
 
 // writeMetrics writes counters, ages and times, one a line, ordered by name.
@@ -39,12 +41,37 @@
 	for cause, count := range n.relay.Counts().Causes() {
 		lines = append(lines, line("requests_by_cause_total{cause=\""+cause+"\"}", int64(count)))
 	}
+	for _, p := range n.upgrade.Times().Phases() {
+		lines = append(lines,
+			line("upgrades_total{phase=\""+p.Name+"\"}", p.Total),
+			line("upgrades_ms{phase=\""+p.Name+"\",quantile=\"0.5\"}", p.P50),
+			line("upgrades_ms{phase=\""+p.Name+"\",quantile=\"0.95\"}", p.P95),
+		)
+	}
+	lines = append(lines, n.learnedLines()...)
 	slices.Sort(lines)
 	for _, l := range lines {
 		_, _ = io.WriteString(w, l)
 	}
 }
 
+// learnedLines tells what was learned of the engines, times in microseconds.
+func (n *Node) learnedLines() []string {
+	var learned []wasabireplica.Learned
+	n.loop.Inspect(func() { learned = n.placer.Learned() })
+	var lines []string
+	for _, l := range learned {
+		labels := "{pool=\"" + string(l.Pool) + "\",model=\"" + string(l.Model) + "\"}"
+		lines = append(lines,
+			line("engine_first_token_us"+labels, int64(1000*l.FirstToken)),
+			line("engine_thousand_tokens_us"+labels, int64(1000*l.Thousand)),
+			line("engine_answers_total"+labels, int64(l.Answers)),
+			line("first_byte_overrun_percent"+labels, int64(100*l.Overrun)),
+		)
+	}
+	return lines
+}
+
 func line(name string, value int64) string {
 	return fmt.Sprintf("wasabiridge_%s %d\n", name, value)
 }
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -75,6 +75,34 @@
 	pl.overrun = max(1, pl.overrun*(1-overrunRate*lateChance))
 }
 
+// Learned is what was learned of the engines of a pool that serve a model. Times are in
+// milliseconds.
+type Learned struct {
+	Pool  wasabiridge.PoolID
+	Model wasabiridge.ModelID
+	// FirstToken is the time to the first token of no prompt at all, Thousand what a
+	// thousand tokens add.
+	FirstToken, Thousand float64
+	// Overrun is how many times the expected time first bytes take at most, but for a
+	// few. Answers counts the answers that it was learned from.
+	Overrun float64
+	Answers int
+}
+
+// Learned returns what was learned of all engines.
+func (p *Placer) Learned() []Learned {
+	var out []Learned
+	for id, pl := range p.pools {
+		for model, costs := range pl.costs {
+			out = append(out, Learned{
+				Pool: id, Model: model, FirstToken: costs.Fixed(), Thousand: costs.Compute(wasabicost.Work{Tokens: 1000}),
+				Overrun: pl.overrun, Answers: costs.Answers(),
+			})
+		}
+	}
+	return out
+}
+
 // learnStay takes the time that an answer took from first to last.
 func (pl *pool) learnStay(ms float64) {
 	if pl.stay == 0 {
--- a/internal/wasabiupgrade/event.go
+++ b/internal/wasabiupgrade/event.go
@@ -64,6 +64,17 @@
 	Model  wasabiridge.ModelID
 }
 
+// Upgraded says that a replica serves new weights: how long it rested before its
+// order, and how long the order took, with the answers that ended first.
+type Upgraded struct {
+	Backend wasabiridge.BackendServerID
+	Model   wasabiridge.ModelID
+	Weights wasabiridge.WeightsVersion
+	Rested  wasabiridge.Millis
+	Loaded  wasabiridge.Millis
+}
+
 func (Tell) isEffect()      {}
+func (Upgraded) isEffect()  {}
 func (SendOrder) isEffect() {}
 func (ReadState) isEffect() {}
--- a/internal/wasabiupgrade/keeper.go
+++ b/internal/wasabiupgrade/keeper.go
@@ -64,6 +64,7 @@
 type Keeper struct {
 	options Options
 	lease   *wasabilease.Lease
+	times   Times
 	results chan Event
 	// idleSince is when work began to lie undone.
 	undone wasabiridge.Millis
@@ -82,6 +83,9 @@
 	}
 }
 
+// Times returns how long upgrades took since the start.
+func (k *Keeper) Times() *Times { return &k.times }
+
 // Hear takes that another instance told of a replica.
 func (k *Keeper) Hear(b wasabiridge.BackendServerID) {
 	select {
@@ -139,6 +143,10 @@
 		go k.send(ctx, e)
 	case ReadState:
 		go k.read(ctx, e)
+	case Upgraded:
+		k.times.add(e)
+		k.options.Log.Info().Str("backend", string(e.Backend)).Str("model", string(e.Model)).Uint64("weights", uint64(e.Weights)).
+			Int64("rested_ms", int64(e.Rested)).Int64("loaded_ms", int64(e.Loaded)).Msg("Replica upgraded.")
 	}
 }
 
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -4,6 +4,7 @@
 
 // send gives a replica that rests its order.
 func (m *Machine) send(now wasabiridge.Millis, r *replica) {
+	r.rested = now - r.since
 	r.phase, r.since, r.heardAt = ordered, now, now
 	r.target = max(r.target, m.wanted[r.model])
 	m.give(now, r)
@@ -132,6 +133,9 @@
 
 // finish lets a replica serve again.
 func (m *Machine) finish(now wasabiridge.Millis, r *replica) {
+	if r.phase == ordered {
+		m.effects = append(m.effects, Upgraded{Backend: r.server.ID, Model: r.model, Weights: r.serves, Rested: r.rested, Loaded: now - r.since})
+	}
 	r.phase = idle
 	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Model: r.model, Weights: r.serves, Incarnation: r.server.Incarnation}})
 }
--- a/internal/wasabiupgrade/replica.go
+++ b/internal/wasabiupgrade/replica.go
@@ -35,6 +35,7 @@
 	target wasabiridge.WeightsVersion
 	// since is when the phase began, readAt when the replica is read next.
 	since   wasabiridge.Millis
+	rested  wasabiridge.Millis
 	readAt  wasabiridge.Millis
 	busy    bool
 	present bool
