--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -167,6 +167,19 @@
 		Expect(fourth.FetchFrom).To(BeEmpty())
 	})
 
+	// Story: half of what prompts hold is their own. Saved with the shared parts, it fills
+	// the store and its link, and shared parts yield before they are asked for again.
+	It("is saved by a prompt that is mostly shared, and by no other", func() {
+		g := newRig(3)
+		g.tell(wasabiridge.KeptCacheSeen{Address: "kv:1", Up: true})
+		first, id := g.place(sized(7, 5000, 6000))
+		Expect(first.SaveTo).To(BeEmpty())
+		g.now += 150
+		g.answer(id)
+		second, _ := g.place(sized(7, 5000, 4000))
+		Expect(second.SaveTo).To(Equal("kv:1"))
+	})
+
 	It("shares nothing across roots", func() {
 		g := newRig(3)
 		_, id := g.place(long(7))
