--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -44,7 +44,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -97,30 +96,6 @@
 	instances int
 }
 
-// sending is an attempt that has not ended.
-type sending struct {
-	replica *replica
-	pool    wasabiridge.PoolID
-	sent    wasabiridge.Millis
-	work    float64
-	prompt  prompt
-	keys    []uint64
-	first   bool
-	// expected is the time to its first byte that was expected.
-	expected float64
-	// wait is what the prompt was expected to wait for when it was sent, held how
-	// many of its tokens the replica was believed to hold. measures says that the
-	// time to the first byte tells how fast the engine computes: nothing had to be
-	// fetched, and nothing was read that others had asked for.
-	wait     float64
-	held     int
-	measures bool
-	// bound is when, after it was sent, silence counts against the replica.
-	// suspected says that it did.
-	bound     wasabiridge.Millis
-	suspected bool
-}
-
 var _ wasabiridge.Placer = (*Placer)(nil)
 
 // New returns a Placer that knows nothing yet.
@@ -203,54 +178,6 @@
 	return serves != 0 && p.mayServe(now, model, serves)
 }
 
-// mayServe reports whether a version may still answer.
-func (p *Placer) mayServe(now wasabiridge.Millis, m wasabiridge.ModelID, v wasabiridge.WeightsVersion) bool {
-	age, older := p.named.overdue(now, m, v)
-	return !older || age < p.options.WeightsBound
-}
-
-const (
-	// beginFactor is how much longer than expected a request may take to begin at a
-	// replica with older weights, beginWait what it may take however short that is.
-	beginFactor = 2
-	beginWait   = 200 * wasabiridge.Millis(1)
-)
-
-// beginsInTime reports whether the first token of a request is expected while
-// the replica's weights may still answer.
-//
-// The failure it guards against: queues are long in an overload. A request is
-// sent to a replica whose weights may just be used, waits there for seconds, and
-// begins on weights that were replaced too long ago. What takes longer than
-// expected is given up, see beginBy.
-func (p *Placer) beginsInTime(now wasabiridge.Millis, pr *prompt, c choice) bool {
-	if !pr.engine {
-		return true
-	}
-	late := max(0, wasabiridge.Millis(beginFactor*c.expected)-beginWait)
-	return p.mayServe(now+late, pr.root.Model, c.replica.weights[pr.root.Model])
-}
-
-// beginBy is how long a request may wait for its first token at a replica until
-// its weights may not answer any more. It reports false when there is no bound.
-func (p *Placer) beginBy(now wasabiridge.Millis, m wasabiridge.ModelID, r *replica) (wasabiridge.Millis, bool) {
-	age, older := p.named.overdue(now, m, r.weights[m])
-	return max(1, p.options.WeightsBound-age), older
-}
-
-// isOver reports whether no replica will ever be able to go on with a stream: its
-// weights may not answer any more, or no replica has them. Replicas never go back
-// to older weights, so waiting would only keep the caller from asking again.
-func (p *Placer) isOver(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery) bool {
-	model := q.Request.Model
-	if model == "" || q.Weights == 0 {
-		return false
-	}
-	return !p.mayServe(now, model, q.Weights) || !slices.ContainsFunc(pl.replicas, func(r *replica) bool {
-		return !r.gone && r.weights[model] == q.Weights
-	})
-}
-
 // weigh works out what a request is expected to lose at a replica.
 func (p *Placer) weigh(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt, target wasabiridge.Millis) choice {
 	c := choice{replica: r}
@@ -302,105 +229,3 @@
 	}
 	return out
 }
-
-// Sent tells that an attempt goes to the placement's replica.
-func (p *Placer) Sent(now wasabiridge.Millis, r wasabiridge.Request, id wasabiridge.AttemptID, pl wasabiridge.Placement) {
-	rep := p.replicas[pl.Backend.ID]
-	if rep == nil {
-		return
-	}
-	pool := p.pools[r.Action.Pool]
-	if pool == nil {
-		return
-	}
-	a := sending{replica: rep, sent: now, work: plainWork, prompt: pool.promptOf(pool.asServed(r)), pool: r.Action.Pool}
-	a.wait = rep.line.wait(now, a.prompt.priority)
-	a.expected = float64(pl.ExpectedWait)
-	if pl.Why == wasabiridge.WhyMoved {
-		p.attempts[id] = p.sentMoved(rep, a)
-		return
-	}
-	a.measures = pl.Why == WhyLoad || pl.Why == whyHeld || pl.Why == whyComputed
-	if a.measures {
-		a.held = pl.ClaimedTokens
-	}
-	a.bound = suspectAfter + wasabiridge.Millis(queueFactor*float64(pl.ExpectedWait))
-	rep.own = rep.own.plus(occupation{inside: 1, tokens: a.prompt.memory()})
-	if a.prompt.engine {
-		a.work = a.prompt.workFor(pl.Why, pl.ClaimedTokens)
-		pool.learnWork(&a.prompt)
-	}
-	if a.prompt.isTracked() {
-		a.keys = a.prompt.keysFor(pl.Weights)
-		p.sendParts(now, rep, &a, pl)
-	}
-	if a.prompt.engine {
-		rep.line.enter(now, waitingPrompt{attempt: id, priority: a.prompt.priority, left: a.work})
-	}
-	p.attempts[id] = a
-}
-
-// sentMoved notes an answer that goes on from its memory: there is nothing to
-// compute.
-func (p *Placer) sentMoved(rep *replica, a sending) sending {
-	a.bound = suspectAfter
-	rep.own = rep.own.plus(occupation{inside: 1, tokens: a.prompt.memory()})
-	return a
-}
-
-// refugeShare is how full, by slots or memory, a replica may become by an answer
-// that is moved there. A fuller one would have to push out what runs.
-const refugeShare = 0.9
-
-// Refuge chooses where an answer may go on that must leave a replica: at one with
-// the same weights that has room.
-func (p *Placer) Refuge(now wasabiridge.Millis, r wasabiridge.Request, w wasabiridge.WeightsVersion, from wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
-	pl := p.pools[r.Action.Pool]
-	if pl == nil || !pl.config.MovesRuns || w == 0 {
-		return wasabiridge.BackendServer{}, false
-	}
-	pr := pl.promptOf(pl.asServed(r))
-	q := wasabiridge.PlaceQuery{Request: pl.asServed(r), Weights: w, Excluded: []wasabiridge.BackendServerID{from}}
-	var best *replica
-	least := refugeShare
-	for _, rep := range pl.replicas {
-		full := rep.fullness(now, pr.memory())
-		if now < rep.easeUntil {
-			// It will have to send the answer on soon.
-			full += refugeShare / 2
-		}
-		if full < least && p.eligible(now, rep, q) {
-			best, least = rep, full
-		}
-	}
-	if best == nil {
-		return wasabiridge.BackendServer{}, false
-	}
-	return best.server, true
-}
-
-// sendParts notes the parts of a long prompt and tells the other instances.
-func (p *Placer) sendParts(now wasabiridge.Millis, rep *replica, a *sending, pl wasabiridge.Placement) {
-	for i, key := range a.keys {
-		n := wasabiridge.PartNews{
-			Backend: rep.server.ID, Incarnation: rep.server.Incarnation, Key: key, Tokens: a.prompt.lengths[i], Saved: pl.SaveTo != "", Kept: pl.Why == whyKept,
-		}
-		if i == len(a.keys)-1 {
-			n.Own, n.Work, n.Priority = a.prompt.own, wasabiridge.Millis(a.work), a.prompt.priority
-		}
-		p.notePart(now, rep, n)
-		p.news.add(n)
-	}
-}
-
-// notePart notes what a part that was sent does to the caches.
-func (p *Placer) notePart(now wasabiridge.Millis, rep *replica, n wasabiridge.PartNews) {
-	rep.cache.use(n.Key, n.Tokens)
-	rep.cache.fill(n.Own)
-	switch {
-	case n.Saved:
-		p.kept.save(now, n.Key, n.Tokens, n.Own)
-	case n.Kept:
-		p.kept.fetch(now, n.Key, n.Tokens)
-	}
-}
