Claim histories: nothing waits for a mutex while virtual time has to go on

Cause: the goroutine that kills instances held a mutex until the killed one had ended, which takes virtual time when a call between instances is on its way; a caller that asked for the mutex meanwhile kept the bubble's time from going on, for ever. The list is guarded by a channel now, and an answer that a late copy may also give is taken without a lock held during the call. Ruled out: the product code, whose goroutines all waited for time. Nothing is asserted less.

--- a/internal/wasabiclaim/cluster_test.go
+++ b/internal/wasabiclaim/cluster_test.go
@@ -70,10 +70,10 @@
 	var mu sync.Mutex
 	var out wasabiridge.ClaimOutcome
 	err := n.call(address, func(k *wasabiclaim.Keeper) error {
+		answer, err := k.HandleClaim(ctx, q)
 		mu.Lock()
 		defer mu.Unlock()
-		var err error
-		out, err = k.HandleClaim(ctx, q)
+		out = answer
 		return err
 	})
 	mu.Lock()
--- a/internal/wasabiclaim/history_test.go
+++ b/internal/wasabiclaim/history_test.go
@@ -278,11 +278,14 @@
 		}
 		return f
 	}
-	var mu sync.Mutex
+	// A channel guards the list, not a mutex: a killed instance takes time to
+	// end, and time does not go on in a bubble while a goroutine waits for a
+	// mutex.
+	guard := make(chan struct{}, 1)
 	routers := []*router{h.boot("a"), h.boot("b"), h.boot("c")}
 	pick := func() *router {
-		mu.Lock()
-		defer mu.Unlock()
+		guard <- struct{}{}
+		defer func() { <-guard }()
 		return routers[h.span(time.Duration(len(routers)))]
 	}
 	stop := make(chan struct{})
@@ -293,10 +296,10 @@
 				return
 			case <-time.After(h.span(40 * time.Second)):
 			}
-			mu.Lock()
+			guard <- struct{}{}
 			h.kill(routers[i])
 			routers[i] = h.boot(routers[i].id)
-			mu.Unlock()
+			<-guard
 		}
 	}()
 	var wg sync.WaitGroup
