--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -56,6 +56,11 @@
 // watchKept tells the decisions which stores of kept cache can be reached. An
 // engine that is sent to one that cannot loses some hundred milliseconds.
 func (n *Node) watchKept(ctx context.Context) {
+	// The first look comes with the first configuration: an instance that has just
+	// started would have a second's worth of parts computed that a store holds.
+	if !n.waitFor(ctx, wasabiridge.Day, n.knowsConfig) {
+		return
+	}
 	ticker := time.NewTicker(keptInterval)
 	defer ticker.Stop()
 	up := map[string]bool{}
--- a/internal/wasabinode/restore.go
+++ b/internal/wasabinode/restore.go
@@ -31,8 +31,7 @@
 // them knows any more what was sent where, so prompts that engines hold are
 // computed again at other ones, just when all callers come back.
 func (n *Node) restore(ctx context.Context) {
-	known := func() bool { return n.inForce.Load().config.Version > 0 }
-	if !n.waitFor(ctx, wasabiridge.Day, known) {
+	if !n.waitFor(ctx, wasabiridge.Day, n.knowsConfig) {
 		return
 	}
 	n.waitFor(ctx, restoreWait, func() bool { return !n.isAlone() })
@@ -75,6 +74,9 @@
 	return true
 }
 
+// knowsConfig reports whether a configuration is in force.
+func (n *Node) knowsConfig() bool { return n.inForce.Load().config.Version > 0 }
+
 // isActive reports whether callers are sent to this instance.
 func (n *Node) isActive() bool {
 	return slices.ContainsFunc(n.book.Active(), func(e wasabiridge.InstanceEntry) bool {
