Upgrades: a replica that has not answered its order serves on until it is seen to load

Orders sent again at once (every 150 ms) were not answered either: eight in a row to one replica. Change: after 250 ms without an answer the replica takes light work again and its place is free for the next; it rests again when it is read back as loading. At most twice as many as may load are away or may be so at any moment.

--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -19,7 +19,9 @@
 // never. The replica is read a moment later, and gets the order again unless it
 // has accepted one. Every order names how many the replica had accepted before,
 // so that of the two only one is carried out, and a late one cannot undo what a
-// newer one brought.
+// newer one brought. Until it is seen to load, such a replica serves light work as
+// before, and another one has its place: engines that answer late would otherwise
+// stand idle for seconds, all of those that may load at once.
 //
 // # How many at once
 //
@@ -210,7 +212,7 @@
 	case r.phase == idle:
 	case r.serves >= r.target && !r.busy:
 		m.finish(now, r)
-	case r.phase == ordered:
+	case r.phase == ordered, r.phase == unanswered:
 		m.watch(now, r)
 	case r.phase == easing && now-r.since > easeLife, r.phase == resting && now-r.since > restMost:
 		// The lease has ended, or no place to load became free. The replica
@@ -223,13 +225,14 @@
 // more ease.
 func (m *Machine) begin(now wasabiridge.Millis) {
 	away, eased, serving := m.count(now)
+	unsure := m.unsure()
 	for _, id := range m.next() {
 		r := m.replicas[id]
 		if r.busy || r.serves >= m.wanted[r.model] {
 			continue
 		}
 		switch {
-		case r.phase == easing && away < m.maxLoads() && m.maySpare(serving):
+		case r.phase == easing && away < m.maxLoads() && away+unsure < 2*m.maxLoads() && m.maySpare(serving):
 			m.rest(now, r)
 			away, eased, serving = away+1, eased-1, serving-1
 		case r.phase == idle && away+eased < 2*m.maxLoads() && now >= r.notBefore && !m.isTurnOfOther(now, id.backend) && !m.isBusy(id.backend):
@@ -292,6 +295,17 @@
 	return 1
 }
 
+// unsure counts the replicas that may carry out an order at any moment.
+func (m *Machine) unsure() int {
+	n := 0
+	for _, r := range m.replicas {
+		if r.phase == unanswered {
+			n++
+		}
+	}
+	return n
+}
+
 // count counts the replicas that are away, those that ease, and those that serve.
 func (m *Machine) count(now wasabiridge.Millis) (away, eased, serving int) {
 	for _, id := range m.order {
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -64,11 +64,32 @@
 		m.giveUp(now, r)
 	case e.Unsure:
 		r.readAt = now + m.timing.Recheck
+		m.serveOn(now, r)
 	default:
-		r.accepted = true
+		m.accept(now, r)
 	}
 }
 
+// serveOn lets a replica serve that has not answered its order.
+func (m *Machine) serveOn(now wasabiridge.Millis, r *replica) {
+	if r.phase != ordered {
+		return
+	}
+	r.phase, r.heardAt = unanswered, now
+	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Easing: easeLife}})
+}
+
+// accept notes that an order is carried out. One that was not answered begins to
+// load only now.
+func (m *Machine) accept(now wasabiridge.Millis, r *replica) {
+	r.accepted = true
+	if r.phase != unanswered {
+		return
+	}
+	r.phase, r.heardAt = ordered, now
+	m.effects = append(m.effects, Tell{News: wasabiridge.RestNews{Backend: r.server.ID, Resting: restLife}})
+}
+
 func (m *Machine) stateRead(now wasabiridge.Millis, e StateRead) {
 	r := m.replicas[unit{e.Backend, e.Model}]
 	if r == nil {
@@ -98,7 +119,7 @@
 		m.eased(now, r)
 	case r.phase == resting:
 		r.asked, r.orders = true, e.State.Orders
-	case r.phase == ordered && !r.accepted:
+	case (r.phase == ordered || r.phase == unanswered) && !r.accepted:
 		m.orderAgain(now, r, e.State)
 	}
 }
@@ -122,7 +143,8 @@
 // a moment later.
 func (m *Machine) orderAgain(now wasabiridge.Millis, r *replica, s wasabiridge.EngineState) {
 	if s.Loading || s.Orders > r.orders {
-		r.accepted, r.readAt = true, now+m.timing.Poll
+		m.accept(now, r)
+		r.readAt = now + m.timing.Poll
 		return
 	}
 	r.orders = s.Orders
@@ -133,7 +155,7 @@
 
 // finish lets a replica serve again.
 func (m *Machine) finish(now wasabiridge.Millis, r *replica) {
-	if r.phase == ordered {
+	if r.phase == ordered || r.phase == unanswered {
 		m.effects = append(m.effects, Upgraded{Backend: r.server.ID, Model: r.model, Weights: r.serves, Rested: r.rested, Loaded: now - r.since})
 	}
 	r.phase = idle
--- a/internal/wasabiupgrade/replica.go
+++ b/internal/wasabiupgrade/replica.go
@@ -14,6 +14,9 @@
 	easing
 	// resting replicas run dry.
 	resting
+	// unanswered replicas have got an order that they have not answered. They
+	// serve on until they are seen to carry it out.
+	unanswered
 	// ordered replicas load, or are about to.
 	ordered
 )
--- a/internal/wasabiupgrade/timing.go
+++ b/internal/wasabiupgrade/timing.go
@@ -25,8 +25,9 @@
 	// Turn is how long orders of two holders to one replica lie apart, 3 s by
 	// default.
 	Turn wasabiridge.Millis
-	// OrderTime bounds one order. The lease must cover it. 400 ms by default:
-	// replicas answer within a few.
+	// OrderTime bounds one order. The lease must cover it. 250 ms by default:
+	// replicas answer within a few, and a packet that is lost on the way is sent
+	// again within 200.
 	OrderTime wasabiridge.Millis
 }
 
@@ -41,6 +42,6 @@
 	set(&t.Recheck, 300)
 	set(&t.Patience, 5*wasabiridge.Second)
 	set(&t.Turn, 3*wasabiridge.Second)
-	set(&t.OrderTime, 400)
+	set(&t.OrderTime, 250)
 	return t
 }
--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -258,6 +258,40 @@
 		Expect(most).To(BeNumerically("<=", 4))
 	})
 
+	// Story: an order gets no answer, and is carried out three seconds later. The engine
+	// was left alone all that time, with nothing to do, while the others were full.
+	It("lets a replica serve on that has not answered its order, until it loads", func() {
+		f := newFleet(4)
+		f.hold(1)
+		f.wanted = 2
+		f.lateBy = 3000
+		lost := wasabiridge.BackendServerID("")
+		f.lose = func(id wasabiridge.BackendServerID) bool {
+			if lost == "" {
+				lost = id
+			}
+			return id == lost
+		}
+		rests := func() bool {
+			last := wasabiridge.RestNews{}
+			for _, news := range f.rests {
+				if news.Backend == lost {
+					last = news
+				}
+			}
+			return last.Resting > 0
+		}
+		f.run(1000)
+		Expect(lost).NotTo(BeEmpty())
+		Expect(rests()).To(BeFalse())
+		f.run(2800)
+		Expect(f.serves[lost]).To(BeEquivalentTo(1))
+		Expect(rests()).To(BeTrue(), "it has begun to load")
+		f.run(4000)
+		Expect(f.left()).To(BeZero())
+		Expect(rests()).To(BeFalse())
+	})
+
 	// Story: an order gets no answer. The engine is upgraded twice meanwhile.
 	// Then the first order is carried out and brings the old weights back, on an
 	// engine that everybody takes for new.
