--- a/internal/wasabireplica/loss.go
+++ b/internal/wasabireplica/loss.go
@@ -37,10 +37,6 @@
 	waitLoss = 0.0003
 	// zoneLoss is for bytes between zones, and for the way.
 	zoneLoss = 0.012
-	// homeGain is what a prompt gains at the replica where all instances send it
-	// while no other is clearly better. It is more than replicas differ by that
-	// have little to do, and less than a tenth of a target's wait loses.
-	homeGain = 0.03
 	// near is the difference in loss that counts as none.
 	near = 0.002
 )
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -122,7 +122,6 @@
 	pr := pl.promptOf(q.Request)
 	var best choice
 	found, count := false, 0
-	home := p.homeOf(now, pl, q, &pr)
 	for _, r := range pl.replicas {
 		if !p.eligible(now, r, q) {
 			continue
@@ -131,9 +130,6 @@
 		if !p.beginsInTime(now, &pr, c) {
 			continue
 		}
-		if r == home {
-			c.score -= homeGain
-		}
 		switch {
 		case !found || c.score < best.score-near:
 			best, found, count = c, true, 1
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
 )
@@ -63,10 +61,8 @@
 // replica is what is known of one replica.
 type replica struct {
 	server wasabiridge.BackendServer
-	// seed tells the replicas apart when prompts are shared out.
-	seed uint64
-	gone bool
-	life wasabilife.Life
+	gone   bool
+	life   wasabilife.Life
 	// doubted are the weights of an earlier life that is named again and may be new.
 	doubted map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	// weights are the versions that it serves, by model.
@@ -106,7 +102,7 @@
 
 func newReplica(b wasabiridge.BackendServer) *replica {
 	return &replica{
-		server: b, seed: xxhash.Sum64String(string(b.ID)), weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}, cache: newCache(),
+		server: b, weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}, cache: newCache(),
 		peers: map[wasabiridge.InstanceID]peerLoad{},
 	}
 }
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -28,10 +28,7 @@
 	next    wasabiridge.AttemptID
 }
 
-func newRig(engines int) *rig { return newSeededRig(engines, 1) }
-
-// newSeededRig returns a rig whose placer decides between equals by a seed.
-func newSeededRig(engines int, seed uint64) *rig {
+func newRig(engines int) *rig {
 	g := &rig{now: 1e6, pool: wasabiridge.Pool{ID: "p", CacheTokens: 200000, TokenBytes: 18432, LinkMegabits: 180000, Models: []wasabiridge.ModelID{model}}}
 	for i := range engines {
 		id := wasabiridge.BackendServerID(fmt.Sprint("e", i))
@@ -39,7 +36,7 @@
 			ID: id, Kind: wasabiridge.BackendEngine, URL: "http://" + string(id) + ":1", Slots: 8, Zone: "z",
 		})
 	}
-	g.placer = wasabireplica.New(wasabireplica.Options{Seed: seed, Zone: "z", RetryRatio: 0.2, RetrySlack: 30})
+	g.placer = wasabireplica.New(wasabireplica.Options{Seed: 1, Zone: "z", RetryRatio: 0.2, RetrySlack: 30})
 	g.limiter = wasabireplica.NewLimiter(g.placer)
 	g.adopt()
 	for _, b := range g.pool.Backends {
