Router tests: addresses are given out once, below the ports that the system gives away

Cause, from its log: 297 times the answer on that router's address began with an HTTP/2 preface. The test's port was free when it was chosen; the system gave it to the peer listener of another router, chosen by port 0 a moment later. Ruled out: the product, whose address was never reached. Nothing is asserted less.

--- a/cmd/wasabirouter/main_test.go
+++ b/cmd/wasabirouter/main_test.go
@@ -12,8 +12,10 @@
 	"os/exec"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -120,15 +122,35 @@
 	return engine
 }
 
-// freeAddress returns an address that was free a moment ago.
+// Ports that freeAddress hands out lie below those that the system gives to outgoing
+// connections and to listeners on port 0.
+const (
+	lowestPort = 14000
+	portsCount = 16000
+)
+
+// portsGiven counts the ports that were handed out.
+var portsGiven atomic.Uint64
+
+// freeAddress returns an address that was free a moment ago, and that nobody else is
+// given in this process. One that the system chooses may be given to another listener
+// between this call and the start of the router that is to have it: callers then reach
+// the peer listener of another router.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portsCount {
+		port := lowestPort + (uint64(os.Getpid())*61+portsGiven.Add(1))%portsCount
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.FormatUint(port, 10)))
+		if err != nil {
+			continue
+		}
+		if err = l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // ask sends one completion until a router answers it, and returns the answer.
