Stores of kept cache: only instances with callers look, over one connection that stays

Cause: every instance opened a connection to every store once a second to see whether it was there: 195 instances, two stores, 390 a second.

--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -50,9 +50,13 @@
 	// idleMargin is how long before its server a kept connection is given up.
 	// It covers the way of a request.
 	idleMargin = 400 * wasabiridge.Millis(1)
-	// silence is how long sent bytes may stay unacknowledged before the
-	// system breaks the connection. Cut paths show in no other way.
-	silence = 3 * wasabiridge.Second
+	// DefaultSilence is how long sent bytes, or the system's own probes, may stay
+	// unacknowledged before the system breaks the connection. Cut paths show in no
+	// other way.
+	DefaultSilence = 3 * wasabiridge.Second
+	// unusedLife is how long a connection is kept on which nothing was sent. Its
+	// server closes it long before.
+	unusedLife = wasabiridge.Minute
 )
 
 // ErrFull says that as many connections are in use as are allowed.
@@ -62,6 +66,7 @@
 type Options struct {
 	Clock       wasabiridge.Clock
 	DialTimeout wasabiridge.Millis
+	Silence     wasabiridge.Millis
 }
 
 // Want says what connection a request needs.
@@ -101,21 +106,24 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.Silence == 0 {
+		o.Silence = DefaultSilence
+	}
 	p := &Pool{options: o, hosts: map[string]*host{}}
 	p.dialer = net.Dialer{
 		Timeout:         o.DialTimeout.Duration(),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
-		Control:         breakWhenSilent,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: max(1, int(o.Silence/wasabiridge.Second))},
+		Control:         p.breakWhenSilent,
 	}
 	return p
 }
 
 // breakWhenSilent lets the system break connections whose bytes stay
 // unacknowledged. Without it they hang for minutes behind a cut path.
-func breakWhenSilent(_, _ string, raw syscall.RawConn) error {
+func (p *Pool) breakWhenSilent(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.options.Silence))
 	})
 	if err != nil {
 		return err
@@ -138,6 +146,18 @@
 	return newConn(p, address, raw), nil
 }
 
+// Reach reports whether an address can be reached: by the connection that is kept
+// for it if that still stands, and by a new one otherwise, which is kept. Nothing
+// is sent.
+func (p *Pool) Reach(ctx context.Context, address string) bool {
+	c, err := p.Get(ctx, address, Want{})
+	if err != nil {
+		return false
+	}
+	p.put(c, unusedLife)
+	return true
+}
+
 // take returns an idle connection, or nil after it has counted a new one.
 func (p *Pool) take(address string, w Want) (*Conn, error) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/wasabiconn/pool_test.go
@@ -0,0 +1,77 @@
+package wasabiconn_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiconn"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestConn(t *testing.T) { wasabitest.Run(t, "conn") }
+
+// server accepts connections and hands them over.
+type server struct {
+	net.Listener
+	accepted chan net.Conn
+}
+
+func listen(address string) *server {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	s := &server{Listener: l, accepted: make(chan net.Conn, 16)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted <- c
+		}
+	}()
+	DeferCleanup(func() { _ = s.Close() })
+	return s
+}
+
+var _ = Describe("An address that is only looked at", func() {
+	// Instances see once a second whether a store of kept cache is there. With a
+	// new connection each time they would open more of them than for requests.
+	It("is reached over the connection that is kept, until its server ends that", func() {
+		s := listen("127.0.0.1:0")
+		pool := wasabiconn.New(wasabiconn.Options{Clock: wasabiclock.System()})
+		DeferCleanup(pool.Close)
+		address := s.Addr().String()
+		reach := func() bool { return pool.Reach(context.Background(), address) }
+		for range 5 {
+			Expect(reach()).To(BeTrue())
+		}
+		Expect(pool.Opened()).To(BeEquivalentTo(1))
+		var kept net.Conn
+		Eventually(s.accepted).Should(Receive(&kept))
+		Expect(kept.Close()).To(Succeed())
+		Eventually(func() uint64 { Expect(reach()).To(BeTrue()); return pool.Opened() }).Should(BeEquivalentTo(2))
+		Eventually(s.accepted).Should(Receive(&kept))
+		Expect(s.Close()).To(Succeed())
+		Expect(kept.Close()).To(Succeed())
+		Eventually(reach).Should(BeFalse())
+	})
+
+	It("keeps nothing once it is dropped", func() {
+		s := listen("127.0.0.1:0")
+		pool := wasabiconn.New(wasabiconn.Options{Clock: wasabiclock.System(), Silence: wasabiridge.Second})
+		DeferCleanup(pool.Close)
+		Expect(pool.Reach(context.Background(), s.Addr().String())).To(BeTrue())
+		var kept net.Conn
+		Eventually(s.accepted).Should(Receive(&kept))
+		pool.Drop(s.Addr().String())
+		_, err := kept.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -2,20 +2,22 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiconn"
+	"github.com/wasabiridge/wasabiridge/internal/wasabikept"
 )
 
 const (
 	// countInterval is how often the number of instances is looked at.
 	countInterval = time.Second
-	// keptInterval is how often the stores of kept cache are looked for, and
-	// keptTimeout how long a connection to one may take to open.
-	keptInterval = time.Second
-	keptTimeout  = 300 * time.Millisecond
+	// keptTimeout is how long a connection to a store of kept cache may take to
+	// open, keptSilence how long one may be silent. Within a region a round trip
+	// takes milliseconds.
+	keptTimeout = 300 * wasabiridge.Millis(1)
+	keptSilence = wasabiridge.Second
 )
 
 // startDuties starts the goroutines of the controllers.
@@ -57,21 +59,23 @@
 // engine that is sent to one that cannot loses some hundred milliseconds.
 func (n *Node) watchKept(ctx context.Context) {
 	// The first look comes with the first configuration: an instance that has just
-	// started would have a second's worth of parts computed that a store holds.
+	// started would have a second's worth of parts computed that a store holds. It
+	// waits for other instances, to know whether callers are sent here at all.
 	if !n.waitFor(ctx, wasabiridge.Day, n.knowsConfig) {
 		return
 	}
-	ticker := time.NewTicker(keptInterval)
+	n.waitFor(ctx, restoreWait, func() bool { return !n.isAlone() })
+	pool := wasabiconn.New(wasabiconn.Options{Clock: n.options.Clock, DialTimeout: keptTimeout, Silence: keptSilence})
+	defer pool.Close()
+	watch := wasabikept.New(wasabikept.Options{Reacher: pool, Active: n.isActive})
+	ticker := time.NewTicker(wasabikept.Interval)
 	defer ticker.Stop()
-	up := map[string]bool{}
 	for {
-		for _, k := range n.inForce.Load().config.KeptCaches {
-			reached := reaches(ctx, k.Address)
-			if was, known := up[k.Address]; !known || was != reached {
-				n.log.Info().Str("address", k.Address).Bool("up", reached).Msg("Store of kept cache seen.")
+		for _, seen := range watch.Look(ctx, n.inForce.Load().config.KeptCaches) {
+			if seen.Changed {
+				n.log.Info().Str("address", seen.Address).Bool("up", seen.Up).Msg("Store of kept cache seen.")
 			}
-			up[k.Address] = reached
-			n.loop.Observe(wasabiridge.KeptCacheSeen{Address: k.Address, Up: reached})
+			n.loop.Observe(seen.KeptCacheSeen)
 		}
 		select {
 		case <-ticker.C:
@@ -81,15 +85,6 @@
 	}
 }
 
-func reaches(ctx context.Context, address string) bool {
-	conn, err := (&net.Dialer{Timeout: keptTimeout}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	n.writeMetrics(w)
