--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -69,9 +69,12 @@
 	// to them, but they must keep the bounds like all others.
 	standbyAge   = 800 * wasabiridge.Millis(1)
 	standbyPause = 800 * wasabiridge.Millis(1)
-	// firstWait is how long after its start an instance that knows nothing waits for
-	// others to be known before it reads. They answer within milliseconds.
+	// firstWait is how long after its start an instance that knows nothing waits
+	// before it reads, so that it knows its rank. aloneWait is the same while it
+	// knows no other instance; those that run answer within milliseconds, and those
+	// that start at the same moment within 300 ms.
 	firstWait = 150 * wasabiridge.Millis(1)
+	aloneWait = 400 * wasabiridge.Millis(1)
 	// retryPause is the time after a failed read until the next, retryMost its
 	// longest after many.
 	retryPause = 400 * wasabiridge.Millis(1)
@@ -174,6 +177,9 @@
 // a few could read for all. The platform refuses what is above its rate.
 func (m *Machine) isDue(now wasabiridge.Millis, p *part) bool {
 	steps := wasabiridge.Millis(min(m.rank, ranksCounted)) * rankStep
+	if !p.known && len(m.peers) == 0 {
+		return now-m.started >= aloneWait
+	}
 	if !p.known {
 		return now-m.started >= firstWait+steps
 	}
