Listeners: a request that came while the process stood still is read when it goes on

Cause of the failure in "a router process that is frozen": net/http bounds the time to read a header from the moment at which a connection is accepted. The bound passes while the process is stopped; when it goes on, the end of the time may be seen before the bytes that wait in the system, and the connection is closed on a request that nobody read. The caller hears nothing; nothing has run, so at-most-once holds, but the caller gets no answer although the router could give one.

Ruled out: the deadline of writes (moved before each write after a pause), an answer broken before its head went out.

The spec of the frozen router now waits until its stream has begun instead of leaving that to chance; its checks are as they were. The other moments have specs of their own. Read for the same chance: the other specs of whole processes start work beside a signal only where any moment is allowed.

--- a/cmd/wasabirouter/caller_test.go
+++ b/cmd/wasabirouter/caller_test.go
@@ -111,6 +111,11 @@
 
 // stream asks one router and reads the whole stream.
 func (c *caller) stream(url, prompt string, tokens int) reply {
+	return c.streamFrom(url, prompt, tokens, func() {})
+}
+
+// streamFrom does the same, and tells when the answer has begun.
+func (c *caller) streamFrom(url, prompt string, tokens int, begun func()) reply {
 	resp, err := c.do(http.MethodPost, url+"/v1/chat/completions", question(prompt, tokens, true), "")
 	if err != nil {
 		return reply{Code: codeNoAnswer}
@@ -119,6 +124,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return failureOf(resp)
 	}
+	begun()
 	got := reply{Code: codeCut}
 	for event, err := range sse.Read(resp.Body, nil) {
 		if err != nil {
--- a/cmd/wasabirouter/process_test.go
+++ b/cmd/wasabirouter/process_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -118,8 +120,11 @@
 		r.service.Inject(wasabiserver.Fault{Point: wasabiserver.BeforeHeaders, Manner: wasabiserver.Stall})
 		go c.book(frozen.url(), "under way")
 		Eventually(func() int { return r.service.Executions("under way") }, soon).Should(Equal(1))
-		streamed := make(chan reply, 1)
-		go func() { streamed <- r.caller(0).stream(frozen.url(), "A long answer", 200) }()
+		streamed, begun := make(chan reply, 1), make(chan struct{})
+		go func() {
+			streamed <- r.caller(0).streamFrom(frozen.url(), "A long answer", 200, func() { close(begun) })
+		}()
+		Eventually(begun, soon).Should(BeClosed())
 		frozen.signal(syscall.SIGSTOP)
 
 		others := slices.DeleteFunc(slices.Clone(r.routers), func(p *router) bool { return p == frozen })
@@ -152,6 +157,96 @@
 	})
 })
 
+var _ = Describe("a request that comes while a router process stands still", func() {
+	// The header timeout of the router passes while it stands still.
+	const headerTimeout = 300 * wasabiridge.Millis(1)
+	// callers is how many ask at once: whether a request or the end of its time is
+	// seen first is a matter of chance.
+	const callers = 40
+	// Each connects to a router and stops it, in some order.
+	moments := map[string]func(r *rig, p *router) []net.Conn{
+		"on a connection that was accepted before": func(r *rig, p *router) []net.Conn {
+			conns := dial(p, callers)
+			// Connections are accepted in turn.
+			Expect(r.caller(1).stream(p.url(), "Are you there?", 2).Code).To(BeEmpty())
+			p.signal(syscall.SIGSTOP)
+			return conns
+		},
+		"on a connection that is made meanwhile": func(_ *rig, p *router) []net.Conn {
+			p.signal(syscall.SIGSTOP)
+			return dial(p, callers)
+		},
+		"on a connection that was used before": func(_ *rig, p *router) []net.Conn {
+			conns := dial(p, callers)
+			for _, c := range conns {
+				askOn(c, 2)
+				Expect(answered(c)).To(HaveSuffix(streamEnd))
+			}
+			p.signal(syscall.SIGSTOP)
+			return conns
+		},
+	}
+	for _, name := range wasabitest.Names(moments) {
+		// The machine under a router stands still for seconds. A technician asks in
+		// the meantime, and waits. When the router goes on it has all of the
+		// question; with the time to read its header over, it closed the connection
+		// unread, and the technician heard nothing.
+		It("is answered whole when it goes on: "+name, func() {
+			r := newRig(rigOptions{routers: 2, engines: 1, spec: wasabifake.Spec{Slots: callers, BlockTokens: 256}, fromFile: true, headerTimeout: headerTimeout, oneCore: true})
+			p := r.routers[0]
+			conns := moments[name](r, p)
+			for _, c := range conns {
+				askOn(c, 2)
+			}
+			// What passes while it stands still is the cause that the test is about.
+			time.Sleep(4 * headerTimeout.Duration())
+			p.signal(syscall.SIGCONT)
+			for _, c := range conns {
+				Expect(answered(c)).To(HaveSuffix(streamEnd))
+			}
+		})
+	}
+})
+
+// streamEnd is how a whole stream ends, in chunks.
+const streamEnd = "[DONE]\n\n\r\n0\r\n\r\n"
+
+func dial(p *router, n int) []net.Conn {
+	GinkgoHelper()
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		var err error
+		conns[i], err = net.Dial("tcp", p.settings.Caller.Listen)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conns[i].Close)
+	}
+	return conns
+}
+
+// askOn sends a request for a stream on a connection.
+func askOn(c net.Conn, tokens int) {
+	GinkgoHelper()
+	body := question("Are you there?", tokens, true)
+	_, err := fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// answered reads an answer in chunks to its end, or to that of the connection.
+func answered(c net.Conn) string {
+	GinkgoHelper()
+	Expect(c.SetReadDeadline(time.Now().Add(time.Minute))).To(Succeed())
+	var text strings.Builder
+	piece := make([]byte, 4096)
+	for !strings.HasSuffix(text.String(), "\r\n0\r\n\r\n") {
+		n, err := c.Read(piece)
+		text.Write(piece[:n])
+		if err != nil {
+			break
+		}
+	}
+	return text.String()
+}
+
 var _ = Describe("router processes whose platform is away", func() {
 	// Each takes the platform away and returns how to bring it back.
 	away := map[string]func(r *rig) (back func()){
--- a/cmd/wasabirouter/rig_test.go
+++ b/cmd/wasabirouter/rig_test.go
@@ -53,6 +53,10 @@
 	spec             wasabifake.Spec
 	// loadTime is how long an engine takes to load weights.
 	loadTime wasabiridge.Millis
+	// headerTimeout bounds the time to read a header. Zero means the default.
+	headerTimeout wasabiridge.Millis
+	// oneCore runs the routers on one core, as machines of the platform do.
+	oneCore bool
 	// lifetime is how long an address answer may be kept.
 	lifetime wasabiridge.Millis
 	// fromFile gives the routers a configuration file. Otherwise the first
@@ -158,6 +162,7 @@
 		Caller:   wasabisettings.Listener{Listen: loopback},
 		Operator: wasabisettings.OperatorListener{Listener: wasabisettings.Listener{Listen: loopback}, KeyHashes: []string{wasabioperator.HashKey(operatorKey)}},
 		Drain:    wasabisettings.Drain{AnswerLifetime: r.options.lifetime},
+		Limits:   wasabisettings.Limits{HeaderTimeout: r.options.headerTimeout},
 	}
 	if r.options.fromFile {
 		p.settings.ConfigFile = r.config
@@ -183,6 +188,9 @@
 	text, err := json.Marshal(p.settings)
 	Expect(err).NotTo(HaveOccurred())
 	cmd := exec.Command(program, "run", "--settings", writeFile(GinkgoTB(), "settings.jsonc", string(text)))
+	if p.rig.options.oneCore {
+		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
 	session, err := gexec.Start(cmd, nil, nil)
 	Expect(err).NotTo(HaveOccurred())
 	p.mu.Lock()
--- a/internal/wasabidaemon/listener.go
+++ b/internal/wasabidaemon/listener.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitls"
@@ -29,6 +30,7 @@
 	if socket, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
 		return nil, wasabiridge.ErrUnavailable.Wrap(err, "daemon: listen on %s", s.Listen)
 	}
+	socket = wasabilistener.New(socket)
 	l := &listener{socket: socket, url: s.URL}
 	if l.url == "" || strings.HasSuffix(l.url, ":0") {
 		l.url = "http://" + socket.Addr().String()
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -36,6 +36,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabimember"
@@ -265,7 +266,7 @@
 	if err != nil {
 		return wasabiridge.ErrUnavailable.Wrap(err, "node: listen on %s", address)
 	}
-	n.sockets = append(n.sockets, socket)
+	n.sockets = append(n.sockets, wasabilistener.New(socket))
 	n.servers = append(n.servers, &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: wasabilog.ServerErrors(wasabilog.Part(n.log, part)),
