Catalog: one who has an earlier content gets only what has changed

Cause: with every reading during a roll the whole list of replicas went to every instance.

Deltas are zstd frames against the asker's content as dictionary; content is taken only when its digest is right.

--- a/internal/wasabicatalog/take.go
+++ b/internal/wasabicatalog/take.go
@@ -14,10 +14,9 @@
 	m.emit(Proven{})
 }
 
-// change takes new content with its proof, packed for those who ask.
+// change takes new content with its proof.
 func (m *Machine) change(p *part, next part, own bool) {
-	next.known, next.reading, next.nextRead, next.failures = true, p.reading, p.nextRead, p.failures
-	*p = next
+	p.succeed(next)
 	m.emit(Changed{FromPlatform: own, Config: p == &m.config})
 }
 
@@ -29,11 +28,7 @@
 		m.prove(p, revision, sent)
 		return false
 	}
-	packed, err := pack(content)
-	if err != nil {
-		return false
-	}
-	m.change(p, part{revision: revision, digest: digest, proven: sent, packed: packed}, true)
+	m.change(p, part{revision: revision, digest: digest, proven: sent, content: content}, true)
 	return true
 }
 
@@ -46,16 +41,16 @@
 		m.prove(p, a.Revision, sent-a.Age)
 		return nil
 	}
-	content, err := unpack(a.Content)
-	if err != nil {
+	content, err := p.unpack(a.Content)
+	if err != nil || xxhash.Sum64(content) != a.Digest {
 		return nil
 	}
 	return content
 }
 
 // answeredPart is the part that an answer makes of what is known.
-func answeredPart(a wasabiridge.CatalogPart, sent wasabiridge.Millis) part {
-	return part{revision: a.Revision, digest: a.Digest, proven: sent - a.Age, packed: a.Content}
+func answeredPart(a wasabiridge.CatalogPart, sent wasabiridge.Millis, content []byte) part {
+	return part{revision: a.Revision, digest: a.Digest, proven: sent - a.Age, content: content}
 }
 
 func (m *Machine) takeConfig(e PeerAnswered) {
@@ -70,7 +65,7 @@
 	}
 	s.Revision = a.Revision
 	m.snapshot = s
-	m.change(&m.config, answeredPart(a, e.Sent), false)
+	m.change(&m.config, answeredPart(a, e.Sent, content), false)
 }
 
 func (m *Machine) takeBackends(e PeerAnswered) {
@@ -84,5 +79,5 @@
 		return
 	}
 	m.list = s
-	m.change(&m.backends, answeredPart(a, e.Sent), false)
+	m.change(&m.backends, answeredPart(a, e.Sent, content), false)
 }
