--- a/internal/wasabiupgrade/load.go
+++ b/internal/wasabiupgrade/load.go
@@ -2,13 +2,8 @@
 
 import "github.com/wasabiridge/wasabiridge"
 
-const (
-	// loadRate is the weight of one load in the learned time of loads.
-	loadRate = 0.2
-	// darkLife is for how long after a replica could not be read others are taken
-	// for dark too.
-	darkLife = 4 * wasabiridge.Second
-)
+// loadRate is the weight of one load in the learned time of loads.
+const loadRate = 0.2
 
 // learnLoad takes how long a load took.
 func (m *Machine) learnLoad(model wasabiridge.ModelID, took wasabiridge.Millis) {
@@ -32,17 +27,6 @@
 	return r.accepted && took > 0 && now-r.since+time >= took
 }
 
-// makesRoom reports whether the next replica may run dry beside one that loads,
-// because it is about to end.
-//
-// The failure it guards against: a quarter of the replicas has crashed, and for
-// moments twice as many as may load are away besides. Measured on two heavy days
-// with a quarter dark, first bytes in time fell from 0.91 to 0.87 of what was owed.
-func (m *Machine) makesRoom(now wasabiridge.Millis, r *replica) bool {
-	calm := m.darkAt == 0 || now-m.darkAt > darkLife
-	return calm && m.endsWithin(now, r, m.timing.Rest)
-}
-
 // loading counts the replicas that load and are not about to end.
 func (m *Machine) loading(now wasabiridge.Millis) int {
 	n := 0
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -31,8 +31,7 @@
 // order does not count.
 //
 // How long loads take is learned. One that is about to end makes room for the next
-// replica to run dry, so that its order can follow at once, unless replicas were
-// found dark lately: then all that can serve are needed.
+// replica to run dry, so that its order can follow at once.
 //
 // # Turns of holders
 //
@@ -102,8 +101,6 @@
 	heard map[wasabiridge.BackendServerID]wasabiridge.Millis
 	// loads are the learned times of loads.
 	loads map[wasabiridge.ModelID]wasabiridge.Millis
-	// darkAt is when a replica last could not be read.
-	darkAt wasabiridge.Millis
 	// fenced is the fencing number that a replica refused.
 	fenced  wasabiridge.FencingNumber
 	effects []Effect
@@ -318,7 +315,7 @@
 func (m *Machine) count(now wasabiridge.Millis) (away, eased, serving int) {
 	for _, id := range m.order {
 		switch r := m.replicas[id]; {
-		case r.phase == resting, r.phase == ordered && !r.isSilent(now) && !m.makesRoom(now, r):
+		case r.phase == resting, r.phase == ordered && !r.isSilent(now) && !m.endsWithin(now, r, m.timing.Rest):
 			away++
 		case r.phase == ordered:
 		case r.phase == easing:
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -96,9 +96,6 @@
 		return
 	}
 	r.busy = false
-	if e.Failed {
-		m.darkAt = now
-	}
 	if !e.Failed && !r.live(now, e.State.Incarnation) {
 		return
 	}
