--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -30,9 +30,6 @@
 // at once, and as many more take light work only. One that fell silent under its
 // order does not count.
 //
-// How long loads take is learned. One that is about to end makes room for the next
-// replica to run dry, so that its order can follow at once.
-//
 // # Turns of holders
 //
 // Orders of an earlier holder may still be on their way when its lease has
@@ -99,8 +96,6 @@
 	grant    wasabilease.Grant
 	// heard is when another instance last told of a replica.
 	heard map[wasabiridge.BackendServerID]wasabiridge.Millis
-	// loads are the learned times of loads.
-	loads map[wasabiridge.ModelID]wasabiridge.Millis
 	// fenced is the fencing number that a replica refused.
 	fenced  wasabiridge.FencingNumber
 	effects []Effect
@@ -110,7 +105,7 @@
 func NewMachine(t Timing) *Machine {
 	t = t.withDefaults()
 	return &Machine{
-		timing: t, replicas: map[unit]*replica{}, loads: map[wasabiridge.ModelID]wasabiridge.Millis{},
+		timing: t, replicas: map[unit]*replica{},
 		heard: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 	}
 }
@@ -204,7 +199,7 @@
 	}
 	for _, id := range m.order {
 		r := m.replicas[id]
-		if r.phase == resting && now-r.since >= m.timing.Rest && r.asked && !r.busy && m.loading(now) < m.maxLoads() {
+		if r.phase == resting && now-r.since >= m.timing.Rest && r.asked && !r.busy {
 			m.send(now, r)
 		}
 	}
@@ -315,7 +310,7 @@
 func (m *Machine) count(now wasabiridge.Millis) (away, eased, serving int) {
 	for _, id := range m.order {
 		switch r := m.replicas[id]; {
-		case r.phase == resting, r.phase == ordered && !r.isSilent(now) && !m.endsWithin(now, r, m.timing.Rest):
+		case r.phase == resting, r.phase == ordered && !r.isSilent(now):
 			away++
 		case r.phase == ordered:
 		case r.phase == easing:
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -156,7 +156,6 @@
 // finish lets a replica serve again.
 func (m *Machine) finish(now wasabiridge.Millis, r *replica) {
 	if r.phase == ordered || r.phase == unanswered {
-		m.learnLoad(r.model, now-r.since)
 		m.effects = append(m.effects, Upgraded{Backend: r.server.ID, Model: r.model, Weights: r.serves, Rested: r.rested, Loaded: now - r.since})
 	}
 	r.phase = idle
