--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -69,12 +69,6 @@
 	// to them, but they must keep the bounds like all others.
 	standbyAge   = 800 * wasabiridge.Millis(1)
 	standbyPause = 800 * wasabiridge.Millis(1)
-	// firstWait is how long after its start an instance that knows nothing waits
-	// before it reads, so that it knows its rank. aloneWait is the same while it
-	// knows no other instance; those that run answer within milliseconds, and those
-	// that start at the same moment within 300 ms.
-	firstWait = 150 * wasabiridge.Millis(1)
-	aloneWait = 400 * wasabiridge.Millis(1)
 	// retryPause is the time after a failed read until the next, retryMost its
 	// longest after many.
 	retryPause = 400 * wasabiridge.Millis(1)
@@ -98,8 +92,6 @@
 	rank         int
 	// sources are whom a standby instance asks.
 	sources []Peer
-	// started is when the machine was told of the time first.
-	started wasabiridge.Millis
 
 	config, backends part
 	snapshot         wasabiridge.ConfigSnapshot
@@ -133,9 +125,6 @@
 	m.effects = m.effects[:0]
 	switch e := e.(type) {
 	case Ticked:
-		if m.started == 0 {
-			m.started = now
-		}
 		m.order(e.Peers)
 		m.sources = e.Sources
 		m.tick(now)
@@ -170,25 +159,21 @@
 }
 
 // isDue reports whether a part should be read from the platform, as far as its age
-// goes.
+// goes. An instance that knows nothing reads at once, so that a restart serves at
+// once, and waits for its rank when that has failed.
 //
-// An instance that knows nothing yet waits for its rank too. The failure that this
-// guards against: hundreds of instances start at once, and each of them reads what
-// a few could read for all. The platform refuses what is above its rate.
+// The failure it guards against: hundreds of instances start before the operators
+// have written a configuration, and all of them try again together until they have.
 func (m *Machine) isDue(now wasabiridge.Millis, p *part) bool {
 	steps := wasabiridge.Millis(min(m.rank, ranksCounted)) * rankStep
-	if !p.known && len(m.peers) == 0 {
-		return now-m.started >= aloneWait
-	}
-	if !p.known {
-		return now-m.started >= firstWait+steps
-	}
-	limit := baseAge + steps
 	if m.isStandby() {
 		// What it knows is that much older while all is well.
-		limit += standbyAge + standbyPause
+		steps += standbyAge + standbyPause
+	}
+	if !p.known {
+		return p.failures == 0 || now >= p.nextRead+steps
 	}
-	return p.age(now) >= limit
+	return p.age(now) >= baseAge+steps
 }
 
 // isStandby reports whether the instance asks its sources instead of the readers.
--- a/internal/wasabimember/herd_test.go
+++ b/internal/wasabimember/herd_test.go
@@ -30,7 +30,7 @@
 			for _, n := range d.nodes {
 				bytes += n.bytes
 			}
-			Expect(bytes/size/size).To(BeNumerically("<", toldBytes))
+			Expect(bytes / size / size).To(BeNumerically("<", toldBytes))
 		})
 	}
 })
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -58,16 +58,13 @@
 // watchKept tells the decisions which stores of kept cache can be reached. An
 // engine that is sent to one that cannot loses some hundred milliseconds.
 func (n *Node) watchKept(ctx context.Context) {
-	// The first look comes with the first configuration: an instance that has just
-	// started would have a second's worth of parts computed that a store holds. It
-	// waits for other instances, to know whether callers are sent here at all.
 	if !n.waitFor(ctx, wasabiridge.Day, n.knowsConfig) {
 		return
 	}
-	n.waitFor(ctx, restoreWait, func() bool { return !n.isAlone() })
 	pool := wasabiconn.New(wasabiconn.Options{Clock: n.options.Clock, DialTimeout: keptTimeout, Silence: keptSilence})
 	defer pool.Close()
-	watch := wasabikept.New(wasabikept.Options{Reacher: pool, Active: n.isActive})
+	settled := false
+	watch := wasabikept.New(wasabikept.Options{Reacher: pool, Active: func() bool { return settled && n.isActive() }})
 	ticker := time.NewTicker(wasabikept.Interval)
 	defer ticker.Stop()
 	for {
@@ -77,6 +74,14 @@
 			}
 			n.loop.Observe(seen.KeptCacheSeen)
 		}
+		if !settled {
+			// With the first configuration all stores count as reachable: an instance
+			// that has just started would have parts computed that they hold. The first
+			// look waits for other instances, to know whether callers are sent here.
+			n.waitFor(ctx, restoreWait, func() bool { return !n.isAlone() })
+			settled = true
+			continue
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
