Refusals that wait for the platform say to come back the later, the longer that lasts

Cause: instances that know no configuration told callers to come back after 0.1 to 0.5 s whatever had happened so far.

--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -101,11 +101,13 @@
 	open    atomic.Int64
 	counts  *Counts
 	running *running
+	// started is when the relay was made.
+	started wasabiridge.Millis
 }
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{options: o, counts: newCounts(), running: newRunning()}
+	return &Relay{options: o, counts: newCounts(), running: newRunning(), started: o.Clock.Now()}
 }
 
 // Open returns how many requests are being served.
@@ -174,7 +176,7 @@
 
 func (c *call) checkConfig() *wasabiridge.Refusal {
 	if c.view.Config.Version == 0 {
-		return c.notRun("no configuration known yet")
+		return c.awaits("no configuration known yet", c.relay.started)
 	}
 	return nil
 }
@@ -255,7 +257,7 @@
 // checkProof refuses requests whose keys may have been taken away meanwhile.
 func (c *call) checkProof() *wasabiridge.Refusal {
 	if c.account.ID != "" && !c.proven() {
-		return c.notRun("key not proven lately")
+		return c.awaits("key not proven lately", c.view.Proven+c.relay.options.KeyLife())
 	}
 	return nil
 }
@@ -281,6 +283,18 @@
 	return &wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: cause, RetryAfter: c.comeBack(0)}
 }
 
+// awaits is a refusal until something is known that has not been since a time. What
+// has lasted long will last long: the caller comes back after as much time again, or
+// after the longest that it waits.
+//
+// The failure it guards against: the platform is silent for seconds after a restart
+// of all instances. Callers come back within moments, are refused once more, and do
+// not ask a third time.
+func (c *call) awaits(cause string, since wasabiridge.Millis) *wasabiridge.Refusal {
+	lasted := max(0, c.relay.options.Clock.Now()-since)
+	return &wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: cause, RetryAfter: c.comeBack(lasted)}
+}
+
 // comeBack spreads the return over the second half of the time that the caller
 // would wait, or from the advised time on.
 func (c *call) comeBack(advice wasabiridge.Millis) wasabiridge.Millis {
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -289,6 +289,35 @@
 		Expect(back).To(BeNumerically("<=", 2*time.Second/3))
 	})
 
+	// Story: the platform is silent after a restart of all instances. Callers come
+	// back at once, are refused a second time and give up, moments before the
+	// platform answers again.
+	It("that waits for the platform comes back the later, the longer that has lasted", func() {
+		g := newRig(once)
+		waits := map[string]func(){
+			"the key's proof": func() {},
+			"a configuration": func() { g.view.Config = &wasabiridge.Config{} },
+		}
+		for _, name := range wasabitest.Names(waits) {
+			waits[name]()
+			g.clock.Advance(6 * wasabiridge.Second)
+			for range 10 {
+				back, err := time.ParseDuration(g.ask("/x", "key").back)
+				Expect(err).NotTo(HaveOccurred(), name)
+				Expect(back).To(BeNumerically(">=", 500*time.Millisecond), name)
+				Expect(back).To(BeNumerically("<=", 2*time.Second/3), name)
+			}
+		}
+	})
+
+	It("that comes right after the start may come back soon", func() {
+		g := newRig(once)
+		g.view.Config = &wasabiridge.Config{}
+		back, err := time.ParseDuration(g.ask("/x", "key").back)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back).To(BeNumerically("<=", 300*time.Millisecond))
+	})
+
 	timeouts := map[string]struct {
 		then wasabiridge.Action
 		kind wasabiridge.RefusalKind
