Listeners: connections can be half-closed, as before

Cause: the wrapped connection hid what a TCP connection can do beside net.Conn. net/http half-closes a connection before it closes one whose request it has not read to the end; without that the system resets it, and the caller may lose the answer.

The new test fails on the code before: it has no CloseWrite.

--- a/internal/wasabilistener/listener.go
+++ b/internal/wasabilistener/listener.go
@@ -43,23 +43,24 @@
 	if err != nil {
 		return nil, err
 	}
-	s, ok := c.(syscall.Conn)
+	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return c, nil
 	}
-	return &conn{Conn: c, system: s}, nil
+	return &conn{TCPConn: tcp}, nil
 }
 
-// conn is a connection of a caller.
+// conn is a connection of a caller. It can do all that a TCP connection can:
+// net/http half-closes one whose request it has not read to the end, so that the
+// answer is not lost with a reset.
 type conn struct {
-	net.Conn
-	system syscall.Conn
-	late   atomic.Int32
+	*net.TCPConn
+	late atomic.Int32
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	if n > 0 || len(p) == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.late.Add(1) > lateReads {
 		return n, err
 	}
@@ -71,7 +72,7 @@
 
 // readWaiting reads what has come already, and returns zero when nothing has.
 func (c *conn) readWaiting(p []byte) int {
-	raw, err := c.system.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
@@ -91,11 +92,11 @@
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.late.Store(0)
-	return c.Conn.SetReadDeadline(t)
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 // SetDeadline implements net.Conn.
 func (c *conn) SetDeadline(t time.Time) error {
 	c.late.Store(0)
-	return c.Conn.SetDeadline(t)
+	return c.TCPConn.SetDeadline(t)
 }
--- a/internal/wasabilistener/listener_test.go
+++ b/internal/wasabilistener/listener_test.go
@@ -95,6 +95,25 @@
 	})
 })
 
+// Story: a caller sends a body that is too large and is refused at once. The
+// connection is closed with unread bytes; without a half-close first, the system
+// resets it and the caller never sees why.
+var _ = It("a connection can be half-closed, as net/http does before it closes one", func() {
+	client, server := pair()
+	half, ok := server.(interface{ CloseWrite() error })
+	Expect(ok).To(BeTrue())
+	_, err := server.Write([]byte("no"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(half.CloseWrite()).To(Succeed())
+	text, err := io.ReadAll(client)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(text)).To(Equal("no"))
+	_, err = client.Write([]byte("x"))
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadFull(server, make([]byte, 1))
+	Expect(err).NotTo(HaveOccurred())
+})
+
 var _ = It("net/http serves over its connections, kept and pipelined ones too", func() {
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
