--- a/internal/wasabicatalog/scale_test.go
+++ b/internal/wasabicatalog/scale_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -295,3 +296,25 @@
 // rollBytes bounds the content that an instance takes in, in a second, while thirty
 // engines a second change: a few dozen bytes for each.
 const rollBytes = 3000
+
+// BenchmarkCatalog measures, in virtual time while nothing changes, what the busiest
+// instance is asked, the questions of a standby one, and the reads of all.
+func BenchmarkCatalog(b *testing.B) {
+	const span = 10 * wasabiridge.Second
+	for _, size := range []int{30, 100, 374} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				r := newRegion(size, 100)
+				r.run(2 * wasabiridge.Second)
+				l := r.measure(span)
+				total := 0
+				for _, m := range r.members {
+					total += m.asked
+				}
+				b.ReportMetric(l.asked, "busiest-questions/s")
+				b.ReportMetric(float64(total)/float64(size)/(float64(span)/float64(wasabiridge.Second)), "mean-questions/s")
+				b.ReportMetric(l.reads, "reads/s")
+			}
+		})
+	}
+}
