--- /dev/null
+++ b/internal/wasabiregression/regression_test.go
@@ -0,0 +1,121 @@
+package wasabiregression_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge/internal/wasabiregression"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestRegression(t *testing.T) { wasabitest.Run(t, "regression") }
+
+// printed is what the bench prints of three days and a drawn one.
+const printed = `7 days, 3 at a time
+score on the standard days of harbour (set 35686f7d): 1.000
+day                  own/srv  score  worth served refused failed  weakest part
+quiet-1               195/66   1.00  0.725  0.959   0.000  0.006  worst class 0.71; prices 0.189
+trouble-1             195/66   1.00  0.650  0.933   0.000  0.008  worst windows 0.60; prices 0.200
+scale-1               195/66   1.00  0.550  0.945   0.003  0.009  worst class 0.73; prices 0.185
+fresh-0807            195/66   1.00  0.071  0.950   0.000  0.012  worst class 0.73; prices 0.223
+fresh-0807 was drawn just now; it counts for the gate, not for the score: replay
+GATE passed
+`
+
+func load(text string) (wasabiregression.Floors, error) {
+	GinkgoHelper()
+	path := filepath.Join(GinkgoT().TempDir(), "floors.jsonc")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return wasabiregression.Load(path)
+}
+
+var _ = Describe("A score", func() {
+	It("is read from what the bench prints, without days that were drawn", func() {
+		s, err := wasabiregression.Read(printed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Passed).To(BeTrue())
+		Expect(s.Days).To(HaveLen(3))
+		Expect(s.Troubled()).To(BeNumerically("~", 0.6, 1e-9))
+		Expect(s.Lowest()).To(Equal(wasabiregression.Day{Name: "scale-1", Worth: 0.55}))
+	})
+
+	// A bench that gave up, or changed its table, must not pass for one that found
+	// nothing wrong.
+	It("is an error when there is none", func() {
+		for _, output := range []string{"", "days given up: the machine is too busy\n", "day own/srv score worth\nquiet-1 9/9 1.0 none\n"} {
+			_, err := wasabiregression.Read(output)
+			Expect(err).To(HaveOccurred(), output)
+		}
+	})
+})
+
+var _ = Describe("Floors", func() {
+	cases := map[string]struct {
+		site   wasabiregression.Site
+		fallen int
+	}{
+		"are held":                     {site: wasabiregression.Site{File: "a/harbour.toml", Troubled: 0.62, Lowest: 0.57}},
+		"fall by the mean":             {site: wasabiregression.Site{File: "a/harbour.toml", Troubled: 0.64, Lowest: 0.57}, fallen: 1},
+		"fall by the lowest day":       {site: wasabiregression.Site{File: "a/harbour.toml", Troubled: 0.62, Lowest: 0.59}, fallen: 1},
+		"fall by both":                 {site: wasabiregression.Site{File: "a/harbour.toml", Troubled: 0.7, Lowest: 0.7}, fallen: 2},
+		"are met exactly at tolerance": {site: wasabiregression.Site{File: "a/harbour.toml", Troubled: 0.625, Lowest: 0.575}},
+	}
+	for _, name := range wasabitest.Names(cases) {
+		It(name, func() {
+			s, err := wasabiregression.Read(printed)
+			Expect(err).NotTo(HaveOccurred())
+			v := wasabiregression.Floors{Tolerance: 0.03}.Judge(cases[name].site, s)
+			Expect(v.Fallen).To(HaveLen(cases[name].fallen))
+			Expect(v.String()).To(ContainSubstring("harbour"))
+		})
+	}
+
+	It("fall with the gate", func() {
+		v := wasabiregression.Floors{}.Judge(wasabiregression.Site{}, wasabiregression.Score{Days: []wasabiregression.Day{{Name: "scale-1", Worth: 1}}})
+		Expect(v.Fallen).To(ConsistOf("the gate is not passed"))
+	})
+
+	It("are read from a file, and retired sites are played only by name", func() {
+		f, err := load(`{
+			// Noise.
+			"tolerance": 0.03,
+			"sites": [
+				{"file": "a/harbour.toml", "troubled": 0.6, "lowest": 0.5},
+				{"file": "b/old.toml", "troubled": 0.6, "lowest": 0.5, "retired": true},
+			],
+		}`)
+		Expect(err).NotTo(HaveOccurred())
+		sites, err := f.Chosen(nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sites).To(HaveExactElements(HaveField("File", "a/harbour.toml")))
+		sites, err = f.Chosen([]string{"old"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sites).To(HaveExactElements(HaveField("File", "b/old.toml")))
+		_, err = f.Chosen([]string{"harbour", "nowhere"})
+		Expect(err).To(MatchError(ContainSubstring("nowhere")))
+	})
+
+	It("name what is wrong with a file", func() {
+		for text, want := range map[string]string{
+			`{"tolerance": 0.03, "sites": []}`:                                                                                               "no sites",
+			`{"tolerance": 0.03, "sites": [{"troubled": 0.6}]}`:                                                                              "/sites/0/file: missing",
+			`{"tolerance": 0.03, "sites": [{"file": "a.toml", "troubled": 0.6, "lowest": 0.7}]}`:                                             "lowest is above",
+			`{"tolerance": 0.03, "sites": [{"file": "a.toml", "troubled": 0.6, "lowest": 0.5},{"file":"b/a.toml","troubled":1,"lowest":1}]}`: "listed twice",
+			`{"tolerance": 0.03, "floors": []}`:                                                                                              "floors",
+		} {
+			_, err := load(text)
+			Expect(err).To(MatchError(ContainSubstring(want)), text)
+		}
+		_, err := wasabiregression.Load(filepath.Join(GinkgoT().TempDir(), "missing"))
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("of this repository can be read", func() {
+		_, err := wasabiregression.Load("../../deploy/regression/floors.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
