Sight: logs tell whether two requests are the same one, and how attempts ended

Seen: the incident's logs cannot tell a request that comes again from others of its size, nor a replica that ended from a connection that broke; refusals name no backend server.

No decision reads either yet.

--- a/decision.go
+++ b/decision.go
@@ -51,6 +51,20 @@
 	AttemptCancelled
 )
 
+// String returns the result as logs and the time line show it.
+func (r AttemptResult) String() string {
+	switch r {
+	case AttemptNotRun:
+		return "not_run"
+	case AttemptCancelled:
+		return "cancelled"
+	case AttemptCompleted:
+		return "completed"
+	default:
+		return "broken"
+	}
+}
+
 // AttemptEnded says that an attempt is over. Exactly one such event follows
 // every Dispatch.
 type AttemptEnded struct {
@@ -69,6 +83,9 @@
 	// Silent says that no byte came within the time that was allowed for the
 	// first one.
 	Silent bool
+	// ServerEnded says that the connection broke and that nothing listens at the
+	// server's address any more: its process ended while it had the request.
+	ServerEnded bool
 	// Misdirected says that the address belongs to another backend server
 	// now, which did not run the request.
 	Misdirected bool
--- a/id.go
+++ b/id.go
@@ -1,5 +1,7 @@
 package wasabiridge
 
+import "fmt"
+
 // InstanceID names one process of the router, such as "pos-1".
 type InstanceID string
 
@@ -59,3 +61,10 @@
 // BlockHash identifies a prompt up to and including one cache block. It
 // covers every earlier block and the root of the chain.
 type BlockHash uint64
+
+// Fingerprint names what a request asks, whoever sends it how often under which
+// identifier. Zero means that it is not known.
+type Fingerprint uint64
+
+// String returns the fingerprint as it stands in logs, with 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -115,7 +115,7 @@
 	line := en.event(now, wasabiridge.EventBroken)
 	line.Attempt = a.id
 	line.Backend = a.backend
-	line.Cause = resultName(e.Result)
+	line.Cause = e.Result.String()
 	line.Value = int64(en.delivered)
 	c.record(line)
 	en.excluded = append(en.excluded, a.backend)
@@ -165,19 +165,6 @@
 	}
 }
 
-func resultName(r wasabiridge.AttemptResult) string {
-	switch r {
-	case wasabiridge.AttemptNotRun:
-		return "not_run"
-	case wasabiridge.AttemptCancelled:
-		return "cancelled"
-	case wasabiridge.AttemptCompleted:
-		return "completed"
-	default:
-		return "broken"
-	}
-}
-
 // callerGone ends the work of a caller that closed its connection. Claimed
 // non-idempotent work goes on, because its first answer is kept for the
 // repeat that will ask for it, unless nobody can ask for it.
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -36,6 +36,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
@@ -203,7 +204,7 @@
 		Runner: o.Platform.Runner, Protocol: o.Platform.Protocol, View: n.view,
 		KeyLife:  func() wasabiridge.Millis { return n.terms.Load().KeyLife - keyMargin },
 		DenyLife: func() wasabiridge.Millis { return n.terms.Load().ConfigLife * denyShare / 100 },
-		Leaving:  n.leaving.Load, Mover: o.Platform.Mover,
+		Leaving:  n.leaving.Load, Mover: o.Platform.Mover, Names: wasabifingerprint.New([]byte(openPeerKey)),
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
 		Self: n.self(), Members: n.members.Members, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLife)),
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
@@ -65,7 +66,7 @@
 	r := wasabiridge.Request{
 		ID: c.asked.ID, Account: c.account.ID, Method: c.r.Method, Path: c.r.URL.Path, Host: hostOf(c.r), Model: c.asked.Model,
 		MaxTokens: c.asked.MaxTokens, Stream: c.rule.Then.Stream, Arrived: c.arrived, Deadline: c.until,
-		EndsWithCaller: true,
+		EndsWithCaller: true, Fingerprint: c.fingerprint(),
 	}.WithRule(c.rule).WithChain(wasabiridge.Chain{
 		Root: root, Blocks: c.asked.Blocks, Lengths: c.asked.Lengths, Tokens: c.asked.PromptTokens,
 	})
@@ -78,6 +79,13 @@
 	return r
 }
 
+// fingerprint names what the request asks.
+func (c *call) fingerprint() wasabiridge.Fingerprint {
+	return c.relay.options.Names.Name(wasabifingerprint.Content{
+		Account: c.account.ID, Method: c.r.Method, Host: hostOf(c.r), Path: c.r.URL.RequestURI(), Model: c.asked.Model, Body: c.body, Blocks: c.asked.Blocks,
+	})
+}
+
 // run carries out what the decisions want until the caller has its answer. A
 // broken answer ends in a panic with http.ErrAbortHandler, which breaks the
 // connection: an end that looks clean would pass for a whole answer.
@@ -138,11 +146,12 @@
 		s.silence = time.AfterFunc(d.FirstByte.Duration(), func() { cancel(errSilent) })
 		defer s.silence.Stop()
 	}
-	before := x.disposition
+	before, began := x.disposition, x.relay.options.Clock.Now()
 	end := wasabiridge.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Backend: d.Backend.ID, Result: wasabiridge.AttemptNotRun}
 	if !x.request.Action.NonIdempotent || before == wasabiridge.NotRun {
 		end = x.relay.options.Runner.Run(ctx, x.attempt(d), s)
 	}
+	x.logFailed(end, began)
 	if end.Result == wasabiridge.AttemptNotRun {
 		x.disposition = before
 	}
@@ -272,6 +281,7 @@
 		Uint64("attempt", uint64(d.Attempt)).
 		Str("account", string(x.request.Account)).
 		Str("rule", string(x.request.Rule)).
+		Stringer("fingerprint", x.request.Fingerprint).
 		Str(wasabilog.BackendField, string(d.Backend.ID)).
 		Str("why", d.Why).
 		Int64("expected_ms", int64(d.ExpectedWait)).
@@ -287,6 +297,28 @@
 		Msg("Request placed.")
 }
 
+// logFailed tells how an attempt ended that brought no whole answer.
+func (x *exchange) logFailed(end wasabiridge.AttemptEnded, began wasabiridge.Millis) {
+	if end.Result == wasabiridge.AttemptCompleted {
+		return
+	}
+	x.relay.options.Log.Info().
+		Str(wasabilog.RequestField, string(end.Request)).
+		Uint64("attempt", uint64(end.Attempt)).
+		Stringer("fingerprint", x.request.Fingerprint).
+		Str(wasabilog.BackendField, string(end.Backend)).
+		Stringer("result", end.Result).
+		Bool("unreachable", end.Unreachable).
+		Bool("silent", end.Silent).
+		Bool("overloaded", end.Overloaded).
+		Bool("other_server", end.Misdirected).
+		Bool("other_weights", end.OtherWeights).
+		Bool("server_ended", end.ServerEnded).
+		Int("events", end.Delivered).
+		Int64("took_ms", int64(x.relay.options.Clock.Now()-began)).
+		Msg("Attempt failed.")
+}
+
 func (x *exchange) log(message, outcome, cause string) {
 	now := x.relay.options.Clock.Now()
 	x.relay.counts.add(outcome, cause, now-x.arrived)
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -37,6 +37,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabikey"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
@@ -89,6 +90,8 @@
 	DenyLife func() wasabiridge.Millis
 	// Mover moves answers between engines. Nil means that none are moved.
 	Mover wasabiridge.RunMover
+	// Names makes the fingerprints of requests. The zero value has an empty key.
+	Names wasabifingerprint.Namer
 	// Leaving reports whether the instance is about to go. Nil means never.
 	Leaving func() bool
 }
--- a/request.go
+++ b/request.go
@@ -95,6 +95,8 @@
 	Deadline Millis
 	// Host is the host that the caller asked for.
 	Host string
+	// Fingerprint names what the request asks.
+	Fingerprint Fingerprint
 	// EndsWithCaller says that work for the request is of no use to anybody
 	// once its caller has left, even when it runs at most once.
 	EndsWithCaller bool
