--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -181,7 +181,13 @@
 
 // askPrompt asks with the parts of a prompt, given as ID:TOKENS.
 func askPrompt(caller, path, id, key, prompt string) (int, string, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+caller+path, strings.NewReader("q"))
+	code, _, body, err := askBody(caller, path, id, key, prompt, "q")
+	return code, body, err
+}
+
+// askBody asks with a body, and returns the header of the answer as well.
+func askBody(caller, path, id, key, prompt, text string) (int, http.Header, string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+caller+path, strings.NewReader(text))
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "h"
 	r.Header.Set("Wasabiridge-Attempt-Id", id)
@@ -193,11 +199,11 @@
 	}
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 	if err != nil {
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(body), err
+	return response.StatusCode, response.Header, string(body), err
 }
 
 func status(caller, path, key string) func() int {
