Quarantine: a request under which three servers ended reaches none any more

Callers saw their streams cut, over and over: one request ended each engine that ran it, its caller sent it again under a new identifier at any instance, and each send, each retry and each resumed stream was a new one for whoever got it. Class: query of death, carried by retries without a memory of what they did.

Cause: what was known of a request ended with its identifier, and no instance told the others. Now wasabiquarantine keeps, by a keyed fingerprint of account, method, host, path, model and body, which servers ended under it. The core asks it in one place on every way to a server: arrival (before admission, so that it takes none of others' room or retry budget), first attempt, retry, resumption, hedge, moved run. After one end a request is a suspect and goes to the same server at all instances, chosen by its fingerprint, so that those which only ran beside the one that ends servers part from it; one whole answer anywhere clears. After three it is refused at once, 503 not run without a time to come back.

Why it holds: an end counts once, and only where nothing listens at the server's address any more; broken connections, failures and silence are none. Ends at one moment (a rack lost) do not bar. Instances tell each other at once and repeat it to two others twice a second; merged in any order it is the same (property test). Marks are bounded, with a share for each account, and lapse.

Ruled out: ends of themselves (the same fingerprint at each end), our own retries alone (one attempt each for streams that may not be resumed).

--- a/catalog.go
+++ b/catalog.go
@@ -149,6 +149,7 @@
 	Rests   []RestNews
 	Loads   []LoadNews
 	Parts   []PartNews
+	Crashes []CrashNews
 }
 
 // CatalogPeers calls other instances about the catalog. Implementations are
--- a/decision.go
+++ b/decision.go
@@ -246,6 +246,9 @@
 	RefusedDeadline RefuseReason = "deadline"
 	// RefusedNoBackend means that no backend server may serve the request.
 	RefusedNoBackend RefuseReason = "no_backend"
+	// RefusedQuarantined means that servers ended under the request. It is not sent to
+	// any, now or when it comes again soon.
+	RefusedQuarantined RefuseReason = "quarantined"
 	// RefusedBroken means that attempts failed and no further one is allowed.
 	RefusedBroken RefuseReason = "broken"
 )
@@ -278,6 +281,9 @@
 	// Weights is the version that the answer must come from, such as that of
 	// a stream that is continued. Zero means any that may serve.
 	Weights WeightsVersion
+	// Isolate wants the server that Isolation ranks first for the fingerprint among all
+	// that may serve, whatever it costs. Zero means none.
+	Isolate Fingerprint
 }
 
 // Placement is the choice of a backend server.
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -136,6 +136,9 @@
 		c.refuse(now, en, wasabiridge.RefusedDeadline, e.RetryAfter)
 		return
 	}
+	if c.bar(now, en) {
+		return
+	}
 	if !c.options.Limiter.MayRetry(now, en.request) {
 		c.refuse(now, en, wasabiridge.RefusedOverload, max(e.RetryAfter, defaultRetryAfter))
 		return
@@ -147,6 +150,9 @@
 // goOn sends an attempt to where the memory of the one before was moved. It is the
 // same run, so that neither the budget nor the attempts of the rule are used up.
 func (c *Core) goOn(now wasabiridge.Millis, en *entry, m wasabiridge.Moved) {
+	if c.bar(now, en) {
+		return
+	}
 	c.dispatch(now, en, wasabiridge.Placement{Backend: m.To, Weights: en.weights, Why: wasabiridge.WhyMoved, MemoryFrom: m.Memory}, placeResume)
 }
 
--- a/internal/wasabicore/core.go
+++ b/internal/wasabicore/core.go
@@ -35,6 +35,8 @@
 type Options struct {
 	Placer  wasabiridge.Placer
 	Limiter wasabiridge.Limiter
+	// Quarantine judges requests by the servers that ended under them. Nil lets all go.
+	Quarantine wasabiridge.Quarantine
 	// Instance is written into time line events.
 	Instance wasabiridge.InstanceID
 	// FirstAttempt is where the numbers of attempts start. A restarted
@@ -98,6 +100,9 @@
 	c.effects = c.effects[:0]
 	c.options.Limiter.Observe(now, e)
 	c.options.Placer.Observe(now, e)
+	if c.options.Quarantine != nil {
+		c.options.Quarantine.Observe(now, e)
+	}
 	switch e := e.(type) {
 	case wasabiridge.RequestArrived:
 		c.arrive(now, e.Request)
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -39,6 +39,9 @@
 		c.refuse(now, en, wasabiridge.RefusedByRule, 0)
 		return
 	}
+	if c.bar(now, en) {
+		return
+	}
 	switch a := c.options.Limiter.Offer(now, r); a.Verdict {
 	case wasabiridge.Admitted:
 		c.place(now, en, placeFirst)
@@ -53,6 +56,9 @@
 // when none may serve; then the request has its final answer, unless another
 // attempt of it still runs.
 func (c *Core) place(now wasabiridge.Millis, en *entry, why placeReason) bool {
+	if c.bar(now, en) {
+		return false
+	}
 	never := false
 	for _, id := range [...]wasabiridge.PoolID{en.request.Action.Pool, en.request.Action.Fallback} {
 		pool, ok := c.config.Pool(id)
@@ -88,7 +94,7 @@
 // choose asks the placer until it names a server with room. It reports full
 // when there are servers, but none with room.
 func (c *Core) choose(now wasabiridge.Millis, en *entry, pool wasabiridge.Pool) (p wasabiridge.Placement, found, full bool) {
-	q := wasabiridge.PlaceQuery{Request: en.request, Pool: pool, Excluded: en.excluded}
+	q := wasabiridge.PlaceQuery{Request: en.request, Pool: pool, Excluded: en.excluded, Isolate: c.isolation(now, en)}
 	if en.delivered > 0 {
 		q.Weights = en.weights
 	}
@@ -116,6 +122,9 @@
 	en.attempts = append(en.attempts, attempt{id: id, backend: p.Backend.ID})
 	c.options.Limiter.Sent(now, en.request, id, p.Backend.ID)
 	c.options.Placer.Sent(now, en.request, id, p)
+	if c.options.Quarantine != nil {
+		c.options.Quarantine.Sent(now, en.request, id, p.Backend)
+	}
 	c.recordPlaced(now, en, id, p, why)
 	c.emit(wasabiridge.Dispatch{
 		Request:       en.request.ID,
--- a/internal/wasabicore/timer.go
+++ b/internal/wasabicore/timer.go
@@ -122,7 +122,7 @@
 		return
 	}
 	pool, ok := c.config.Pool(en.request.Action.Pool)
-	if !ok || !c.options.Limiter.MayRetry(now, en.request) {
+	if !ok || c.standing(now, en) != wasabiridge.StandingFree || !c.options.Limiter.MayRetry(now, en.request) {
 		return
 	}
 	before := en.excluded
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 )
 
@@ -49,6 +50,7 @@
 		)
 	}
 	lines = append(lines, n.learnedLines()...)
+	lines = append(lines, n.quarantineLines()...)
 	slices.Sort(lines)
 	for _, l := range lines {
 		_, _ = io.WriteString(w, l)
@@ -72,6 +74,30 @@
 	return lines
 }
 
+// quarantineLines tells of requests under which servers ended.
+func (n *Node) quarantineLines() []string {
+	var counts wasabiquarantine.Counts
+	suspects, barred := 0, 0
+	n.loop.Inspect(func() {
+		counts = n.quarantine.Counts()
+		for _, e := range n.quarantine.Entries(n.options.Clock.Now()) {
+			if e.Barred {
+				barred++
+			} else {
+				suspects++
+			}
+		}
+	})
+	return []string{
+		line("quarantine_suspects", int64(suspects)),
+		line("quarantine_barred", int64(barred)),
+		line("quarantine_barred_total", int64(counts.Barred)),
+		line("quarantine_lifted_total", int64(counts.Lifted)),
+		line("quarantine_refused_total", int64(counts.Refused)),
+		line("servers_ended_under_requests_total", int64(counts.Ends)),
+	}
+}
+
 func line(name string, value int64) string {
 	return fmt.Sprintf("wasabiridge_%s %d\n", name, value)
 }
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -42,6 +42,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabimember"
 	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirelay"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
@@ -125,6 +126,8 @@
 	placer      *wasabireplica.Placer
 	placed      chan struct{}
 	emptied     chan wasabiridge.BackendServerID
+	quarantine  *wasabiquarantine.Table
+	crashed     chan struct{}
 	relay       *wasabirelay.Relay
 	catalog     *wasabicatalog.Keeper
 	upgrade     *wasabiupgrade.Keeper
@@ -156,6 +159,7 @@
 		incarnation: wasabiridge.Incarnation(o.Clock.Now()),
 		drained:     make(chan struct{}),
 		placed:      make(chan struct{}, 1),
+		crashed:     make(chan struct{}, 1),
 		emptied:     make(chan wasabiridge.BackendServerID, emptiedSize),
 	}
 	n.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
@@ -180,8 +184,9 @@
 		Seed: seed, Zone: s.Zone, WeightsBound: n.bounds.WeightsLife - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
 	})
+	n.quarantine = wasabiquarantine.New(wasabiquarantine.Options{Seed: seed, Changed: n.wakeCrashes})
 	core := wasabicore.New(wasabicore.Options{
-		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Instance: s.Instance,
+		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine, Instance: s.Instance,
 		FirstAttempt: wasabiridge.AttemptID(n.incarnation) << attemptBits,
 	})
 	n.loop = wasabiloop.New(wasabiloop.Options{
@@ -252,7 +257,7 @@
 	if err := n.serve("ready", h.Ready, n.options.Platform.Ready(n.ready)); err != nil {
 		return err
 	}
-	if err := n.serve("metrics", h.Metrics, http.HandlerFunc(n.serveMetrics)); err != nil {
+	if err := n.serve("metrics", h.Metrics, n.metricsHandler()); err != nil {
 		return err
 	}
 	return n.serve("directory", h.Directory, n.options.Platform.Directory(n.nearest))
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -53,6 +53,9 @@
 			n.loop.Observe(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights, Incarnation: r.Incarnation})
 		}
 	}
+	if len(news.Crashes) > 0 {
+		n.loop.Observe(wasabiridge.CrashesHeard{From: news.From, Crashes: news.Crashes})
+	}
 	if len(news.Loads) > 0 || len(news.Parts) > 0 {
 		n.loop.Observe(wasabiridge.PeerPlaced{From: news.From, Loads: news.Loads, Parts: news.Parts})
 	}
--- a/internal/wasabinode/share.go
+++ b/internal/wasabinode/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -61,13 +62,18 @@
 // requests, so only they need to know.
 func (n *Node) active() []wasabicatalog.Peer {
 	var peers []wasabicatalog.Peer
-	for _, e := range n.book.Active() {
-		if e.ID != n.options.Settings.Instance && e.PeerAddress != "" {
-			peers = append(peers, wasabicatalog.PeerOf(e))
-		}
+	for _, e := range n.otherActive() {
+		peers = append(peers, wasabicatalog.PeerOf(e))
 	}
 	return peers
 }
 
+// otherActive returns the entries of the other instances that callers are sent to.
+func (n *Node) otherActive() []wasabiridge.InstanceEntry {
+	return slices.DeleteFunc(slices.Clone(n.book.Active()), func(e wasabiridge.InstanceEntry) bool {
+		return e.ID == n.options.Settings.Instance || e.PeerAddress == ""
+	})
+}
+
 // activeEntries returns all instances that callers are sent to.
 func (n *Node) activeEntries() []wasabiridge.InstanceEntry { return n.book.Active() }
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -121,11 +121,14 @@
 			Incarnation: uint64(p.Incarnation),
 		})
 	}
+	for _, c := range n.Crashes {
+		out.Crashes = append(out.Crashes, encodeCrash(c))
+	}
 	return out
 }
 
 func decodeNews(in *pb.News) (wasabiridge.News, error) {
-	if len(in.Rests) > maxNews || len(in.Loads) > maxNews || len(in.Parts) > maxNews {
+	if len(in.Rests) > maxNews || len(in.Loads) > maxNews || len(in.Parts) > maxNews || len(in.Crashes) > maxNews {
 		return wasabiridge.News{}, wasabiridge.ErrInvalid.New("peer: news exceed their bounds")
 	}
 	n := wasabiridge.News{From: wasabiridge.InstanceID(in.From), Changed: in.Changed}
@@ -151,5 +154,12 @@
 			Priority: wasabiridge.Priority(min(max(p.Priority, -maxPriority), maxPriority)), Incarnation: wasabiridge.Incarnation(p.Incarnation),
 		})
 	}
+	for _, c := range in.Crashes {
+		crash, err := decodeCrash(c)
+		if err != nil {
+			return wasabiridge.News{}, err
+		}
+		n.Crashes = append(n.Crashes, crash)
+	}
 	return n, nil
 }
--- a/internal/wasabipeer/wasabipeerpb/doc.go
+++ b/internal/wasabipeer/wasabipeerpb/doc.go
@@ -3,10 +3,9 @@
 //
 // # Usage
 //
-// The generated files are committed. After a change of peer.proto, run at the
-// root of the repository:
+// The generated files are committed. After a change of peer.proto, run in this
+// folder:
 //
 //	protoc --go_out=. --go_opt=paths=source_relative \
-//		--go-grpc_out=. --go-grpc_opt=paths=source_relative \
-//		internal/wasabipeer/wasabipeerpb/peer.proto
+//		--go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
 package wasabipeerpb
--- /dev/null
+++ b/internal/wasabiquarantine/mark.go
@@ -0,0 +1,112 @@
+package wasabiquarantine
+
+import (
+	"slices"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// mark is what is known of one request. Without ends it remembers that the request was
+// cleared.
+type mark struct {
+	fingerprint wasabiridge.Fingerprint
+	account     wasabiridge.ClientAccountID
+	model       wasabiridge.ModelID
+	epoch       uint32
+	// ends are those of the epoch, the oldest first. One server's end stands once.
+	ends []wasabiridge.ServerEnd
+	// changed is when anything of it last changed here.
+	changed wasabiridge.Millis
+	// running counts the attempts of this instance that have not ended.
+	running int
+}
+
+// add takes an end. It reports whether that was news.
+func (m *mark) add(e wasabiridge.ServerEnd) bool {
+	for i := range m.ends {
+		known := &m.ends[i]
+		if known.Backend != e.Backend || !isSameEnd(*known, e) {
+			continue
+		}
+		if e.Generation <= known.Generation {
+			return false
+		}
+		known.Generation = e.Generation
+		return true
+	}
+	if len(m.ends) >= keptEnds {
+		if e.At <= m.ends[0].At {
+			return false
+		}
+		m.ends = m.ends[1:]
+	}
+	m.ends = append(m.ends, e)
+	slices.SortStableFunc(m.ends, func(a, b wasabiridge.ServerEnd) int { return int(a.At - b.At) })
+	return true
+}
+
+// isSameEnd reports whether two ends of one server are the same one: of the same life,
+// or so close to each other that the server cannot have run in between.
+func isSameEnd(a, b wasabiridge.ServerEnd) bool {
+	if a.Incarnation != 0 && a.Incarnation == b.Incarnation {
+		return true
+	}
+	apart := a.At - b.At
+	return max(apart, -apart) < reborn
+}
+
+// count returns how many servers have ended.
+func (m *mark) count() int { return len(m.ends) }
+
+// newest is when a server last ended.
+func (m *mark) newest() wasabiridge.Millis {
+	if len(m.ends) == 0 {
+		return 0
+	}
+	return m.ends[len(m.ends)-1].At
+}
+
+// generation is the highest among the ends.
+func (m *mark) generation() int {
+	highest := 0
+	for _, e := range m.ends {
+		highest = max(highest, e.Generation)
+	}
+	return highest
+}
+
+// weights are the newest that were named when a server ended.
+func (m *mark) weights() wasabiridge.WeightsVersion {
+	newest := wasabiridge.WeightsVersion(0)
+	for _, e := range m.ends {
+		newest = max(newest, e.Weights)
+	}
+	return newest
+}
+
+// isProven reports whether the ends are proof against the request: as many as may be,
+// and not all of them at what may have been one moment.
+//
+// The failure it guards against: a rack is lost, and with it three servers that ran the
+// same popular request. It would be refused although it is harmless.
+func (m *mark) isProven() bool { return m.count() >= endsMost && m.generation() > 1 }
+
+// before reports whether a mark is forgotten sooner than another one.
+func (m *mark) before(other *mark) bool {
+	if a, b := m.count(), other.count(); a != b {
+		return a < b
+	}
+	if m.changed != other.changed {
+		return m.changed < other.changed
+	}
+	return m.fingerprint < other.fingerprint
+}
+
+// snapshot returns the mark as news.
+func (m *mark) snapshot(now wasabiridge.Millis) wasabiridge.CrashNews {
+	out := wasabiridge.CrashNews{Fingerprint: m.fingerprint, Account: m.account, Model: m.model, Epoch: m.epoch, Ends: slices.Clone(m.ends)}
+	for i := range out.Ends {
+		out.Ends[i].Age = max(0, now-out.Ends[i].At)
+	}
+	return out
+}
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -235,6 +235,9 @@
 	case x.status > 0:
 		// A server's own failure is an answer, and a better one than ours.
 		x.finish()
+	case x.disposition == wasabiridge.NotRun && e.Reason == wasabiridge.RefusedQuarantined:
+		// It would be refused again, so nothing invites it back.
+		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: string(e.Reason)})
 	case x.disposition == wasabiridge.NotRun:
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: string(e.Reason), RetryAfter: x.comeBack(e.RetryAfter)})
 	default:
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -92,8 +92,20 @@
 	clock  *wasabiclock.Virtual
 	relay  *wasabirelay.Relay
 	mover  moverOf
+	judge  *verdict
 }
 
+// verdict judges all requests alike.
+type verdict struct{ standing wasabiridge.Standing }
+
+func (v *verdict) Judge(wasabiridge.Millis, wasabiridge.Request) wasabiridge.Standing {
+	return v.standing
+}
+
+func (*verdict) Sent(wasabiridge.Millis, wasabiridge.Request, wasabiridge.AttemptID, wasabiridge.BackendServer) {
+}
+func (*verdict) Observe(wasabiridge.Millis, wasabiridge.Event) {}
+
 // moverOf hands moves to the mover of a test.
 type moverOf struct{ wasabiridge.RunMover }
 
@@ -110,7 +122,7 @@
 func newRig(then wasabiridge.Action, script ...try) *rig {
 	// The relay's deadlines are timers of the real clock; only proofs are
 	// compared with the virtual one, which the test moves.
-	g := &rig{runner: &runner{script: script}, clock: wasabiclock.NewVirtual(1e6)}
+	g := &rig{runner: &runner{script: script}, clock: wasabiclock.NewVirtual(1e6), judge: &verdict{}}
 	then.Pool = "p"
 	servers := []wasabiridge.BackendServer{{ID: "s1", URL: "http://a", Slots: 9}, {ID: "s2", URL: "http://b", Slots: 9}, {ID: "s3", URL: "http://c", Slots: 9}}
 	cfg := &wasabiridge.Config{
@@ -124,7 +136,7 @@
 	cfg.Rules[0].Then.Anonymous = true
 	g.view = wasabirelay.View{Config: cfg, Proven: g.clock.Now()}
 	placer := wasabireplica.New(wasabireplica.Options{Seed: 1, RetrySlack: 100})
-	core := wasabicore.New(wasabicore.Options{Placer: placer, Limiter: wasabireplica.NewLimiter(placer)})
+	core := wasabicore.New(wasabicore.Options{Placer: placer, Limiter: wasabireplica.NewLimiter(placer), Quarantine: g.judge})
 	loop := wasabiloop.New(wasabiloop.Options{Decider: core, Clock: g.clock})
 	DeferCleanup(loop.Close)
 	loop.Post(wasabiridge.ConfigAdopted{Config: *cfg})
@@ -279,6 +291,17 @@
 		Expect(g.runner.attempts[1].Backend.ID).NotTo(Equal(g.runner.attempts[0].Backend.ID))
 	})
 
+	// Story: servers ended under a request, so it reaches none any more. Were its caller
+	// told when to come back, it would be refused again and again.
+	It("that reaches no server any more is not invited back", func() {
+		g := newRig(wasabiridge.Action{}, answers(200, "ok"))
+		g.judge.standing = wasabiridge.StandingBarred
+		got := g.ask("/x", "k")
+		Expect(got.kind).To(Equal(string(wasabiridge.RefusalNotRun)))
+		Expect(got.back).To(BeEmpty())
+		Expect(g.attempts()).To(BeZero())
+	})
+
 	// Story: a refusal names a time to come back. Callers wait for a third of
 	// what they have left at most; a longer advice makes them give up.
 	It("that is refused may come back within a third of its time", func() {
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -46,6 +46,7 @@
 	"math/rand/v2"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 )
 
 // Options holds the knobs of a Placer. The zero value works.
@@ -131,6 +132,10 @@
 			continue
 		}
 		switch {
+		case q.Isolate != 0:
+			if !found || wasabiquarantine.Isolation(q.Isolate, r.server.ID) > wasabiquarantine.Isolation(q.Isolate, best.replica.server.ID) {
+				best, found = c, true
+			}
 		case !found || c.score < best.score-near:
 			best, found, count = c, true, 1
 		case c.score <= best.score+near:
--- /dev/null
+++ b/quarantine.go
@@ -0,0 +1,68 @@
+package wasabiridge
+
+// ServerEnd says that a backend server ended while it had a request. It is an
+// immutable value.
+type ServerEnd struct {
+	Backend     BackendServerID
+	Incarnation Incarnation
+	// Generation is one more than the highest among the ends that were known when the
+	// request was sent there. Ends of one generation may have one cause beside the
+	// request, such as the loss of a rack.
+	Generation int
+	// Weights is the version of the request's model that was named when it was sent.
+	Weights WeightsVersion
+	// Age is how long ago the server ended, At the same by the local clock. News carries
+	// the age, because instances do not share a clock.
+	Age Millis
+	At  Millis
+}
+
+// CrashNews is what an instance knows of the servers that ended under a request. What
+// two instances know is put together in any order and any number of times.
+type CrashNews struct {
+	Fingerprint Fingerprint
+	Account     ClientAccountID
+	Model       ModelID
+	// Epoch counts the whole answers that the request got after servers had ended under
+	// it. What was known in an earlier epoch does not count any more.
+	Epoch uint32
+	Ends  []ServerEnd
+}
+
+// Standing is how a request stands that is about to be sent to a backend server.
+type Standing uint8
+
+// Standings of a request.
+const (
+	// StandingFree is a request under which no server ended.
+	StandingFree Standing = iota
+	// StandingSuspect is one under which servers ended. It may go, but to one server at
+	// a time, which is the same for all instances.
+	StandingSuspect
+	// StandingBarred is one that reaches no server.
+	StandingBarred
+)
+
+// Quarantine judges requests by the servers that ended under them. Implementations are
+// deterministic and not safe for concurrent use.
+type Quarantine interface {
+	// Judge is asked before anything of a request goes to a server.
+	Judge(now Millis, r Request) Standing
+	// Sent tells that an attempt goes to a server.
+	Sent(now Millis, r Request, a AttemptID, b BackendServer)
+	// Observe takes every event that the decider takes.
+	Observe(now Millis, e Event)
+}
+
+// CrashesHeard carries what another instance knows of requests under which servers
+// ended.
+type CrashesHeard struct {
+	From    InstanceID
+	Crashes []CrashNews
+}
+
+// QuarantineReleased says that an operator let a request go again.
+type QuarantineReleased struct{ Fingerprint Fingerprint }
+
+func (CrashesHeard) isEvent()       {}
+func (QuarantineReleased) isEvent() {}
