--- a/internal/wasabiquarantine/quarantine_test.go
+++ b/internal/wasabiquarantine/quarantine_test.go
@@ -85,12 +85,16 @@
 		do   func(b *bench)
 		want wasabiridge.Standing
 	}{
-		"nothing happened":                  {func(*bench) {}, free},
-		"connections broke, servers listen": {func(b *bench) { b.begin(asked(1), "s1")(broken); b.begin(asked(1), "s2")(broken); b.begin(asked(1), "s3")(broken) }, free},
-		"one server ended":                  {func(b *bench) { b.ends(1, "s1") }, suspect},
-		"three, one after the other":        {func(b *bench) { b.ends(1, "s1", "s2", "s3") }, barred},
-		"three lives of one server":         {func(b *bench) { b.ends(1, "s1", "s1", "s1") }, barred},
-		"three under another request":       {func(b *bench) { b.ends(2, "s1", "s2", "s3") }, free},
+		"nothing happened": {func(*bench) {}, free},
+		"connections broke, servers listen": {func(b *bench) {
+			b.begin(asked(1), "s1")(broken)
+			b.begin(asked(1), "s2")(broken)
+			b.begin(asked(1), "s3")(broken)
+		}, free},
+		"one server ended":            {func(b *bench) { b.ends(1, "s1") }, suspect},
+		"three, one after the other":  {func(b *bench) { b.ends(1, "s1", "s2", "s3") }, barred},
+		"three lives of one server":   {func(b *bench) { b.ends(1, "s1", "s1", "s1") }, barred},
+		"three under another request": {func(b *bench) { b.ends(2, "s1", "s2", "s3") }, free},
 		"three at one moment": {func(b *bench) {
 			one, two, three := b.begin(asked(1), "s1"), b.begin(asked(1), "s2"), b.begin(asked(1), "s3")
 			one(crashed)
@@ -118,12 +122,24 @@
 		"the same end from two sides":    {func(b *bench) { b.ends(1, "h0"); b.hear(heard(0, 1)); b.now -= 2000; b.hear(heard(0, 1)) }, suspect},
 		"answered elsewhere":             {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.hear(heard(1)) }, free},
 		"late news of before the answer": {func(b *bench) { b.ends(1, "s1"); b.begin(asked(1), "s2")(answered); b.hear(heard(0, 1, 2, 3)) }, free},
-		"released":                       {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.table.Observe(b.now, wasabiridge.QuarantineReleased{Fingerprint: 1}) }, free},
-		"a minute later":                 {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(57 * wasabiridge.Second) }, barred},
-		"the bar has lapsed":             {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(95 * wasabiridge.Second) }, suspect},
-		"one trial at a time":            {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(95 * wasabiridge.Second); b.begin(asked(1), "s4") }, barred},
-		"the next after a trial not run": {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(95 * wasabiridge.Second); b.begin(asked(1), "s4")(notRun) }, suspect},
-		"a trial ended a server too":     {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(95 * wasabiridge.Second); b.ends(1, "s4"); b.wait(95 * wasabiridge.Second) }, barred},
+		"released": {func(b *bench) {
+			b.ends(1, "s1", "s2", "s3")
+			b.table.Observe(b.now, wasabiridge.QuarantineReleased{Fingerprint: 1})
+		}, free},
+		"a minute later":      {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(57 * wasabiridge.Second) }, barred},
+		"the bar has lapsed":  {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(95 * wasabiridge.Second) }, suspect},
+		"one trial at a time": {func(b *bench) { b.ends(1, "s1", "s2", "s3"); b.wait(95 * wasabiridge.Second); b.begin(asked(1), "s4") }, barred},
+		"the next after a trial not run": {func(b *bench) {
+			b.ends(1, "s1", "s2", "s3")
+			b.wait(95 * wasabiridge.Second)
+			b.begin(asked(1), "s4")(notRun)
+		}, suspect},
+		"a trial ended a server too": {func(b *bench) {
+			b.ends(1, "s1", "s2", "s3")
+			b.wait(95 * wasabiridge.Second)
+			b.ends(1, "s4")
+			b.wait(95 * wasabiridge.Second)
+		}, barred},
 		"two trials, for long": {func(b *bench) {
 			b.ends(1, "s1", "s2", "s3")
 			b.wait(95 * wasabiridge.Second)
