Test: a claim is granted to a caller that has left (failing)

The way: the grant and the end of the caller's context are ready together, and a select takes either. The new specs bring that moment about on purpose, for keys of callers and for tickets; both fail.

--- a/internal/wasabiclaim/failure_test.go
+++ b/internal/wasabiclaim/failure_test.go
@@ -36,6 +36,13 @@
 	return wasabiridge.ClaimQuery{Account: "lifts", Key: b.key, Digest: 7, Request: request}
 }
 
+// leftUnseen is the context of a caller that has left, but whose leaving is never ready
+// before anything else is.
+type leftUnseen struct{ context.Context }
+
+// Err implements context.Context.
+func (leftUnseen) Err() error { return context.Canceled }
+
 var _ = Describe("Claims by ticket", func() {
 	var b *booking
 	BeforeEach(func() {
@@ -43,6 +50,15 @@
 		b.key = b.a.Ticket("lifts")
 	})
 
+	// Story: as with keys of callers' own, the caller leaves when its claim is granted.
+	It("releases a claim whose caller left at the moment of its grant", func() {
+		for _, keeper := range []*wasabiclaim.Keeper{b.a, b.b} {
+			Expect(keeper.Claim(leftUnseen{context.Background()}, b.query("r"))).To(HaveField("NotSent", true))
+			b.eventually(b.b, wasabiridge.ClaimGranted)
+			b.key = b.a.Ticket("lifts")
+		}
+	})
+
 	// The issuer grants a claim to another router, and the answer is lost.
 	// The caller is told that its request was not sent. Its repeat has to
 	// run; without the release the ticket would be held by nobody.
@@ -187,6 +203,14 @@
 		b.eventually(b.b, wasabiridge.ClaimGranted)
 	})
 
+	// Story: a caller leaves at the very moment at which its claim is granted. Whether it
+	// was told "not sent" was left to chance: with the grant and the end of the caller's
+	// context ready together, a select takes either. Here the grant always comes first.
+	It("releases a claim whose caller left at the moment of its grant", func() {
+		Expect(b.a.Claim(leftUnseen{context.Background()}, b.query("r"))).To(HaveField("NotSent", true))
+		b.eventually(b.b, wasabiridge.ClaimGranted)
+	})
+
 	It("never writes over a row that it cannot read", func() {
 		b.ask(b.a, wasabiridge.ClaimGranted)
 		rows, err := b.table.List(context.Background(), "claim/", "", 2)
