Claims: a caller that has left never holds one

Callers saw nothing of it: the gateway goes on with a grant whose caller has left, finds that out, and gives the claim back as not run, so no promise was broken. But what Claim says was left to chance where the grant and the caller's leaving come together. Cause: a select over both. Change: after a grant the caller's context is asked, and a claim of one that has left is released at once, for keys and tickets, own and of other issuers. Why it holds: the gate of the request opens only behind this. Ruled out: a second release does no harm (the memory of the request makes it safe in any order, as before).

--- a/internal/wasabiclaim/issuer.go
+++ b/internal/wasabiclaim/issuer.go
@@ -32,16 +32,21 @@
 		return unknownNotSent(), nil
 	}
 	if t.Instance == k.options.Self {
-		return k.decideTicket(t, q), nil
+		out := k.decideTicket(t, q)
+		if out.State == wasabiridge.ClaimGranted && ctx.Err() != nil {
+			k.endTicket(t, wasabiridge.ClaimResult{Query: q, Disposition: wasabiridge.NotRun})
+			return unknownNotSent(), nil
+		}
+		return out, nil
 	}
 	address, ok := k.locate(t.Instance)
 	if !ok {
 		return unknownNotSent(), nil
 	}
 	var out wasabiridge.ClaimOutcome
-	if out, err = k.options.Peers.Claim(ctx, address, q); err != nil {
+	if out, err = k.options.Peers.Claim(ctx, address, q); err != nil || out.State == wasabiridge.ClaimGranted && ctx.Err() != nil {
 		// The issuer may have granted the claim although its answer is
-		// lost. This request will not be sent, so the issuer is told to
+		// lost, or the caller left when it came. This request will not be sent, so the issuer is told to
 		// release it; its memory of the request makes that safe in any
 		// order of arrival.
 		k.deferFinish(wasabiridge.ClaimResult{Query: q, Disposition: wasabiridge.NotRun})
--- a/internal/wasabiclaim/keeper.go
+++ b/internal/wasabiclaim/keeper.go
@@ -202,13 +202,15 @@
 	}
 	select {
 	case out := <-m.reply:
-		return out, nil
+		if out.State != wasabiridge.ClaimGranted || ctx.Err() == nil {
+			return out, nil
+		}
 	case <-ctx.Done():
 	case <-k.stopped:
 		return unknownNotSent(), nil
 	}
-	// The caller left. The claim may be granted at this moment; the gate of
-	// the request was never opened, so releasing it is safe.
+	// The caller left. The claim may be granted at this moment, or was right before;
+	// the gate of the request was never opened, so releasing it is safe.
 	left := claimAbandoned{Ask: m.ask, Key: rowKey(q.Account, q.Key)}
 	if err := k.post(context.WithoutCancel(ctx), message{event: left}); err != nil {
 		return unknownNotSent(), nil
