Quarantine: servers lost together bar nobody; what is not proven is tried at few places

Causes and changes: (1) ends counted as following each other although what was sent on at once met the next server of the same rack: a send counts for the next moment 300 ms after the first end of the one before. (2) Two servers lost at one moment and one much later passed for proof: three moments, or four ends at two. (3) Between the third end and the proof every instance tried: freely for a second, then three instances, once at a time, chosen by the fingerprint; others say come back in 0.4 s. (4) Each end was followed by a send within the same request up to four times: two ends at most before its caller has to ask again. (5) News that was lost stayed lost, went only to instances with callers, and answers were told narrower than ends: told until answered, second ends and their clearing to all, late news is corrected at its teller.

All bounds are three ends and three further.

--- a/decision.go
+++ b/decision.go
@@ -249,6 +249,9 @@
 	// RefusedQuarantined means that servers ended under the request. It is not sent to
 	// any, now or when it comes again soon.
 	RefusedQuarantined RefuseReason = "quarantined"
+	// RefusedSuspect means that servers ended under the request, and that it is being
+	// tried whether more do.
+	RefusedSuspect RefuseReason = "suspect"
 	// RefusedBroken means that attempts failed and no further one is allowed.
 	RefusedBroken RefuseReason = "broken"
 )
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -64,7 +64,7 @@
 	if a == nil {
 		return
 	}
-	a.over = true
+	a.over, a.serverEnded = true, e.ServerEnded
 	if e.Result == wasabiridge.AttemptNotRun {
 		a.disposition = wasabiridge.NotRun
 	}
@@ -128,7 +128,7 @@
 		return
 	}
 	why, allowed := recovery(en)
-	if !allowed || en.tries() >= c.options.MaxAttempts || en.usedUp() {
+	if !allowed || en.tries() >= c.options.MaxAttempts || en.usedUp() || en.endsUsedUp() {
 		c.refuse(now, en, wasabiridge.RefusedBroken, e.RetryAfter)
 		return
 	}
--- a/internal/wasabicore/entry.go
+++ b/internal/wasabicore/entry.go
@@ -2,6 +2,10 @@
 
 import "github.com/wasabiridge/wasabiridge"
 
+// endsMost is how many servers may end under a request between its arrival and its
+// answer.
+const endsMost = 2
+
 // entry is what the core knows of one open request.
 type entry struct {
 	request  wasabiridge.Request
@@ -32,6 +36,8 @@
 	firstToken  bool
 	// moved says that the run goes on at another server.
 	moved bool
+	// serverEnded says that the server ended while it had the attempt.
+	serverEnded bool
 }
 
 func (e *entry) find(id wasabiridge.AttemptID) *attempt {
@@ -74,6 +80,21 @@
 	return n
 }
 
+// endsUsedUp reports whether as many servers have ended under the request as may end
+// before its caller sends it again.
+//
+// The failure it guards against: each end is followed by a send to the next server
+// within milliseconds, before anything tells the request from those that ran beside it.
+func (e *entry) endsUsedUp() bool {
+	n := 0
+	for i := range e.attempts {
+		if e.attempts[i].serverEnded {
+			n++
+		}
+	}
+	return n >= endsMost
+}
+
 // usedUp reports whether as many attempts may have run as the rule allows.
 // Attempts that did not run do not count.
 func (e *entry) usedUp() bool {
--- a/internal/wasabicore/quarantine.go
+++ b/internal/wasabicore/quarantine.go
@@ -16,13 +16,21 @@
 	return c.options.Quarantine.Judge(now, en.request)
 }
 
-// bar refuses a request that reaches no server any more. It reports whether it did.
-// Nothing invites the caller back: it would be refused again.
+// trialWait is when a request may come back that is being tried elsewhere. A first
+// token takes less, and with it goes what is held against a proper request.
+const trialWait = 400 * wasabiridge.Millis(1)
+
+// bar refuses a request that reaches no server now. It reports whether it did. Nothing
+// invites the caller of a barred one back: it would be refused again.
 func (c *Core) bar(now wasabiridge.Millis, en *entry) bool {
-	if c.standing(now, en) != wasabiridge.StandingBarred {
+	switch c.standing(now, en) {
+	case wasabiridge.StandingBarred:
+		c.refuse(now, en, wasabiridge.RefusedQuarantined, 0)
+	case wasabiridge.StandingDeferred:
+		c.refuse(now, en, wasabiridge.RefusedSuspect, trialWait)
+	default:
 		return false
 	}
-	c.refuse(now, en, wasabiridge.RefusedQuarantined, 0)
 	return true
 }
 
--- a/internal/wasabicore/quarantine_test.go
+++ b/internal/wasabicore/quarantine_test.go
@@ -61,6 +61,7 @@
 		"beside its first attempt":         {action: wasabiridge.Action{Hedge: true}, first: free, later: barred, hedge: true, attempts: 1, says: wasabiridge.MaybeRun},
 		"beside its first, as a suspect":   {action: wasabiridge.Action{Hedge: true}, first: free, later: suspect, hedge: true, attempts: 1, says: wasabiridge.MaybeRun},
 		"a suspect is retried":             {action: wasabiridge.Action{Retry: true, Attempts: 2}, first: suspect, later: suspect, attempts: 2, says: wasabiridge.MaybeRun},
+		"two servers ended since it came":  {action: wasabiridge.Action{Resume: true, Attempts: 4}, first: suspect, later: suspect, delivered: 7, attempts: 2, says: wasabiridge.MaybeRun},
 		"nothing is held against it":       {action: wasabiridge.Action{Retry: true, Attempts: 2}, first: free, later: free, attempts: 2, says: wasabiridge.MaybeRun},
 		"nothing, and a moved run goes on": {action: wasabiridge.Action{Resume: true, Attempts: 1}, first: free, later: free, delivered: 7, moved: moved, attempts: 2, says: wasabiridge.MaybeRun},
 	}
--- a/internal/wasabinode/crashes.go
+++ b/internal/wasabinode/crashes.go
@@ -21,43 +21,108 @@
 	crashDelay = 5 * time.Millisecond
 	// crashRepeat is how often what is known is repeated.
 	crashRepeat = 500 * time.Millisecond
+	// crashTries is how often an instance is told that does not answer, crashAgain the
+	// time in between, crashTimeout the time for one try.
+	crashTries   = 6
+	crashAgain   = 400 * time.Millisecond
+	crashTimeout = 400 * time.Millisecond
 )
 
-// shareCrashes tells the other instances under which requests servers ended, at once
-// those that callers are sent to and by and by all, and logs what was decided.
+// shareCrashes tells the other instances under which requests servers ended, and logs
+// what was decided.
 func (n *Node) shareCrashes(ctx context.Context) {
 	ticker := time.NewTicker(crashRepeat)
 	defer ticker.Stop()
 	spread := wasabiquarantine.NewSpread(uint64(n.incarnation))
 	for {
-		var targets []wasabicatalog.Peer
+		var one, all []wasabicatalog.Peer
+		var others []wasabiridge.InstanceID
 		select {
 		case <-n.crashed:
 			time.Sleep(crashDelay)
 		case <-ticker.C:
-			for _, e := range spread.Targets(n.members.Members(), n.otherActive()) {
-				targets = append(targets, wasabicatalog.PeerOf(e))
+			members := n.members.Members()
+			for _, m := range members {
+				others = append(others, m.ID)
 			}
+			active, any := spread.Targets(members, n.otherActive())
+			one, all = peersOf(active), peersOf(append(active, any...))
 		case <-ctx.Done():
 			return
 		}
-		var news, repeated []wasabiridge.CrashNews
+		var news, repeated wasabiquarantine.News
 		var notes []wasabiquarantine.Note
 		n.loop.Inspect(func() {
 			now := n.options.Clock.Now()
 			news, notes = n.quarantine.TakeNews(now), n.quarantine.TakeNotes()
-			if len(targets) > 0 {
+			if len(all) > 0 {
+				n.quarantine.Meet(others)
 				repeated = n.quarantine.Repeated(now)
 			}
 		})
 		n.logCrashes(notes)
-		if len(news) > 0 {
-			n.catalog.TellSome(ctx, n.active(), wasabiridge.News{Crashes: news})
+		n.tellCrashes(ctx, n.active(), news.Narrow)
+		n.tellCrashes(ctx, n.peers(), news.Wide)
+		for _, c := range news.Corrections {
+			if address, ok := n.members.Locate(c.To); ok {
+				n.tellCrashes(ctx, []wasabicatalog.Peer{{ID: c.To, Address: address}}, c.Marks)
+			}
+		}
+		n.tellCrashes(ctx, one, repeated.Narrow)
+		n.tellCrashes(ctx, all, repeated.Wide)
+	}
+}
+
+// tellCrashes tells other instances, each until it answers. It does not wait for them.
+//
+// The failure it guards against: a message is lost. Its instance sends the request on, or
+// goes on to suspect one that was answered elsewhere.
+func (n *Node) tellCrashes(ctx context.Context, peers []wasabicatalog.Peer, crashes []wasabiridge.CrashNews) {
+	if len(crashes) == 0 {
+		return
+	}
+	news := wasabiridge.News{From: n.options.Settings.Instance, Crashes: crashes}
+	for _, p := range peers {
+		go func() {
+			for range crashTries {
+				if n.tellOnce(ctx, p.Address, news) == nil {
+					return
+				}
+				select {
+				case <-time.After(crashAgain):
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	}
+}
+
+func (n *Node) tellOnce(ctx context.Context, address string, news wasabiridge.News) error {
+	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	return n.client.TellNews(ctx, address, news)
+}
+
+// peers returns all other living instances.
+func (n *Node) peers() []wasabicatalog.Peer {
+	var entries []wasabiridge.InstanceEntry
+	for _, m := range n.members.Members() {
+		if !m.Leaving {
+			entries = append(entries, m.InstanceEntry)
 		}
-		if len(repeated) > 0 {
-			n.catalog.TellSome(ctx, targets, wasabiridge.News{Crashes: repeated})
+	}
+	return peersOf(entries)
+}
+
+func peersOf(entries []wasabiridge.InstanceEntry) []wasabicatalog.Peer {
+	var out []wasabicatalog.Peer
+	for _, e := range entries {
+		if e.PeerAddress != "" {
+			out = append(out, wasabicatalog.PeerOf(e))
 		}
 	}
+	return out
 }
 
 // wakeCrashes lets shareCrashes look at what has changed.
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -94,6 +94,7 @@
 		line("quarantine_barred_total", int64(counts.Barred)),
 		line("quarantine_lifted_total", int64(counts.Lifted)),
 		line("quarantine_refused_total", int64(counts.Refused)),
+		line("quarantine_deferred_total", int64(counts.Deferred)),
 		line("servers_ended_under_requests_total", int64(counts.Ends)),
 	}
 }
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -184,7 +184,7 @@
 		Seed: seed, Zone: s.Zone, WeightsBound: n.bounds.WeightsLife - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
 	})
-	n.quarantine = wasabiquarantine.New(wasabiquarantine.Options{Seed: seed, Changed: n.wakeCrashes})
+	n.quarantine = wasabiquarantine.New(wasabiquarantine.Options{Self: s.Instance, Seed: seed, Changed: n.wakeCrashes})
 	core := wasabicore.New(wasabicore.Options{
 		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine, Instance: s.Instance,
 		FirstAttempt: wasabiridge.AttemptID(n.incarnation) << attemptBits,
--- a/internal/wasabinode/share.go
+++ b/internal/wasabinode/share.go
@@ -61,11 +61,7 @@
 // active returns the other instances that callers are sent to. Only they place
 // requests, so only they need to know.
 func (n *Node) active() []wasabicatalog.Peer {
-	var peers []wasabicatalog.Peer
-	for _, e := range n.otherActive() {
-		peers = append(peers, wasabicatalog.PeerOf(e))
-	}
-	return peers
+	return peersOf(n.otherActive())
 }
 
 // otherActive returns the entries of the other instances that callers are sent to.
--- a/internal/wasabiquarantine/mark.go
+++ b/internal/wasabiquarantine/mark.go
@@ -17,10 +17,22 @@
 	ends []wasabiridge.ServerEnd
 	// changed is when anything of it last changed here.
 	changed wasabiridge.Millis
+	// own is when this instance last saw an end itself.
+	own wasabiridge.Millis
+	// wide says that all instances were told of ends before the epoch.
+	wide bool
 	// running counts the attempts of this instance that have not ended.
 	running int
 }
 
+// isWide reports whether all instances should know the mark, and not just those that
+// callers are sent to: some callers come to others, and what has ended two servers may
+// end a third one there. First ends are many, and harmless by themselves.
+func (m *mark) isWide() bool { return m.count() >= wideEnds || m.count() == 0 && m.wide }
+
+// wideEnds is how many ends all instances are told of.
+const wideEnds = 2
+
 // add takes an end. It reports whether that was news.
 func (m *mark) add(e wasabiridge.ServerEnd) bool {
 	for i := range m.ends {
@@ -75,6 +87,20 @@
 	return highest
 }
 
+// nextGeneration is that of a server that ends under a send that begins now.
+func (m *mark) nextGeneration(now wasabiridge.Millis) int {
+	highest := m.generation()
+	for _, e := range m.ends {
+		if e.Generation == highest && now < e.At+apart {
+			return highest
+		}
+		if e.Generation == highest {
+			break
+		}
+	}
+	return highest + 1
+}
+
 // weights are the newest that were named when a server ended.
 func (m *mark) weights() wasabiridge.WeightsVersion {
 	newest := wasabiridge.WeightsVersion(0)
@@ -85,11 +111,14 @@
 }
 
 // isProven reports whether the ends are proof against the request: as many as may be,
-// and not all of them at what may have been one moment.
+// and not at what may have been one moment, or two.
 //
-// The failure it guards against: a rack is lost, and with it three servers that ran the
-// same popular request. It would be refused although it is harmless.
-func (m *mark) isProven() bool { return m.count() >= endsMost && m.generation() > 1 }
+// The failure it guards against: racks are lost, and with them servers that ran the same
+// popular request. It would be refused although it is harmless.
+func (m *mark) isProven() bool {
+	moments := m.generation()
+	return m.count() >= endsMost && (moments >= momentsProof || moments > 1 && m.count() >= endsProof)
+}
 
 // before reports whether a mark is forgotten sooner than another one.
 func (m *mark) before(other *mark) bool {
--- a/internal/wasabiquarantine/note.go
+++ b/internal/wasabiquarantine/note.go
@@ -44,8 +44,9 @@
 // Counts are totals since the start.
 type Counts struct {
 	// Ends counts attempts under which a server ended, Barred requests that were barred,
-	// Lifted those that were let go again, Refused times that a barred one was asked about.
-	Ends, Barred, Lifted, Refused int
+	// Lifted those that were let go again, Refused times that a barred one was asked about,
+	// Deferred times that one was that others may try.
+	Ends, Barred, Lifted, Refused, Deferred int
 }
 
 func (t *Table) note(_ wasabiridge.Millis, n Note) {
--- a/internal/wasabiquarantine/quarantine.go
+++ b/internal/wasabiquarantine/quarantine.go
@@ -14,12 +14,14 @@
 // account's requests never mark another's. After the first end it is a suspect. All
 // instances send it to the same server, chosen by the fingerprint: those that merely
 // ran beside it go elsewhere each and are answered there, and one whole answer anywhere
-// ends the suspicion. After three ends it is barred, if at least one of the sends began
-// when an earlier end was known: ends at one moment may have another cause.
+// ends the suspicion. After three ends it is barred, or tried: ends at one moment may have
+// another cause, so it is barred when they lie at three moments, or four of them at two.
+// Until then it may go for freeFor after the third end; then trialists instances may each
+// try it once at a time, and the others ask its callers to come back soon.
 //
 // A bar lapses after a while that grows with the ends, at each instance at a time of its
-// own, and when newer weights are named. Then one attempt at a time may go. After
-// trialMost such trials that ended a server too, only time or an operator lifts it.
+// own, and when newer weights are named. Then it is tried again. After trialMost such
+// trials that ended a server too, only time or an operator lifts it.
 //
 // # News
 //
@@ -37,6 +39,7 @@
 package wasabiquarantine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -46,6 +49,15 @@
 const (
 	// endsMost is how many servers may end under a request. The users' rules allow three.
 	endsMost = 3
+	// endsProof is how many ends at two moments prove as much as ends at three moments.
+	endsProof, momentsProof = 4, 3
+	// trialists is how many instances may try a request. The users' rules allow it to
+	// reach three more servers.
+	trialists = 3
+	// freeFor is how long after the third end a request goes that is not proven: a popular
+	// one is answered somewhere meanwhile. The users' rules count what is sent later than
+	// instances may take to hear of the third end, which are seconds.
+	freeFor = wasabiridge.Second
 	// trialMost is how many further servers trials may end.
 	trialMost = 2
 	// barFirst is how long the first bar holds at least, barLast how long one does after
@@ -61,6 +73,10 @@
 	// clearedLife is how long it is remembered that a mark was cleared. Older news of
 	// its ends arrives within seconds.
 	clearedLife = wasabiridge.Minute
+	// apart is how long after the first end of a generation a send must begin to count
+	// for the next one. Servers of a rack that is lost end within it, one after the other,
+	// and what is sent on at once meets the next of them.
+	apart = 300 * wasabiridge.Millis(1)
 	// reborn is how soon after its end a server cannot have ended again. Instances may
 	// know its lives by different numbers.
 	reborn = 1500 * wasabiridge.Millis(1)
@@ -73,6 +89,8 @@
 
 // Options set up a Table. The zero value works.
 type Options struct {
+	// Self names this instance.
+	Self wasabiridge.InstanceID
 	// Seed decides how much longer than others this instance holds bars.
 	Seed uint64
 	// Changed is called when there is something to tell or to log. It must not block.
@@ -82,6 +100,8 @@
 
 // Table implements wasabiridge.Quarantine. See the package comment.
 type Table struct {
+	self    wasabiridge.InstanceID
+	others  []wasabiridge.InstanceID
 	changed func()
 	spread  float64
 	marks   map[wasabiridge.Fingerprint]*mark
@@ -90,7 +110,9 @@
 	sent  map[wasabiridge.AttemptID]sending
 	named map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	news  map[wasabiridge.Fingerprint]bool
-	notes []Note
+	// corrections are the marks of which instances told that were cleared before.
+	corrections map[wasabiridge.InstanceID]map[wasabiridge.Fingerprint]bool
+	notes       []Note
 	// swept is when marks were last looked through for those to be forgotten.
 	swept  wasabiridge.Millis
 	counts Counts
@@ -115,13 +137,15 @@
 		o.Changed = func() {}
 	}
 	return &Table{
-		changed: o.Changed,
-		spread:  1 + barSpread*rand.New(rand.NewPCG(o.Seed, 1)).Float64(),
-		marks:   map[wasabiridge.Fingerprint]*mark{},
-		owned:   map[wasabiridge.ClientAccountID]int{},
-		sent:    map[wasabiridge.AttemptID]sending{},
-		named:   map[wasabiridge.ModelID]wasabiridge.WeightsVersion{},
-		news:    map[wasabiridge.Fingerprint]bool{},
+		self: o.Self, changed: o.Changed,
+		spread: 1 + barSpread*rand.New(rand.NewPCG(o.Seed, 1)).Float64(),
+		marks:  map[wasabiridge.Fingerprint]*mark{},
+		owned:  map[wasabiridge.ClientAccountID]int{},
+		sent:   map[wasabiridge.AttemptID]sending{},
+		named:  map[wasabiridge.ModelID]wasabiridge.WeightsVersion{},
+		news:   map[wasabiridge.Fingerprint]bool{},
+
+		corrections: map[wasabiridge.InstanceID]map[wasabiridge.Fingerprint]bool{},
 	}
 }
 
@@ -131,23 +155,41 @@
 	if m == nil || len(m.ends) == 0 {
 		return wasabiridge.StandingFree
 	}
-	if t.isBarred(now, m) {
+	switch {
+	case m.count() < endsMost:
+		return wasabiridge.StandingSuspect
+	case t.isBarred(now, m):
 		t.counts.Refused++
 		return wasabiridge.StandingBarred
+	case !m.isProven() && now < m.ends[endsMost-1].At+freeFor:
+	case m.running > 0 || !t.isTrialist(m.fingerprint):
+		t.counts.Deferred++
+		return wasabiridge.StandingDeferred
 	}
 	return wasabiridge.StandingSuspect
 }
 
-// isBarred reports whether a request reaches no server now. Behind a bar that has
-// lapsed one attempt at a time is let through.
+// isBarred reports whether a request reaches no server now.
 func (t *Table) isBarred(now wasabiridge.Millis, m *mark) bool {
-	if !m.isProven() {
-		return false
-	}
-	if now < m.newest()+t.barFor(m) && !t.hasNewWeights(m) {
-		return true
+	return m.isProven() && now < m.newest()+t.barFor(m) && !t.hasNewWeights(m)
+}
+
+// Meet takes the names of the other living instances, with which trials are shared out.
+func (t *Table) Meet(others []wasabiridge.InstanceID) { t.others = others }
+
+// isTrialist reports whether this is one of the instances that may try a request. All
+// instances that know the same others agree on them.
+//
+// The failure it guards against: callers send a request in the same moment to all
+// instances, and after an end at each of three servers each instance tries it once more.
+func (t *Table) isTrialist(f wasabiridge.Fingerprint) bool {
+	own, ahead := rank(f, string(t.self)), 0
+	for _, other := range t.others {
+		if rank(f, string(other)) > own {
+			ahead++
+		}
 	}
-	return m.running > 0
+	return ahead < trialists
 }
 
 // barFor is how long a bar holds after the newest end.
@@ -166,13 +208,13 @@
 }
 
 // Sent implements wasabiridge.Quarantine.
-func (t *Table) Sent(_ wasabiridge.Millis, r wasabiridge.Request, id wasabiridge.AttemptID, b wasabiridge.BackendServer) {
+func (t *Table) Sent(now wasabiridge.Millis, r wasabiridge.Request, id wasabiridge.AttemptID, b wasabiridge.BackendServer) {
 	if r.Fingerprint == 0 {
 		return
 	}
-	s := sending{fingerprint: r.Fingerprint, account: r.Account, model: r.Model, backend: b, weights: t.named[r.Model]}
+	s := sending{generation: 1, fingerprint: r.Fingerprint, account: r.Account, model: r.Model, backend: b, weights: t.named[r.Model]}
 	if m := t.marks[r.Fingerprint]; m != nil {
-		s.epoch, s.generation = m.epoch, m.generation()
+		s.epoch, s.generation = m.epoch, m.nextGeneration(now)
 		m.running++
 	}
 	t.sent[id] = s
@@ -216,7 +258,7 @@
 		t.add(now, "", wasabiridge.CrashNews{
 			Fingerprint: s.fingerprint, Account: s.account, Model: s.model, Epoch: s.epoch,
 			Ends: []wasabiridge.ServerEnd{{
-				Backend: s.backend.ID, Incarnation: s.backend.Incarnation, Generation: s.generation + 1, Weights: s.weights,
+				Backend: s.backend.ID, Incarnation: s.backend.Incarnation, Generation: s.generation, Weights: s.weights,
 			}},
 		})
 	case m != nil && len(m.ends) > 0 && (e.Result == wasabiridge.AttemptCompleted || e.Failed):
@@ -227,6 +269,7 @@
 // clear ends the suspicion of a request.
 func (t *Table) clear(now wasabiridge.Millis, m *mark, why Lifted) {
 	t.note(now, Note{Kind: NoteLifted, Mark: m.snapshot(now), Why: why})
+	m.wide = m.isWide()
 	m.epoch++
 	m.ends = nil
 	m.changed = now
@@ -256,6 +299,7 @@
 		}
 	}
 	if c.Epoch < m.epoch {
+		t.correct(from, m)
 		return
 	}
 	before, barred := m.count(), t.isBarred(now, m)
@@ -264,6 +308,7 @@
 		if len(m.ends) > 0 {
 			t.note(now, Note{Kind: NoteLifted, Mark: m.snapshot(now), Why: LiftedByAnswer, From: from})
 		}
+		m.wide = m.isWide()
 		m.epoch, m.ends, changed = c.Epoch, nil, true
 	}
 	for _, e := range c.Ends {
@@ -275,11 +320,27 @@
 	}
 	m.changed = now
 	if from == "" {
+		m.own = now
 		t.tell(m)
 	}
 	t.noteEnds(now, m, from, before, barred)
 }
 
+// correct lets an instance know that what it told does not count any more.
+//
+// The failure it guards against: an instance to which hardly any callers are sent saw an
+// end, and is not told of an answer that others gave. It goes on to suspect the request.
+func (t *Table) correct(from wasabiridge.InstanceID, m *mark) {
+	if from == "" || len(t.corrections[from]) >= repeatedMost {
+		return
+	}
+	if t.corrections[from] == nil {
+		t.corrections[from] = map[wasabiridge.Fingerprint]bool{}
+	}
+	t.corrections[from][m.fingerprint] = true
+	t.changed()
+}
+
 // newMark makes room for a mark. It returns nil where the account has its share of
 // marks that count for more.
 func (t *Table) newMark(now wasabiridge.Millis, c wasabiridge.CrashNews) *mark {
@@ -349,11 +410,4 @@
 }
 
 // fingerprints returns those of all marks, in order.
-func (t *Table) fingerprints() []wasabiridge.Fingerprint {
-	out := make([]wasabiridge.Fingerprint, 0, len(t.marks))
-	for f := range t.marks {
-		out = append(out, f)
-	}
-	slices.Sort(out)
-	return out
-}
+func (t *Table) fingerprints() []wasabiridge.Fingerprint { return slices.Sorted(maps.Keys(t.marks)) }
--- a/quarantine.go
+++ b/quarantine.go
@@ -5,9 +5,9 @@
 type ServerEnd struct {
 	Backend     BackendServerID
 	Incarnation Incarnation
-	// Generation is one more than the highest among the ends that were known when the
-	// request was sent there. Ends of one generation may have one cause beside the
-	// request, such as the loss of a rack.
+	// Generation is one more than the highest among the ends that were known a moment
+	// before the request was sent there. Ends of one generation may have one cause beside
+	// the request, such as the loss of a rack.
 	Generation int
 	// Weights is the version of the request's model that was named when it was sent.
 	Weights WeightsVersion
@@ -39,6 +39,9 @@
 	// StandingSuspect is one under which servers ended. It may go, but to one server at
 	// a time, which is the same for all instances.
 	StandingSuspect
+	// StandingDeferred is one that a few other instances may try, and this one may not
+	// now. It may come back soon.
+	StandingDeferred
 	// StandingBarred is one that reaches no server.
 	StandingBarred
 )
