Quarantine: bars outlast all instances, in the platform's store

Callers saw engines end again after all instances were replaced, as if the request were new. Cause: instances keep nothing, and news needs one that lives. Change: the instance that saw the last end writes one row a bar, under a condition; two others of the lowest ranks write it where it is missing two seconds later; each instance reads the rows at its start, in one call, and tries until the store answers; a bar that is lifted is dropped, and so are rows that tell nothing any more. Ages are kept by the time of day, so that a bar ends when it would have ended.

Why it holds: a row is merged like any news, so an old one cannot undo an answer of a later epoch. Ruled out: one row for each suspect (writes by requests, not by bars). Left: between a start and the first read, and while the store is down after the loss of all, such a request counts as new.

--- a/internal/wasabinode/crash_test.go
+++ b/internal/wasabinode/crash_test.go
@@ -103,6 +103,7 @@
 		first.done <- nil
 		g.nodes = nil
 		second := g.begin()
+		Eventually(second.log.String, "5s").Should(ContainSubstring("Bars read."))
 		for range 3 {
 			code, _ := g.send(second)
 			Expect(code).To(Equal(http.StatusServiceUnavailable))
--- a/internal/wasabinode/crashes.go
+++ b/internal/wasabinode/crashes.go
@@ -137,6 +137,7 @@
 func (n *Node) logCrashes(notes []wasabiquarantine.Note) {
 	log := wasabilog.Part(n.log, "quarantine")
 	for _, note := range notes {
+		n.noteBar(note)
 		m := note.Mark
 		line := log.Info().Stringer("fingerprint", m.Fingerprint).Str("account", string(m.Account)).Int("ends", len(m.Ends)).
 			Uint64("epoch", uint64(m.Epoch)).Str("from", string(note.From))
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -29,6 +29,7 @@
 	go n.watchKept(ctx)
 	go n.share(ctx)
 	go n.shareCrashes(ctx)
+	go n.keepBars(ctx)
 	go n.moveAnswers(ctx)
 	go n.restore(ctx)
 	go n.roster.sign(ctx, n.incarnation)
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -128,6 +128,7 @@
 	emptied     chan wasabiridge.BackendServerID
 	quarantine  *wasabiquarantine.Table
 	crashed     chan struct{}
+	barred      chan wasabiquarantine.Note
 	relay       *wasabirelay.Relay
 	catalog     *wasabicatalog.Keeper
 	upgrade     *wasabiupgrade.Keeper
@@ -160,6 +161,7 @@
 		drained:     make(chan struct{}),
 		placed:      make(chan struct{}, 1),
 		crashed:     make(chan struct{}, 1),
+		barred:      make(chan wasabiquarantine.Note, barsSize),
 		emptied:     make(chan wasabiridge.BackendServerID, emptiedSize),
 	}
 	n.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
--- /dev/null
+++ b/internal/wasabiquarantine/row.go
@@ -0,0 +1,79 @@
+package wasabiquarantine
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// RowPrefix begins the keys of the rows in which bars outlast all instances.
+const RowPrefix = "quarantine/"
+
+// RowLife is how long a row tells anything.
+const RowLife = wasabiridge.Millis(float64(barLast)*(1+barSpread)) + forgetAfter
+
+// row is a bar as it is kept. Times are milliseconds of the time of day, which
+// instances share but for some seconds.
+type row struct {
+	Account string   `json:"account"`
+	Model   string   `json:"model,omitempty"`
+	Epoch   uint32   `json:"epoch"`
+	Ends    []rowEnd `json:"ends"`
+}
+
+type rowEnd struct {
+	Backend     string `json:"backend"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Generation  int    `json:"generation"`
+	Weights     uint64 `json:"weights,omitempty"`
+	AtMillis    int64  `json:"at_ms"`
+}
+
+// RowKey returns the key of a request's row.
+func RowKey(f wasabiridge.Fingerprint) string { return RowPrefix + f.String() }
+
+// EncodeRow returns a bar as it is kept, at a time of day.
+func EncodeRow(now wasabiridge.Millis, c wasabiridge.CrashNews) ([]byte, error) {
+	out := row{Account: string(c.Account), Model: string(c.Model), Epoch: c.Epoch}
+	for _, e := range c.Ends {
+		out.Ends = append(out.Ends, rowEnd{
+			Backend: string(e.Backend), Incarnation: uint64(e.Incarnation), Generation: e.Generation, Weights: uint64(e.Weights), AtMillis: int64(now - e.Age),
+		})
+	}
+	return json.Marshal(out)
+}
+
+// DecodeRow reads a kept bar at a time of day. It reports ErrInvalid for a row that is
+// none.
+func DecodeRow(now wasabiridge.Millis, r wasabiridge.Row) (wasabiridge.CrashNews, error) {
+	id, err := strconv.ParseUint(strings.TrimPrefix(r.Key, RowPrefix), 16, 64)
+	if err != nil || id == 0 {
+		return wasabiridge.CrashNews{}, wasabiridge.ErrInvalid.New("quarantine: %q names no request", r.Key)
+	}
+	var in row
+	if err = json.Unmarshal(r.Value, &in); err != nil {
+		return wasabiridge.CrashNews{}, wasabiridge.ErrInvalid.Wrap(err, "quarantine: row %q", r.Key)
+	}
+	out := wasabiridge.CrashNews{
+		Fingerprint: wasabiridge.Fingerprint(id), Account: wasabiridge.ClientAccountID(in.Account), Model: wasabiridge.ModelID(in.Model), Epoch: in.Epoch,
+	}
+	for _, e := range in.Ends[:min(len(in.Ends), keptEnds)] {
+		out.Ends = append(out.Ends, wasabiridge.ServerEnd{
+			Backend: wasabiridge.BackendServerID(e.Backend), Incarnation: wasabiridge.Incarnation(e.Incarnation),
+			Generation: max(1, e.Generation), Weights: wasabiridge.WeightsVersion(e.Weights), Age: max(0, now-wasabiridge.Millis(e.AtMillis)),
+		})
+	}
+	return out, nil
+}
+
+// IsOver reports whether a kept bar tells nothing any more.
+func IsOver(c wasabiridge.CrashNews) bool {
+	for _, e := range c.Ends {
+		if e.Age < RowLife {
+			return false
+		}
+	}
+	return true
+}
