Quarantine: one keeper joins the table to instances, rows and log

Cause: the duty stood in wasabinode, and the OpenAI way needs the same one. Ruled out: a second duty for the daemon.

--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -28,7 +28,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -159,18 +158,6 @@
 	return true
 }
 
-// Refuses reports whether nothing listens at an address: the system there answers,
-// and turns connections away. A server that listens, and a path on which nothing
-// comes back, are no refusal.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = raw.Close()
-	return false
-}
-
 // take returns an idle connection, or nil after it has counted a new one.
 func (p *Pool) take(address string, w Want) (*Conn, error) {
 	p.mu.Lock()
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiconn"
 	"github.com/wasabiridge/wasabiridge/internal/wasabikept"
@@ -28,8 +30,7 @@
 	go n.countInstances(ctx)
 	go n.watchKept(ctx)
 	go n.share(ctx)
-	go n.shareCrashes(ctx)
-	go n.keepBars(ctx)
+	go n.quarantine.Run(ctx)
 	go n.moveAnswers(ctx)
 	go n.restore(ctx)
 	go n.roster.sign(ctx, n.incarnation)
@@ -92,6 +93,14 @@
 	}
 }
 
+// metricsHandler serves what operators see of a running instance.
+func (n *Node) metricsHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Mount("/quarantine", n.quarantine.Handler())
+	router.NotFound(n.serveMetrics)
+	return router
+}
+
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	n.writeMetrics(w)
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -5,7 +5,6 @@
 	"io"
 	"slices"
 
-	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 )
 
@@ -76,18 +75,15 @@
 
 // quarantineLines tells of requests under which servers ended.
 func (n *Node) quarantineLines() []string {
-	var counts wasabiquarantine.Counts
+	entries, counts := n.quarantine.Snapshot()
 	suspects, barred := 0, 0
-	n.loop.Inspect(func() {
-		counts = n.quarantine.Counts()
-		for _, e := range n.quarantine.Entries(n.options.Clock.Now()) {
-			if e.Barred {
-				barred++
-			} else {
-				suspects++
-			}
+	for _, e := range entries {
+		if e.Barred {
+			barred++
+		} else {
+			suspects++
 		}
-	})
+	}
 	return []string{
 		line("quarantine_suspects", int64(suspects)),
 		line("quarantine_barred", int64(barred)),
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -126,9 +126,7 @@
 	placer      *wasabireplica.Placer
 	placed      chan struct{}
 	emptied     chan wasabiridge.BackendServerID
-	quarantine  *wasabiquarantine.Table
-	crashed     chan struct{}
-	barred      chan wasabiquarantine.Note
+	quarantine  *wasabiquarantine.Keeper
 	relay       *wasabirelay.Relay
 	catalog     *wasabicatalog.Keeper
 	upgrade     *wasabiupgrade.Keeper
@@ -160,8 +158,6 @@
 		incarnation: wasabiridge.Incarnation(o.Clock.Now()),
 		drained:     make(chan struct{}),
 		placed:      make(chan struct{}, 1),
-		crashed:     make(chan struct{}, 1),
-		barred:      make(chan wasabiquarantine.Note, barsSize),
 		emptied:     make(chan wasabiridge.BackendServerID, emptiedSize),
 	}
 	n.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
@@ -186,14 +182,21 @@
 		Seed: seed, Zone: s.Zone, WeightsBound: n.bounds.WeightsLife - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
 	})
-	n.quarantine = wasabiquarantine.New(wasabiquarantine.Options{Self: s.Instance, Seed: seed, Changed: n.wakeCrashes})
+	n.quarantine = wasabiquarantine.NewKeeper(wasabiquarantine.KeeperOptions{
+		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Seed: seed, Log: wasabilog.Part(n.log, "quarantine"),
+		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries, Rows: o.Platform.Table,
+		Tell: func(ctx context.Context, address string, news wasabiridge.News) error {
+			return n.client.TellNews(ctx, address, news)
+		},
+	})
 	core := wasabicore.New(wasabicore.Options{
-		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine, Instance: s.Instance,
+		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine.Table(), Instance: s.Instance,
 		FirstAttempt: wasabiridge.AttemptID(n.incarnation) << attemptBits,
 	})
 	n.loop = wasabiloop.New(wasabiloop.Options{
 		Decider: core, Clock: o.Clock, Recorder: placements{next: n.timeline, wake: n.placed}, Ring: ringSize,
 	})
+	n.quarantine.Join(n.loop)
 	if err := n.joinPeers(seed); err != nil {
 		return err
 	}
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -53,9 +53,7 @@
 			n.loop.Observe(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights, Incarnation: r.Incarnation})
 		}
 	}
-	if len(news.Crashes) > 0 {
-		n.loop.Observe(wasabiridge.CrashesHeard{From: news.From, Crashes: news.Crashes})
-	}
+	n.quarantine.Hear(news)
 	if len(news.Loads) > 0 || len(news.Parts) > 0 {
 		n.loop.Observe(wasabiridge.PeerPlaced{From: news.From, Loads: news.Loads, Parts: news.Parts})
 	}
--- a/internal/wasabinode/share.go
+++ b/internal/wasabinode/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -61,14 +60,13 @@
 // active returns the other instances that callers are sent to. Only they place
 // requests, so only they need to know.
 func (n *Node) active() []wasabicatalog.Peer {
-	return peersOf(n.otherActive())
-}
-
-// otherActive returns the entries of the other instances that callers are sent to.
-func (n *Node) otherActive() []wasabiridge.InstanceEntry {
-	return slices.DeleteFunc(slices.Clone(n.book.Active()), func(e wasabiridge.InstanceEntry) bool {
-		return e.ID == n.options.Settings.Instance || e.PeerAddress == ""
-	})
+	var peers []wasabicatalog.Peer
+	for _, e := range n.book.Active() {
+		if e.ID != n.options.Settings.Instance && e.PeerAddress != "" {
+			peers = append(peers, wasabicatalog.PeerOf(e))
+		}
+	}
+	return peers
 }
 
 // activeEntries returns all instances that callers are sent to.
--- a/internal/wasabiquarantine/note.go
+++ b/internal/wasabiquarantine/note.go
@@ -17,9 +17,6 @@
 	LiftedByTime     Lifted = "forgotten"
 )
 
-// WasBarred reports whether a mark had as many ends as a bar needs.
-func WasBarred(c wasabiridge.CrashNews) bool { return len(c.Ends) >= endsMost }
-
 // NoteKind says what a Note tells.
 type NoteKind uint8
 
