Quarantine: moments are told apart by when a request was sent, and by who else ended

Cause: every send within 300 ms of an end counted for the same moment, so retries and quick repeats ended up to eight servers before there were two moments. Change: news carries how long an attempt ran; an end follows another one when its send began after it. The 300 ms count only where two or more other servers ended within a second, which a rack does and one request does not. What is put together from news in any order stays the same (property test, which found that late news must count towards who ended).

Ruled out: a shorter time for all (a rack's servers would pass for proof).

--- a/internal/wasabipeer/codec_crash.go
+++ b/internal/wasabipeer/codec_crash.go
@@ -6,26 +6,24 @@
 )
 
 const (
-	// maxEnds bounds the ends of one mark, maxGeneration how many of them may have
-	// followed each other, maxEpoch how often a mark may have been cleared.
-	maxEnds       = 64
-	maxGeneration = 1 << 16
-	maxEpoch      = 1 << 24
+	// maxEnds bounds the ends of one mark, maxEpoch how often a mark may have been cleared.
+	maxEnds  = 64
+	maxEpoch = 1 << 24
 )
 
 func encodeCrash(c wasabiridge.CrashNews) *pb.CrashNews {
 	out := &pb.CrashNews{Fingerprint: uint64(c.Fingerprint), Account: string(c.Account), Model: string(c.Model), Epoch: c.Epoch}
 	for _, e := range c.Ends {
 		out.Ends = append(out.Ends, &pb.ServerEnd{
-			Backend: string(e.Backend), Incarnation: uint64(e.Incarnation), Generation: uint32(min(max(e.Generation, 0), maxGeneration)),
+			Backend: string(e.Backend), Incarnation: uint64(e.Incarnation), RanMs: uint64(max(e.Ran, 0)),
 			Weights: uint64(e.Weights), AgeMs: uint64(max(e.Age, 0)),
 		})
 	}
 	return out
 }
 
-// decodeCrash takes what an instance says of a request. An epoch or a generation beyond
-// all reason would outlast what all others know, so it is turned down.
+// decodeCrash takes what an instance says of a request. An epoch beyond all
+// reason would outlast what all others know, so it is turned down.
 func decodeCrash(in *pb.CrashNews) (wasabiridge.CrashNews, error) {
 	out := wasabiridge.CrashNews{
 		Fingerprint: wasabiridge.Fingerprint(in.GetFingerprint()), Account: wasabiridge.ClientAccountID(in.GetAccount()),
@@ -35,12 +33,12 @@
 		return out, wasabiridge.ErrInvalid.New("peer: news of ended servers exceed their bounds")
 	}
 	for _, e := range in.GetEnds() {
-		if e.GetBackend() == "" || e.GetGeneration() > maxGeneration {
-			return out, wasabiridge.ErrInvalid.New("peer: an end names no server, or more than can have followed each other")
+		if e.GetBackend() == "" {
+			return out, wasabiridge.ErrInvalid.New("peer: an end names no server")
 		}
 		out.Ends = append(out.Ends, wasabiridge.ServerEnd{
 			Backend: wasabiridge.BackendServerID(e.GetBackend()), Incarnation: wasabiridge.Incarnation(e.GetIncarnation()),
-			Generation: int(e.GetGeneration()), Weights: wasabiridge.WeightsVersion(e.GetWeights()),
+			Ran: wasabiridge.Millis(min(e.GetRanMs(), uint64(wasabiridge.Day))), Weights: wasabiridge.WeightsVersion(e.GetWeights()),
 			Age: wasabiridge.Millis(min(e.GetAgeMs(), uint64(wasabiridge.Day))),
 		})
 	}
--- a/internal/wasabiquarantine/keeper.go
+++ b/internal/wasabiquarantine/keeper.go
@@ -208,7 +208,7 @@
 		Uint64("epoch", uint64(m.Epoch)).Str("from", string(note.From))
 	if len(m.Ends) > 0 {
 		last := m.Ends[len(m.Ends)-1]
-		line = line.Str(wasabilog.BackendField, string(last.Backend)).Int("generation", last.Generation).Int64("age_ms", int64(last.Age))
+		line = line.Str(wasabilog.BackendField, string(last.Backend)).Int64("ran_ms", int64(last.Ran)).Int64("age_ms", int64(last.Age))
 	}
 	switch note.Kind {
 	case NoteEnd:
--- a/internal/wasabiquarantine/mark.go
+++ b/internal/wasabiquarantine/mark.go
@@ -40,10 +40,11 @@
 		if known.Backend != e.Backend || !isSameEnd(*known, e) {
 			continue
 		}
-		if e.Generation <= known.Generation {
+		if e.Ran <= known.Ran {
 			return false
 		}
-		known.Generation = e.Generation
+		// The server may have ended under the first of several sends.
+		known.Ran = e.Ran
 		return true
 	}
 	if len(m.ends) >= keptEnds {
@@ -78,27 +79,30 @@
 	return m.ends[len(m.ends)-1].At
 }
 
-// generation is the highest among the ends.
-func (m *mark) generation() int {
-	highest := 0
-	for _, e := range m.ends {
-		highest = max(highest, e.Generation)
-	}
-	return highest
-}
-
-// nextGeneration is that of a server that ends under a send that begins now.
-func (m *mark) nextGeneration(now wasabiridge.Millis) int {
-	highest := m.generation()
+// moments counts the ends that follow each other: the request was sent after the first
+// end of the moment before. Where it was crowded then, because other servers ended too,
+// it must have been sent well after that.
+//
+// The failure it guards against: the servers of a rack end one after the other, and what
+// is sent on at once meets the next of them. It would pass for what ended them.
+func (m *mark) moments(crowded func(at wasabiridge.Millis) bool) int {
+	count, next := 0, wasabiridge.Millis(0)
 	for _, e := range m.ends {
-		if e.Generation == highest && now < e.At+apart {
-			return highest
+		if count > 0 && e.At-e.Ran < next {
+			continue
 		}
-		if e.Generation == highest {
-			break
+		count++
+		next = e.At
+		if crowded(e.At) {
+			next += apart
 		}
 	}
-	return highest + 1
+	return count
+}
+
+// has reports whether a server ended under the request.
+func (m *mark) has(b wasabiridge.BackendServerID) bool {
+	return slices.ContainsFunc(m.ends, func(e wasabiridge.ServerEnd) bool { return e.Backend == b })
 }
 
 // weights are the newest that were named when a server ended.
@@ -110,16 +114,6 @@
 	return newest
 }
 
-// isProven reports whether the ends are proof against the request: as many as may be,
-// and not at what may have been one moment, or two.
-//
-// The failure it guards against: racks are lost, and with them servers that ran the same
-// popular request. It would be refused although it is harmless.
-func (m *mark) isProven() bool {
-	moments := m.generation()
-	return m.count() >= endsMost && (moments >= momentsProof || moments > 1 && m.count() >= endsProof)
-}
-
 // before reports whether a mark is forgotten sooner than another one.
 func (m *mark) before(other *mark) bool {
 	if a, b := m.count(), other.count(); a != b {
--- a/internal/wasabiquarantine/quarantine.go
+++ b/internal/wasabiquarantine/quarantine.go
@@ -73,10 +73,14 @@
 	// clearedLife is how long it is remembered that a mark was cleared. Older news of
 	// its ends arrives within seconds.
 	clearedLife = wasabiridge.Minute
-	// apart is how long after the first end of a generation a send must begin to count
-	// for the next one. Servers of a rack that is lost end within it, one after the other,
-	// and what is sent on at once meets the next of them.
-	apart = 300 * wasabiridge.Millis(1)
+	// crowdMost is how many other servers may end within crowdSpan of an end before that
+	// has a likelier cause than the request, apart is how long the servers of a rack that is
+	// lost take to end.
+	crowdMost = 1
+	crowdSpan = wasabiridge.Second
+	apart     = 300 * wasabiridge.Millis(1)
+	// endLife is for how long ends of servers are remembered by themselves.
+	endLife = 10 * wasabiridge.Minute
 	// reborn is how soon after its end a server cannot have ended again. Instances may
 	// know its lives by different numbers.
 	reborn = 1500 * wasabiridge.Millis(1)
@@ -114,8 +118,10 @@
 	corrections map[wasabiridge.InstanceID]map[wasabiridge.Fingerprint]bool
 	notes       []Note
 	// swept is when marks were last looked through for those to be forgotten.
-	swept  wasabiridge.Millis
-	counts Counts
+	swept wasabiridge.Millis
+	// ended is when each server last ended under any request.
+	endings map[wasabiridge.BackendServerID]wasabiridge.Millis
+	counts  Counts
 }
 
 var _ wasabiridge.Quarantine = (*Table)(nil)
@@ -127,7 +133,7 @@
 	model       wasabiridge.ModelID
 	backend     wasabiridge.BackendServer
 	epoch       uint32
-	generation  int
+	at          wasabiridge.Millis
 	weights     wasabiridge.WeightsVersion
 }
 
@@ -145,6 +151,7 @@
 		named:  map[wasabiridge.ModelID]wasabiridge.WeightsVersion{},
 		news:   map[wasabiridge.Fingerprint]bool{},
 
+		endings:     map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 		corrections: map[wasabiridge.InstanceID]map[wasabiridge.Fingerprint]bool{},
 	}
 }
@@ -161,7 +168,7 @@
 	case t.isBarred(now, m):
 		t.counts.Refused++
 		return wasabiridge.StandingBarred
-	case !m.isProven() && now < m.ends[endsMost-1].At+freeFor:
+	case !t.isProven(m) && now < m.ends[endsMost-1].At+freeFor:
 	case m.running > 0 || !t.isTrialist(m.fingerprint):
 		t.counts.Deferred++
 		return wasabiridge.StandingDeferred
@@ -171,7 +178,32 @@
 
 // isBarred reports whether a request reaches no server now.
 func (t *Table) isBarred(now wasabiridge.Millis, m *mark) bool {
-	return m.isProven() && now < m.newest()+t.barFor(m) && !t.hasNewWeights(m)
+	return t.isProven(m) && now < m.newest()+t.barFor(m) && !t.hasNewWeights(m)
+}
+
+// isProven reports whether the ends are proof against the request: as many as may be,
+// and not at what may have been one moment, or two.
+//
+// The failure it guards against: racks are lost, and with them servers that ran the same
+// popular request. It would be refused although it is harmless.
+func (t *Table) isProven(m *mark) bool {
+	if m.count() < endsMost {
+		return false
+	}
+	moments := m.moments(func(at wasabiridge.Millis) bool { return t.isCrowded(m, at) })
+	return moments >= momentsProof || moments > 1 && m.count() >= endsProof
+}
+
+// isCrowded reports whether servers under which the request did not run ended at about
+// the same time.
+func (t *Table) isCrowded(m *mark, at wasabiridge.Millis) bool {
+	others := 0
+	for b, ended := range t.endings {
+		if apart := ended - at; max(apart, -apart) <= crowdSpan && !m.has(b) {
+			others++
+		}
+	}
+	return others > crowdMost
 }
 
 // Meet takes the names of the other living instances, with which trials are shared out.
@@ -212,9 +244,9 @@
 	if r.Fingerprint == 0 {
 		return
 	}
-	s := sending{generation: 1, fingerprint: r.Fingerprint, account: r.Account, model: r.Model, backend: b, weights: t.named[r.Model]}
+	s := sending{at: now, fingerprint: r.Fingerprint, account: r.Account, model: r.Model, backend: b, weights: t.named[r.Model]}
 	if m := t.marks[r.Fingerprint]; m != nil {
-		s.epoch, s.generation = m.epoch, m.nextGeneration(now)
+		s.epoch = m.epoch
 		m.running++
 	}
 	t.sent[id] = s
@@ -258,7 +290,7 @@
 		t.add(now, "", wasabiridge.CrashNews{
 			Fingerprint: s.fingerprint, Account: s.account, Model: s.model, Epoch: s.epoch,
 			Ends: []wasabiridge.ServerEnd{{
-				Backend: s.backend.ID, Incarnation: s.backend.Incarnation, Generation: s.generation, Weights: s.weights,
+				Backend: s.backend.ID, Incarnation: s.backend.Incarnation, Ran: now - s.at, Weights: s.weights,
 			}},
 		})
 	case m != nil && len(m.ends) > 0 && (e.Result == wasabiridge.AttemptCompleted || e.Failed):
@@ -292,6 +324,9 @@
 
 // add merges news into what is known. From is empty for an end that was seen here.
 func (t *Table) add(now wasabiridge.Millis, from wasabiridge.InstanceID, c wasabiridge.CrashNews) {
+	for _, e := range c.Ends {
+		t.endings[e.Backend] = max(t.endings[e.Backend], now-e.Age)
+	}
 	m := t.marks[c.Fingerprint]
 	if m == nil {
 		if m = t.newMark(now, c); m == nil {
@@ -366,7 +401,7 @@
 func (t *Table) evict(among func(*mark) bool) bool {
 	var least *mark
 	for _, m := range t.marks {
-		if !among(m) || m.isProven() {
+		if !among(m) || t.isProven(m) {
 			continue
 		}
 		if least == nil || m.before(least) {
@@ -397,6 +432,11 @@
 		return
 	}
 	t.swept = now
+	for b, at := range t.endings {
+		if now-at > endLife {
+			delete(t.endings, b)
+		}
+	}
 	for _, f := range t.fingerprints() {
 		m := t.marks[f]
 		switch {
--- a/internal/wasabiquarantine/row.go
+++ b/internal/wasabiquarantine/row.go
@@ -26,7 +26,7 @@
 type rowEnd struct {
 	Backend     string `json:"backend"`
 	Incarnation uint64 `json:"incarnation,omitempty"`
-	Generation  int    `json:"generation"`
+	RanMillis   int64  `json:"ran_ms"`
 	Weights     uint64 `json:"weights,omitempty"`
 	AtMillis    int64  `json:"at_ms"`
 }
@@ -39,7 +39,7 @@
 	out := row{Account: string(c.Account), Model: string(c.Model), Epoch: c.Epoch}
 	for _, e := range c.Ends {
 		out.Ends = append(out.Ends, rowEnd{
-			Backend: string(e.Backend), Incarnation: uint64(e.Incarnation), Generation: e.Generation, Weights: uint64(e.Weights), AtMillis: int64(now - e.Age),
+			Backend: string(e.Backend), Incarnation: uint64(e.Incarnation), RanMillis: int64(e.Ran), Weights: uint64(e.Weights), AtMillis: int64(now - e.Age),
 		})
 	}
 	return json.Marshal(out)
@@ -59,10 +59,15 @@
 	out := wasabiridge.CrashNews{
 		Fingerprint: wasabiridge.Fingerprint(id), Account: wasabiridge.ClientAccountID(in.Account), Model: wasabiridge.ModelID(in.Model), Epoch: in.Epoch,
 	}
-	for _, e := range in.Ends[:min(len(in.Ends), keptEnds)] {
+	ends := in.Ends[:min(len(in.Ends), keptEnds)]
+	for _, e := range ends {
+		// The clock of whoever wrote may be ahead.
+		now = max(now, wasabiridge.Millis(e.AtMillis))
+	}
+	for _, e := range ends {
 		out.Ends = append(out.Ends, wasabiridge.ServerEnd{
 			Backend: wasabiridge.BackendServerID(e.Backend), Incarnation: wasabiridge.Incarnation(e.Incarnation),
-			Generation: max(1, e.Generation), Weights: wasabiridge.WeightsVersion(e.Weights), Age: max(0, now-wasabiridge.Millis(e.AtMillis)),
+			Ran: max(0, wasabiridge.Millis(e.RanMillis)), Weights: wasabiridge.WeightsVersion(e.Weights), Age: now - wasabiridge.Millis(e.AtMillis),
 		})
 	}
 	return out, nil
--- a/internal/wasabiquarantine/spread.go
+++ b/internal/wasabiquarantine/spread.go
@@ -61,7 +61,7 @@
 }
 
 // Repeated returns what is told again and again to a few other instances each time,
-// those that were barred or changed last first.
+// those that may be barred first, and then those that changed last.
 //
 // The failure it guards against: news is lost, or whoever had it has gone; an instance
 // starts, wakes up or was cut off. It sends a request on that all others know better.
@@ -73,11 +73,8 @@
 		}
 	}
 	slices.SortStableFunc(hot, func(a, b *mark) int {
-		if a.isProven() != b.isProven() {
-			if a.isProven() {
-				return -1
-			}
-			return 1
+		if a.count() >= endsMost != (b.count() >= endsMost) {
+			return cmp.Compare(b.count(), a.count())
 		}
 		return cmp.Compare(b.changed, a.changed)
 	})
--- a/quarantine.go
+++ b/quarantine.go
@@ -5,10 +5,9 @@
 type ServerEnd struct {
 	Backend     BackendServerID
 	Incarnation Incarnation
-	// Generation is one more than the highest among the ends that were known a moment
-	// before the request was sent there. Ends of one generation may have one cause beside
-	// the request, such as the loss of a rack.
-	Generation int
+	// Ran is how long before its end the request was sent there. What was sent before
+	// another server had ended does not follow that end.
+	Ran Millis
 	// Weights is the version of the request's model that was named when it was sent.
 	Weights WeightsVersion
 	// Age is how long ago the server ended, At the same by the local clock. News carries
