Quarantine: who else ended is counted no further than needed

Cause: a profile of the test with 1,600 servers shows half of its time in that count, which every request under a mark asks for. Ruled out: an index by time. Measured: the package's tests pass as before.

--- a/internal/wasabiquarantine/fleet_test.go
+++ b/internal/wasabiquarantine/fleet_test.go
@@ -274,6 +274,14 @@
 }
 
 func (f *fleet) choose(fingerprint wasabiridge.Fingerprint, isolate bool) *server {
+	if !isolate {
+		for range 100 * len(f.servers) {
+			if s := f.servers[f.random.IntN(len(f.servers))]; !s.down {
+				return s
+			}
+		}
+		return nil
+	}
 	var up []*server
 	for _, s := range f.servers {
 		if !s.down {
@@ -283,9 +291,6 @@
 	if len(up) == 0 {
 		return nil
 	}
-	if !isolate {
-		return up[f.random.IntN(len(up))]
-	}
 	return slices.MaxFunc(up, func(a, b *server) int {
 		if wasabiquarantine.Isolation(fingerprint, a.id) < wasabiquarantine.Isolation(fingerprint, b.id) {
 			return -1
--- a/internal/wasabiquarantine/quarantine.go
+++ b/internal/wasabiquarantine/quarantine.go
@@ -199,11 +199,14 @@
 func (t *Table) isCrowded(m *mark, at wasabiridge.Millis) bool {
 	others := 0
 	for b, ended := range t.endings {
-		if apart := ended - at; max(apart, -apart) <= crowdSpan && !m.has(b) {
-			others++
+		if apart := ended - at; max(apart, -apart) > crowdSpan || m.has(b) {
+			continue
+		}
+		if others++; others > crowdMost {
+			return true
 		}
 	}
-	return others > crowdMost
+	return false
 }
 
 // Meet takes the names of the other living instances, with which trials are shared out.
