--- a/internal/wasabiengine/engine.go
+++ b/internal/wasabiengine/engine.go
@@ -54,6 +54,9 @@
 	LoadTime wasabiridge.Millis
 	// IgnoresFencing makes the engine carry out orders of any fencing number.
 	IgnoresFencing bool
+	// CrashOn is a text in a prompt that ends the engine's life once it begins to run the
+	// request. Empty means that none does.
+	CrashOn string
 }
 
 // Engine is one stand-in of a model engine with its own listener. It is safe
@@ -67,6 +70,7 @@
 	served    atomic.Int64
 	cancelled atomic.Int64
 	written   atomic.Int64
+	ends      atomic.Int64
 }
 
 // New returns an engine that does not listen yet. It must be closed.
@@ -150,6 +154,9 @@
 // Load tells what is inside the engine now, without lag.
 func (e *Engine) Load() wasabiridge.LoadReport { return e.core.load() }
 
+// Ends counts the lives that a request has ended.
+func (e *Engine) Ends() int { return int(e.ends.Load()) }
+
 // Served counts the answers that were begun.
 func (e *Engine) Served() int { return int(e.served.Load()) }
 
--- a/internal/wasabiengine/handler.go
+++ b/internal/wasabiengine/handler.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifake"
@@ -85,6 +86,12 @@
 		return
 	}
 	defer e.core.release(waiter)
+	if e.opts.CrashOn != "" && strings.Contains(body.text(), e.opts.CrashOn) {
+		e.ends.Add(1)
+		go e.Crash()
+		<-r.Context().Done()
+		return
+	}
 	if body.ResumeFrom > 0 {
 		w.Header().Set(wasabiridge.HeaderResumedFrom, strconv.Itoa(body.ResumeFrom))
 	}
