Quarantine: the OpenAI way asks as well

Callers of the OpenAI interface lost engine after engine to one chat, at any router: the same cause, on the other way of calling. Change: the gateway names requests by the instances' own secret, the runner tells when a server has ended, the placer sends suspects where all routers send them, the daemon runs the same keeper with the same news and rows, operators see and release under /v1/quarantine. A barred chat gets 422, not run: programs repeat what they get from 500 on. One that has just ended a server gets 502, because "not run" would be false.

Why it holds: the core asks in one place on both ways.

--- a/internal/wasabibackend/runner.go
+++ b/internal/wasabibackend/runner.go
@@ -19,9 +19,11 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiending"
 )
 
 // Defaults of Options.
@@ -67,6 +69,8 @@
 	opts   Options
 	pooled *http.Transport
 	fresh  *http.Transport
+
+	endings wasabiending.Checker
 }
 
 var _ wasabiridge.AttemptRunner = (*Runner)(nil)
@@ -148,9 +152,18 @@
 	if x.ended.Result == wasabiridge.AttemptBroken && (ctx.Err() != nil || x.sinkFailed) {
 		x.ended.Result = wasabiridge.AttemptCancelled
 	}
+	if x.ended.Result == wasabiridge.AttemptBroken {
+		x.ended.ServerEnded = r.hasEnded(ctx, a.Backend)
+	}
 	return x.ended
 }
 
+// hasEnded reports whether a server has ended, of an attempt that broke by itself.
+func (r *Runner) hasEnded(ctx context.Context, b wasabiridge.BackendServer) bool {
+	at, err := url.Parse(b.URL)
+	return err == nil && at.Port() != "" && r.endings.HasEnded(ctx, at.Host)
+}
+
 func (r *Runner) transport(a wasabiridge.Attempt) http.RoundTripper {
 	if a.NonIdempotent {
 		return r.fresh
--- a/internal/wasabidaemon/operator.go
+++ b/internal/wasabidaemon/operator.go
@@ -26,7 +26,9 @@
 		Status:    d,
 		Drainer:   d,
 		Metrics:   d.parts.metrics,
-		Log:       wasabilog.Part(d.log, "operator"),
+
+		Quarantine: d.parts.quarantine.Handler(),
+		Log:        wasabilog.Part(d.log, "operator"),
 	}
 	if d.parts.config != nil {
 		o.Config = d.parts.config
--- a/internal/wasabidaemon/parts.go
+++ b/internal/wasabidaemon/parts.go
@@ -11,6 +11,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclaim"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiconfig"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabigateway"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilimit"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
@@ -20,6 +21,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabioutcome"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirollout"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
 )
@@ -52,12 +54,14 @@
 	intake   *wasabibackend.Intake
 	runner   *wasabibackend.Runner
 	claims   *wasabiclaim.Keeper
-	outcomes *wasabioutcome.Recorder
-	config   *wasabiconfig.Keeper
-	rollouts *wasabirollout.Keeper
-	peers    peers
-	book     *wasabiaddress.Book
-	gateway  *wasabigateway.Gateway
+	// quarantine keeps requests from servers that would end under them.
+	quarantine *wasabiquarantine.Keeper
+	outcomes   *wasabioutcome.Recorder
+	config     *wasabiconfig.Keeper
+	rollouts   *wasabirollout.Keeper
+	peers      peers
+	book       *wasabiaddress.Book
+	gateway    *wasabigateway.Gateway
 }
 
 // join makes the parts and lets them know each other.
@@ -69,7 +73,9 @@
 	}
 	p.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: d.options.Clock})
 	p.metrics = wasabimetrics.New()
+	p.quarantine = d.newQuarantine()
 	p.loop = d.newLoop()
+	p.quarantine.Join(p.loop)
 	if err := d.joinPeers(); err != nil {
 		return err
 	}
@@ -100,6 +106,21 @@
 	}
 }
 
+func (d *Daemon) newQuarantine() *wasabiquarantine.Keeper {
+	return wasabiquarantine.NewKeeper(wasabiquarantine.KeeperOptions{
+		Self: d.options.Settings.Instance, Incarnation: d.incarnation, Clock: d.options.Clock, Seed: d.seed,
+		Log: wasabilog.Part(d.log, "quarantine"), Members: d.members, Tell: d.tellNews, Rows: d.parts.platform.Table,
+	})
+}
+
+// tellNews hands news to another instance. Without a peer listener there is none.
+func (d *Daemon) tellNews(ctx context.Context, address string, n wasabiridge.News) error {
+	if d.parts.peers.client == nil {
+		return errNotReady
+	}
+	return d.parts.peers.client.TellNews(ctx, address, n)
+}
+
 func (d *Daemon) newLoop() *wasabiloop.Loop {
 	placer, limiter := d.options.Placer, d.options.Limiter
 	if placer == nil {
@@ -111,6 +132,7 @@
 	core := wasabicore.New(wasabicore.Options{
 		Placer:       placer,
 		Limiter:      limiter,
+		Quarantine:   d.parts.quarantine.Table(),
 		Instance:     d.options.Settings.Instance,
 		FirstAttempt: wasabiridge.AttemptID(d.incarnation) << attemptBits,
 	})
@@ -218,6 +240,7 @@
 		Loop:        d.parts.loop,
 		Runner:      runner,
 		Config:      d.current,
+		Names:       wasabifingerprint.New(d.ticketSecret()),
 		Claimer:     d.options.Claimer,
 		Addresses:   d.parts.book,
 		Limits:      d.options.Settings.Limits,
@@ -236,6 +259,7 @@
 		d.start(ctx, d.parts.peers.members.Run)
 	}
 	d.start(ctx, d.followInstances)
+	d.start(ctx, d.parts.quarantine.Run)
 	if d.parts.claims != nil {
 		d.start(ctx, d.parts.claims.Run)
 	}
--- a/internal/wasabidaemon/peers.go
+++ b/internal/wasabidaemon/peers.go
@@ -212,7 +212,10 @@
 	daemon *Daemon
 }
 
-var _ wasabiridge.PeerHandler = peerHandler{}
+var (
+	_ wasabiridge.PeerHandler    = peerHandler{}
+	_ wasabiridge.CatalogHandler = peerHandler{}
+)
 
 var errNotReady = wasabiridge.ErrUnavailable.New("daemon: not ready yet")
 
@@ -259,3 +262,18 @@
 	}
 	return h.daemon.parts.claims.HandleFinishClaim(ctx, r)
 }
+
+// HandleAskCatalog implements wasabiridge.CatalogHandler. What operators and the platform
+// say goes with the configuration.
+func (h peerHandler) HandleAskCatalog(context.Context, wasabiridge.CatalogQuery) (wasabiridge.CatalogAnswer, error) {
+	return wasabiridge.CatalogAnswer{}, errNotReady
+}
+
+// HandleTellNews implements wasabiridge.CatalogHandler.
+func (h peerHandler) HandleTellNews(_ context.Context, n wasabiridge.News) error {
+	if !h.ready() {
+		return errNotReady
+	}
+	h.daemon.parts.quarantine.Hear(n)
+	return nil
+}
--- a/internal/wasabigateway/failure.go
+++ b/internal/wasabigateway/failure.go
@@ -90,17 +90,20 @@
 	wasabiridge.RefusedOverload:  {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "overload", message: "The backend servers are busy."},
 	wasabiridge.RefusedDeadline:  {status: http.StatusGatewayTimeout, kind: typeServer, code: "deadline", message: "The request waited too long."},
 	wasabiridge.RefusedNoBackend: {status: http.StatusServiceUnavailable, kind: typeServer, code: "no_backend", message: "No backend server can serve the request."},
-	wasabiridge.RefusedBroken:    {status: http.StatusBadGateway, kind: typeServer, code: "backend_broken", message: "The backend server failed."},
+	// Programs repeat what they get with a status from 500 on; with this one they do not.
+	wasabiridge.RefusedQuarantined: {status: http.StatusUnprocessableEntity, kind: typeInvalid, code: "quarantined", message: "Servers ended while they ran this request. It is not run."},
+	wasabiridge.RefusedSuspect:     {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "suspect", message: "Servers ended while they ran this request. It is being tried elsewhere."},
+	wasabiridge.RefusedBroken:      {status: http.StatusBadGateway, kind: typeServer, code: "backend_broken", message: "The backend server failed."},
 }
 
-// refusal returns the failure for a reason. All but a rule's refusal tell the
-// caller when to come back.
+// refusal returns the failure for a reason. All but those that would be given again
+// tell the caller when to come back.
 func refusal(reason wasabiridge.RefuseReason, after wasabiridge.Millis) failure {
 	f, ok := refusals[reason]
 	if !ok {
 		f = refusals[wasabiridge.RefusedBroken]
 	}
-	if reason == wasabiridge.RefusedByRule {
+	if reason == wasabiridge.RefusedByRule || reason == wasabiridge.RefusedQuarantined {
 		return f
 	}
 	f.retryAfter = after
--- a/internal/wasabigateway/gateway.go
+++ b/internal/wasabigateway/gateway.go
@@ -47,6 +47,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabikey"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
@@ -67,6 +68,8 @@
 	// none is known. What it points to is never changed. It is safe for
 	// concurrent use.
 	Config func() *wasabiridge.Config
+	// Names makes the fingerprints of requests. The zero value has an empty key.
+	Names wasabifingerprint.Namer
 	// Claimer decides on requests that run at most once. Nil refuses them as
 	// not run.
 	Claimer wasabiridge.Claimer
--- a/internal/wasabigateway/relay.go
+++ b/internal/wasabigateway/relay.go
@@ -84,6 +84,10 @@
 		l.cancel(e.Attempt)
 	case wasabiridge.Refuse:
 		l.advance(e.Disposition)
+		if e.Reason == wasabiridge.RefusedQuarantined && l.disposition() != wasabiridge.NotRun {
+			// It has ended a server just now, so "not run" would be false.
+			e.Reason = wasabiridge.RefusedBroken
+		}
 		l.refused = e.Reason
 		l.refuse(refusal(e.Reason, e.RetryAfter))
 	}
--- a/internal/wasabigateway/serve.go
+++ b/internal/wasabigateway/serve.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
@@ -29,6 +30,9 @@
 		return
 	}
 	request := c.request(r)
+	request.Fingerprint = g.options.Names.Name(wasabifingerprint.Content{
+		Account: request.Account, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Model: request.Model, Body: c.body.raw,
+	})
 	var ticket claimTicket
 	if c.rule.Then.NonIdempotent {
 		var granted bool
--- a/internal/wasabioperator/operator.go
+++ b/internal/wasabioperator/operator.go
@@ -58,7 +58,9 @@
 	Status    wasabiridge.StatusReader
 	Drainer   wasabiridge.Drainer
 	Metrics   MetricsWriter
-	Log       zerolog.Logger
+	// Quarantine lists requests under which servers ended, and lets them go again.
+	Quarantine http.Handler
+	Log        zerolog.Logger
 }
 
 type server struct{ Options }
@@ -84,6 +86,9 @@
 	r.Post("/v1/rollouts", s.answer("rollouts", o.Rollouts != nil, s.startRollout))
 	r.Post("/v1/rollouts/{id}/{action}", s.answer("rollouts", o.Rollouts != nil, s.steerRollout))
 	r.Get("/metrics", s.metrics)
+	if o.Quarantine != nil {
+		r.Mount("/v1/quarantine", o.Quarantine)
+	}
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, http.StatusNotFound, ErrorBody{Code: CodeNotFound, Message: "operator: no such path"})
 	})
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -1,10 +1,13 @@
 package wasabiplace
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicache"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 )
 
 // randomCandidates is how many servers of a large pool are weighed at random.
@@ -93,6 +96,9 @@
 	t := p.table(q.Pool)
 	p.round++
 	p.candidates = p.candidates[:0]
+	if q.Isolate != 0 {
+		return p.isolate(now, t, q)
+	}
 	p.gather(now, t, q)
 	best := p.choose(now, t, q)
 	if best < 0 {
@@ -101,6 +107,19 @@
 	return p.placement(now, t, q.Request, p.candidates[best]), true
 }
 
+// isolate places a request where all instances send it.
+func (p *Placer) isolate(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) (wasabiridge.Placement, bool) {
+	p.held, p.firm, p.shown = 0, 0, 0
+	p.considerAll(now, t, q)
+	if len(p.candidates) == 0 {
+		return wasabiridge.Placement{}, false
+	}
+	value := func(c candidate) uint64 { return wasabiquarantine.Isolation(q.Isolate, t.members[c.member].backend.ID) }
+	best := slices.MaxFunc(p.candidates, func(a, b candidate) int { return cmp.Compare(value(a), value(b)) })
+	p.score(now, t, q.Request, &best)
+	return p.placement(now, t, q.Request, best), true
+}
+
 // gather collects the candidates of a decision.
 func (p *Placer) gather(now wasabiridge.Millis, t *table, q wasabiridge.PlaceQuery) {
 	chain := q.Request.Chain
