--- /dev/null
+++ b/internal/wasabipeer/crash_test.go
@@ -0,0 +1,71 @@
+package wasabipeer_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+// newsHandler keeps the last news.
+type newsHandler struct {
+	handler
+	got wasabiridge.News
+}
+
+func (h *newsHandler) HandleAskCatalog(context.Context, wasabiridge.CatalogQuery) (wasabiridge.CatalogAnswer, error) {
+	return wasabiridge.CatalogAnswer{}, h.err
+}
+
+func (h *newsHandler) HandleTellNews(_ context.Context, n wasabiridge.News) error {
+	h.got = n
+	return h.err
+}
+
+// An instance says what no instance in its senses would. Taken, it would outlast all that
+// the others know, or fill their memory.
+var _ = Describe("News of servers that ended under requests", func() {
+	end := wasabiridge.ServerEnd{Backend: "e1", Incarnation: 7, Ran: 120, Weights: 3, Age: 40}
+	many := make([]wasabiridge.ServerEnd, 65)
+	for i := range many {
+		many[i] = wasabiridge.ServerEnd{Backend: wasabiridge.BackendServerID(fmt.Sprint("e", i))}
+	}
+	cases := map[string]struct {
+		crash wasabiridge.CrashNews
+		taken bool
+	}{
+		"goes over whole":         {wasabiridge.CrashNews{Fingerprint: 9, Account: "a", Model: "m", Epoch: 2, Ends: []wasabiridge.ServerEnd{end}}, true},
+		"without ends clears":     {wasabiridge.CrashNews{Fingerprint: 9, Account: "a", Epoch: 3}, true},
+		"names a request":         {wasabiridge.CrashNews{Account: "a", Ends: []wasabiridge.ServerEnd{end}}, false},
+		"names a server":          {wasabiridge.CrashNews{Fingerprint: 9, Ends: []wasabiridge.ServerEnd{{Ran: 1}}}, false},
+		"has a bounded epoch":     {wasabiridge.CrashNews{Fingerprint: 9, Epoch: 1 << 30}, false},
+		"has few ends":            {wasabiridge.CrashNews{Fingerprint: 9, Ends: many}, false},
+		"is none of a far future": {wasabiridge.CrashNews{Fingerprint: 9, Ends: []wasabiridge.ServerEnd{{Backend: "e1", Age: 1 << 40}}}, true},
+	}
+	for _, name := range wasabitest.Names(cases) {
+		It(name, func() {
+			h := &newsHandler{}
+			o := wasabipeer.Options{Clock: wasabiclock.System(), Key: key}
+			server := serve(h, o)
+			err := connect(o).TellNews(context.Background(), server.Address(), wasabiridge.News{From: "i", Crashes: []wasabiridge.CrashNews{cases[name].crash}})
+			if !cases[name].taken {
+				Expect(errorx.IsOfType(err, wasabiridge.ErrInvalid)).To(BeTrue(), "%v", err)
+				Expect(h.got.Crashes).To(BeEmpty())
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			want := cases[name].crash
+			for i := range want.Ends {
+				want.Ends[i].Age = min(want.Ends[i].Age, wasabiridge.Day)
+			}
+			Expect(h.got.Crashes).To(Equal([]wasabiridge.CrashNews{want}))
+		})
+	}
+})
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -51,6 +51,7 @@
 }
 
 func newExchange(c *call) *exchange {
+	c.named = c.fingerprint()
 	return &exchange{
 		call: c, request: c.request(), header: c.relay.options.Protocol.Forward(c.r.Header), box: wasabiloop.NewMailbox(),
 		lastEvent: c.asked.LastEvent,
@@ -66,7 +67,7 @@
 	r := wasabiridge.Request{
 		ID: c.asked.ID, Account: c.account.ID, Method: c.r.Method, Path: c.r.URL.Path, Host: hostOf(c.r), Model: c.asked.Model,
 		MaxTokens: c.asked.MaxTokens, Stream: c.rule.Then.Stream, Arrived: c.arrived, Deadline: c.until,
-		EndsWithCaller: true, Fingerprint: c.fingerprint(),
+		EndsWithCaller: true, Fingerprint: c.named,
 	}.WithRule(c.rule).WithChain(wasabiridge.Chain{
 		Root: root, Blocks: c.asked.Blocks, Lengths: c.asked.Lengths, Tokens: c.asked.PromptTokens,
 	})
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -147,6 +147,8 @@
 	rule    wasabiridge.Rule
 	account wasabiridge.ClientAccount
 	body    []byte
+	// named is the fingerprint. Zero means that the request was refused before it was read.
+	named wasabiridge.Fingerprint
 	// until is when the caller's or the rule's time is over.
 	until wasabiridge.Millis
 }
@@ -321,6 +323,7 @@
 		Str(wasabilog.RequestField, string(c.asked.ID)).
 		Str("account", string(c.account.ID)).
 		Str("rule", string(c.rule.ID)).
+		Stringer("fingerprint", c.named).
 		Str("kind", string(f.Kind)).
 		Str("cause", f.Cause).
 		Int64("retry_after_ms", int64(f.RetryAfter)).
