--- a/internal/wasabiquarantine/quarantine.go
+++ b/internal/wasabiquarantine/quarantine.go
@@ -39,9 +39,7 @@
 package wasabiquarantine
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -119,7 +117,7 @@
 	notes       []Note
 	// swept is when marks were last looked through for those to be forgotten.
 	swept wasabiridge.Millis
-	// ended is when each server last ended under any request.
+	// endings are when servers last ended under any request.
 	endings map[wasabiridge.BackendServerID]wasabiridge.Millis
 	counts  Counts
 }
@@ -156,92 +154,6 @@
 	}
 }
 
-// Judge implements wasabiridge.Quarantine.
-func (t *Table) Judge(now wasabiridge.Millis, r wasabiridge.Request) wasabiridge.Standing {
-	m := t.marks[r.Fingerprint]
-	if m == nil || len(m.ends) == 0 {
-		return wasabiridge.StandingFree
-	}
-	switch {
-	case m.count() < endsMost:
-		return wasabiridge.StandingSuspect
-	case t.isBarred(now, m):
-		t.counts.Refused++
-		return wasabiridge.StandingBarred
-	case !t.isProven(m) && now < m.ends[endsMost-1].At+freeFor:
-	case m.running > 0 || !t.isTrialist(m.fingerprint):
-		t.counts.Deferred++
-		return wasabiridge.StandingDeferred
-	}
-	return wasabiridge.StandingSuspect
-}
-
-// isBarred reports whether a request reaches no server now.
-func (t *Table) isBarred(now wasabiridge.Millis, m *mark) bool {
-	return t.isProven(m) && now < m.newest()+t.barFor(m) && !t.hasNewWeights(m)
-}
-
-// isProven reports whether the ends are proof against the request: as many as may be,
-// and not at what may have been one moment, or two.
-//
-// The failure it guards against: racks are lost, and with them servers that ran the same
-// popular request. It would be refused although it is harmless.
-func (t *Table) isProven(m *mark) bool {
-	if m.count() < endsMost {
-		return false
-	}
-	moments := m.moments(func(at wasabiridge.Millis) bool { return t.isCrowded(m, at) })
-	return moments >= momentsProof || moments > 1 && m.count() >= endsProof
-}
-
-// isCrowded reports whether servers under which the request did not run ended at about
-// the same time.
-func (t *Table) isCrowded(m *mark, at wasabiridge.Millis) bool {
-	others := 0
-	for b, ended := range t.endings {
-		if apart := ended - at; max(apart, -apart) > crowdSpan || m.has(b) {
-			continue
-		}
-		if others++; others > crowdMost {
-			return true
-		}
-	}
-	return false
-}
-
-// Meet takes the names of the other living instances, with which trials are shared out.
-func (t *Table) Meet(others []wasabiridge.InstanceID) { t.others = others }
-
-// isTrialist reports whether this is one of the instances that may try a request. All
-// instances that know the same others agree on them.
-//
-// The failure it guards against: callers send a request in the same moment to all
-// instances, and after an end at each of three servers each instance tries it once more.
-func (t *Table) isTrialist(f wasabiridge.Fingerprint) bool {
-	own, ahead := rank(f, string(t.self)), 0
-	for _, other := range t.others {
-		if rank(f, string(other)) > own {
-			ahead++
-		}
-	}
-	return ahead < trialists
-}
-
-// barFor is how long a bar holds after the newest end.
-func (t *Table) barFor(m *mark) wasabiridge.Millis {
-	trials := m.count() - endsMost
-	if trials >= trialMost {
-		return wasabiridge.Millis(t.spread * float64(barLast))
-	}
-	return wasabiridge.Millis(t.spread * float64(barFirst<<max(trials, 0)))
-}
-
-// hasNewWeights reports whether newer weights were named than those under which
-// servers ended. Trials for that are few, like those after a time.
-func (t *Table) hasNewWeights(m *mark) bool {
-	return m.count() < endsMost+trialMost && m.weights() > 0 && t.named[m.model] > m.weights()
-}
-
 // Sent implements wasabiridge.Quarantine.
 func (t *Table) Sent(now wasabiridge.Millis, r wasabiridge.Request, id wasabiridge.AttemptID, b wasabiridge.BackendServer) {
 	if r.Fingerprint == 0 {
@@ -316,141 +228,3 @@
 	t.news[m.fingerprint] = true
 	t.changed()
 }
-
-// hear takes what another instance knows.
-func (t *Table) hear(now wasabiridge.Millis, from wasabiridge.InstanceID, c wasabiridge.CrashNews) {
-	if c.Fingerprint == 0 {
-		return
-	}
-	t.add(now, from, c)
-}
-
-// add merges news into what is known. From is empty for an end that was seen here.
-func (t *Table) add(now wasabiridge.Millis, from wasabiridge.InstanceID, c wasabiridge.CrashNews) {
-	for _, e := range c.Ends {
-		t.endings[e.Backend] = max(t.endings[e.Backend], now-e.Age)
-	}
-	m := t.marks[c.Fingerprint]
-	if m == nil {
-		if m = t.newMark(now, c); m == nil {
-			return
-		}
-	}
-	if c.Epoch < m.epoch {
-		t.correct(from, m)
-		return
-	}
-	before, barred := m.count(), t.isBarred(now, m)
-	changed := false
-	if c.Epoch > m.epoch {
-		if len(m.ends) > 0 {
-			t.note(now, Note{Kind: NoteLifted, Mark: m.snapshot(now), Why: LiftedByAnswer, From: from})
-		}
-		m.wide = m.isWide()
-		m.epoch, m.ends, changed = c.Epoch, nil, true
-	}
-	for _, e := range c.Ends {
-		e.At, e.Age = now-e.Age, 0
-		changed = m.add(e) || changed
-	}
-	if !changed {
-		return
-	}
-	m.changed = now
-	if from == "" {
-		m.own = now
-		t.tell(m)
-	}
-	t.noteEnds(now, m, from, before, barred)
-}
-
-// correct lets an instance know that what it told does not count any more.
-//
-// The failure it guards against: an instance to which hardly any callers are sent saw an
-// end, and is not told of an answer that others gave. It goes on to suspect the request.
-func (t *Table) correct(from wasabiridge.InstanceID, m *mark) {
-	if from == "" || len(t.corrections[from]) >= repeatedMost {
-		return
-	}
-	if t.corrections[from] == nil {
-		t.corrections[from] = map[wasabiridge.Fingerprint]bool{}
-	}
-	t.corrections[from][m.fingerprint] = true
-	t.changed()
-}
-
-// newMark makes room for a mark. It returns nil where the account has its share of
-// marks that count for more.
-func (t *Table) newMark(now wasabiridge.Millis, c wasabiridge.CrashNews) *mark {
-	if t.owned[c.Account] >= accountMost && !t.evict(func(m *mark) bool { return m.account == c.Account }) {
-		return nil
-	}
-	if len(t.marks) >= marksMost && !t.evict(func(*mark) bool { return true }) {
-		return nil
-	}
-	m := &mark{fingerprint: c.Fingerprint, account: c.Account, model: c.Model, changed: now}
-	for _, s := range t.sent {
-		if s.fingerprint == c.Fingerprint {
-			m.running++
-		}
-	}
-	t.marks[c.Fingerprint] = m
-	t.owned[c.Account]++
-	return m
-}
-
-// evict forgets the mark that counts for least: one that is cleared before one with
-// few ends, and the oldest of these. It reports false where all are barred.
-func (t *Table) evict(among func(*mark) bool) bool {
-	var least *mark
-	for _, m := range t.marks {
-		if !among(m) || t.isProven(m) {
-			continue
-		}
-		if least == nil || m.before(least) {
-			least = m
-		}
-	}
-	if least == nil {
-		return false
-	}
-	t.forget(least)
-	return true
-}
-
-func (t *Table) forget(m *mark) {
-	delete(t.marks, m.fingerprint)
-	delete(t.news, m.fingerprint)
-	if t.owned[m.account]--; t.owned[m.account] <= 0 {
-		delete(t.owned, m.account)
-	}
-}
-
-// sweepInterval is how often marks are looked through.
-const sweepInterval = wasabiridge.Second
-
-// sweep forgets marks whose time is over.
-func (t *Table) sweep(now wasabiridge.Millis) {
-	if now-t.swept < sweepInterval {
-		return
-	}
-	t.swept = now
-	for b, at := range t.endings {
-		if now-at > endLife {
-			delete(t.endings, b)
-		}
-	}
-	for _, f := range t.fingerprints() {
-		m := t.marks[f]
-		switch {
-		case len(m.ends) == 0 && now-m.changed > clearedLife:
-			t.forget(m)
-		case len(m.ends) > 0 && now > m.newest()+t.barFor(m)+forgetAfter:
-			t.note(now, Note{Kind: NoteLifted, Mark: m.snapshot(now), Why: LiftedByTime})
-			t.forget(m)
-		}
-	}
-}
-
-// fingerprints returns those of all marks, in order.
-func (t *Table) fingerprints() []wasabiridge.Fingerprint { return slices.Sorted(maps.Keys(t.marks)) }
--- a/internal/wasabiquarantine/quarantine_test.go
+++ b/internal/wasabiquarantine/quarantine_test.go
@@ -239,6 +239,14 @@
 	g.Expect(b.table.Judge(b.now, asked(1))).To(Equal(wasabiridge.StandingBarred))
 	g.Expect(b.table.Holds(7)).To(BeTrue())
 	g.Expect(b.table.Holds(10099)).To(BeTrue(), "the newest stays")
+	for i := range 200 {
+		// An account whose whole share is barred gives up the oldest for the newest.
+		b.now += 10000
+		b.ends(wasabiridge.Fingerprint(20000+i), "s1", "s2", "s3")
+		g.Expect(b.table.Judge(b.now, asked(wasabiridge.Fingerprint(20000+i)))).To(Equal(wasabiridge.StandingBarred))
+	}
+	g.Expect(b.table.Holds(7)).To(BeTrue(), "another account's")
+	b.ends(1, "s1", "s2", "s3")
 	for account := range 10000 {
 		b.hear(wasabiridge.CrashNews{Fingerprint: wasabiridge.Fingerprint(1e6 + account), Account: wasabiridge.ClientAccountID(fmt.Sprint(account)), Ends: []wasabiridge.ServerEnd{{Backend: "s"}}})
 	}
