--- /dev/null
+++ b/internal/wasabinode/export_test.go
@@ -0,0 +1,4 @@
+package wasabinode
+
+// AcceptFor is acceptFor.
+var AcceptFor = acceptFor
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -333,14 +333,19 @@
 		n.members.Leave(context.Background())
 		n.timeline.Record(wasabiridge.TimelineEvent{Kind: wasabiridge.EventLifecycle, Cause: "leaving"})
 		n.log.Info().Int("open", n.relay.Open()).Msg("Leaving; still accepting.")
-		wait := wasabiridge.Millis(drainShare * float64(n.bounds.Grace))
-		time.AfterFunc(wait.Duration(), func() { close(n.drained) })
+		time.AfterFunc(acceptFor(n.bounds.Grace).Duration(), func() { close(n.drained) })
 	})
 }
 
+// acceptFor is how long after it began to leave a node takes requests, of the time that
+// it has to end.
+func acceptFor(grace wasabiridge.Millis) wasabiridge.Millis {
+	return wasabiridge.Millis(drainShare * float64(grace))
+}
+
 // finish ends the process after its last request.
 func (n *Node) finish() error {
-	rest := wasabiridge.Millis((1-drainShare)*float64(n.bounds.Grace)) - endMargin
+	rest := n.bounds.Grace - acceptFor(n.bounds.Grace) - endMargin
 	ctx, cancel := context.WithTimeout(context.Background(), rest.Duration())
 	defer cancel()
 	var err error
