Node: requests are taken for 2.8 s after SIGTERM at most

Callers with an older address answer saw a stream cut: it came 3.014 s after SIGTERM, was taken, as requests were for 0.4 of the grace time (3.2 s of 8 s), and was still running when the process had to end. Cause: the share of the grace time knew nothing of the three seconds after which the users count a request as lost if it is cut. Change: at most 2.8 s. Why it holds: later connections are not accepted, and their callers go to another address; what came earlier has 4.8 s and, if its replica is at work longer, is not counted. Ruled out: the quarantine (the request has one attempt, no end).

--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -63,6 +63,9 @@
 	// drainShare is the part of the grace time in which requests are still
 	// accepted after the node began to leave.
 	drainShare = 0.4
+	// acceptMost is how long that is at most. The users count a request as lost that came
+	// later than three seconds after the signal and is cut; the rest covers its way.
+	acceptMost = 2800 * wasabiridge.Millis(1)
 	// endMargin is how long before the end of the grace time the process ends.
 	endMargin = 400 * wasabiridge.Millis(1)
 	// addressShare is the part of the longest time that address answers hold.
@@ -339,8 +342,11 @@
 
 // acceptFor is how long after it began to leave a node takes requests, of the time that
 // it has to end.
+//
+// The failure it guards against: a long request comes late, is taken, and is cut when the
+// process must end. Its caller would have been served elsewhere.
 func acceptFor(grace wasabiridge.Millis) wasabiridge.Millis {
-	return wasabiridge.Millis(drainShare * float64(grace))
+	return min(acceptMost, wasabiridge.Millis(drainShare*float64(grace)))
 }
 
 // finish ends the process after its last request.
