--- a/caller.go
+++ b/caller.go
@@ -31,6 +31,8 @@
 const (
 	// RefusalNotRun means that nothing ran and nothing will.
 	RefusalNotRun RefusalKind = "not_run"
+	// RefusalLimited means the same, because the client account has used up its limit.
+	RefusalLimited RefusalKind = "limited"
 	// RefusalBroken means that the request may have run and its answer is
 	// lost.
 	RefusalBroken RefusalKind = "broken"
--- a/catalog.go
+++ b/catalog.go
@@ -150,6 +150,14 @@
 	Loads   []LoadNews
 	Parts   []PartNews
 	Crashes []CrashNews
+	// Uses are what the sender has let run for client accounts. Life is the sender's,
+	// Sequence rises with each message that has some.
+	Uses     []UseNews
+	Life     Incarnation
+	Sequence uint64
+	// Part is the part of every limit that the sender and those that it hears own. Zero
+	// means that it does not know.
+	Part float64
 }
 
 // CatalogPeers calls other instances about the catalog. Implementations are
--- a/config.go
+++ b/config.go
@@ -105,6 +105,8 @@
 	// Isolated says that no cached part of a prompt is shared with another
 	// account.
 	Isolated bool `json:"isolated,omitempty"`
+	// Limit bounds what runs for the account. Nil means no limit.
+	Limit *AccountLimit `json:"limit,omitempty"`
 	// Priority replaces that of the rules. Nil leaves the rules' priority.
 	Priority *Priority `json:"priority,omitempty"`
 }
--- a/decision.go
+++ b/decision.go
@@ -225,6 +225,8 @@
 	// ExpectedWait and Why are those of the Placement, for the log.
 	ExpectedWait Millis
 	Why          string
+	// Quota is how the account stood when the request was let in.
+	Quota QuotaState
 }
 
 // Cancel asks to give up an attempt. An AttemptEnded event still follows.
@@ -252,6 +254,8 @@
 	// RefusedSuspect means that servers ended under the request, and that it is being
 	// tried whether more do.
 	RefusedSuspect RefuseReason = "suspect"
+	// RefusedQuota means that the client account has used up its limit.
+	RefusedQuota RefuseReason = "quota"
 	// RefusedBroken means that attempts failed and no further one is allowed.
 	RefusedBroken RefuseReason = "broken"
 )
@@ -263,6 +267,8 @@
 	Disposition Disposition
 	// RetryAfter tells the caller when to come back. Zero means no advice.
 	RetryAfter Millis
+	// Quota is how the account stood when the request was judged.
+	Quota QuotaState
 }
 
 // Record asks to write an event to the time line.
--- a/internal/wasabiclient/call.go
+++ b/internal/wasabiclient/call.go
@@ -75,6 +75,13 @@
 	return a, err
 }
 
+// Quotas tells how client accounts stand beside their limits.
+func (c *Client) Quotas(ctx context.Context) (wasabiridge.QuotaReport, error) {
+	var q wasabiridge.QuotaReport
+	err := c.get(ctx, "/v1/quotas", nil, &q)
+	return q, err
+}
+
 // Backends lists backend servers as the router sees them.
 func (c *Client) Backends(ctx context.Context) (wasabioperator.BackendsBody, error) {
 	var b wasabioperator.BackendsBody
--- a/internal/wasabicommand/command_test.go
+++ b/internal/wasabicommand/command_test.go
@@ -140,6 +140,13 @@
 	return []wasabiridge.BackendStatus{{Backend: "answer-1", Pool: "answers", Running: 3, Trust: 0.914, Incarnation: 5, Weights: 12, Leaving: true}}
 }
 
+func (glance) Quotas() wasabiridge.QuotaReport {
+	return wasabiridge.QuotaReport{Instance: "pos-1", Part: 0.5, Accounts: []wasabiridge.QuotaStatus{{
+		Account: "liftwell", Limit: wasabiridge.AccountLimit{Rate: 900, Burst: 1800, Unit: wasabiridge.LimitTokens}, Left: -20, Refused: 4,
+		Used: []wasabiridge.QuotaUse{{Instance: "pos-1", Used: 700}, {Instance: "ari-1", Used: 300, Silent: true}},
+	}}}
+}
+
 // desk is an operator at the command line.
 type desk struct {
 	router  *router
@@ -155,7 +162,7 @@
 	r := &router{documents: []wasabiridge.ConfigDocument{{Version: 7, Text: []byte(text), Author: "ann", At: noon}}, reached: true}
 	server := httptest.NewServer(wasabioperator.New(wasabioperator.Options{
 		Clock: wasabiclock.NewVirtual(noon), KeyHashes: func() []string { return []string{wasabioperator.HashKey(key)} },
-		Config: r, Timeline: r, Outcomes: r, Drainer: r, Rollouts: r, Status: glance{}, Metrics: wasabimetrics.New(),
+		Config: r, Timeline: r, Outcomes: r, Drainer: r, Rollouts: r, Status: glance{}, Metrics: wasabimetrics.New(), Quotas: glance{},
 	}))
 	DeferCleanup(server.Close)
 	d := &desk{router: r, server: server, scratch: GinkgoT().TempDir()}
@@ -186,6 +193,8 @@
 		"status":              {[]string{"status"}, 0, "ari-1           -     suspect", ""},
 		"backends":            {[]string{"backends"}, 0, "leaving  3        0        -      0.91   5            12", ""},
 		"accounts":            {[]string{"accounts"}, 0, "liftwell  1      0     answers", ""},
+		"quotas":              {[]string{"quotas"}, 0, "liftwell  tokens  900   1800   -20   4        pos-1     700", ""},
+		"quotas, silent":      {[]string{"quotas"}, 0, "ari-1     300?", ""},
 		"metrics":             {[]string{"metrics"}, 0, `"events.arrived"`, ""},
 		"timeline":            {[]string{"timeline", "--request", "r1"}, 0, "placed                 on answer-1, chosen as holder, 28672 tokens expected in cache", "ari-1 could not be reached: timeout"},
 		"timeline that lost":  {[]string{"timeline", "--request", "r1"}, 0, "", "pos-1 no longer has 12 older events"},
--- /dev/null
+++ b/internal/wasabicommand/quotas.go
@@ -0,0 +1,53 @@
+package wasabicommand
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+func (a *app) quotasCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "quotas",
+		Short: "Show how client accounts stand beside their limits",
+		Long: `Show how client accounts stand beside their limits, as one router sees them.
+
+LEFT is what may run at once now, below zero for a debt. USED is what each
+instance has let run since its start; a question mark stands behind one that
+does not answer. REFUSED counts the requests that this router refused.
+Limits are set by the configuration.`,
+		Example: "  wasabictl quotas\n  wasabictl quotas --json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			report, err := client.Quotas(c.Context())
+			if err != nil {
+				return err
+			}
+			return a.show(report, func() error { return a.showQuotas(report) })
+		},
+	}
+}
+
+func (a *app) showQuotas(r wasabiridge.QuotaReport) error {
+	t := newTable("ACCOUNT", "UNIT", "RATE", "BURST", "LEFT", "REFUSED", "INSTANCE", "USED")
+	for _, q := range r.Accounts {
+		for i, u := range q.Used {
+			used := fmt.Sprint(u.Used)
+			if u.Silent {
+				used += "?"
+			}
+			if i > 0 {
+				t.add("", "", "", "", "", "", u.Instance, used)
+				continue
+			}
+			t.add(q.Account, q.Limit.Unit, q.Limit.Rate, q.Limit.Burst, int64(q.Left), q.Refused, u.Instance, used)
+		}
+	}
+	return a.print(t)
+}
--- a/internal/wasabicore/core.go
+++ b/internal/wasabicore/core.go
@@ -37,6 +37,8 @@
 	Limiter wasabiridge.Limiter
 	// Quarantine judges requests by the servers that ended under them. Nil lets all go.
 	Quarantine wasabiridge.Quarantine
+	// Quota keeps client accounts to their limits. Nil lets all go.
+	Quota wasabiridge.Quota
 	// Instance is written into time line events.
 	Instance wasabiridge.InstanceID
 	// FirstAttempt is where the numbers of attempts start. A restarted
@@ -103,6 +105,9 @@
 	if c.options.Quarantine != nil {
 		c.options.Quarantine.Observe(now, e)
 	}
+	if c.options.Quota != nil {
+		c.options.Quota.Observe(now, e)
+	}
 	switch e := e.(type) {
 	case wasabiridge.RequestArrived:
 		c.arrive(now, e.Request)
--- a/internal/wasabicore/core_test.go
+++ b/internal/wasabicore/core_test.go
@@ -68,7 +68,11 @@
 func newCore() *wasabicore.Core { return newCoreWith(firstServer{}) }
 
 func newCoreWith(placer firstServer) *wasabicore.Core {
-	core := wasabicore.New(wasabicore.Options{Placer: placer, Limiter: noLimit{}})
+	return newCoreOf(wasabicore.Options{Placer: placer, Limiter: noLimit{}})
+}
+
+func newCoreOf(o wasabicore.Options) *wasabicore.Core {
+	core := wasabicore.New(o)
 	var servers []wasabiridge.BackendServer
 	for i := range 6 {
 		servers = append(servers, wasabiridge.BackendServer{ID: wasabiridge.BackendServerID(fmt.Sprintf("e%d", i))})
--- a/internal/wasabicore/entry.go
+++ b/internal/wasabicore/entry.go
@@ -21,6 +21,8 @@
 	// continue it.
 	resumeBy wasabiridge.Millis
 	joined   bool
+	// quota is how the account stood when the request was judged.
+	quota wasabiridge.QuotaState
 	// answered says that the final answer was given; the entry stays until
 	// every attempt has ended.
 	answered bool
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -39,7 +39,7 @@
 		c.refuse(now, en, wasabiridge.RefusedByRule, 0)
 		return
 	}
-	if c.bar(now, en) {
+	if c.bar(now, en) || c.isOverLimit(now, en) {
 		return
 	}
 	switch a := c.options.Limiter.Offer(now, r); a.Verdict {
@@ -125,6 +125,7 @@
 	if c.options.Quarantine != nil {
 		c.options.Quarantine.Sent(now, en.request, id, p.Backend)
 	}
+	c.charge(now, en, id, p)
 	c.recordPlaced(now, en, id, p, why)
 	c.emit(wasabiridge.Dispatch{
 		Request:       en.request.ID,
@@ -142,6 +143,7 @@
 		FirstByte:     p.FirstByte,
 		ExpectedWait:  p.ExpectedWait,
 		Why:           p.Why,
+		Quota:         en.quota,
 	})
 	if en.request.Action.Hedge && !en.request.Action.NonIdempotent && why != placeHedge {
 		delay := max(p.ExpectedWait*wasabiridge.Millis(c.options.HedgeFactor), c.options.HedgeFloor)
@@ -192,6 +194,7 @@
 		Reason:      reason,
 		Disposition: en.disposition(),
 		RetryAfter:  after,
+		Quota:       en.quota,
 	})
 	c.forget(en)
 }
--- a/internal/wasabidaemon/operator.go
+++ b/internal/wasabidaemon/operator.go
@@ -28,6 +28,7 @@
 		Metrics:   d.parts.metrics,
 
 		Quarantine: d.parts.quarantine.Handler(),
+		Quotas:     d.parts.quota,
 		Log:        wasabilog.Part(d.log, "operator"),
 	}
 	if d.parts.config != nil {
--- a/internal/wasabidaemon/parts.go
+++ b/internal/wasabidaemon/parts.go
@@ -22,6 +22,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiplatform"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquota"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirollout"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
 )
@@ -56,12 +57,14 @@
 	claims   *wasabiclaim.Keeper
 	// quarantine keeps requests from servers that would end under them.
 	quarantine *wasabiquarantine.Keeper
-	outcomes   *wasabioutcome.Recorder
-	config     *wasabiconfig.Keeper
-	rollouts   *wasabirollout.Keeper
-	peers      peers
-	book       *wasabiaddress.Book
-	gateway    *wasabigateway.Gateway
+	// quota keeps client accounts to their limits.
+	quota    *wasabiquota.Keeper
+	outcomes *wasabioutcome.Recorder
+	config   *wasabiconfig.Keeper
+	rollouts *wasabirollout.Keeper
+	peers    peers
+	book     *wasabiaddress.Book
+	gateway  *wasabigateway.Gateway
 }
 
 // join makes the parts and lets them know each other.
@@ -74,8 +77,10 @@
 	p.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: d.options.Clock})
 	p.metrics = wasabimetrics.New()
 	p.quarantine = d.newQuarantine()
+	p.quota = d.newQuota()
 	p.loop = d.newLoop()
 	p.quarantine.Join(p.loop)
+	p.quota.Join(p.loop)
 	if err := d.joinPeers(); err != nil {
 		return err
 	}
@@ -113,6 +118,17 @@
 	})
 }
 
+func (d *Daemon) newQuota() *wasabiquota.Keeper {
+	o := wasabiquota.KeeperOptions{
+		Self: d.options.Settings.Instance, Incarnation: d.incarnation, Clock: d.options.Clock,
+		Log: wasabilog.Part(d.log, "quota"), Members: d.members,
+	}
+	if d.options.Settings.Peer.Listen != "" {
+		o.Tell = d.tellNews
+	}
+	return wasabiquota.NewKeeper(o)
+}
+
 // tellNews hands news to another instance. Without a peer listener there is none.
 func (d *Daemon) tellNews(ctx context.Context, address string, n wasabiridge.News) error {
 	if d.parts.peers.client == nil {
@@ -133,6 +149,7 @@
 		Placer:       placer,
 		Limiter:      limiter,
 		Quarantine:   d.parts.quarantine.Table(),
+		Quota:        d.parts.quota.Table(),
 		Instance:     d.options.Settings.Instance,
 		FirstAttempt: wasabiridge.AttemptID(d.incarnation) << attemptBits,
 	})
@@ -260,6 +277,7 @@
 	}
 	d.start(ctx, d.followInstances)
 	d.start(ctx, d.parts.quarantine.Run)
+	d.start(ctx, d.parts.quota.Run)
 	if d.parts.claims != nil {
 		d.start(ctx, d.parts.claims.Run)
 	}
--- a/internal/wasabidaemon/peers.go
+++ b/internal/wasabidaemon/peers.go
@@ -275,5 +275,6 @@
 		return errNotReady
 	}
 	h.daemon.parts.quarantine.Hear(n)
+	h.daemon.parts.quota.Hear(n)
 	return nil
 }
--- a/internal/wasabigateway/failure.go
+++ b/internal/wasabigateway/failure.go
@@ -34,6 +34,7 @@
 	typePermission     = "permission_error"
 	typeConflict       = "conflict_error"
 	typeOverloaded     = "overloaded_error"
+	typeRateLimit      = "rate_limit_error"
 	typeServer         = "server_error"
 )
 
@@ -93,6 +94,7 @@
 	// Programs repeat what they get with a status from 500 on; with this one they do not.
 	wasabiridge.RefusedQuarantined: {status: http.StatusUnprocessableEntity, kind: typeInvalid, code: "quarantined", message: "Servers ended while they ran this request. It is not run."},
 	wasabiridge.RefusedSuspect:     {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "suspect", message: "Servers ended while they ran this request. It is being tried elsewhere."},
+	wasabiridge.RefusedQuota:       {status: http.StatusTooManyRequests, kind: typeRateLimit, code: "rate_limit_exceeded", message: "The client account has reached its limit."},
 	wasabiridge.RefusedBroken:      {status: http.StatusBadGateway, kind: typeServer, code: "backend_broken", message: "The backend server failed."},
 }
 
--- a/internal/wasabigateway/relay.go
+++ b/internal/wasabigateway/relay.go
@@ -37,6 +37,8 @@
 	// kept is the answer to a repeat of a non-idempotent request.
 	kept     []byte
 	tooLarge bool
+	// quota is how the account stood when the request was judged.
+	quota wasabiridge.QuotaState
 }
 
 func newRelay(x *exchange, w http.ResponseWriter, r *http.Request) *relay {
@@ -79,6 +81,7 @@
 func (l *relay) carryOut(effect wasabiridge.Effect) {
 	switch e := effect.(type) {
 	case wasabiridge.Dispatch:
+		l.quota = e.Quota
 		l.start(e)
 	case wasabiridge.Cancel:
 		l.cancel(e.Attempt)
@@ -88,7 +91,7 @@
 			// It has ended a server just now, so "not run" would be false.
 			e.Reason = wasabiridge.RefusedBroken
 		}
-		l.refused = e.Reason
+		l.refused, l.quota = e.Reason, e.Quota
 		l.refuse(refusal(e.Reason, e.RetryAfter))
 	}
 }
@@ -156,6 +159,7 @@
 	}
 	h.Set(RequestIDHeader, string(l.call.id))
 	h.Set(DispositionHeader, l.disposition().String())
+	setQuota(h, l.quota)
 	l.w.WriteHeader(l.head.status)
 }
 
@@ -223,6 +227,7 @@
 	l.stop()
 	l.over = true
 	if !l.gone {
+		setQuota(l.w.Header(), l.quota)
 		l.gateway.fail(l.w, l.r, f.withDisposition(l.disposition()))
 	}
 }
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -31,6 +31,7 @@
 	go n.watchKept(ctx)
 	go n.share(ctx)
 	go n.quarantine.Run(ctx)
+	go n.quota.Run(ctx)
 	go n.moveAnswers(ctx)
 	go n.restore(ctx)
 	go n.roster.sign(ctx, n.incarnation)
@@ -97,6 +98,7 @@
 func (n *Node) metricsHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Mount("/quarantine", n.quarantine.Handler())
+	router.Mount("/quotas", n.quota.Handler())
 	router.NotFound(n.serveMetrics)
 	return router
 }
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -50,6 +50,7 @@
 	}
 	lines = append(lines, n.learnedLines()...)
 	lines = append(lines, n.quarantineLines()...)
+	lines = append(lines, n.quotaLines()...)
 	slices.Sort(lines)
 	for _, l := range lines {
 		_, _ = io.WriteString(w, l)
@@ -95,6 +96,28 @@
 	}
 }
 
+// quotaLines tells of the limits of client accounts.
+func (n *Node) quotaLines() []string {
+	s := n.quota.Snapshot()
+	lines := []string{
+		line("quota_part_percent", int64(100*s.Part)),
+		line("quota_refused_total", int64(s.Counts.Refused)),
+		line("quota_refused_unlogged_total", int64(s.Counts.Unlogged)),
+	}
+	for i, count := range s.Use {
+		lines = append(lines, line(fmt.Sprintf("quota_admitted_total{used_percent_below=\"%d\"}", 100*(i+1)/len(s.Use)), int64(count)))
+	}
+	for _, e := range s.Entries {
+		if e.Own == 0 && e.Refused == 0 {
+			continue
+		}
+		labels := "{account=\"" + string(e.Account) + "\"}"
+		lines = append(lines, line("quota_left"+labels, int64(e.Level)), line("quota_used_here_total"+labels, int64(e.Own)),
+			line("quota_account_refused_total"+labels, int64(e.Refused)))
+	}
+	return lines
+}
+
 func line(name string, value int64) string {
 	return fmt.Sprintf("wasabiridge_%s %d\n", name, value)
 }
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -43,6 +43,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabimember"
 	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquota"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirelay"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
@@ -130,6 +131,7 @@
 	placed      chan struct{}
 	emptied     chan wasabiridge.BackendServerID
 	quarantine  *wasabiquarantine.Keeper
+	quota       *wasabiquota.Keeper
 	relay       *wasabirelay.Relay
 	catalog     *wasabicatalog.Keeper
 	upgrade     *wasabiupgrade.Keeper
@@ -192,14 +194,22 @@
 			return n.client.TellNews(ctx, address, news)
 		},
 	})
+	n.quota = wasabiquota.NewKeeper(wasabiquota.KeeperOptions{
+		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Log: wasabilog.Part(n.log, "quota"),
+		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries,
+		Tell: func(ctx context.Context, address string, news wasabiridge.News) error {
+			return n.client.TellNews(ctx, address, news)
+		},
+	})
 	core := wasabicore.New(wasabicore.Options{
-		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine.Table(), Instance: s.Instance,
+		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine.Table(), Quota: n.quota.Table(), Instance: s.Instance,
 		FirstAttempt: wasabiridge.AttemptID(n.incarnation) << attemptBits,
 	})
 	n.loop = wasabiloop.New(wasabiloop.Options{
 		Decider: core, Clock: o.Clock, Recorder: placements{next: n.timeline, wake: n.placed}, Ring: ringSize,
 	})
 	n.quarantine.Join(n.loop)
+	n.quota.Join(n.loop)
 	if err := n.joinPeers(seed); err != nil {
 		return err
 	}
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -54,6 +54,7 @@
 		}
 	}
 	n.quarantine.Hear(news)
+	n.quota.Hear(news)
 	if len(news.Loads) > 0 || len(news.Parts) > 0 {
 		n.loop.Observe(wasabiridge.PeerPlaced{From: news.From, Loads: news.Loads, Parts: news.Parts})
 	}
--- a/internal/wasabinode/share.go
+++ b/internal/wasabinode/share.go
@@ -50,9 +50,12 @@
 			return
 		}
 		var news wasabiridge.News
-		n.loop.Inspect(func() { news.Loads, news.Parts = n.placer.TakeNews() })
-		if len(news.Loads) > 0 || len(news.Parts) > 0 {
-			n.catalog.TellSome(ctx, n.active(), news)
+		n.loop.Inspect(func() {
+			news.Loads, news.Parts = n.placer.TakeNews()
+			n.quota.Add(n.options.Clock.Now(), &news)
+		})
+		if len(news.Loads) > 0 || len(news.Parts) > 0 || len(news.Uses) > 0 {
+			n.quota.Tell(ctx, news, n.activeEntries())
 		}
 	}
 }
--- a/internal/wasabioperator/handlers.go
+++ b/internal/wasabioperator/handlers.go
@@ -147,6 +147,10 @@
 	return header.Values
 }
 
+func (s *server) quotas(http.ResponseWriter, *http.Request) (any, error) {
+	return s.Quotas.Quotas(), nil
+}
+
 func (s *server) accounts(http.ResponseWriter, *http.Request) (any, error) {
 	document, cfg := s.Config.Current()
 	body := AccountsBody{Version: document.Version, Accounts: []AccountBody{}}
--- a/internal/wasabioperator/operator.go
+++ b/internal/wasabioperator/operator.go
@@ -60,6 +60,7 @@
 	Metrics   MetricsWriter
 	// Quarantine lists requests under which servers ended, and lets them go again.
 	Quarantine http.Handler
+	Quotas     wasabiridge.QuotaReader
 	Log        zerolog.Logger
 }
 
@@ -79,6 +80,7 @@
 	r.Get("/v1/accounts", s.answer("config", o.Config != nil, s.accounts))
 	r.Get("/v1/timeline", s.answer("timeline", o.Timeline != nil, s.timeline))
 	r.Get("/v1/outcomes", s.answer("outcomes", o.Outcomes != nil, s.outcomes))
+	r.Get("/v1/quotas", s.answer("quotas", o.Quotas != nil, s.quotas))
 	r.Get("/v1/backends", s.answer("status", o.Status != nil, s.backends))
 	r.Get("/v1/status", s.answer("status", o.Status != nil, s.status))
 	r.Post("/v1/drain", s.answer("drain", o.Drainer != nil, s.drain))
--- a/internal/wasabioperator/operator_test.go
+++ b/internal/wasabioperator/operator_test.go
@@ -96,10 +96,15 @@
 	return wasabioperator.New(wasabioperator.Options{
 		Clock:     wasabiclock.NewVirtual(now),
 		KeyHashes: func() []string { return []string{wasabioperator.HashKey("other"), wasabioperator.HashKey(key)} },
-		Config:    configStatus{p}, Rollouts: p, Timeline: p, Outcomes: p, Status: p, Drainer: p, Metrics: p,
+		Config:    configStatus{p}, Rollouts: p, Timeline: p, Outcomes: p, Status: p, Drainer: p, Metrics: p, Quotas: limits{},
 	})
 }
 
+// limits is the part that knows the limits of accounts.
+type limits struct{}
+
+func (limits) Quotas() wasabiridge.QuotaReport { return wasabiridge.QuotaReport{Instance: "pos-1"} }
+
 func call(h http.Handler, method, path, body string, header ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer "+key)
@@ -118,6 +123,7 @@
 	"config status":   {"GET", "/v1/config/status", ""},
 	"explain":         {"POST", "/v1/rules/explain", `{"account":"a","method":"GET","path":"/"}`},
 	"accounts":        {"GET", "/v1/accounts", ""},
+	"quotas":          {"GET", "/v1/quotas", ""},
 	"timeline":        {"GET", "/v1/timeline?since=5m", ""},
 	"outcomes":        {"GET", "/v1/outcomes?quarter=2026Q4", ""},
 	"backends":        {"GET", "/v1/backends", ""},
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -124,11 +124,12 @@
 	for _, c := range n.Crashes {
 		out.Crashes = append(out.Crashes, encodeCrash(c))
 	}
+	encodeUses(out, n)
 	return out
 }
 
 func decodeNews(in *pb.News) (wasabiridge.News, error) {
-	if len(in.Rests) > maxNews || len(in.Loads) > maxNews || len(in.Parts) > maxNews || len(in.Crashes) > maxNews {
+	if len(in.Rests) > maxNews || len(in.Loads) > maxNews || len(in.Parts) > maxNews || len(in.Crashes) > maxNews || len(in.Uses) > maxNews {
 		return wasabiridge.News{}, wasabiridge.ErrInvalid.New("peer: news exceed their bounds")
 	}
 	n := wasabiridge.News{From: wasabiridge.InstanceID(in.From), Changed: in.Changed}
@@ -161,5 +162,6 @@
 		}
 		n.Crashes = append(n.Crashes, crash)
 	}
+	decodeUses(&n, in)
 	return n, nil
 }
--- /dev/null
+++ b/internal/wasabipeer/codec_use.go
@@ -0,0 +1,30 @@
+package wasabipeer
+
+import (
+	"github.com/wasabiridge/wasabiridge"
+	pb "github.com/wasabiridge/wasabiridge/internal/wasabipeer/wasabipeerpb"
+)
+
+// maxSpent bounds what an instance may say that it has let run.
+const maxSpent = 1 << 52
+
+// partScale is in which units a part of a limit is told.
+const partScale = 1000
+
+func encodeUses(out *pb.News, n wasabiridge.News) {
+	out.Incarnation, out.Sequence, out.PartMilli = uint64(n.Life), n.Sequence, uint32(partScale*min(max(n.Part, 0), 1))
+	for _, u := range n.Uses {
+		out.Uses = append(out.Uses, &pb.UseNews{Account: string(u.Account), Spent: u.Spent, Level: u.Level, LevelKnown: u.LevelKnown})
+	}
+}
+
+func decodeUses(n *wasabiridge.News, in *pb.News) {
+	n.Life, n.Sequence = wasabiridge.Incarnation(in.GetIncarnation()), in.GetSequence()
+	n.Part = float64(min(in.GetPartMilli(), partScale)) / partScale
+	for _, u := range in.GetUses() {
+		n.Uses = append(n.Uses, wasabiridge.UseNews{
+			Account: wasabiridge.ClientAccountID(u.GetAccount()), Spent: min(max(u.GetSpent(), -maxSpent), maxSpent),
+			Level: min(max(u.GetLevel(), -maxSpent), maxSpent), LevelKnown: u.GetLevelKnown(),
+		})
+	}
+}
--- a/internal/wasabipeer/crash_test.go
+++ b/internal/wasabipeer/crash_test.go
@@ -29,6 +29,21 @@
 	return h.err
 }
 
+// Guards against totals that arrive as others than were told.
+var _ = Describe("News of what ran for accounts", func() {
+	It("goes over whole", func() {
+		h := &newsHandler{}
+		o := wasabipeer.Options{Clock: wasabiclock.System(), Key: key}
+		server := serve(h, o)
+		want := wasabiridge.News{
+			From: "i", Life: 7, Sequence: 3, Part: 0.875,
+			Uses: []wasabiridge.UseNews{{Account: "a", Spent: 1 << 40, Level: -5, LevelKnown: true}, {Account: "b", Spent: 2}},
+		}
+		Expect(connect(o).TellNews(context.Background(), server.Address(), want)).To(Succeed())
+		Expect(h.got).To(Equal(want))
+	})
+})
+
 // An instance says what no instance in its senses would. Taken, it would outlast all that
 // the others know, or fill their memory.
 var _ = Describe("News of servers that ended under requests", func() {
--- /dev/null
+++ b/internal/wasabiquota/handler.go
@@ -0,0 +1,34 @@
+package wasabiquota
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+var _ wasabiridge.QuotaReader = (*Keeper)(nil)
+
+// Handler lets operators see the limits (GET): what is left, what each instance has let
+// run, and what was refused. Limits are set by the configuration only.
+func (k *Keeper) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(k.Quotas())
+	})
+}
+
+// Quotas implements wasabiridge.QuotaReader.
+func (k *Keeper) Quotas() wasabiridge.QuotaReport {
+	s := k.Snapshot()
+	out := wasabiridge.QuotaReport{Instance: k.options.Self, Part: s.Part, Accounts: []wasabiridge.QuotaStatus{}}
+	for _, e := range s.Entries {
+		status := wasabiridge.QuotaStatus{Account: e.Account, Limit: e.Limit, Left: e.Level, Known: e.Known, Refused: e.Refused}
+		status.Used = append(status.Used, wasabiridge.QuotaUse{Instance: k.options.Self, Used: int64(e.Own)})
+		for _, t := range e.Totals {
+			status.Used = append(status.Used, wasabiridge.QuotaUse{Instance: t.Instance, Used: t.Spent, Silent: t.Silent})
+		}
+		out.Accounts = append(out.Accounts, status)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wasabiquota/news.go
@@ -0,0 +1,142 @@
+package wasabiquota
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+const (
+	// tellAfter is the shortest time between two messages while something may be close
+	// to its limit, calmAfter the time otherwise.
+	tellAfter = 100 * wasabiridge.Millis(1)
+	calmAfter = 500 * wasabiridge.Millis(1)
+	// calmShare is the part of the burst above which an account is calm, untoldShare the
+	// part that all instances together may have let run without telling.
+	calmShare   = 0.75
+	untoldShare = 0.25
+	// repeatAfter is when what has changed is told once more, in case it was lost.
+	repeatAfter = 300 * wasabiridge.Millis(1)
+	// helloAfter is the time between two messages to an instance that was never heard.
+	helloAfter = 500 * wasabiridge.Millis(1)
+)
+
+// isTold reports whether the others know what ran here, as far as can be known.
+func (a *account) isTold() bool { return a.own == a.told && a.repeated }
+
+// isCalm reports whether it does no harm if the others hear later what ran here.
+func (a *account) isCalm(own float64) bool {
+	return a.known && a.level >= calmShare*a.burst() && math.Abs(a.own-a.told) <= untoldShare*a.burst()*own
+}
+
+// mustTell reports whether an account belongs into a message.
+func (a *account) mustTell(now wasabiridge.Millis, own float64) bool {
+	switch since := now - a.toldAt; {
+	case a.own != a.told:
+		return since >= calmAfter || !a.isCalm(own)
+	case a.repeated:
+		return false
+	default:
+		return since >= repeatAfter
+	}
+}
+
+// IsDue reports whether the other instances should be told now.
+func (t *Table) IsDue(now wasabiridge.Millis) bool {
+	since := now - t.taken
+	if since < tellAfter || len(t.peers) == 0 {
+		return false
+	}
+	own := t.own(now)
+	for _, a := range t.accounts {
+		if !a.isTold() && a.mustTell(now, own) {
+			return true
+		}
+	}
+	return false
+}
+
+// Strangers returns the instances that should be told that this one is there, because it
+// is not known whether they still are, ordered by name.
+//
+// The failure it guards against: instances without requests do not know each other. The
+// first requests of an account would find only one instance's part of its limit.
+func (t *Table) Strangers(now wasabiridge.Millis) []wasabiridge.InstanceID {
+	var out []wasabiridge.InstanceID
+	for id, p := range t.peers {
+		unheard := !p.met && !p.ended || p.isIdle(now) || t.active && !t.owner
+		if unheard && (p.greeted == 0 || now-p.greeted >= helloAfter) {
+			p.greeted = now
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Hello returns the message to strangers.
+func (t *Table) Hello(now wasabiridge.Millis) wasabiridge.News {
+	return wasabiridge.News{From: t.options.Self, Life: t.options.Life, Sequence: t.sequence, Part: t.knownPart(now)}
+}
+
+// TakeNews returns what the other instances should be told. It is empty when nothing has
+// run for a while.
+func (t *Table) TakeNews(now wasabiridge.Millis) wasabiridge.News {
+	t.advance(now)
+	own := t.own(now)
+	news := wasabiridge.News{From: t.options.Self, Life: t.options.Life, Part: t.knownPart(now)}
+	for _, id := range slices.Sorted(maps.Keys(t.accounts)) {
+		a := t.accounts[id]
+		if a.isTold() || !a.mustTell(now, own) {
+			continue
+		}
+		a.refill(t, now)
+		a.repeated = a.own == a.told
+		a.told, a.toldAt = a.own, now
+		use := wasabiridge.UseNews{Account: id, Spent: int64(math.Ceil(a.own))}
+		if a.known {
+			use.Level, use.LevelKnown = int64(a.level), true
+		}
+		news.Uses = append(news.Uses, use)
+	}
+	if len(news.Uses) > 0 && now-t.taken >= tellAfter {
+		t.taken = now
+	}
+	if len(news.Uses) > 0 {
+		t.sequence++
+		news.Sequence = t.sequence
+	}
+	return news
+}
+
+// hear takes what another instance has let run.
+func (t *Table) hear(now wasabiridge.Millis, e wasabiridge.UsesHeard) {
+	t.advance(now)
+	if len(e.Uses) == 0 && t.peers[e.From] == nil {
+		// One that lets nothing run owns no part.
+		return
+	}
+	p := t.meet(now, e.From)
+	if !p.lives(e.Life, e.Sequence) {
+		return
+	}
+	p.part = e.Part
+	if len(e.Uses) > 0 {
+		p.used = now
+	}
+	for _, use := range e.Uses {
+		a := t.accounts[use.Account]
+		if a == nil {
+			continue
+		}
+		a.refill(t, now)
+		a.take(e.From, total{life: e.Life, sequence: e.Sequence, spent: use.Spent, missed: p.missed}, p.whole)
+		if !a.known && use.LevelKnown {
+			// What ran here lately may not have reached the sender yet.
+			a.know(t, now, min(float64(use.Level)-(a.own-a.told), a.burst()*t.part(now)))
+		}
+	}
+	t.hearPeer(now, e.From)
+}
--- /dev/null
+++ b/internal/wasabiquota/peer.go
@@ -0,0 +1,231 @@
+package wasabiquota
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// peer is another instance that owns a part of the limits, or may soon.
+type peer struct {
+	// life is its present life, past the one before. whole says that it was heard from
+	// the beginning of its life.
+	life, past wasabiridge.Incarnation
+	whole      bool
+	// met says that it was heard at all, ended that its process has ended since.
+	met, ended bool
+	// asked is when it was first told something that it has not answered. Zero means
+	// that it has answered everything.
+	asked wasabiridge.Millis
+	// greeted is when it was last told that this instance is there, before it was heard.
+	greeted wasabiridge.Millis
+	// heard is when it last answered, used when it last told of something that ran.
+	heard, used wasabiridge.Millis
+	// active says that callers are sent to it.
+	active bool
+	// late says that it came while another one was silent, and owns no part until all
+	// are heard.
+	late bool
+	// part is what it last told of the part that it and those that it hears own.
+	part float64
+	// missed is the integral over time of the part that was left to it untouched, in
+	// milliseconds.
+	missed float64
+}
+
+// isSilent reports whether the peer has not answered in time.
+func (p *peer) isSilent(now wasabiridge.Millis) bool {
+	return !p.ended && p.asked > 0 && now-p.asked >= silentAfter
+}
+
+// isInTouch reports whether it is known what the peer lets run.
+func (p *peer) isInTouch(now wasabiridge.Millis) bool {
+	return p.ended || p.met && !p.isSilent(now)
+}
+
+// isSettled reports whether this instance knows the others. One that hears nobody takes
+// it after a long while that there is nobody.
+func (t *Table) isSettled(now wasabiridge.Millis) bool {
+	age := now - t.options.Started
+	return t.options.Alone || t.met && age >= settleAfter || age >= lapseAfter
+}
+
+// owners is how many instances own an equal part of every limit.
+func (t *Table) owners(now wasabiridge.Millis) float64 {
+	n := 1
+	for _, p := range t.peers {
+		if !p.late {
+			n++
+		}
+	}
+	if !t.isSettled(now) {
+		n = max(n, manyInstances)
+	}
+	return float64(n)
+}
+
+// own is the part of every limit that this instance owns.
+func (t *Table) own(now wasabiridge.Millis) float64 { return 1 / t.owners(now) }
+
+// part is the part of every limit that may be used here: what this instance and those in
+// touch own together. One that owns none goes by what others tell.
+//
+// The failure it guards against: instances that are added, or to which no callers were
+// sent, are cut off. Each would count itself as an owner beside those that are, and
+// together they would let run more than the limit.
+func (t *Table) part(now wasabiridge.Millis) float64 {
+	if !t.owner {
+		if told := t.toldPart(now); told > 0 {
+			return told
+		}
+	}
+	inTouch := 1.0
+	for _, p := range t.peers {
+		if !p.late && p.isInTouch(now) {
+			inTouch++
+		}
+	}
+	if !t.owner && inTouch == 1 && t.isSettled(now) {
+		return strayShare / max(t.owners(now), float64(t.known))
+	}
+	return inTouch / t.owners(now)
+}
+
+// toldPart is the least part that any instance in touch tells. Zero means that none
+// tells.
+func (t *Table) toldPart(now wasabiridge.Millis) float64 {
+	least := 0.0
+	for _, p := range t.peers {
+		if p.part > 0 && !p.ended && p.isInTouch(now) && (least == 0 || p.part < least) {
+			least = p.part
+		}
+	}
+	return least
+}
+
+// knownPart is what the others are told of the part. Zero means that it is not known.
+func (t *Table) knownPart(now wasabiridge.Millis) float64 {
+	if !t.owner || !t.isSettled(now) {
+		return 0
+	}
+	return t.part(now)
+}
+
+// partOf is the part of an account's limit that may be used here.
+func (t *Table) partOf(a *account, part float64) float64 {
+	if a.known {
+		return part
+	}
+	return a.share
+}
+
+// know takes which instances callers are sent to.
+func (t *Table) know(now wasabiridge.Millis, e wasabiridge.ActiveKnown) {
+	t.known = max(t.known, e.Known)
+	t.active = false
+	for _, p := range t.peers {
+		p.active = false
+	}
+	for _, id := range e.Instances {
+		if id == t.options.Self {
+			t.active = true
+			continue
+		}
+		t.meet(now, id).active = true
+	}
+}
+
+// meet returns the peer of that name, which is noted if it is new.
+//
+// The failure it guards against: an instance that comes while others are cut off would
+// take a part that these own. They would let run more between them than the limit.
+func (t *Table) meet(now wasabiridge.Millis, id wasabiridge.InstanceID) *peer {
+	p := t.peers[id]
+	if p == nil {
+		p = &peer{used: now, late: t.hasSilent(now) && t.isSettled(now)}
+		t.peers[id] = p
+	}
+	return p
+}
+
+func (t *Table) hasSilent(now wasabiridge.Millis) bool {
+	for _, p := range t.peers {
+		if p.isSilent(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// hearPeer notes that an instance has answered.
+func (t *Table) hearPeer(now wasabiridge.Millis, id wasabiridge.InstanceID) {
+	if p := t.peers[id]; p != nil {
+		p.asked, p.heard, p.met, p.ended = 0, now, true, false
+		t.met = true
+	}
+}
+
+// lives notes in which life a peer tells something. It reports false for a life that is
+// over. A peer that tells its first messages is heard from the beginning.
+func (p *peer) lives(life wasabiridge.Incarnation, sequence uint64) bool {
+	switch life {
+	case p.life:
+		return true
+	case p.past:
+		return false
+	}
+	p.past, p.life, p.whole = p.life, life, sequence <= firstMessages
+	return true
+}
+
+// end takes it that the process of an instance has ended. It owns a part again when it
+// is heard in its next life.
+func (t *Table) end(id wasabiridge.InstanceID) {
+	if p := t.peers[id]; p != nil {
+		p.ended, p.asked = true, 0
+	}
+}
+
+// isIdle reports whether a peer lets nothing run and no callers are sent to it.
+func (p *peer) isIdle(now wasabiridge.Millis) bool { return !p.active && now-p.used >= idleAfter }
+
+// lapse drops peers that own no part any more, and takes or gives up a part of its own
+// while all others are heard.
+func (t *Table) lapse(now wasabiridge.Millis) {
+	heardAll, heardLately := true, false
+	for id, p := range t.peers {
+		switch {
+		case p.isSilent(now) && now-p.asked >= lapseAfter, !p.active && (!p.met || p.ended), p.isIdle(now) && p.heard >= p.used+idleAfter:
+			delete(t.peers, id)
+			continue
+		}
+		heardAll = heardAll && p.isInTouch(now)
+		heardLately = heardLately || now-p.heard < idleAfter
+	}
+	if !heardAll || t.options.Alone {
+		return
+	}
+	for _, p := range t.peers {
+		p.late = false
+	}
+	if t.isSettled(now) && (heardLately || len(t.peers) == 0 && !t.met) {
+		t.owner = t.active || t.used > 0 && now-t.used < idleAfter
+	}
+}
+
+// Others returns the instances to tell, ordered by name.
+func (t *Table) Others() []wasabiridge.InstanceID {
+	return slices.Sorted(maps.Keys(t.peers))
+}
+
+// Silent returns the instances that have not answered in time, ordered by name.
+func (t *Table) Silent(now wasabiridge.Millis) []wasabiridge.InstanceID {
+	var out []wasabiridge.InstanceID
+	for _, id := range t.Others() {
+		if t.peers[id].isSilent(now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wasabiquota/table.go
@@ -0,0 +1,300 @@
+// Package wasabiquota keeps client accounts to their limits over all instances.
+//
+// # One bucket, counted everywhere
+//
+// Each instance keeps, for each client account, the one bucket of all instances: it
+// fills with the account's rate up to its burst, and everything that runs anywhere is
+// taken out of it. Instances tell each other what they have let run since their starts.
+// What is told is a running total, so messages may be lost, doubled or late. An attempt
+// is charged when it is sent to a server and given back when it did not run.
+//
+// # Instances that are not heard
+//
+// What an instance that does not answer lets run is not known. Each of n instances owns
+// an n-th of every limit. Those that hear each other share the parts that they own
+// together; the parts of the others stay untouched until they are heard, are known to
+// have ended, or have been silent for lapseAfter. Two sides of a partition therefore
+// never let run more than the limit between them.
+//
+// An instance that starts, or that stood still, does not know what was spent. It lets run
+// its own part of the limit until another instance tells it what is left, or until a
+// second has passed. Before it knows the others it counts itself as one of manyInstances.
+//
+// # Who is let in
+//
+// A request is let in when the bucket holds its cost, or half of the burst if it costs
+// more; the bucket may then be in debt. After a refusal, requests of lower priority leave
+// a part of the burst to those of the highest. Small requests may run into a bounded debt,
+// so that they do not wait behind a large one.
+//
+// # Usage
+//
+//	table := wasabiquota.New(wasabiquota.Options{Self: "pos-1", Life: 7, Started: now})
+//	core := wasabicore.New(wasabicore.Options{Quota: table, ...})
+//	if table.IsDue(now) {
+//		tell(table.Others(), table.TakeNews(now))
+//	}
+//
+// A Table is deterministic and not safe for concurrent use.
+package wasabiquota
+
+import (
+	"github.com/wasabiridge/wasabiridge"
+)
+
+const (
+	// manyInstances is how many instances one that has just started counts with at least.
+	manyInstances = 32
+	// settleAfter is how long an instance that starts or stood still goes by its own part
+	// of a limit if nobody tells it more.
+	settleAfter = wasabiridge.Second
+	// silentAfter is how long a message to an instance may be without an answer before
+	// its part is left untouched.
+	silentAfter = 400 * wasabiridge.Millis(1)
+	// stallMost is how long the table may not be asked anything before it takes it that
+	// the process stood still.
+	stallMost = 500 * wasabiridge.Millis(1)
+	// strayShare is what an instance that owns no part and hears nobody lets run, as a
+	// part of an equal share of all instances.
+	strayShare = 0.1
+	// lapseAfter is how long the part of a silent instance is left untouched.
+	lapseAfter = wasabiridge.Minute
+	// firstMessages is by which of its messages an instance must have been heard for
+	// all that it has let run to be known.
+	firstMessages = 16
+	// idleAfter is how long an instance that no callers are sent to lets nothing run
+	// before it owns no part any more.
+	idleAfter = 10 * wasabiridge.Second
+)
+
+// Options set up a Table. The zero value works.
+type Options struct {
+	// Self names this instance, Life its life.
+	Self wasabiridge.InstanceID
+	Life wasabiridge.Incarnation
+	// Started is the time of the start.
+	Started wasabiridge.Millis
+	// Alone says that there are no other instances.
+	Alone bool
+}
+
+// Table implements wasabiridge.Quota. See the package comment.
+type Table struct {
+	options  Options
+	peers    map[wasabiridge.InstanceID]*peer
+	accounts map[wasabiridge.ClientAccountID]*account
+	charges  map[wasabiridge.AttemptID]charge
+	// last is up to when parts were reckoned.
+	last wasabiridge.Millis
+	// heard is the integral over time of the part of all limits that the instances in
+	// touch own, in milliseconds.
+	heard float64
+	// configured says that a configuration was adopted before.
+	configured bool
+	// owner says that this instance owns a part of every limit, as the others know. active
+	// says that callers are sent here, used when something last ran.
+	owner, active bool
+	used          wasabiridge.Millis
+	// met says that another instance was heard.
+	met bool
+	// forgot is when it was last not known what was spent. Zero means that it is known.
+	forgot wasabiridge.Millis
+	// known is how many instances there are at most.
+	known     int
+	sequence  uint64
+	taken     wasabiridge.Millis
+	counts    Counts
+	histogram [histogramSize]uint64
+	notes     []Note
+}
+
+// charge is an attempt that has not ended.
+type charge struct {
+	account wasabiridge.ClientAccountID
+	cost    float64
+	sent    bool
+}
+
+var _ wasabiridge.Quota = (*Table)(nil)
+
+// New returns a Table that knows no limits and no other instances.
+func New(o Options) *Table {
+	return &Table{
+		options: o, last: o.Started, owner: o.Alone,
+		peers:    map[wasabiridge.InstanceID]*peer{},
+		accounts: map[wasabiridge.ClientAccountID]*account{},
+		charges:  map[wasabiridge.AttemptID]charge{},
+	}
+}
+
+// Judge implements wasabiridge.Quota.
+func (t *Table) Judge(now wasabiridge.Millis, r wasabiridge.Request) wasabiridge.QuotaVerdict {
+	a := t.accounts[r.Account]
+	if a == nil {
+		return wasabiridge.QuotaVerdict{Allowed: true}
+	}
+	t.advance(now)
+	a.refill(t, now)
+	a.meet(now, r.Action.Priority)
+	cost, part := a.limit.Cost(r), t.partOf(a, t.part(now))
+	if a.admits(now, cost, r.Action.Priority, part) {
+		t.observeUse(a, part)
+		return wasabiridge.QuotaVerdict{Allowed: true, State: a.state(a.level-cost, part)}
+	}
+	t.counts.Refused++
+	after := a.refuse(now, cost, r.Action.Priority, part)
+	t.note(now, r, a, cost, after)
+	return wasabiridge.QuotaVerdict{RetryAfter: after, State: a.state(a.level, part)}
+}
+
+// Sent implements wasabiridge.Quota.
+func (t *Table) Sent(now wasabiridge.Millis, r wasabiridge.Request, id wasabiridge.AttemptID) {
+	a := t.accounts[r.Account]
+	if a == nil {
+		return
+	}
+	t.advance(now)
+	a.refill(t, now)
+	cost := a.limit.Cost(r)
+	t.charges[id] = charge{account: r.Account, cost: cost}
+	t.used = now
+	a.spend(cost)
+}
+
+// Observe implements wasabiridge.Quota.
+func (t *Table) Observe(now wasabiridge.Millis, e wasabiridge.Event) {
+	switch e := e.(type) {
+	case wasabiridge.AttemptSent:
+		if c, ok := t.charges[e.Attempt]; ok {
+			c.sent = true
+			t.charges[e.Attempt] = c
+		}
+	case wasabiridge.AttemptEnded:
+		t.ended(now, e)
+	case wasabiridge.ConfigAdopted:
+		t.adopt(now, e.Config.Accounts)
+	case wasabiridge.UsesHeard:
+		t.hear(now, e)
+	case wasabiridge.PeerHeard:
+		t.advance(now)
+		t.hearPeer(now, e.From)
+	case wasabiridge.PeerTold:
+		t.advance(now)
+		if p := t.peers[e.To]; p != nil && p.asked == 0 {
+			p.asked = now
+		}
+	case wasabiridge.PeerEnded:
+		t.advance(now)
+		t.end(e.ID)
+	case wasabiridge.ActiveKnown:
+		t.advance(now)
+		t.know(now, e)
+	case wasabiridge.Ticked:
+		t.advance(now)
+		t.settle(now)
+	}
+}
+
+// ended gives back what did not run: no byte was sent, or the server said so.
+func (t *Table) ended(now wasabiridge.Millis, e wasabiridge.AttemptEnded) {
+	c, ok := t.charges[e.Attempt]
+	if !ok {
+		return
+	}
+	delete(t.charges, e.Attempt)
+	if a := t.accounts[c.account]; a != nil && (e.Result == wasabiridge.AttemptNotRun || !c.sent && e.Result != wasabiridge.AttemptCompleted) {
+		t.advance(now)
+		a.refill(t, now)
+		a.spend(-c.cost)
+	}
+}
+
+// adopt takes the limits of a configuration. A limit that is lowered binds at once.
+func (t *Table) adopt(now wasabiridge.Millis, accounts []wasabiridge.ClientAccount) {
+	t.advance(now)
+	kept := map[wasabiridge.ClientAccountID]bool{}
+	for i := range accounts {
+		limit := accounts[i].Limit
+		if limit == nil || limit.Rate <= 0 {
+			continue
+		}
+		id := accounts[i].ID
+		kept[id] = true
+		a := t.accounts[id]
+		switch {
+		case a == nil:
+			t.accounts[id] = t.newAccount(now, *limit)
+		case a.limit != *limit:
+			a.refill(t, now)
+			a.change(*limit)
+		}
+	}
+	for id := range t.accounts {
+		if !kept[id] {
+			delete(t.accounts, id)
+		}
+	}
+	t.configured = true
+}
+
+// newAccount returns the bucket of an account. At a start it is not known what was
+// spent before; a limit that is new begins with its burst.
+func (t *Table) newAccount(now wasabiridge.Millis, limit wasabiridge.AccountLimit) *account {
+	a := &account{limit: limit, peers: map[wasabiridge.InstanceID]total{}, at: now, heard: t.heard, repeated: true}
+	if t.configured {
+		a.known, a.level = true, a.burst()
+		return a
+	}
+	a.forget(now, t.own(now))
+	t.forgot = max(1, now)
+	return a
+}
+
+// advance reckons which part of the limits the instances in touch owned until now.
+func (t *Table) advance(now wasabiridge.Millis) {
+	elapsed := now - t.last
+	if elapsed <= 0 {
+		return
+	}
+	if elapsed > stallMost {
+		t.stalled(now)
+		t.last = now
+		return
+	}
+	t.heard += float64(elapsed) * t.part(now)
+	for _, p := range t.peers {
+		if p.isSilent(now) {
+			p.missed += float64(elapsed) / t.owners(now)
+		}
+	}
+	t.last = now
+	t.lapse(now)
+}
+
+// stalled forgets what was known before the process stood still.
+//
+// The failure it guards against: an instance is frozen, goes on with what was left when
+// it was, and lets it run once more beside what the others have let run meanwhile.
+func (t *Table) stalled(now wasabiridge.Millis) {
+	for _, p := range t.peers {
+		p.asked = max(1, now-silentAfter)
+	}
+	for _, a := range t.accounts {
+		a.forget(now, t.own(now))
+	}
+	t.forgot = max(1, now)
+}
+
+// settle lets all accounts go by the whole limit that nobody has told more about in time.
+func (t *Table) settle(now wasabiridge.Millis) {
+	if t.forgot == 0 || now-t.forgot < settleAfter || !t.isSettled(now) {
+		return
+	}
+	t.forgot = 0
+	for _, a := range t.accounts {
+		a.refill(t, now)
+		if !a.known {
+			a.know(t, now, a.level)
+		}
+	}
+}
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -239,6 +239,8 @@
 	case x.disposition == wasabiridge.NotRun && e.Reason == wasabiridge.RefusedQuarantined:
 		// It would be refused again, so nothing invites it back.
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: string(e.Reason)})
+	case x.disposition == wasabiridge.NotRun && e.Reason == wasabiridge.RefusedQuota:
+		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalLimited, Cause: string(e.Reason), RetryAfter: x.comeBackApart(e.RetryAfter)})
 	case x.disposition == wasabiridge.NotRun:
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Cause: string(e.Reason), RetryAfter: x.comeBack(e.RetryAfter)})
 	default:
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -48,6 +48,9 @@
 	// asked to come back at the latest. Callers do not wait longer than a
 	// third.
 	returnShare = 0.3
+	// apartShare is the part of that time by which those come back at the earliest who
+	// would have to wait longer.
+	apartShare = 0.6
 	// returnLeast is the shortest advice: what is refused now is refused again
 	// at once.
 	returnLeast = 40 * wasabiridge.Millis(1)
@@ -313,6 +316,14 @@
 	return least + wasabiridge.Millis(rand.Int64N(int64(spread)+1))
 }
 
+// comeBackApart is comeBack for an advice that may be longer than the caller waits. Those
+// for whom it is come back apart from each other too.
+func (c *call) comeBackApart(advice wasabiridge.Millis) wasabiridge.Millis {
+	left := c.until - c.relay.options.Clock.Now()
+	most := wasabiridge.Millis(apartShare * returnShare * float64(left))
+	return c.comeBack(min(advice, most))
+}
+
 func (c *call) refuse(f wasabiridge.Refusal) {
 	outcome := OutcomeBroken
 	if f.Kind != wasabiridge.RefusalBroken && f.Kind != wasabiridge.RefusalTimeout {
--- a/internal/wasabirule/check.go
+++ b/internal/wasabirule/check.go
@@ -142,6 +142,24 @@
 	}
 }
 
+func (c *checker) limit(place string, l *wasabiridge.AccountLimit) {
+	if l == nil {
+		return
+	}
+	if l.Rate < 0 {
+		c.say(place+"/rate", "must not be negative")
+	}
+	if l.Burst < 0 {
+		c.say(place+"/burst", "must not be negative")
+	}
+	if l.PlainTokens < 0 {
+		c.say(place+"/plain_tokens", "must not be negative")
+	}
+	if l.Unit != "" && l.Unit != wasabiridge.LimitRequests && l.Unit != wasabiridge.LimitTokens {
+		c.say(place+"/unit", "must be %q or %q", wasabiridge.LimitRequests, wasabiridge.LimitTokens)
+	}
+}
+
 func (c *checker) account(place string, a wasabiridge.ClientAccount) {
 	if a.ID == "" {
 		c.say(place+"/id", "a client account needs a name")
@@ -153,6 +171,7 @@
 	if a.Share < 0 {
 		c.say(place+"/share", "must not be negative")
 	}
+	c.limit(place+"/limit", a.Limit)
 	for i, h := range a.KeyHashes {
 		c.keyHash(fmt.Sprintf("%s/key_hashes/%d", place, i), h)
 	}
--- a/internal/wasabirule/rule_test.go
+++ b/internal/wasabirule/rule_test.go
@@ -72,6 +72,10 @@
 			`{"accounts": [{"id": "a", "key_hashes": ["xyz"], "pools": ["p"]}], "rules": [{"id": "r", "when": {"accounts": ["b"]}, "then": {"pool": "q"}}]}`,
 			[]string{"/accounts/0/key_hashes/0", "/accounts/0/pools/0", "/rules/0/when/accounts/0", "/rules/0/then/pool"},
 		},
+		"limits that mean nothing": {
+			`{"accounts": [{"id": "a", "key_hashes": [], "pools": [], "limit": {"rate": -1, "burst": -2, "unit": "bytes", "plain_tokens": -3}}], "rules": []}`,
+			[]string{"/accounts/0/limit/rate", "/accounts/0/limit/burst", "/accounts/0/limit/plain_tokens", "/accounts/0/limit/unit"},
+		},
 		"non-idempotent work is never repeated": {
 			`{"pools": [{"id": "p", "backends": []}], "rules": [{"id": "r", "when": {}, "then": {"pool": "p", "non_idempotent": true, "retry": true}}]}`,
 			[]string{"/rules/0/then/non_idempotent"},
