Quota: instances that callers come to anew begin with nothing of their own

Change: an instance that owns no part asks the others what is left before it lets more run than a stray share; two owners answer with all that they know. A process that starts counts with 128 instances until their number has been the same for 0.2 s. Ruled out: more than the rate in contact (logs: 0.64 to 0.79 M prompt tokens a second before).

--- a/catalog.go
+++ b/catalog.go
@@ -158,6 +158,8 @@
 	// Part is the part of every limit that the sender and those that it hears own. Zero
 	// means that it does not know.
 	Part float64
+	// Whole says that nothing of late is known of accounts that are not named in Uses.
+	Whole bool
 }
 
 // CatalogPeers calls other instances about the catalog. Implementations are
--- a/internal/wasabigateway/suite_test.go
+++ b/internal/wasabigateway/suite_test.go
@@ -25,13 +25,14 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabilimit"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiplace"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquota"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 )
 
 func TestGateway(t *testing.T) { wasabitest.Run(t, "gateway") }
 
-const callerKey = "caller-key"
+const callerKey, limitedKey = "caller-key", "limited-key"
 
 func hashOf(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -47,8 +48,14 @@
 	service := wasabiridge.BackendServer{ID: "s1", Kind: wasabiridge.BackendService, URL: "http://127.0.0.1:1"}
 	spare := wasabiridge.BackendServer{ID: "s2", Kind: wasabiridge.BackendService, URL: "http://127.0.0.1:1"}
 	return wasabiridge.Config{
-		Version:  1,
-		Accounts: []wasabiridge.ClientAccount{{ID: "liftwell", KeyHashes: []string{hashOf(callerKey)}, Pools: []wasabiridge.PoolID{"answer", "bookings"}}},
+		Version: 1,
+		Accounts: []wasabiridge.ClientAccount{
+			{ID: "liftwell", KeyHashes: []string{hashOf(callerKey)}, Pools: []wasabiridge.PoolID{"answer", "bookings"}},
+			{
+				ID: "limited", KeyHashes: []string{hashOf(limitedKey)}, Pools: []wasabiridge.PoolID{"answer", "bookings"},
+				Limit: &wasabiridge.AccountLimit{Rate: 0.01, Burst: 4},
+			},
+		},
 		Pools: []wasabiridge.Pool{
 			{ID: "answer", Backends: []wasabiridge.BackendServer{engine("e1"), engine("e2")}},
 			{ID: "bookings", Backends: []wasabiridge.BackendServer{service, spare}},
@@ -164,6 +171,7 @@
 		Placer:      wasabiplace.New(wasabiplace.Options{Seed: wasabitest.Seed}),
 		Limiter:     wasabilimit.New(wasabilimit.Options{Instances: 1}),
 		MaxAttempts: 8,
+		Quota:       wasabiquota.New(wasabiquota.Options{Started: clock.Now(), Alone: true}),
 	})
 	loop := wasabiloop.New(wasabiloop.Options{Decider: core, Clock: clock})
 	loop.Post(wasabiridge.ConfigAdopted{Config: cfg})
--- a/internal/wasabiquota/account.go
+++ b/internal/wasabiquota/account.go
@@ -50,6 +50,8 @@
 	// limit is used.
 	known bool
 	share float64
+	// usedAt is when something last ran here.
+	usedAt wasabiridge.Millis
 	// own is what ran here since the start, told what of it the others know.
 	own, told float64
 	// toldAt is when that was told, repeated whether it was told once more.
@@ -77,9 +79,10 @@
 func (a *account) forget(now wasabiridge.Millis, share float64) {
 	a.known, a.share = false, share
 	a.at = now
-	a.level = min(max(a.level, 0), a.burst()*startShare*share)
+	start := max(a.burst()*startShare, 1) * share
+	a.level = min(max(a.level, 0), start)
 	if a.own == 0 {
-		a.level = a.burst() * startShare * share
+		a.level = start
 	}
 }
 
@@ -87,7 +90,8 @@
 func (a *account) refill(t *Table, now wasabiridge.Millis) {
 	part, earned := t.part(now), t.heard-a.heard
 	if !a.known {
-		part, earned = a.share, float64(now-a.at)*a.share
+		part = t.shareOf(now, a)
+		earned = float64(now-a.at) * part
 	}
 	a.at, a.heard = now, t.heard
 	a.level = min(a.level+earned*a.perMilli(), a.burst()*part)
@@ -179,7 +183,7 @@
 	missing := max(0, a.need(now, cost, p, part)-a.level)
 	after := (missing + a.promised) / perMilli
 	a.promised = min(a.promised+cost, float64(waitSpan)*perMilli)
-	return wasabiridge.Millis(math.Ceil(min(after, float64(wasabiridge.Minute))))
+	return wasabiridge.Millis(math.Ceil(min(after, float64(wasabiridge.Hour))))
 }
 
 // state tells how the account stands with a level, of a part of the limit.
--- a/internal/wasabiquota/fleet_test.go
+++ b/internal/wasabiquota/fleet_test.go
@@ -43,10 +43,13 @@
 	make func(f *fleet, i int) way
 	// cut reports whether two instances are apart, loss how many messages are lost.
 	cut func(a, b int) bool
-	// active is to how many of the instances callers are sent, the first ones.
-	active int
-	loss   float64
-	late   wasabiridge.Millis
+	// active is to how many of the instances callers are sent, callers to how many they
+	// come, the first ones.
+	active, callers int
+	// lists is how long after its start an instance knows the others.
+	lists wasabiridge.Millis
+	loss  float64
+	late  wasabiridge.Millis
 	// accounts are the limits in force.
 	accounts []wasabiridge.ClientAccount
 	// ran are the requests that ran, by account.
@@ -67,6 +70,7 @@
 	way    way
 	life   int
 	up     bool
+	began  wasabiridge.Millis
 	frozen wasabiridge.Millis
 	// skew is how far the clock of the instance is ahead.
 	skew wasabiridge.Millis
@@ -95,7 +99,7 @@
 
 func newFleet(seed uint64, n int, accounts []wasabiridge.ClientAccount, build func(f *fleet, i int) way) *fleet {
 	f := &fleet{
-		now: 1_000_000, active: math.MaxInt, random: rand.New(rand.NewPCG(seed, 1)), make: build, accounts: accounts,
+		now: 1_000_000, active: math.MaxInt, callers: math.MaxInt, random: rand.New(rand.NewPCG(seed, 1)), make: build, accounts: accounts,
 		cut:     func(int, int) bool { return false },
 		ran:     map[wasabiridge.ClientAccountID][]run{},
 		refused: map[wasabiridge.ClientAccountID]int{}, asked: map[wasabiridge.ClientAccountID]int{},
@@ -120,7 +124,7 @@
 // start lets an instance begin a life.
 func (f *fleet) start(i int) {
 	n := f.nodes[i]
-	n.life, n.up = n.life+1, true
+	n.life, n.up, n.began = n.life+1, true, f.now
 	n.way = f.make(f, i)
 	n.way.limits(f.now+n.skew, f.accounts)
 	life := n.life
--- a/internal/wasabiquota/keeper.go
+++ b/internal/wasabiquota/keeper.go
@@ -87,20 +87,20 @@
 	k.followActive()
 	var news wasabiridge.News
 	var notes []Note
-	var silent, strangers []wasabiridge.InstanceID
-	var hello wasabiridge.News
+	var silent, strangers, newcomers []wasabiridge.InstanceID
+	var hello, all wasabiridge.News
 	k.loop.Inspect(func() {
 		now := k.options.Clock.Now()
 		k.Add(now, &news)
 		notes, silent = k.table.TakeNotes(), k.table.Silent(now)
 		strangers, hello = k.table.Strangers(now), k.table.Hello(now)
+		if newcomers = k.table.Newcomers(); len(newcomers) > 0 {
+			all = k.table.All(now)
+		}
 	})
 	k.Tell(ctx, news, nil)
-	for _, id := range strangers {
-		if address := k.addressOf(id); address != "" && k.options.Tell != nil {
-			go k.tellOne(ctx, id, address, hello)
-		}
-	}
+	k.tellEach(ctx, strangers, hello)
+	k.tellEach(ctx, newcomers, all)
 	for _, n := range notes {
 		k.log(n)
 	}
@@ -183,8 +183,13 @@
 	news.Loads, news.Parts = nil, nil
 	var others []wasabiridge.InstanceID
 	k.loop.Inspect(func() { others = k.table.Others() })
-	for _, id := range others {
-		if address := k.addressOf(id); address != "" && !told[id] {
+	others = slices.DeleteFunc(others, func(id wasabiridge.InstanceID) bool { return told[id] })
+	k.tellEach(ctx, others, news)
+}
+
+func (k *Keeper) tellEach(ctx context.Context, to []wasabiridge.InstanceID, news wasabiridge.News) {
+	for _, id := range to {
+		if address := k.addressOf(id); address != "" && k.options.Tell != nil {
 			go k.tellOne(ctx, id, address, news)
 		}
 	}
@@ -218,7 +223,7 @@
 func (k *Keeper) Hear(n wasabiridge.News) {
 	k.answer(n.From)
 	if n.Life > 0 {
-		k.loop.Observe(wasabiridge.UsesHeard{From: n.From, Life: n.Life, Sequence: n.Sequence, Part: n.Part, Uses: n.Uses})
+		k.loop.Observe(wasabiridge.UsesHeard{From: n.From, Life: n.Life, Sequence: n.Sequence, Part: n.Part, Whole: n.Whole, Uses: n.Uses})
 	}
 }
 
@@ -239,7 +244,7 @@
 	}
 	k.options.Log.Info().Str(wasabilog.RequestField, string(n.Request)).Str("account", string(n.Account)).
 		Float64("rate", n.Limit.Rate).Float64("burst", n.Limit.Burst).Str("unit", string(n.Limit.Unit)).
-		Float64("cost", n.Cost).Float64("level", n.Level).Float64("part", n.Part).Bool("known", n.Known).
+		Float64("cost", n.Cost).Float64("level", n.Level).Float64("limit_part", n.Part).Bool("known", n.Known).
 		Int64("news_age_ms", int64(n.Oldest)).Strs("silent", silent).Int64("retry_after_ms", int64(n.RetryAfter)).
 		Msg("Request is beyond the limit of its account.")
 }
--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -19,6 +21,8 @@
 	untoldShare = 0.25
 	// repeatAfter is when what has changed is told once more, in case it was lost.
 	repeatAfter = 300 * wasabiridge.Millis(1)
+	// tellers is how many instances tell a newcomer all that is known.
+	tellers = 2
 	// helloAfter is the time between two messages to an instance that was never heard.
 	helloAfter = 500 * wasabiridge.Millis(1)
 )
@@ -66,7 +70,7 @@
 func (t *Table) Strangers(now wasabiridge.Millis) []wasabiridge.InstanceID {
 	var out []wasabiridge.InstanceID
 	for id, p := range t.peers {
-		unheard := !p.met && !p.ended || p.isIdle(now) || t.active && !t.owner
+		unheard := !p.met && !p.ended || p.isIdle(now) || t.wantsAll(now)
 		if unheard && (p.greeted == 0 || now-p.greeted >= helloAfter) {
 			p.greeted = now
 			out = append(out, id)
@@ -76,6 +80,57 @@
 	return out
 }
 
+// wantsAll reports whether this instance should be told all that is known.
+func (t *Table) wantsAll(now wasabiridge.Millis) bool {
+	return !t.owner && (t.active || t.asking > 0 && now-t.asking < settleAfter)
+}
+
+// Newcomers returns the instances that want to be told all that is known, as far as this
+// one is among those that tell them, ordered by name.
+func (t *Table) Newcomers() []wasabiridge.InstanceID {
+	var out []wasabiridge.InstanceID
+	for id := range t.newcomers {
+		if t.owner && t.isTeller(id) {
+			out = append(out, id)
+		}
+	}
+	clear(t.newcomers)
+	slices.Sort(out)
+	return out
+}
+
+// isTeller reports whether this is one of the instances that tell another one all that is
+// known. All instances that know the same others agree on them.
+func (t *Table) isTeller(id wasabiridge.InstanceID) bool {
+	own, ahead := rank(id, t.options.Self), 0
+	for other, p := range t.peers {
+		if other != id && p.part > 0 && rank(id, other) > own {
+			ahead++
+		}
+	}
+	return ahead < tellers
+}
+
+// rank orders the instances that may tell another one.
+func rank(id, teller wasabiridge.InstanceID) uint64 {
+	return xxhash.Sum64String(string(id) + "\x00" + string(teller))
+}
+
+// All returns what a newcomer should be told: all accounts of which anything is known.
+func (t *Table) All(now wasabiridge.Millis) wasabiridge.News {
+	t.advance(now)
+	t.sequence++
+	news := wasabiridge.News{From: t.options.Self, Life: t.options.Life, Sequence: t.sequence, Part: t.knownPart(now), Whole: true}
+	for _, id := range slices.Sorted(maps.Keys(t.accounts)) {
+		a := t.accounts[id]
+		a.refill(t, now)
+		if a.known && (a.own != 0 || len(a.peers) > 0) {
+			news.Uses = append(news.Uses, wasabiridge.UseNews{Account: id, Spent: int64(math.Ceil(a.own)), Level: int64(a.level), LevelKnown: true})
+		}
+	}
+	return news
+}
+
 // Hello returns the message to strangers.
 func (t *Table) Hello(now wasabiridge.Millis) wasabiridge.News {
 	return wasabiridge.News{From: t.options.Self, Life: t.options.Life, Sequence: t.sequence, Part: t.knownPart(now)}
@@ -114,6 +169,9 @@
 // hear takes what another instance has let run.
 func (t *Table) hear(now wasabiridge.Millis, e wasabiridge.UsesHeard) {
 	t.advance(now)
+	if len(e.Uses) == 0 && !e.Whole && e.Part == 0 {
+		t.newcomers[e.From] = true
+	}
 	if len(e.Uses) == 0 && t.peers[e.From] == nil {
 		// One that lets nothing run owns no part.
 		return
@@ -139,4 +197,20 @@
 		}
 	}
 	t.hearPeer(now, e.From)
+	if e.Whole {
+		t.learn(now, e.Uses)
+	}
+}
+
+// learn takes accounts that are not named for untouched.
+func (t *Table) learn(now wasabiridge.Millis, named []wasabiridge.UseNews) {
+	touched := map[wasabiridge.ClientAccountID]bool{}
+	for _, use := range named {
+		touched[use.Account] = true
+	}
+	for id, a := range t.accounts {
+		if !a.known && !touched[id] {
+			a.know(t, now, a.burst()*t.part(now))
+		}
+	}
 }
--- a/internal/wasabiquota/note.go
+++ b/internal/wasabiquota/note.go
@@ -43,7 +43,7 @@
 		return
 	}
 	n := Note{
-		Request: r.ID, Account: r.Account, Limit: a.limit, Cost: cost, Level: a.level, Part: t.partOf(a, t.part(now)), Known: a.known,
+		Request: r.ID, Account: r.Account, Limit: a.limit, Cost: cost, Level: a.level, Part: t.partOf(now, a, t.part(now)), Known: a.known,
 		RetryAfter: after, Silent: t.Silent(now),
 	}
 	for _, p := range t.peers {
--- a/internal/wasabiquota/peer.go
+++ b/internal/wasabiquota/peer.go
@@ -59,14 +59,27 @@
 			n++
 		}
 	}
-	if !t.isSettled(now) {
+	if !t.isSettled(now) && !t.isCounted(now) {
 		n = max(n, manyInstances)
 	}
 	return float64(n)
 }
 
-// own is the part of every limit that this instance owns.
-func (t *Table) own(now wasabiridge.Millis) float64 { return 1 / t.owners(now) }
+// isCounted reports whether the number of instances has been the same for a while.
+//
+// The failure it guards against: all instances start at once, and each of them has callers
+// before it knows the others. Each would take a part that is right for few.
+func (t *Table) isCounted(now wasabiridge.Millis) bool {
+	return t.counted > 1 && now-t.countedAt >= stableAfter
+}
+
+// own is the part of every limit that this instance may use by itself.
+func (t *Table) own(now wasabiridge.Millis) float64 {
+	if !t.isSettled(now) && t.isCounted(now) && !t.active {
+		return t.stray(now)
+	}
+	return 1 / t.owners(now)
+}
 
 // part is the part of every limit that may be used here: what this instance and those in
 // touch own together. One that owns none goes by what others tell.
@@ -87,11 +100,16 @@
 		}
 	}
 	if !t.owner && inTouch == 1 && t.isSettled(now) {
-		return strayShare / max(t.owners(now), float64(t.known))
+		return t.stray(now)
 	}
 	return inTouch / t.owners(now)
 }
 
+// stray is the part of every limit of an instance that owns none and hears nobody.
+func (t *Table) stray(now wasabiridge.Millis) float64 {
+	return strayShare / max(t.owners(now), float64(t.known))
+}
+
 // toldPart is the least part that any instance in touch tells. Zero means that none
 // tells.
 func (t *Table) toldPart(now wasabiridge.Millis) float64 {
@@ -113,16 +131,28 @@
 }
 
 // partOf is the part of an account's limit that may be used here.
-func (t *Table) partOf(a *account, part float64) float64 {
+func (t *Table) partOf(now wasabiridge.Millis, a *account, part float64) float64 {
 	if a.known {
 		return part
 	}
-	return a.share
+	return t.shareOf(now, a)
+}
+
+// shareOf is the part of the limit of an account that may be used here while it is not
+// known what was spent.
+func (t *Table) shareOf(now wasabiridge.Millis, a *account) float64 {
+	if t.isSettled(now) {
+		return a.share
+	}
+	return t.own(now)
 }
 
 // know takes which instances callers are sent to.
 func (t *Table) know(now wasabiridge.Millis, e wasabiridge.ActiveKnown) {
 	t.known = max(t.known, e.Known)
+	if e.Known != t.counted {
+		t.counted, t.countedAt = e.Known, now
+	}
 	t.active = false
 	for _, p := range t.peers {
 		p.active = false
--- a/internal/wasabiquota/quota_test.go
+++ b/internal/wasabiquota/quota_test.go
@@ -59,9 +59,25 @@
 	}},
 	"half isolated for 9 s, with callers": {instances: 40, active: 12, load: 4.2, do: func(f *fleet, begun wasabiridge.Millis) {
 		apart := func(a, b int) bool { return a%2 == 0 || b%2 == 0 }
-		f.at(begun+3000, func() { f.cut = apart })
+		f.at(begun+3000, func() { f.cut, f.callers = apart, 40 })
 		f.at(begun+12_000, func() { f.cut = func(int, int) bool { return false } })
 	}},
+	"callers are sent to others": {instances: 40, active: 8, load: 4.2, do: func(f *fleet, begun wasabiridge.Millis) {
+		f.at(begun+4000, func() {
+			f.active = 30
+			f.callers = 30
+		})
+	}},
+	"all killed, and callers come to many that know nobody": {instances: 88, active: 8, load: 4.2, do: func(f *fleet, begun wasabiridge.Millis) {
+		f.at(begun+4000, func() {
+			f.lists, f.callers = 300, 88
+			for i := range f.nodes {
+				f.kill(i)
+				f.at(f.now+500+wasabiridge.Millis(f.random.IntN(300)), func() { f.start(i) })
+			}
+		})
+		f.at(begun+7000, func() { f.callers = 8 })
+	}},
 	"one frozen for 5 s": {instances: 15, load: 4.2, do: func(f *fleet, begun wasabiridge.Millis) {
 		f.at(begun+4000, func() { f.nodes[0].frozen = f.now + 5000 })
 	}},
@@ -97,14 +113,14 @@
 func playFault(seed uint64, tc fault, rate float64, build func(f *fleet, i int) way) *fleet {
 	f := newFleet(seed, tc.instances, []wasabiridge.ClientAccount{limited("a", rate)}, build)
 	if tc.active > 0 {
-		f.active = tc.active
+		f.active, f.callers = tc.active, tc.active
 	}
 	f.play(f.now + 3000)
 	begun := f.now
 	if tc.do != nil {
 		tc.do(f, begun)
 	}
-	f.load("a", tc.load*rate, begun+20_000, func() int { return f.random.IntN(len(f.nodes)) })
+	f.load("a", tc.load*rate, begun+20_000, func() int { return f.random.IntN(min(len(f.nodes), f.callers)) })
 	f.play(begun + 20_000)
 	return f
 }
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -44,7 +44,10 @@
 
 const (
 	// manyInstances is how many instances one that has just started counts with at least.
-	manyInstances = 32
+	manyInstances = 128
+	// stableAfter is how long the number of instances must have been the same for it to be
+	// believed after a start.
+	stableAfter = 200 * wasabiridge.Millis(1)
 	// settleAfter is how long an instance that starts or stood still goes by its own part
 	// of a limit if nobody tells it more.
 	settleAfter = wasabiridge.Second
@@ -97,9 +100,16 @@
 	used          wasabiridge.Millis
 	// met says that another instance was heard.
 	met bool
+	// asking is when this instance last wanted to be told all that is known.
+	asking wasabiridge.Millis
+	// newcomers are instances that want to be told all that is known.
+	newcomers map[wasabiridge.InstanceID]bool
 	// forgot is when it was last not known what was spent. Zero means that it is known.
 	forgot wasabiridge.Millis
-	// known is how many instances there are at most.
+	// known is how many instances there are at most, counted how many there were last, and
+	// countedAt since when.
+	counted   int
+	countedAt wasabiridge.Millis
 	known     int
 	sequence  uint64
 	taken     wasabiridge.Millis
@@ -124,6 +134,8 @@
 		peers:    map[wasabiridge.InstanceID]*peer{},
 		accounts: map[wasabiridge.ClientAccountID]*account{},
 		charges:  map[wasabiridge.AttemptID]charge{},
+
+		newcomers: map[wasabiridge.InstanceID]bool{},
 	}
 }
 
@@ -134,9 +146,12 @@
 		return wasabiridge.QuotaVerdict{Allowed: true}
 	}
 	t.advance(now)
+	if !t.owner && !t.options.Alone && a.known && now-a.usedAt >= idleAfter && t.isSettled(now) {
+		t.ask(now, a)
+	}
 	a.refill(t, now)
 	a.meet(now, r.Action.Priority)
-	cost, part := a.limit.Cost(r), t.partOf(a, t.part(now))
+	cost, part := a.limit.Cost(r), t.partOf(now, a, t.part(now))
 	if a.admits(now, cost, r.Action.Priority, part) {
 		t.observeUse(a, part)
 		return wasabiridge.QuotaVerdict{Allowed: true, State: a.state(a.level-cost, part)}
@@ -159,6 +174,7 @@
 	t.charges[id] = charge{account: r.Account, cost: cost}
 	t.used = now
 	a.spend(cost)
+	a.usedAt = now
 }
 
 // Observe implements wasabiridge.Quota.
@@ -285,6 +301,22 @@
 	t.forgot = max(1, now)
 }
 
+// ask lets the others tell what is left of an account at which nothing ran here lately.
+//
+// The failure it guards against: callers are sent to instances that were not among those
+// that tell each other what runs. Each would begin with a full bucket of its own.
+func (t *Table) ask(now wasabiridge.Millis, a *account) {
+	if len(t.peers) == 0 {
+		return
+	}
+	a.forget(now, t.stray(now))
+	t.forgot = max(1, now)
+	for _, p := range t.peers {
+		p.greeted = 0
+	}
+	t.asking = now
+}
+
 // settle lets all accounts go by the whole limit that nobody has told more about in time.
 func (t *Table) settle(now wasabiridge.Millis) {
 	if t.forgot == 0 || now-t.forgot < settleAfter || !t.isSettled(now) {
--- a/internal/wasabiquota/told_test.go
+++ b/internal/wasabiquota/told_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiquota"
@@ -69,20 +70,26 @@
 	if w.looks++; w.looks%looksEvery != 1 {
 		return
 	}
-	var up []wasabiridge.InstanceID
-	for i, n := range w.fleet.nodes {
-		if n.up && i < w.fleet.active {
-			up = append(up, instance(i))
+	// One that knows nobody takes it that callers are sent here.
+	known := wasabiridge.ActiveKnown{Instances: []wasabiridge.InstanceID{instance(w.self)}, Known: 1}
+	if w.fleet.now-w.fleet.nodes[w.self].began >= w.fleet.lists {
+		known = wasabiridge.ActiveKnown{Known: len(w.fleet.nodes)}
+		for i, n := range w.fleet.nodes {
+			if n.up && i < w.fleet.active {
+				known.Instances = append(known.Instances, instance(i))
+			}
 		}
 	}
-	w.table.Observe(now, wasabiridge.ActiveKnown{Instances: up, Known: len(w.fleet.nodes)})
+	w.table.Observe(now, known)
 	if w.table.IsDue(now) {
 		w.tell(now)
 	}
 	for _, id := range w.table.Strangers(now) {
-		var i int
-		_, _ = fmt.Sscanf(string(id), "i%d", &i)
-		w.fleet.send(w.self, i, 0, w.table.Hello(now))
+		w.fleet.send(w.self, slices.Index(names[:], id), 0, w.table.Hello(now))
+	}
+	for _, id := range w.table.Newcomers() {
+		all := w.table.All(now)
+		w.fleet.send(w.self, slices.Index(names[:], id), entryBytes*len(all.Uses), all)
 	}
 }
 
@@ -102,7 +109,7 @@
 
 func (w *told) take(now wasabiridge.Millis, from int, message any) any {
 	news := message.(wasabiridge.News)
-	w.table.Observe(now, wasabiridge.UsesHeard{From: news.From, Life: news.Life, Sequence: news.Sequence, Part: news.Part, Uses: news.Uses})
+	w.table.Observe(now, wasabiridge.UsesHeard{From: news.From, Life: news.Life, Sequence: news.Sequence, Part: news.Part, Whole: news.Whole, Uses: news.Uses})
 	return nil
 }
 
--- a/quota.go
+++ b/quota.go
@@ -84,7 +84,9 @@
 	// Part is the part of every limit that the sender and those that it hears own. Zero
 	// means that it does not know.
 	Part float64
-	Uses []UseNews
+	// Whole says that nothing of late is known of accounts that are not named.
+	Whole bool
+	Uses  []UseNews
 }
 
 // PeerHeard says that another instance has taken a message, or sent one.
