--- a/internal/wasabiquota/keeper.go
+++ b/internal/wasabiquota/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 const (
 	// lookEvery is how often it is looked whether the others should be told.
 	lookEvery = 100 * time.Millisecond
+	// probeEvery is how often it is looked whether a silent instance has ended.
+	probeEvery = wasabiridge.Second
 	// tellTimeout bounds handing news to one instance.
 	tellTimeout = 500 * time.Millisecond
 )
@@ -52,12 +55,15 @@
 	// active and known are what the table was last told.
 	active []wasabiridge.InstanceID
 	known  int
+	// probed is when silent instances were last looked at. It belongs to Run.
+	probed map[wasabiridge.InstanceID]wasabiridge.Millis
 }
 
 // NewKeeper returns a keeper with a table that knows no limits.
 func NewKeeper(o KeeperOptions) *Keeper {
 	return &Keeper{
 		options: o, answered: map[wasabiridge.InstanceID]bool{}, addresses: map[wasabiridge.InstanceID]string{},
+		probed: map[wasabiridge.InstanceID]wasabiridge.Millis{},
 		table: New(Options{Self: o.Self, Life: o.Incarnation, Started: o.Clock.Now(), Alone: o.Tell == nil}),
 	}
 }
@@ -104,8 +110,18 @@
 	for _, n := range notes {
 		k.log(n)
 	}
+	k.probeAll(ctx, silent)
+}
+
+// probeAll looks whether silent instances have ended, each once in a while.
+func (k *Keeper) probeAll(ctx context.Context, silent []wasabiridge.InstanceID) {
+	now := k.options.Clock.Now()
+	maps.DeleteFunc(k.probed, func(_ wasabiridge.InstanceID, at wasabiridge.Millis) bool { return now-at >= probeEvery })
 	for _, id := range silent {
-		go k.probe(ctx, id)
+		if _, lately := k.probed[id]; !lately {
+			k.probed[id] = now
+			go k.probe(ctx, id)
+		}
 	}
 }
 
