--- a/internal/wasabiquota/keeper.go
+++ b/internal/wasabiquota/keeper.go
@@ -64,7 +64,7 @@
 	return &Keeper{
 		options: o, answered: map[wasabiridge.InstanceID]bool{}, addresses: map[wasabiridge.InstanceID]string{},
 		probed: map[wasabiridge.InstanceID]wasabiridge.Millis{},
-		table: New(Options{Self: o.Self, Life: o.Incarnation, Started: o.Clock.Now(), Alone: o.Tell == nil}),
+		table:  New(Options{Self: o.Self, Life: o.Incarnation, Started: o.Clock.Now(), Alone: o.Tell == nil}),
 	}
 }
 
