Quota: it is kept in the platform's table who owns a part of the limits

Cause: after a start of all instances each knows neither the others nor how many shared a limit, and counts with 128 (spec restart_test.go, failing before). Change: the first owner writes the names into one row when they change, every 5 s at most; an instance that starts reads it once limits are known. Owners use their n-th at once, others a stray share. Not on the path of a request; without the table as before.

--- a/internal/wasabidaemon/parts.go
+++ b/internal/wasabidaemon/parts.go
@@ -121,7 +121,7 @@
 func (d *Daemon) newQuota() *wasabiquota.Keeper {
 	o := wasabiquota.KeeperOptions{
 		Self: d.options.Settings.Instance, Incarnation: d.incarnation, Clock: d.options.Clock,
-		Log: wasabilog.Part(d.log, "quota"), Members: d.members,
+		Log: wasabilog.Part(d.log, "quota"), Members: d.members, Rows: d.parts.platform.Table,
 	}
 	if d.options.Settings.Peer.Listen != "" {
 		o.Tell = d.tellNews
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -195,7 +195,7 @@
 		},
 	})
 	n.quota = wasabiquota.NewKeeper(wasabiquota.KeeperOptions{
-		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Log: wasabilog.Part(n.log, "quota"),
+		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Log: wasabilog.Part(n.log, "quota"), Rows: o.Platform.Table,
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries,
 		Tell: func(ctx context.Context, address string, news wasabiridge.News) error {
 			return n.client.TellNews(ctx, address, news)
--- a/internal/wasabiquota/fleet_test.go
+++ b/internal/wasabiquota/fleet_test.go
@@ -48,8 +48,10 @@
 	active, callers int
 	// lists is how long after its start an instance knows the others.
 	lists wasabiridge.Millis
-	loss  float64
-	late  wasabiridge.Millis
+	// owners are those that the platform's table names, read soon after a start.
+	owners []wasabiridge.InstanceID
+	loss   float64
+	late   wasabiridge.Millis
 	// accounts are the limits in force.
 	accounts []wasabiridge.ClientAccount
 	// ran are the requests that ran, by account.
@@ -128,6 +130,13 @@
 	n.way = f.make(f, i)
 	n.way.limits(f.now+n.skew, f.accounts)
 	life := n.life
+	if t, ok := n.way.(*told); ok && f.owners != nil {
+		f.at(f.now+10, func() {
+			if n.up && n.life == life {
+				t.table.Observe(f.now+n.skew, wasabiridge.OwnersKnown{Instances: f.owners})
+			}
+		})
+	}
 	var tick func()
 	tick = func() {
 		if n.life != life || !n.up {
--- a/internal/wasabiquota/keeper.go
+++ b/internal/wasabiquota/keeper.go
@@ -37,6 +37,9 @@
 	Active  func() []wasabiridge.InstanceEntry
 	// Tell hands news to the instance at an address. Nil means that there are no others.
 	Tell func(ctx context.Context, address string, n wasabiridge.News) error
+	// Rows is where it is kept which instances own a part of the limits. Nil means that it
+	// is not kept.
+	Rows wasabiridge.Table
 }
 
 // Keeper joins a Table to the other instances and to the log. It is safe for concurrent
@@ -55,6 +58,11 @@
 	// active and known are what the table was last told.
 	active []wasabiridge.InstanceID
 	known  int
+	// read says that the row of the owners was asked for, written what was last written, at
+	// writtenAt. They belong to Run.
+	read      bool
+	written   []wasabiridge.InstanceID
+	writtenAt wasabiridge.Millis
 	// probed is when silent instances were last looked at. It belongs to Run.
 	probed map[wasabiridge.InstanceID]wasabiridge.Millis
 }
@@ -93,12 +101,14 @@
 	k.followActive()
 	var news wasabiridge.News
 	var notes []Note
-	var silent, strangers, newcomers []wasabiridge.InstanceID
+	var silent, strangers, newcomers, owners []wasabiridge.InstanceID
+	limited := false
 	var hello, all wasabiridge.News
 	k.loop.Inspect(func() {
 		now := k.options.Clock.Now()
 		k.Add(now, &news)
 		notes, silent = k.table.TakeNotes(), k.table.Silent(now)
+		owners, limited = k.table.Owners(now), k.table.IsLimiting()
 		strangers, hello = k.table.Strangers(now), k.table.Hello(now)
 		if newcomers = k.table.Newcomers(); len(newcomers) > 0 {
 			all = k.table.All(now)
@@ -111,6 +121,7 @@
 		k.log(n)
 	}
 	k.probeAll(ctx, silent)
+	k.keepOwners(ctx, limited, owners)
 }
 
 // probeAll looks whether silent instances have ended, each once in a while.
--- a/internal/wasabiquota/peer.go
+++ b/internal/wasabiquota/peer.go
@@ -75,12 +75,35 @@
 
 // own is the part of every limit that this instance may use by itself.
 func (t *Table) own(now wasabiridge.Millis) float64 {
-	if !t.isSettled(now) && t.isCounted(now) && !t.active {
+	settled := t.isSettled(now)
+	switch {
+	case !settled && t.former > 0 && t.wasOwner:
+		return 1 / float64(t.former)
+	case !settled && (t.former > 0 || t.isCounted(now) && !t.active):
 		return t.stray(now)
 	}
 	return 1 / t.owners(now)
 }
 
+// Owners returns the instances that own a part of every limit, ordered by name. It is
+// empty while that is not known for certain.
+func (t *Table) Owners(now wasabiridge.Millis) []wasabiridge.InstanceID {
+	if !t.owner || !t.isSettled(now) || t.hasSilent(now) {
+		return nil
+	}
+	out := []wasabiridge.InstanceID{t.options.Self}
+	for id, p := range t.peers {
+		if p.active && p.met && !p.late && !p.ended {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// IsLimiting reports whether any account has a limit.
+func (t *Table) IsLimiting() bool { return len(t.accounts) > 0 }
+
 // part is the part of every limit that may be used here: what this instance and those in
 // touch own together. One that owns none goes by what others tell.
 //
--- a/internal/wasabiquota/quota_test.go
+++ b/internal/wasabiquota/quota_test.go
@@ -62,6 +62,16 @@
 		f.at(begun+3000, func() { f.cut, f.callers = apart, 40 })
 		f.at(begun+12_000, func() { f.cut = func(int, int) bool { return false } })
 	}},
+	"all killed, and it is kept who owned a part": {instances: 88, active: 8, load: 4.2, do: func(f *fleet, begun wasabiridge.Millis) {
+		f.at(begun+4000, func() {
+			f.lists, f.callers, f.owners = 300, 88, names[:8]
+			for i := range f.nodes {
+				f.kill(i)
+				f.at(f.now+500+wasabiridge.Millis(f.random.IntN(300)), func() { f.start(i) })
+			}
+		})
+		f.at(begun+7000, func() { f.callers = 8 })
+	}},
 	"callers are sent to others": {instances: 40, active: 8, load: 4.2, do: func(f *fleet, begun wasabiridge.Millis) {
 		f.at(begun+4000, func() {
 			f.active = 30
--- a/internal/wasabiquota/restart_test.go
+++ b/internal/wasabiquota/restart_test.go
@@ -19,7 +19,8 @@
 		f.play(f.now + 3000)
 		f.load("a", 0.55*large/3, f.now+9000, func() int { return f.random.IntN(active) })
 		f.play(f.now + 4000)
-		f.lists = 300
+		f.lists, f.owners = 300, f.nodes[0].way.(*told).table.Owners(f.now)
+		Expect(f.owners).To(HaveLen(active))
 		for i := range f.nodes {
 			f.kill(i)
 			f.at(f.now+300+wasabiridge.Millis(f.random.IntN(300)), func() { f.start(i) })
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -39,6 +39,8 @@
 package wasabiquota
 
 import (
+	"slices"
+
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -107,6 +109,10 @@
 	asking wasabiridge.Millis
 	// newcomers are instances that want to be told all that is known.
 	newcomers map[wasabiridge.InstanceID]bool
+	// former is how many instances owned a part before the start, wasOwner whether this one
+	// did. Zero means that it is not known.
+	former   int
+	wasOwner bool
 	// forgot is when it was last not known what was spent. Zero means that it is known.
 	forgot wasabiridge.Millis
 	// known is how many instances there are at most, counted how many there were last, and
@@ -197,6 +203,8 @@
 		t.observePeer(now, e)
 		// What is known of the others has changed.
 		t.partAt = 0
+	case wasabiridge.OwnersKnown:
+		t.remember(now, e.Instances)
 	case wasabiridge.Ticked:
 		t.advance(now)
 		t.settle(now)
@@ -327,6 +335,21 @@
 	t.asking = now
 }
 
+// remember takes which instances owned a part before the start.
+func (t *Table) remember(now wasabiridge.Millis, owners []wasabiridge.InstanceID) {
+	if t.met || t.isSettled(now) {
+		return
+	}
+	t.advance(now)
+	t.former, t.wasOwner = len(owners), slices.Contains(owners, t.options.Self)
+	for _, a := range t.accounts {
+		a.refill(t, now)
+		if !a.known && a.own == 0 {
+			a.forget(now, t.own(now))
+		}
+	}
+}
+
 // settle lets all accounts go by the whole limit that nobody has told more about in time.
 func (t *Table) settle(now wasabiridge.Millis) {
 	if t.forgot == 0 || now-t.forgot < settleAfter || !t.isSettled(now) {
--- a/quota.go
+++ b/quota.go
@@ -106,7 +106,12 @@
 	Known     int
 }
 
+// OwnersKnown names the instances that owned a part of every limit before all of them
+// started again.
+type OwnersKnown struct{ Instances []InstanceID }
+
 func (UsesHeard) isEvent()   {}
+func (OwnersKnown) isEvent() {}
 func (PeerHeard) isEvent()   {}
 func (PeerTold) isEvent()    {}
 func (PeerEnded) isEvent()   {}
