--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
-	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
 )
@@ -272,77 +270,3 @@
 	x.log("Answer cut.", OutcomeCut, cause)
 	panic(http.ErrAbortHandler)
 }
-
-func (x *exchange) logPlaced(d wasabiridge.Dispatch) {
-	shared, key := 0, uint64(0)
-	root := x.request.Chain.Root
-	root.Weights = d.Weights
-	salt := wasabiprefix.ShortSalt(root)
-	for i := range max(0, len(x.request.Chain.Lengths)-1) {
-		shared += x.request.Chain.Lengths[i]
-		key = wasabiprefix.PartKey(salt, x.request.Chain.Blocks[i])
-	}
-	x.relay.options.Log.Info().
-		Str(wasabilog.RequestField, string(x.request.ID)).
-		Uint64("attempt", uint64(d.Attempt)).
-		Str("account", string(x.request.Account)).
-		Str("rule", string(x.request.Rule)).
-		Stringer("fingerprint", x.request.Fingerprint).
-		Str(wasabilog.BackendField, string(d.Backend.ID)).
-		Str("why", d.Why).
-		Int64("expected_ms", int64(d.ExpectedWait)).
-		Int("prompt_tokens", x.request.Chain.Tokens).
-		Int("shared_tokens", shared).
-		Str("part_key", strconv.FormatUint(key, 16)).
-		Uint64("weights", uint64(d.Weights)).
-		Bool("fetch", d.FetchFrom != "").
-		Bool("save", d.SaveTo != "").
-		Int("priority", int(x.request.Action.Priority)).
-		Int64("left_ms", int64(x.until-x.relay.options.Clock.Now())).
-		Uint64("config_version", uint64(x.view.Config.Version)).
-		Msg("Request placed.")
-}
-
-// logFailed tells how an attempt ended that brought no whole answer.
-func (x *exchange) logFailed(end wasabiridge.AttemptEnded, began wasabiridge.Millis) {
-	if end.Result == wasabiridge.AttemptCompleted {
-		return
-	}
-	x.relay.options.Log.Info().
-		Str(wasabilog.RequestField, string(end.Request)).
-		Uint64("attempt", uint64(end.Attempt)).
-		Stringer("fingerprint", x.request.Fingerprint).
-		Str(wasabilog.BackendField, string(end.Backend)).
-		Stringer("result", end.Result).
-		Bool("unreachable", end.Unreachable).
-		Bool("silent", end.Silent).
-		Bool("overloaded", end.Overloaded).
-		Bool("other_server", end.Misdirected).
-		Bool("other_weights", end.OtherWeights).
-		Bool("server_ended", end.ServerEnded).
-		Int("events", end.Delivered).
-		Int64("took_ms", int64(x.relay.options.Clock.Now()-began)).
-		Msg("Attempt failed.")
-}
-
-func (x *exchange) log(message, outcome, cause string) {
-	now := x.relay.options.Clock.Now()
-	x.relay.counts.add(outcome, cause, now-x.arrived)
-	first := wasabiridge.Millis(-1)
-	if x.firstByte > 0 {
-		first = x.firstByte - x.arrived
-	}
-	x.relay.options.Log.Info().
-		Str(wasabilog.RequestField, string(x.request.ID)).
-		Str("account", string(x.request.Account)).
-		Str("rule", string(x.request.Rule)).
-		Str(wasabilog.BackendField, string(x.backend)).
-		Int("status", x.status).
-		Int("attempts", x.attempts).
-		Int("events", x.events).
-		Int64("first_byte_ms", int64(first)).
-		Int64("took_ms", int64(now-x.arrived)).
-		Str("outcome", outcome).
-		Str("cause", cause).
-		Msg(message)
-}
