Quota: silent instances are greeted, and a single instance does not wait for others

Change: whoever is silent is told twice a second that this instance is there; who callers are sent to is not dropped for silence; an instance that knows of no others and of no earlier owners takes all of a limit after 5 s.

--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -70,7 +70,7 @@
 func (t *Table) Strangers(now wasabiridge.Millis) []wasabiridge.InstanceID {
 	var out []wasabiridge.InstanceID
 	for id, p := range t.peers {
-		unheard := !p.met && !p.ended || p.isIdle(now) || t.wantsAll(now)
+		unheard := !p.met && !p.ended || p.isSilent(now) || p.isIdle(now) || t.wantsAll(now)
 		if unheard && (p.greeted == 0 || now-p.greeted >= helloAfter) {
 			p.greeted = now
 			out = append(out, id)
--- a/internal/wasabiquota/peer.go
+++ b/internal/wasabiquota/peer.go
@@ -44,11 +44,12 @@
 	return p.ended || p.met && !p.isSilent(now)
 }
 
-// isSettled reports whether this instance knows the others. One that hears nobody takes
-// it after a long while that there is nobody.
+// isSettled reports whether this instance knows the others. One that knows of no others
+// takes it after a while that there are none.
 func (t *Table) isSettled(now wasabiridge.Millis) bool {
 	age := now - t.options.Started
-	return t.options.Alone || t.met && age >= settleAfter || age >= lapseAfter
+	lonely := t.former <= 1 && t.counted == 1 && age >= aloneAfter
+	return t.options.Alone || t.met && age >= settleAfter || lonely || age >= lapseAfter
 }
 
 // owners is how many instances own an equal part of every limit.
@@ -256,7 +257,7 @@
 	heardAll, heardLately := true, false
 	for id, p := range t.peers {
 		switch {
-		case p.isSilent(now) && now-p.asked >= lapseAfter, !p.active && (!p.met || p.ended), p.isIdle(now) && p.heard >= p.used+idleAfter:
+		case !p.active && p.isSilent(now) && now-p.asked >= lapseAfter, !p.active && (!p.met || p.ended), p.isIdle(now) && p.heard >= p.used+idleAfter:
 			delete(t.peers, id)
 			continue
 		}
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -51,6 +51,9 @@
 	// settleAfter is how long an instance that starts or stood still goes by its own part
 	// of a limit if nobody tells it more.
 	settleAfter = wasabiridge.Second
+	// aloneAfter is how long after its start an instance that knows of no others takes it
+	// that there are none.
+	aloneAfter = 5 * wasabiridge.Second
 	// silentAfter is how long a message to an instance may be without an answer before
 	// its part is left untouched.
 	silentAfter = 400 * wasabiridge.Millis(1)
