--- /dev/null
+++ b/examples/quota/main.go
@@ -0,0 +1,78 @@
+// Command quota shows how two instances keep a client account to one limit, and what each
+// of them may use while they do not hear each other.
+//
+//	go run ./examples/quota
+package main
+
+import (
+	"fmt"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiquota"
+)
+
+const step = 20 * wasabiridge.Millis(1)
+
+// instance is a table at which time passes.
+type instance struct {
+	id    wasabiridge.InstanceID
+	table *wasabiquota.Table
+	sent  wasabiridge.AttemptID
+}
+
+func newInstance(id, other wasabiridge.InstanceID, config wasabiridge.Config) *instance {
+	i := &instance{id: id, table: wasabiquota.New(wasabiquota.Options{Self: id, Life: 1})}
+	i.table.Observe(0, wasabiridge.ConfigAdopted{Config: config})
+	i.table.Observe(0, wasabiridge.ActiveKnown{Instances: []wasabiridge.InstanceID{id, other}, Known: 2})
+	return i
+}
+
+// fill asks until a request is refused.
+func (i *instance) fill(now wasabiridge.Millis) {
+	r := wasabiridge.Request{Account: "liftwell"}
+	for n := 0; ; n++ {
+		v := i.table.Judge(now, r)
+		if !v.Allowed {
+			fmt.Printf("%5d ms: %s lets %d requests in; the next may come back in %d ms\n", now, i.id, n, v.RetryAfter)
+			return
+		}
+		i.sent++
+		i.table.Sent(now, r, i.sent)
+	}
+}
+
+// tell hands what runs at one instance to another, if a message gets through.
+func tell(now wasabiridge.Millis, from, to *instance, connected bool) {
+	from.table.Observe(now, wasabiridge.Ticked{})
+	for _, id := range from.table.Strangers(now) {
+		if connected {
+			from.table.Observe(now, wasabiridge.PeerHeard{From: id})
+		}
+	}
+	if !from.table.IsDue(now) {
+		return
+	}
+	news := from.table.TakeNews(now)
+	from.table.Observe(now, wasabiridge.PeerTold{To: to.id})
+	if connected {
+		to.table.Observe(now, wasabiridge.UsesHeard{From: from.id, Life: news.Life, Sequence: news.Sequence, Part: news.Part, Uses: news.Uses})
+		from.table.Observe(now, wasabiridge.PeerHeard{From: to.id})
+	}
+}
+
+func main() {
+	config := wasabiridge.Config{Accounts: []wasabiridge.ClientAccount{{ID: "liftwell", Limit: &wasabiridge.AccountLimit{Rate: 10, Burst: 20}}}}
+	a, b := newInstance("pos-1", "ari-1", config), newInstance("ari-1", "pos-1", config)
+	for now := step; now <= 20*wasabiridge.Second; now += step {
+		connected := now < 8*wasabiridge.Second
+		tell(now, a, b, connected)
+		tell(now, b, a, connected)
+		switch now {
+		case 5 * wasabiridge.Second, 8 * wasabiridge.Second, 18 * wasabiridge.Second:
+			fmt.Printf("%5d ms: pos-1 may use %.2f of the limit, ari-1 %.2f\n", now, a.table.Part(now), b.table.Part(now))
+			a.fill(now)
+		case 6 * wasabiridge.Second, 19 * wasabiridge.Second:
+			b.fill(now)
+		}
+	}
+}
--- a/internal/wasabiquota/idle_test.go
+++ b/internal/wasabiquota/idle_test.go
@@ -40,6 +40,25 @@
 		Expect(t.Part(80_100)).To(Equal(1.0))
 	})
 
+	// Guards against instances that are cut off while nothing runs: each would let run a
+	// whole burst before it sees that nobody answers.
+	It("sees that the others do not answer", func() {
+		f := newFleet(1, 8, []wasabiridge.ClientAccount{limited("a", large)}, newTold)
+		f.play(f.now + 5000)
+		f.cut = func(int, int) bool { return true }
+		f.play(f.now + 3000)
+		for i := range f.nodes {
+			Expect(f.nodes[i].way.(*told).table.Part(f.now)).To(Equal(0.125))
+		}
+	})
+
+	// Guards against messages where no account has a limit.
+	It("and without limits greets nobody", func() {
+		f := newFleet(1, 8, nil, newTold)
+		f.play(f.now + 5000)
+		Expect(f.messages).To(BeZero())
+	})
+
 	// Guards against a single instance that waits a minute for others that do not exist.
 	It("and without others has all of a limit soon after its start", func() {
 		t := wasabiquota.New(wasabiquota.Options{Self: instance(0), Life: 1, Started: 1000})
