Quota: owners that are quiet are asked whether they are there; without limits nobody is greeted

Change: an owner that was not heard for a second is told; no greetings where no account has a limit.

--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -25,6 +25,9 @@
 	tellers = 2
 	// helloAfter is the time between two messages to an instance that was never heard.
 	helloAfter = 500 * wasabiridge.Millis(1)
+	// heartbeatAfter is how long an owner may be quiet before it is asked whether it is
+	// still there.
+	heartbeatAfter = wasabiridge.Second
 )
 
 // isTold reports whether the others know what ran here, as far as can be known.
@@ -65,17 +68,27 @@
 // Strangers returns the instances that should be told that this one is there, because it
 // is not known whether they still are, ordered by name.
 //
-// The failure it guards against: instances without requests do not know each other. The
-// first requests of an account would find only one instance's part of its limit.
+// The failures it guards against: instances without requests do not know each other, and
+// the first requests of an account find only one instance's part of its limit; or they are
+// cut off without seeing it, and each lets run a whole burst.
 func (t *Table) Strangers(now wasabiridge.Millis) []wasabiridge.InstanceID {
 	var out []wasabiridge.InstanceID
+	if !t.IsLimiting() {
+		return nil
+	}
 	for id, p := range t.peers {
+		quiet := t.owner && p.active && p.met && now-p.heard >= heartbeatAfter
 		unheard := !p.met && !p.ended || p.isSilent(now) || p.isIdle(now) || t.wantsAll(now)
-		if unheard && (p.greeted == 0 || now-p.greeted >= helloAfter) {
-			p.greeted = now
-			out = append(out, id)
+		if !quiet && !unheard || p.greeted > 0 && now-p.greeted < helloAfter {
+			continue
+		}
+		p.greeted = now
+		if quiet && p.asked == 0 {
+			p.asked = now
 		}
+		out = append(out, id)
 	}
+	t.partAt = 0
 	slices.Sort(out)
 	return out
 }
