--- a/internal/wasabiquota/bench_test.go
+++ b/internal/wasabiquota/bench_test.go
@@ -74,3 +74,17 @@
 		})
 	}
 }
+
+// BenchmarkNews takes the news of one request among 40,000 accounts.
+func BenchmarkNews(b *testing.B) {
+	t, accounts := table(40_000)
+	id := wasabiridge.AttemptID(0)
+	for b.Loop() {
+		id++
+		now := 4000 + wasabiridge.Millis(id)
+		t.Sent(now, wasabiridge.Request{Account: accounts[int(id)%1000].ID, Chain: wasabiridge.Chain{Tokens: 383}}, id)
+		if t.IsDue(now) {
+			t.TakeNews(now)
+		}
+	}
+}
--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -57,8 +57,8 @@
 		return false
 	}
 	own := t.own(now)
-	for _, a := range t.accounts {
-		if !a.isTold() && a.mustTell(now, own) {
+	for _, a := range t.untold {
+		if a.mustTell(now, own) {
 			return true
 		}
 	}
@@ -155,14 +155,17 @@
 	t.advance(now)
 	own := t.own(now)
 	news := wasabiridge.News{From: t.options.Self, Life: t.options.Life, Part: t.knownPart(now)}
-	for _, id := range slices.Sorted(maps.Keys(t.accounts)) {
-		a := t.accounts[id]
-		if a.isTold() || !a.mustTell(now, own) {
+	for _, id := range slices.Sorted(maps.Keys(t.untold)) {
+		a := t.untold[id]
+		if !a.mustTell(now, own) {
 			continue
 		}
 		a.refill(t, now)
 		a.repeated = a.own == a.told
 		a.told, a.toldAt = a.own, now
+		if a.isTold() {
+			delete(t.untold, id)
+		}
 		use := wasabiridge.UseNews{Account: id, Spent: int64(math.Ceil(a.own))}
 		if a.known {
 			use.Level, use.LevelKnown = int64(a.level), true
--- a/internal/wasabiquota/start.go
+++ b/internal/wasabiquota/start.go
@@ -29,6 +29,7 @@
 	for id := range t.accounts {
 		if !kept[id] {
 			delete(t.accounts, id)
+			delete(t.untold, id)
 		}
 	}
 	t.configured = true
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -16,9 +16,15 @@
 // have ended, or have been silent for lapseAfter. Two sides of a partition therefore
 // never let run more than the limit between them.
 //
+// Owners are the instances that callers are sent to. Others ask the owners what is left
+// before they let anything run, and go by the part that these have.
+//
+// # Starts
+//
 // An instance that starts, or that stood still, does not know what was spent. It lets run
 // its own part of the limit until another instance tells it what is left, or until a
-// second has passed. Before it knows the others it counts itself as one of manyInstances.
+// second has passed. Who owned a part before is kept in the platform's table; without that
+// an instance that knows nobody yet counts itself as one of manyInstances.
 //
 // # Who is let in
 //
@@ -29,13 +35,12 @@
 //
 // # Usage
 //
-//	table := wasabiquota.New(wasabiquota.Options{Self: "pos-1", Life: 7, Started: now})
-//	core := wasabicore.New(wasabicore.Options{Quota: table, ...})
-//	if table.IsDue(now) {
-//		tell(table.Others(), table.TakeNews(now))
-//	}
+//	keeper := wasabiquota.NewKeeper(wasabiquota.KeeperOptions{Self: "pos-1", Clock: clock, ...})
+//	core := wasabicore.New(wasabicore.Options{Quota: keeper.Table(), ...})
+//	keeper.Join(wasabiloop.New(wasabiloop.Options{Decider: core, Clock: clock}))
+//	go keeper.Run(ctx)
 //
-// A Table is deterministic and not safe for concurrent use.
+// A Table decides; it is deterministic and not safe for concurrent use. A Keeper drives it.
 package wasabiquota
 
 import (
@@ -90,6 +95,8 @@
 	peers    map[wasabiridge.InstanceID]*peer
 	accounts map[wasabiridge.ClientAccountID]*account
 	charges  map[wasabiridge.AttemptID]charge
+	// untold are the accounts of which the others do not know all that ran here.
+	untold map[wasabiridge.ClientAccountID]*account
 	// last is up to when parts were reckoned.
 	last wasabiridge.Millis
 	// partNow is the part of all limits that may be used here as of partAt.
@@ -144,6 +151,7 @@
 		peers:    map[wasabiridge.InstanceID]*peer{},
 		accounts: map[wasabiridge.ClientAccountID]*account{},
 		charges:  map[wasabiridge.AttemptID]charge{},
+		untold:   map[wasabiridge.ClientAccountID]*account{},
 
 		newcomers: map[wasabiridge.InstanceID]bool{},
 	}
@@ -183,7 +191,7 @@
 	cost := a.limit.Cost(r)
 	t.charges[id] = charge{account: r.Account, cost: cost}
 	t.used = now
-	a.spend(cost)
+	t.spend(r.Account, a, cost)
 	a.usedAt = now
 }
 
@@ -240,10 +248,16 @@
 	if a := t.accounts[c.account]; a != nil && (e.Result == wasabiridge.AttemptNotRun || !c.sent && e.Result != wasabiridge.AttemptCompleted) {
 		t.advance(now)
 		a.refill(t, now)
-		a.spend(-c.cost)
+		t.spend(c.account, a, -c.cost)
 	}
 }
 
+// spend takes units out of a bucket, or gives them back, and lets the others know.
+func (t *Table) spend(id wasabiridge.ClientAccountID, a *account, cost float64) {
+	a.spend(cost)
+	t.untold[id] = a
+}
+
 // advance reckons which part of the limits the instances in touch owned until now.
 func (t *Table) advance(now wasabiridge.Millis) {
 	elapsed := now - t.last
