Test: a burst runs on both sides of a cut (failing)

Two instances are cut from the third 74 ms before an account rushes; until either side sees it, some 0.5 s, each lets run a whole burst.

--- a/internal/wasabiquota/history_test.go
+++ b/internal/wasabiquota/history_test.go
@@ -196,6 +196,12 @@
 		}
 	})
 
+	// Guards against a burst that runs on both sides of a cut, before either sees it.
+	It("do not let a burst run twice when a cut and a rush come together", func() {
+		excess, story := draw(6978, noBug)
+		Expect(excess).To(BeNumerically("<=", 0), story)
+	})
+
 	bugs := map[string]bug{
 		"a part that is spent twice after a freeze":        spentTwice,
 		"a part that is given away while its owner lives":  givenAway,
