Quota: the burst of silent instances is held back when they fall silent

Change: when instances fall silent, their part of the burst is taken out of the bucket, as if they had let it run.

--- a/internal/wasabiquota/account.go
+++ b/internal/wasabiquota/account.go
@@ -50,6 +50,8 @@
 	// limit is used.
 	known bool
 	share float64
+	// reserved is the part of the burst that is held back for silent instances.
+	reserved float64
 	// usedAt is when something last ran here.
 	usedAt wasabiridge.Millis
 	// own is what ran here since the start, told what of it the others know.
@@ -94,12 +96,26 @@
 		earned = float64(now-a.at) * part
 	}
 	a.at, a.heard = now, t.heard
+	if a.known {
+		a.reserve(1 - part)
+	}
 	a.level = min(a.level+earned*a.perMilli(), a.burst()*part)
 }
 
+// reserve holds back a part of the burst. It is not given back when silent instances are
+// heard again: what they let run is heard of some moments later.
+//
+// The failure it guards against: instances are cut off while an account rushes. Until it
+// is seen, each side lets run the whole burst; those that are silent are taken to have had
+// their part of it.
+func (a *account) reserve(part float64) {
+	a.level -= max(0, part-a.reserved) * a.burst()
+	a.reserved = part
+}
+
 // know takes a level for that of all instances.
 func (a *account) know(t *Table, now wasabiridge.Millis, level float64) {
-	a.known, a.level, a.at, a.heard = true, level, now, t.heard
+	a.known, a.level, a.at, a.heard, a.reserved = true, level, now, t.heard, 1-t.part(now)
 }
 
 // change takes another limit.
