--- a/internal/wasabiquota/history_test.go
+++ b/internal/wasabiquota/history_test.go
@@ -202,6 +202,13 @@
 		Expect(excess).To(BeNumerically("<=", 0), story)
 	})
 
+	// Guards against newcomers that are cut off from the owners after they had heard them,
+	// and divide the limit among themselves.
+	It("do not let newcomers take a limit that has owners", func() {
+		excess, story := draw(7724, noBug)
+		Expect(excess).To(BeNumerically("<=", 0), story)
+	})
+
 	bugs := map[string]bug{
 		"a part that is spent twice after a freeze":        spentTwice,
 		"a part that is given away while its owner lives":  givenAway,
