Quota: who has met owners of the limits does not take them for its own

Change: an instance that owns no part, has heard owners and hears none now lets run a stray share only, also beside others of its kind. Where nobody owns a part yet, as after a start of all, nothing changes.

--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -196,6 +196,7 @@
 		return
 	}
 	p.part = e.Part
+	t.ownersMet = t.ownersMet || e.Part > 0
 	if len(e.Uses) > 0 {
 		p.used = now
 	}
--- a/internal/wasabiquota/peer.go
+++ b/internal/wasabiquota/peer.go
@@ -130,7 +130,7 @@
 			inTouch++
 		}
 	}
-	if !t.owner && inTouch == 1 && t.isSettled(now) {
+	if !t.owner && (inTouch == 1 || t.ownersMet) && t.isSettled(now) {
 		return t.stray(now)
 	}
 	return inTouch / t.owners(now)
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -111,8 +111,8 @@
 	// says that callers are sent here, used when something last ran.
 	owner, active bool
 	used          wasabiridge.Millis
-	// met says that another instance was heard.
-	met bool
+	// met says that another instance was heard, ownersMet that one was that owns a part.
+	met, ownersMet bool
 	// asking is when this instance last wanted to be told all that is known.
 	asking wasabiridge.Millis
 	// newcomers are instances that want to be told all that is known.
