--- a/internal/wasabiquota/history_test.go
+++ b/internal/wasabiquota/history_test.go
@@ -209,6 +209,13 @@
 		Expect(excess).To(BeNumerically("<=", 0), story)
 	})
 
+	// Guards against instances that are added during a cut, and use even parts before they
+	// are told what is left.
+	It("do not let newcomers begin with parts of their own", func() {
+		excess, story := draw(8192, noBug)
+		Expect(excess).To(BeNumerically("<=", 0), story)
+	})
+
 	bugs := map[string]bug{
 		"a part that is spent twice after a freeze":        spentTwice,
 		"a part that is given away while its owner lives":  givenAway,
