Retry budget: denied and granted attempts are told, and how many instances are counted

An attempt that was not allowed stood in the log as overload, like a refusal before any attempt; nothing told what an instance had spent, nor by how many it divided the budget. The three hypotheses of the incident could not be told apart.

Refusals have a cause of their own, counters tell what was granted and denied by pool, a line tells how many instances are counted. Callers get what they got.

--- a/effect.go
+++ b/effect.go
@@ -52,6 +52,9 @@
 	RefusedByRule RefuseReason = "rule"
 	// RefusedOverload means that the queue is full or the wait too long.
 	RefusedOverload RefuseReason = "overload"
+	// RefusedRetryBudget means that an attempt failed and that the retry budget of all
+	// instances allows no further one here.
+	RefusedRetryBudget RefuseReason = "retry_budget"
 	// RefusedDeadline means that the deadline passed while waiting.
 	RefusedDeadline RefuseReason = "deadline"
 	// RefusedNoBackend means that no backend server may serve the request.
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -140,7 +140,7 @@
 		return
 	}
 	if !c.options.Limiter.MayRetry(now, en.request) {
-		c.refuse(now, en, wasabiridge.RefusedOverload, max(e.RetryAfter, defaultRetryAfter))
+		c.refuse(now, en, wasabiridge.RefusedRetryBudget, max(e.RetryAfter, defaultRetryAfter))
 		return
 	}
 	en.resumeBy = now + resumeWait
--- a/internal/wasabigateway/failure.go
+++ b/internal/wasabigateway/failure.go
@@ -87,10 +87,11 @@
 
 // refusals tells how each reason of a refusal looks to a caller.
 var refusals = map[wasabiridge.RefuseReason]failure{
-	wasabiridge.RefusedByRule:    {status: http.StatusForbidden, kind: typePermission, code: "refused_by_rule", message: "A rule refuses this request."},
-	wasabiridge.RefusedOverload:  {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "overload", message: "The backend servers are busy."},
-	wasabiridge.RefusedDeadline:  {status: http.StatusGatewayTimeout, kind: typeServer, code: "deadline", message: "The request waited too long."},
-	wasabiridge.RefusedNoBackend: {status: http.StatusServiceUnavailable, kind: typeServer, code: "no_backend", message: "No backend server can serve the request."},
+	wasabiridge.RefusedByRule:      {status: http.StatusForbidden, kind: typePermission, code: "refused_by_rule", message: "A rule refuses this request."},
+	wasabiridge.RefusedOverload:    {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "overload", message: "The backend servers are busy."},
+	wasabiridge.RefusedRetryBudget: {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "overload", message: "The backend servers are busy."},
+	wasabiridge.RefusedDeadline:    {status: http.StatusGatewayTimeout, kind: typeServer, code: "deadline", message: "The request waited too long."},
+	wasabiridge.RefusedNoBackend:   {status: http.StatusServiceUnavailable, kind: typeServer, code: "no_backend", message: "No backend server can serve the request."},
 	// Programs repeat what they get with a status from 500 on; with this one they do not.
 	wasabiridge.RefusedQuarantined: {status: http.StatusUnprocessableEntity, kind: typeInvalid, code: "quarantined", message: "Servers ended while they ran this request. It is not run."},
 	wasabiridge.RefusedSuspect:     {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "suspect", message: "Servers ended while they ran this request. It is being tried elsewhere."},
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -50,6 +50,7 @@
 		if count := len(n.members.Members()) + 1; count != told {
 			told = count
 			n.loop.Post(wasabiridge.InstancesCounted{Count: count})
+			n.log.Info().Int("instances", count).Msg("Instances counted.")
 		}
 		select {
 		case <-ticker.C:
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -49,6 +49,7 @@
 		)
 	}
 	lines = append(lines, n.learnedLines()...)
+	lines = append(lines, n.retryLines()...)
 	lines = append(lines, n.quarantineLines()...)
 	lines = append(lines, n.quotaLines()...)
 	slices.Sort(lines)
@@ -74,6 +75,22 @@
 	return lines
 }
 
+// retryLines tells of further attempts and of the budget that bounds them.
+func (n *Node) retryLines() []string {
+	var retries []wasabireplica.Retries
+	n.loop.Inspect(func() { retries = n.placer.Retries() })
+	var lines []string
+	for _, r := range retries {
+		labels := "{pool=\"" + string(r.Pool) + "\"}"
+		lines = append(lines,
+			line("retries_granted_total"+labels, int64(r.Granted)),
+			line("retries_denied_total"+labels, int64(r.Denied)),
+			line("retry_instances"+labels, int64(r.Instances)),
+		)
+	}
+	return lines
+}
+
 // quarantineLines tells of requests under which servers ended.
 func (n *Node) quarantineLines() []string {
 	entries, counts := n.quarantine.Snapshot()
--- a/internal/wasabireplica/budget.go
+++ b/internal/wasabireplica/budget.go
@@ -47,3 +47,31 @@
 	b.retries[at]++
 	return true
 }
+
+// retryCounts counts what the budget of a pool was asked for.
+type retryCounts struct{ granted, denied int }
+
+func (c *retryCounts) count(granted bool) {
+	if granted {
+		c.granted++
+		return
+	}
+	c.denied++
+}
+
+// Retries is what became of further attempts at a pool since the process began.
+type Retries struct {
+	Pool            wasabiridge.PoolID
+	Granted, Denied int
+	// Instances is how many instances are believed to share the budget.
+	Instances int
+}
+
+// Retries returns the further attempts of all pools.
+func (p *Placer) Retries() []Retries {
+	var out []Retries
+	for id, pl := range p.pools {
+		out = append(out, Retries{Pool: id, Granted: pl.retries.granted, Denied: pl.retries.denied, Instances: p.instances})
+	}
+	return out
+}
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -146,5 +146,7 @@
 	}
 	o := l.placer.options
 	slack := o.RetrySlack / (spareInstances * float64(l.placer.instances))
-	return pl.budget.spend(now, o.RetryWindow, o.RetryRatio, slack)
+	granted := pl.budget.spend(now, o.RetryWindow, o.RetryRatio, slack)
+	pl.retries.count(granted)
+	return granted
 }
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -30,6 +30,7 @@
 	// failures and delay are the medians over the replicas.
 	failures, delay float64
 	budget          budget
+	retries         retryCounts
 	// costs are what was learned of the engines, by model.
 	costs map[wasabiridge.ModelID]*wasabicost.Estimator
 	// meanWork is the learned mean time to compute a whole prompt, in
@@ -141,6 +142,7 @@
 		pl := &pool{config: cp, overrun: overrunFirst, costs: map[wasabiridge.ModelID]*wasabicost.Estimator{}}
 		if before := p.pools[cp.ID]; before != nil {
 			pl.budget, pl.failures, pl.delay = before.budget, before.failures, before.delay
+			pl.retries = before.retries
 			pl.overrun = before.overrun
 			pl.costs, pl.meanWork, pl.meanOut, pl.stay = before.costs, before.meanWork, before.meanOut, before.stay
 		}
