Retry budget: a stream that goes on from moved memory is charged

An answer that moves to another server is one more arrival there. It was charged nothing, so that all moves of a roll came beside the budget.

It is charged and never refused: that would cut an answer.

--- a/internal/wasabireplica/budget_test.go
+++ b/internal/wasabireplica/budget_test.go
@@ -241,6 +241,24 @@
 		})
 	}
 
+	// Guards against arrivals at servers that the budget does not count.
+	It("count streams that go on from moved memory", func() {
+		f := newRetryFleet(1, 1, 0)
+		r := f.instances[0]
+		f.pass(retryWindow)
+		for range 100 {
+			r.limiter.Offer(f.now, wasabiridge.Request{Action: wasabiridge.Action{Pool: "p"}})
+		}
+		moved := wasabiridge.Placement{Backend: f.pool.Backends[0], Why: wasabiridge.WhyMoved, MemoryFrom: "s:1/1"}
+		for id := range wasabiridge.AttemptID(15) {
+			r.placer.Sent(f.now, wasabiridge.Request{Action: wasabiridge.Action{Pool: "p"}}, id+1, moved)
+		}
+		f.failing = true
+		f.request(r)
+		f.request(r)
+		Expect(f.retries).To(HaveLen(5), "a fifth of 100 requests, less the streams")
+	})
+
 	It("stay within the budget of every window in drawn histories", func() {
 		for seed := range uint64(100) {
 			f := newRetryFleet(seed, 3+int(seed%7), 30+float64(seed%5)*30)
--- a/internal/wasabireplica/sending.go
+++ b/internal/wasabireplica/sending.go
@@ -42,6 +42,8 @@
 	a.wait = rep.line.wait(now, a.prompt.priority)
 	a.expected = float64(pl.ExpectedWait)
 	if pl.Why == wasabiridge.WhyMoved {
+		// It is one more arrival. To refuse it would cut an answer.
+		pool.budget.Charge(now)
 		p.attempts[id] = p.sentMoved(rep, a)
 		return
 	}
