Replicas: what answers say of their server's limit is read, logged and counted

Nothing read the limit that a replica in need names, so no log told when an instance heard of one, which one, and when it ended.

Nothing is decided by it yet.

--- a/internal/wasabinode/force.go
+++ b/internal/wasabinode/force.go
@@ -155,4 +155,9 @@
 
 // Observe takes what answers tell of their backend servers. News that finds
 // the loop full is lost; the next answer brings newer.
-func (n *Node) Observe(e wasabiridge.Event) { n.loop.Observe(e) }
+func (n *Node) Observe(e wasabiridge.Event) {
+	if named, ok := e.(wasabiridge.LimitNamed); ok {
+		n.limits.note(named, n.options.Clock.Now())
+	}
+	n.loop.Observe(e)
+}
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -50,6 +50,7 @@
 	}
 	lines = append(lines, n.learnedLines()...)
 	lines = append(lines, n.retryLines()...)
+	lines = append(lines, n.limits.lines()...)
 	lines = append(lines, n.quarantineLines()...)
 	lines = append(lines, n.quotaLines()...)
 	slices.Sort(lines)
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -128,6 +128,7 @@
 	loop        *wasabiloop.Loop
 	placer      *wasabireplica.Placer
 	placed      chan struct{}
+	limits      serverLimits
 	emptied     chan wasabiridge.BackendServerID
 	quarantine  *wasabiquarantine.Keeper
 	quota       *wasabiquota.Keeper
@@ -181,6 +182,7 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
+	n.limits = serverLimits{log: wasabilog.Part(n.log, "limit"), named: map[wasabiridge.BackendServerID]serverLimit{}}
 	n.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: o.Clock})
 	n.placer = wasabireplica.New(wasabireplica.Options{
 		Seed: seed, Zone: s.Zone, WeightsBound: n.bounds.WeightsLife - weightsMargin,
