Retry budget: a process that has just started tries a failed request once more

A process without a part has one of a single attempt.

The relay's specs are about an instance that has run for long; their set-up now says so. They assert what they did.

--- a/internal/wasabibudget/budget.go
+++ b/internal/wasabibudget/budget.go
@@ -8,8 +8,8 @@
 //
 //   - Sharers divides by the most instances that were seen lately, so that those that
 //     are cut off from each other do not take larger parts.
-//   - A process that has just started has no part: one that was there before it may
-//     have spent it. For the same reason the requests of its first moments pay for what
+//   - A process that has just started has next to no part: one that was there before it
+//     may have spent it. For the same reason the requests of its first moments pay for what
 //     may have been spent ahead.
 //
 // # Usage
--- a/internal/wasabibudget/sharers.go
+++ b/internal/wasabibudget/sharers.go
@@ -10,6 +10,9 @@
 	// memorySlots and slotTime are how long an instance that is not seen any more still
 	// counts. It may have been cut off and go on spending its part.
 	memorySlots = 12
+	// newPart is the part of a process of whose share nothing is known yet. A request
+	// that fails right after the start is tried once more.
+	newPart = 1.0
 	slotTime    = 5 * wasabiridge.Second
 )
 
@@ -59,13 +62,14 @@
 	return most
 }
 
-// Part returns what this instance may take of the slack of a window. A process has no
-// part in its first window, and one that has seen no other instance has none until it
-// would have forgotten them.
+// Part returns what this instance may take of the slack of a window. A process has next
+// to none in its first window, and one that has seen no other instance until it would
+// have forgotten them.
 func (s *Sharers) Part(now wasabiridge.Millis) float64 {
 	instances, age := s.Instances(now), now-s.born
+	part := s.terms.Slack / (spare * float64(instances))
 	if age < s.terms.Window || instances == 1 && age < memorySlots*slotTime {
-		return 0
+		return min(newPart, part)
 	}
-	return s.terms.Slack / (spare * float64(instances))
+	return part
 }
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -136,6 +136,8 @@
 	cfg.Rules[0].Then.Anonymous = true
 	g.view = wasabirelay.View{Config: cfg, Proven: g.clock.Now()}
 	placer := wasabireplica.New(wasabireplica.Options{Seed: 1, RetrySlack: 100})
+	// An instance that has run for long has a part of the retry budget.
+	placer.Observe(g.clock.Now()-2*wasabiridge.Minute, wasabiridge.Ticked{})
 	core := wasabicore.New(wasabicore.Options{Placer: placer, Limiter: wasabireplica.NewLimiter(placer), Quarantine: g.judge})
 	loop := wasabiloop.New(wasabiloop.Options{Decider: core, Clock: g.clock})
 	DeferCleanup(loop.Close)
