--- a/internal/wasabibudget/sharers.go
+++ b/internal/wasabibudget/sharers.go
@@ -10,10 +10,10 @@
 	// memorySlots and slotTime are how long an instance that is not seen any more still
 	// counts. It may have been cut off and go on spending its part.
 	memorySlots = 12
+	slotTime    = 5 * wasabiridge.Second
 	// newPart is the part of a process of whose share nothing is known yet. A request
 	// that fails right after the start is tried once more.
 	newPart = 1.0
-	slotTime    = 5 * wasabiridge.Second
 )
 
 // Sharers counts the instances that share a fixed amount.
