Limits of servers: all instances together send no more than a server takes

Cause: nothing read what a server says of its own limit. Placement weighs what waits there, and a server that asks for less looks like one with room. Class: backpressure that is not heard.

Fix: wasabirate. Few instances send to a server with a limit, by rendezvous hashing, each an equal part; what counts is asked in one place, before a request is let in and at each placement, and taken by every attempt, moves too. A limit ends by an answer to a request that was sent after it was heard, since answers overtake each other. It is told beside the loads. When nobody takes more, callers are refused at once with a cause of its own and a time to come back.

The peer messages were generated anew; a load carries what the server said.

--- a/catalog.go
+++ b/catalog.go
@@ -116,6 +116,18 @@
 	Work   Millis
 	// Tokens counts those of the prompts and answers of these attempts.
 	Tokens int
+	// Limit is what the server said of its limit, to the sender.
+	Limit LimitNews
+}
+
+// LimitNews is what a backend server said of the rate that it takes.
+type LimitNews struct {
+	// Known says that there is news. Limited says that the server names a limit, Rate
+	// that limit in requests a second.
+	Known, Limited bool
+	Rate           float64
+	// Age is how long ago the request was sent whose answer said so.
+	Age Millis
 }
 
 // PartNews says that the sender has sent a part of a prompt to an engine, or
--- a/effect.go
+++ b/effect.go
@@ -55,6 +55,9 @@
 	// RefusedRetryBudget means that an attempt failed and that the retry budget of all
 	// instances allows no further one here.
 	RefusedRetryBudget RefuseReason = "retry_budget"
+	// RefusedServerLimit means that all backend servers that could serve the request name
+	// limits, and that none of them takes a further request now.
+	RefusedServerLimit RefuseReason = "server_limit"
 	// RefusedDeadline means that the deadline passed while waiting.
 	RefusedDeadline RefuseReason = "deadline"
 	// RefusedNoBackend means that no backend server may serve the request.
--- a/internal/wasabigateway/failure.go
+++ b/internal/wasabigateway/failure.go
@@ -90,6 +90,7 @@
 	wasabiridge.RefusedByRule:      {status: http.StatusForbidden, kind: typePermission, code: "refused_by_rule", message: "A rule refuses this request."},
 	wasabiridge.RefusedOverload:    {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "overload", message: "The backend servers are busy."},
 	wasabiridge.RefusedRetryBudget: {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "overload", message: "The backend servers are busy."},
+	wasabiridge.RefusedServerLimit: {status: http.StatusServiceUnavailable, kind: typeOverloaded, code: "overload", message: "The backend servers take no more requests now."},
 	wasabiridge.RefusedDeadline:    {status: http.StatusGatewayTimeout, kind: typeServer, code: "deadline", message: "The request waited too long."},
 	wasabiridge.RefusedNoBackend:   {status: http.StatusServiceUnavailable, kind: typeServer, code: "no_backend", message: "No backend server can serve the request."},
 	// Programs repeat what they get with a status from 500 on; with this one they do not.
--- a/internal/wasabinode/duty.go
+++ b/internal/wasabinode/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -45,12 +46,15 @@
 func (n *Node) countInstances(ctx context.Context) {
 	ticker := time.NewTicker(countInterval)
 	defer ticker.Stop()
-	told := 0
+	var told wasabiridge.InstancesCounted
 	for {
-		if count := len(n.members.Members()) + 1; count != told {
-			told = count
-			n.loop.Post(wasabiridge.InstancesCounted{Count: count})
-			n.log.Info().Int("instances", count).Msg("Instances counted.")
+		counted := n.counted()
+		if counted.Count != told.Count {
+			n.log.Info().Int("instances", counted.Count).Int("serving", len(counted.Serving)).Msg("Instances counted.")
+		}
+		if counted.Count != told.Count || !slices.Equal(counted.Serving, told.Serving) {
+			told = counted
+			n.loop.Post(counted)
 		}
 		select {
 		case <-ticker.C:
@@ -60,6 +64,16 @@
 	}
 }
 
+// counted returns the instances as they are seen now.
+func (n *Node) counted() wasabiridge.InstancesCounted {
+	out := wasabiridge.InstancesCounted{Count: len(n.members.Members()) + 1}
+	for _, e := range n.activeEntries() {
+		out.Serving = append(out.Serving, e.ID)
+	}
+	slices.Sort(out.Serving)
+	return out
+}
+
 // watchKept tells the decisions which stores of kept cache can be reached. An
 // engine that is sent to one that cannot loses some hundred milliseconds.
 func (n *Node) watchKept(ctx context.Context) {
--- a/internal/wasabinode/share.go
+++ b/internal/wasabinode/share.go
@@ -51,7 +51,7 @@
 		}
 		var news wasabiridge.News
 		n.loop.Inspect(func() {
-			news.Loads, news.Parts = n.placer.TakeNews()
+			news.Loads, news.Parts = n.placer.TakeNews(n.options.Clock.Now())
 			n.quota.Add(n.options.Clock.Now(), &news)
 		})
 		if len(news.Loads) > 0 || len(news.Parts) > 0 || len(news.Uses) > 0 {
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -112,7 +112,10 @@
 		})
 	}
 	for _, l := range n.Loads {
-		out.Loads = append(out.Loads, &pb.LoadNews{Backend: string(l.Backend), Inside: uint32(max(l.Inside, 0)), WorkMs: uint32(max(l.Work, 0)), Tokens: uint32(min(max(l.Tokens, 0), maxInsideTokens))})
+		out.Loads = append(out.Loads, &pb.LoadNews{
+			Backend: string(l.Backend), Inside: uint32(max(l.Inside, 0)), WorkMs: uint32(max(l.Work, 0)),
+			Tokens: uint32(min(max(l.Tokens, 0), maxInsideTokens)), Limit: encodeLimit(l.Limit),
+		})
 	}
 	for _, p := range n.Parts {
 		out.Parts = append(out.Parts, &pb.PartNews{
@@ -145,6 +148,7 @@
 		n.Loads = append(n.Loads, wasabiridge.LoadNews{
 			Backend: wasabiridge.BackendServerID(l.Backend), Inside: int(min(l.Inside, maxNews)),
 			Work: wasabiridge.Millis(min(uint64(l.WorkMs), uint64(wasabiridge.Minute))), Tokens: int(min(l.Tokens, maxInsideTokens)),
+			Limit: decodeLimit(l.Limit),
 		})
 	}
 	for _, p := range in.Parts {
--- /dev/null
+++ b/internal/wasabipeer/codec_limit.go
@@ -0,0 +1,26 @@
+package wasabipeer
+
+import (
+	"math"
+
+	"github.com/wasabiridge/wasabiridge"
+	pb "github.com/wasabiridge/wasabiridge/internal/wasabipeer/wasabipeerpb"
+)
+
+// encodeLimit returns nil when there is no news.
+func encodeLimit(l wasabiridge.LimitNews) *pb.LimitNews {
+	if !l.Known {
+		return nil
+	}
+	return &pb.LimitNews{Limited: l.Limited, Rate: l.Rate, AgeMs: uint32(min(max(l.Age, 0), wasabiridge.Minute))}
+}
+
+// decodeLimit takes a rate that is none as no news.
+func decodeLimit(in *pb.LimitNews) wasabiridge.LimitNews {
+	rate := in.GetRate()
+	if in == nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return wasabiridge.LimitNews{}
+	}
+	age := wasabiridge.Millis(min(uint64(in.GetAgeMs()), uint64(wasabiridge.Minute)))
+	return wasabiridge.LimitNews{Known: true, Limited: in.GetLimited(), Rate: rate, Age: age}
+}
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -52,11 +52,17 @@
 	}
 	pl.budget.Request(now)
 	q := wasabiridge.PlaceQuery{Request: pl.asServed(r)}
-	shortest := math.Inf(1)
+	shortest, limited := math.Inf(1), wasabiridge.Millis(0)
 	pr := pl.promptOf(q.Request)
 	share, most := pl.shareOf(r.Action.Priority, &pr), pl.patienceOf(q.Request, &pr)
 	for _, rep := range pl.replicas {
-		if !l.placer.eligible(now, rep, q) || rep.fullness(now, pr.memory()) >= share {
+		if !l.placer.mayGet(now, rep, q) || rep.fullness(now, pr.memory()) >= share {
+			continue
+		}
+		if wait := l.placer.limitWait(now, rep); wait > 0 {
+			if limited == 0 || wait < limited {
+				limited = wait
+			}
 			continue
 		}
 		wait := rep.queue(now, &pr, pl.stay)
@@ -70,6 +76,9 @@
 			Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedOverload, RetryAfter: max(returnAfter, wasabiridge.Millis(shortest)),
 		}
 	}
+	if limited > 0 {
+		return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedServerLimit, RetryAfter: max(returnAfter, limited)}
+	}
 	return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedOverload, RetryAfter: returnAfter}
 }
 
--- a/internal/wasabireplica/line_test.go
+++ b/internal/wasabireplica/line_test.go
@@ -141,7 +141,7 @@
 		}
 		_, ok := g.placer.Place(g.now, wasabiridge.PlaceQuery{Request: long(1), Pool: g.pool})
 		Expect(ok).To(BeTrue())
-		loads, _ := g.placer.TakeNews()
+		loads, _ := g.placer.TakeNews(g.now)
 		for _, l := range loads {
 			Expect(l.Inside).To(BeZero())
 			Expect(l.Tokens).To(BeZero())
--- a/internal/wasabireplica/news.go
+++ b/internal/wasabireplica/news.go
@@ -28,15 +28,17 @@
 
 // TakeNews returns what the other instances should be told, and forgets it.
 // Loads of replicas to which nothing is sent are left out.
-func (p *Placer) TakeNews() ([]wasabiridge.LoadNews, []wasabiridge.PartNews) {
+func (p *Placer) TakeNews(now wasabiridge.Millis) ([]wasabiridge.LoadNews, []wasabiridge.PartNews) {
 	parts := p.news.parts
 	p.news.parts = nil
 	var loads []wasabiridge.LoadNews
 	for id, r := range p.replicas {
-		if r.own != r.told {
-			r.told = r.own
-			loads = append(loads, wasabiridge.LoadNews{Backend: id, Inside: r.own.inside, Tokens: r.own.tokens})
+		limit := r.takeLimitNews(now)
+		if r.own == r.told && !limit.Known {
+			continue
 		}
+		r.told = r.own
+		loads = append(loads, wasabiridge.LoadNews{Backend: id, Inside: r.own.inside, Tokens: r.own.tokens, Limit: limit})
 	}
 	slices.SortFunc(loads, func(a, b wasabiridge.LoadNews) int { return compare(a.Backend, b.Backend) })
 	return loads, parts
@@ -53,6 +55,7 @@
 	for _, l := range e.Loads {
 		if r := p.replicas[l.Backend]; r != nil {
 			r.peers[e.From] = peerLoad{occupation: occupation{inside: l.Inside, tokens: l.Tokens}, at: now}
+			r.peerLimit(now, l.Limit)
 		}
 	}
 	for _, part := range e.Parts {
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -15,6 +15,9 @@
 		}
 		p.suspect(now)
 		p.reviewLives(now)
+		p.serving.Tick(now)
+	case wasabiridge.LimitNamed:
+		p.limitNamed(now, e)
 	case wasabiridge.ConfigAdopted:
 		p.adopt(now, e.Config)
 	case wasabiridge.WeightsNamed:
@@ -42,6 +45,9 @@
 		}
 	case wasabiridge.InstancesCounted:
 		p.sharers.Count(now, e.Count)
+		if len(e.Serving) > 0 {
+			p.serving.Set(now, e.Serving)
+		}
 	case wasabiridge.BackendLost:
 		if r := p.replicas[e.Backend]; r != nil {
 			r.fail(now)
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -48,12 +48,15 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabibudget"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirate"
 )
 
 // Options holds the knobs of a Placer. The zero value works.
 type Options struct {
 	// Seed starts the source that decides between nearly equal scores.
 	Seed uint64
+	// Self names this instance among those that callers are sent to.
+	Self wasabiridge.InstanceID
 	// Zone is the availability zone of this instance. Empty means that all
 	// replicas are equally far.
 	Zone wasabiridge.AvailabilityZone
@@ -99,6 +102,8 @@
 	born    wasabiridge.Millis
 	sharers *wasabibudget.Sharers
 	budgets map[wasabiridge.PoolID]*wasabibudget.Budget
+	// serving are the instances that share the rates of servers in need.
+	serving *wasabirate.Group
 }
 
 var _ wasabiridge.Placer = (*Placer)(nil)
@@ -114,6 +119,7 @@
 		attempts: map[wasabiridge.AttemptID]sending{},
 		kept:     newKeptCaches(),
 		budgets:  map[wasabiridge.PoolID]*wasabibudget.Budget{},
+		serving:  wasabirate.NewGroup(o.Self),
 	}
 }
 
@@ -166,6 +172,11 @@
 
 // eligible reports whether a replica may get the request now.
 func (p *Placer) eligible(now wasabiridge.Millis, r *replica, q wasabiridge.PlaceQuery) bool {
+	return p.mayGet(now, r, q) && p.limitWait(now, r) == 0
+}
+
+// mayGet reports whether a replica may get the request as soon as its own limit allows.
+func (p *Placer) mayGet(now wasabiridge.Millis, r *replica, q wasabiridge.PlaceQuery) bool {
 	if r.gone || now < r.restUntil || !r.mayTry(now) {
 		return false
 	}
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -5,6 +5,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirate"
 )
 
 const (
@@ -98,6 +99,11 @@
 	failures float64
 	delay    float64
 	samples  int
+	// limit is the rate that the replica takes. limitNews is what the others have not
+	// been told of it, limitTold when they were told last.
+	limit     wasabirate.Limit
+	limitNews wasabiridge.LimitNamed
+	limitTold wasabiridge.Millis
 }
 
 func newReplica(b wasabiridge.BackendServer) *replica {
@@ -136,6 +142,7 @@
 	r.restUntil, r.easeUntil = 0, 0
 	r.recovered()
 	r.failures, r.delay, r.samples = 0, 0, 0
+	r.limit, r.limitNews, r.limitTold = wasabirate.Limit{}, wasabiridge.LimitNamed{}, 0
 	maps.Copy(r.weights, r.doubted)
 	r.doubted = nil
 }
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -28,7 +28,10 @@
 	next    wasabiridge.AttemptID
 }
 
-func newRig(engines int) *rig {
+func newRig(engines int) *rig { return newRigOf("", engines) }
+
+// newRigOf returns a rig that is one of several instances.
+func newRigOf(self wasabiridge.InstanceID, engines int) *rig {
 	g := &rig{now: 1e6, pool: wasabiridge.Pool{ID: "p", CacheTokens: 200000, TokenBytes: 18432, LinkMegabits: 180000, Models: []wasabiridge.ModelID{model}}}
 	for i := range engines {
 		id := wasabiridge.BackendServerID(fmt.Sprint("e", i))
@@ -36,7 +39,7 @@
 			ID: id, Kind: wasabiridge.BackendEngine, URL: "http://" + string(id) + ":1", Slots: 8, Zone: "z",
 		})
 	}
-	g.placer = wasabireplica.New(wasabireplica.Options{Seed: 1, Zone: "z", RetryRatio: 0.2, RetrySlack: 30})
+	g.placer = wasabireplica.New(wasabireplica.Options{Seed: 1, Self: self, Zone: "z", RetryRatio: 0.2, RetrySlack: 30})
 	g.limiter = wasabireplica.NewLimiter(g.placer)
 	g.adopt()
 	for _, b := range g.pool.Backends {
@@ -139,7 +142,7 @@
 	It("is sent where another instance has sent its part", func() {
 		g := newRig(5)
 		first, _ := g.place(long(7))
-		_, parts := g.placer.TakeNews()
+		_, parts := g.placer.TakeNews(g.now)
 		other := newRig(5)
 		other.tell(wasabiridge.PeerPlaced{From: "i2", Parts: parts})
 		second, _ := other.place(long(7))
--- a/internal/wasabireplica/sending.go
+++ b/internal/wasabireplica/sending.go
@@ -38,6 +38,7 @@
 	if pool == nil {
 		return
 	}
+	rep.limit.Take(now, rep.server.ID, p.serving)
 	a := sending{replica: rep, sent: now, work: plainWork, prompt: pool.promptOf(pool.asServed(r)), pool: r.Action.Pool}
 	a.wait = rep.line.wait(now, a.prompt.priority)
 	a.expected = float64(pl.ExpectedWait)
