--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -420,16 +420,12 @@
 		Expect(status(n.caller, "/book/x", "k")()).To(Equal(http.StatusServiceUnavailable))
 		g.configure(3, "k")
 		Eventually(status(n.caller, "/book/x", "k"), "3s").Should(Equal(http.StatusOK))
-		response, err := http.Get("http://" + n.metrics)
-		Expect(err).NotTo(HaveOccurred())
-		defer response.Body.Close()
-		body, err := io.ReadAll(response.Body)
-		Expect(err).NotTo(HaveOccurred())
+		body := metricsOf(n)
 		for _, want := range []string{
 			"wasabiridge_config_version 3\n", `wasabiridge_requests_total{outcome="answered"} 1`, `wasabiridge_requests_ms{outcome="answered",quantile="0.99"}`,
 			`requests_by_cause_total{cause="refused/no configuration known yet"}`, "wasabiridge_config_age_ms ", "wasabiridge_platform_reads_total ",
 		} {
-			Expect(string(body)).To(ContainSubstring(want))
+			Expect(body).To(ContainSubstring(want))
 		}
 	})
 
