--- a/internal/wasabibudget/budget.go
+++ b/internal/wasabibudget/budget.go
@@ -75,6 +75,7 @@
 func (b *Budget) back(slices int) int { return int((b.slice - int64(slices) + kept) % kept) }
 
 // move drops the slices that are over, and the credit of requests that are too old.
+// Rare requests pay for one attempt together, however long that takes.
 func (b *Budget) move(now wasabiridge.Millis) {
 	slice := b.sliceOf(now)
 	if slice <= b.slice {
@@ -86,7 +87,7 @@
 		b.requests[at], b.spent[at], b.slack[at] = 0, 0, 0
 	}
 	b.slice = slice
-	b.credit = min(b.credit, b.terms.Ratio*float64(b.sum(&b.requests, aheadSlices-1, 0)))
+	b.credit = min(b.credit, max(1, b.terms.Ratio*float64(b.sum(&b.requests, aheadSlices-1, 0))))
 }
 
 // Request counts a request that came to this instance.
--- a/internal/wasabireplica/budget_test.go
+++ b/internal/wasabireplica/budget_test.go
@@ -241,6 +241,16 @@
 		})
 	}
 
+	// Guards against credit that lapses before it pays for a whole attempt.
+	It("are allowed where requests are rare", func() {
+		f := newRetryFleet(1, 7, 7)
+		f.pass(2 * retryWindow)
+		f.failing = true
+		f.pass(10 * retryWindow)
+		Expect(len(f.retries)).To(BeNumerically(">", 250), "a fifth of 700, and parts of ten windows")
+		Expect(f.excess()).To(BeNumerically("<=", 0))
+	})
+
 	// Guards against arrivals at servers that the budget does not count.
 	It("count streams that go on from moved memory", func() {
 		f := newRetryFleet(1, 1, 0)
