Limits of servers: the end of a limit is believed however late the limit was told

Naming is told once a second, so it may come after a request was sent whose answer names no limit any more. The receiver took its own time for the time at which the limit was heard, did not believe the end, and sent nothing there for up to 10 s. Found by reading.

What another instance tells counts as heard when the request was sent, the only time that is known. A comment is shorter.

--- a/internal/wasabibudget/sharers.go
+++ b/internal/wasabibudget/sharers.go
@@ -3,9 +3,9 @@
 import "github.com/wasabiridge/wasabiridge"
 
 const (
-	// spare is by how much the number of instances may be underestimated: instances that
-	// start while they are cut in halves see half of them, and others may
-	// have been added that are not known here yet.
+	// spare is by how much the number of instances may be underestimated: those that start
+	// while they are cut in halves see half of them, and others may have been added that
+	// are not known here yet.
 	spare = 2.5
 	// memorySlots and slotTime are how long an instance that is not seen any more still
 	// counts. It may have been cut off and go on spending its part.
--- a/internal/wasabirate/limit.go
+++ b/internal/wasabirate/limit.go
@@ -68,15 +68,24 @@
 // Name takes that the answer to a request that was sent at a time names a limit, and
 // reports whether that changes anything.
 func (l *Limit) Name(now, asked wasabiridge.Millis, rate float64) bool {
+	return l.name(now, asked, now, rate)
+}
+
+// Hear takes the same from another instance. Its word may have been under way for long,
+// so that it is only known to be as new as the request.
+func (l *Limit) Hear(now, asked wasabiridge.Millis, rate float64) {
+	l.name(now, asked, asked, rate)
+}
+
+func (l *Limit) name(now, asked, heard wasabiridge.Millis, rate float64) bool {
 	if !l.limited && asked <= l.lifted && l.lifted > 0 {
 		return false
 	}
-	rate = max(rate, leastRate)
-	changed := !l.limited || l.rate != rate
+	changed := !l.limited || l.rate != max(rate, leastRate)
 	if !l.limited {
 		l.credit, l.at = 0, now
 	}
-	l.limited, l.rate, l.heard = true, rate, now
+	l.limited, l.rate, l.heard = true, max(rate, leastRate), max(l.heard, heard)
 	return changed
 }
 
--- a/internal/wasabireplica/limit.go
+++ b/internal/wasabireplica/limit.go
@@ -41,7 +41,7 @@
 func (r *replica) peerLimit(now wasabiridge.Millis, n wasabiridge.LimitNews) {
 	switch {
 	case n.Limited:
-		r.limit.Name(now, now-n.Age, n.Rate)
+		r.limit.Hear(now, now-n.Age, n.Rate)
 	case n.Known:
 		r.limit.Lift(now - n.Age)
 	}
--- a/internal/wasabireplica/limit_test.go
+++ b/internal/wasabireplica/limit_test.go
@@ -245,6 +245,18 @@
 		Expect(g.limiter.Offer(g.now, short()).Verdict).To(Equal(wasabiridge.Admitted), "an answer from before the end")
 	})
 
+	// Guards against an end that is not believed because older news came after it was seen.
+	It("is without a limit when another instance says so, whenever its limit was told", func() {
+		g := newRig(1)
+		tell := func(l wasabiridge.LimitNews) {
+			g.tell(wasabiridge.PeerPlaced{From: "i", Loads: []wasabiridge.LoadNews{{Backend: "e0", Limit: l}}})
+		}
+		tell(wasabiridge.LimitNews{Known: true, Limited: true, Rate: 1, Age: 900})
+		Expect(g.limiter.Offer(g.now, short()).Verdict).To(Equal(wasabiridge.Rejected))
+		tell(wasabiridge.LimitNews{Known: true, Age: 300})
+		Expect(g.limiter.Offer(g.now, short()).Verdict).To(Equal(wasabiridge.Admitted))
+	})
+
 	// Guards against the limit of a process that is gone.
 	It("is without a limit when it has started again", func() {
 		g := newRig(1)
