Limits of servers: a rate that changes with each answer is told once a second

Each change was told at once, to all instances with callers: ten messages a second and more for a server that names another rate each time (50 for 50 answers, five now). Only the beginning and the end are told at once.

--- a/internal/wasabirate/limit.go
+++ b/internal/wasabirate/limit.go
@@ -66,7 +66,7 @@
 }
 
 // Name takes that the answer to a request that was sent at a time names a limit, and
-// reports whether that changes anything.
+// reports whether there was none before.
 func (l *Limit) Name(now, asked wasabiridge.Millis, rate float64) bool {
 	return l.name(now, asked, now, rate)
 }
@@ -81,12 +81,12 @@
 	if !l.limited && asked <= l.lifted && l.lifted > 0 {
 		return false
 	}
-	changed := !l.limited || l.rate != max(rate, leastRate)
-	if !l.limited {
+	began := !l.limited
+	if began {
 		l.credit, l.at = 0, now
 	}
 	l.limited, l.rate, l.heard = true, max(rate, leastRate), max(l.heard, heard)
-	return changed
+	return began
 }
 
 // Lift takes that the answer to a request that was sent at a time names no limit, and
--- a/internal/wasabireplica/limit_test.go
+++ b/internal/wasabireplica/limit_test.go
@@ -257,6 +257,19 @@
 		Expect(g.limiter.Offer(g.now, short()).Verdict).To(Equal(wasabiridge.Admitted))
 	})
 
+	// Guards against messages at every answer of a server that changes its mind.
+	It("is told of once a second while only its rate changes", func() {
+		g := newRig(1)
+		told := 0
+		for i := range 50 {
+			g.tell(wasabiridge.LimitNamed{Backend: "e0", Limited: true, Rate: float64(1 + i), Asked: g.now - 10})
+			loads, _ := g.placer.TakeNews(g.now)
+			told += len(loads)
+			g.now += 100
+		}
+		Expect(told).To(Equal(5))
+	})
+
 	// Guards against the limit of a process that is gone.
 	It("is without a limit when it has started again", func() {
 		g := newRig(1)
