Quota: owners of a limit count only as far as all of them agree on who they are

Cause, from the parts that each instance went by: four instances were cut off from the fifth at 6.34 s, and ten came to the side of the fifth between 7.18 and 7.68 s. The four saw the cut at 6.7 to 7 s, so newcomers were not owners for them: 0.80 of the limit. The fifth saw it at 7.5 s, until then newcomers were owners at once: 0.60. Both sides together let run 56 a second of 40. Each instance divided by the owners that it saw, and nothing kept the sets of two instances from being different.

Change: an instance numbers its set of owners and tells the number, and a hash of all members with their lives and numbers. When all members tell the same hash, the set is agreed. While somebody of the agreed set is silent, the parts in use are those of instances that are in the agreed set and in all sets told since; limits are divided by all that are in any of them. So an instance counts on one side only if everybody on the other divides by it.

This does not depend on a time.

--- a/catalog.go
+++ b/catalog.go
@@ -172,6 +172,8 @@
 	Part float64
 	// Whole says that nothing of late is known of accounts that are not named in Uses.
 	Whole bool
+	// Change and View are what the sender tells of the owners of the limits. See UsesHeard.
+	Change, View uint64
 }
 
 // CatalogPeers calls other instances about the catalog. Implementations are
--- a/examples/quota/main.go
+++ b/examples/quota/main.go
@@ -55,7 +55,7 @@
 	news := from.table.TakeNews(now)
 	from.table.Observe(now, wasabiridge.PeerTold{To: to.id})
 	if connected {
-		to.table.Observe(now, wasabiridge.UsesHeard{From: from.id, Life: news.Life, Sequence: news.Sequence, Part: news.Part, Uses: news.Uses})
+		to.table.Observe(now, news.UsesHeard())
 		from.table.Observe(now, wasabiridge.PeerHeard{From: to.id})
 	}
 }
--- a/internal/wasabipeer/codec_use.go
+++ b/internal/wasabipeer/codec_use.go
@@ -13,7 +13,7 @@
 
 func encodeUses(out *pb.News, n wasabiridge.News) {
 	out.Incarnation, out.Sequence, out.PartMilli = uint64(n.Life), n.Sequence, uint32(partScale*min(max(n.Part, 0), 1))
-	out.Whole = n.Whole
+	out.Whole, out.Change, out.View = n.Whole, n.Change, n.View
 	for _, u := range n.Uses {
 		out.Uses = append(out.Uses, &pb.UseNews{Account: string(u.Account), Spent: u.Spent, Level: u.Level, LevelKnown: u.LevelKnown})
 	}
@@ -22,7 +22,7 @@
 func decodeUses(n *wasabiridge.News, in *pb.News) {
 	n.Life, n.Sequence = wasabiridge.Incarnation(in.GetIncarnation()), in.GetSequence()
 	n.Part = float64(min(in.GetPartMilli(), partScale)) / partScale
-	n.Whole = in.GetWhole()
+	n.Whole, n.Change, n.View = in.GetWhole(), in.GetChange(), in.GetView()
 	for _, u := range in.GetUses() {
 		n.Uses = append(n.Uses, wasabiridge.UseNews{
 			Account: wasabiridge.ClientAccountID(u.GetAccount()), Spent: min(max(u.GetSpent(), -maxSpent), maxSpent),
--- a/internal/wasabipeer/crash_test.go
+++ b/internal/wasabipeer/crash_test.go
@@ -36,7 +36,7 @@
 		o := wasabipeer.Options{Clock: wasabiclock.System(), Key: key}
 		server := serve(h, o)
 		want := wasabiridge.News{
-			From: "i", Life: 7, Sequence: 3, Part: 0.875, Whole: true,
+			From: "i", Life: 7, Sequence: 3, Part: 0.875, Whole: true, Change: 300, View: 1 << 63,
 			Uses: []wasabiridge.UseNews{{Account: "a", Spent: 1 << 40, Level: -5, LevelKnown: true}, {Account: "b", Spent: 2}},
 		}
 		Expect(connect(o).TellNews(context.Background(), server.Address(), want)).To(Succeed())
--- a/internal/wasabiquota/keeper.go
+++ b/internal/wasabiquota/keeper.go
@@ -185,6 +185,7 @@
 		return
 	}
 	news.Uses, news.Life, news.Sequence, news.Part = own.Uses, own.Life, own.Sequence, own.Part
+	news.Change, news.View = own.Change, own.View
 	for _, id := range k.table.Others() {
 		k.table.Observe(now, wasabiridge.PeerTold{To: id})
 	}
@@ -250,7 +251,7 @@
 func (k *Keeper) Hear(n wasabiridge.News) {
 	k.answer(n.From)
 	if n.Life > 0 {
-		k.loop.Observe(wasabiridge.UsesHeard{From: n.From, Life: n.Life, Sequence: n.Sequence, Part: n.Part, Whole: n.Whole, Uses: n.Uses})
+		k.loop.Observe(n.UsesHeard())
 	}
 }
 
--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -79,10 +79,11 @@
 	for id, p := range t.peers {
 		quiet := t.owner && p.active && p.met && now-p.heard >= heartbeatAfter
 		unheard := !p.met && !p.ended || p.isSilent(now) || p.isIdle(now) || t.wantsAll(now)
-		if !quiet && !unheard || p.greeted > 0 && now-p.greeted < helloAfter {
+		if !t.tellsView(p) && !quiet && !unheard || p.greeted > 0 && now-p.greeted < helloAfter {
 			continue
 		}
 		p.greeted = now
+		p.viewCount++
 		if quiet && p.asked == 0 {
 			p.asked = now
 		}
@@ -133,7 +134,8 @@
 func (t *Table) All(now wasabiridge.Millis) wasabiridge.News {
 	t.advance(now)
 	t.sequence++
-	news := wasabiridge.News{From: t.options.Self, Life: t.options.Life, Sequence: t.sequence, Part: t.knownPart(now), Whole: true}
+	news := t.Hello(now)
+	news.Whole = true
 	for _, id := range slices.Sorted(maps.Keys(t.accounts)) {
 		a := t.accounts[id]
 		a.refill(t, now)
@@ -146,7 +148,9 @@
 
 // Hello returns the message to strangers.
 func (t *Table) Hello(now wasabiridge.Millis) wasabiridge.News {
-	return wasabiridge.News{From: t.options.Self, Life: t.options.Life, Sequence: t.sequence, Part: t.knownPart(now)}
+	return wasabiridge.News{
+		From: t.options.Self, Life: t.options.Life, Sequence: t.sequence, Part: t.knownPart(now), Change: t.change, View: t.view,
+	}
 }
 
 // TakeNews returns what the other instances should be told. It is empty when nothing has
@@ -154,7 +158,8 @@
 func (t *Table) TakeNews(now wasabiridge.Millis) wasabiridge.News {
 	t.advance(now)
 	own := t.own(now)
-	news := wasabiridge.News{From: t.options.Self, Life: t.options.Life, Part: t.knownPart(now)}
+	news := t.Hello(now)
+	news.Sequence = 0
 	for _, id := range slices.Sorted(maps.Keys(t.untold)) {
 		a := t.untold[id]
 		if !a.mustTell(now, own) {
@@ -195,6 +200,8 @@
 	if !p.lives(e.Life, e.Sequence) {
 		return
 	}
+	t.unseated = t.unseated || e.Change > p.change
+	p.hearView(e)
 	p.part = e.Part
 	t.ownersMet = t.ownersMet || e.Part > 0
 	if len(e.Uses) > 0 {
--- a/internal/wasabiquota/peer.go
+++ b/internal/wasabiquota/peer.go
@@ -32,6 +32,15 @@
 	// missed is the integral over time of the part that was left to it untouched, in
 	// milliseconds.
 	missed float64
+	// left says that it has told that it owns no part any more.
+	left bool
+	seat
+	// change and view are what it last told of its own set of owners: the number of the set,
+	// and the view.
+	change, view uint64
+	// viewTold is the view that it was last told, viewCount how often.
+	viewTold  uint64
+	viewCount int
 }
 
 // isSilent reports whether the peer has not answered in time.
@@ -56,7 +65,7 @@
 func (t *Table) owners(now wasabiridge.Millis) float64 {
 	n := 1
 	for _, p := range t.peers {
-		if !p.late {
+		if p.counted {
 			n++
 		}
 	}
@@ -124,18 +133,36 @@
 			return told
 		}
 	}
-	inTouch := 1.0
-	for _, p := range t.peers {
-		if !p.late && p.isInTouch(now) {
-			inTouch++
-		}
-	}
+	inTouch := t.inTouch(now)
 	if !t.owner && (inTouch == 1 || t.ownersMet) && t.isSettled(now) {
 		return t.stray(now)
 	}
 	return inTouch / t.owners(now)
 }
 
+// inTouch is how many owners use their parts together with this instance, itself included.
+//
+// The failure it guards against: instances that come just before others are cut off count
+// as owners on their side, and the others, who do not know of them, divide by fewer.
+func (t *Table) inTouch(now wasabiridge.Millis) float64 {
+	n, kept, all := 1, 1, true
+	for _, p := range t.peers {
+		switch {
+		case p.counted && p.isInTouch(now):
+			n++
+			if p.kept {
+				kept++
+			}
+		case p.kept:
+			all = false
+		}
+	}
+	if all {
+		return float64(n)
+	}
+	return float64(kept)
+}
+
 // stray is the part of every limit of an instance that owns none and hears nobody.
 func (t *Table) stray(now wasabiridge.Millis) float64 {
 	return strayShare / max(t.owners(now), float64(t.known))
@@ -206,6 +233,7 @@
 	if p == nil {
 		p = &peer{used: now, late: t.hasSilent(now) && t.isSettled(now)}
 		t.peers[id] = p
+		t.unseated = true
 	}
 	return p
 }
@@ -222,6 +250,7 @@
 // hearPeer notes that an instance has answered.
 func (t *Table) hearPeer(now wasabiridge.Millis, id wasabiridge.InstanceID) {
 	if p := t.peers[id]; p != nil {
+		t.unseated = t.unseated || p.ended
 		p.asked, p.heard, p.met, p.ended = 0, now, true, false
 		t.met = true
 	}
@@ -237,6 +266,7 @@
 		return false
 	}
 	p.past, p.life, p.whole = p.life, life, sequence <= firstMessages
+	p.change, p.view = 0, 0
 	return true
 }
 
@@ -245,6 +275,7 @@
 func (t *Table) end(id wasabiridge.InstanceID) {
 	if p := t.peers[id]; p != nil {
 		p.ended, p.asked = true, 0
+		t.unseated = true
 	}
 }
 
@@ -256,23 +287,41 @@
 func (t *Table) lapse(now wasabiridge.Millis) {
 	heardAll, heardLately := true, false
 	for id, p := range t.peers {
+		if left := p.isIdle(now) && p.heard >= p.used+idleAfter && p.part == 0; left != p.left {
+			p.left, t.unseated = left, true
+		}
 		switch {
-		case !p.active && p.isSilent(now) && now-p.asked >= lapseAfter, !p.active && (!p.met || p.ended), p.isIdle(now) && p.heard >= p.used+idleAfter:
+		case !p.active && p.isSilent(now) && now-p.asked >= lapseAfter, !p.active && (!p.met || p.ended), p.left && !p.counted:
 			delete(t.peers, id)
+			t.unseated = true
 			continue
 		}
 		heardAll = heardAll && p.isInTouch(now)
 		heardLately = heardLately || now-p.heard < idleAfter
 	}
 	t.partAt = 0
-	if !heardAll || t.options.Alone {
+	if t.options.Alone {
 		return
 	}
+	known := t.isSettled(now) && (heardLately || len(t.peers) == 0 && !t.met)
+	if heardAll {
+		t.join(now, known)
+	}
+	t.reseat(now)
+	if known {
+		t.agree(now)
+	}
+}
+
+// join lets instances into the set of owners that came while others were silent, and this
+// one if callers come to it.
+func (t *Table) join(now wasabiridge.Millis, known bool) {
 	for _, p := range t.peers {
+		t.unseated = t.unseated || p.late
 		p.late = false
 	}
-	if t.isSettled(now) && (heardLately || len(t.peers) == 0 && !t.met) {
-		t.owner = t.active || t.used > 0 && now-t.used < idleAfter
+	if wants := t.active || t.used > 0 && now-t.used < idleAfter; known && wants != t.wants {
+		t.wants, t.unseated = wants, true
 	}
 }
 
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -111,6 +111,16 @@
 	// says that callers are sent here, used when something last ran.
 	owner, active bool
 	used          wasabiridge.Millis
+	// seat is the place of this instance among the owners, wants whether it is to be one
+	// and wasMember whether it was in any set.
+	seat             seat
+	wants, wasMember bool
+	// change is the number of the present set, since changedAt, view the view of it. agreed
+	// says that all its members have the same view, unseated that the set or the view may
+	// have changed.
+	change, view     uint64
+	changedAt        wasabiridge.Millis
+	agreed, unseated bool
 	// met says that another instance was heard, ownersMet that one was that owns a part.
 	met, ownersMet bool
 	// asking is when this instance last wanted to be told all that is known.
--- a/internal/wasabiquota/told_test.go
+++ b/internal/wasabiquota/told_test.go
@@ -109,7 +109,7 @@
 
 func (w *told) take(now wasabiridge.Millis, from int, message any) any {
 	news := message.(wasabiridge.News)
-	w.table.Observe(now, wasabiridge.UsesHeard{From: news.From, Life: news.Life, Sequence: news.Sequence, Part: news.Part, Whole: news.Whole, Uses: news.Uses})
+	w.table.Observe(now, news.UsesHeard())
 	return nil
 }
 
--- a/quota.go
+++ b/quota.go
@@ -87,6 +87,16 @@
 	// Whole says that nothing of late is known of accounts that are not named.
 	Whole bool
 	Uses  []UseNews
+	// Change numbers the set of owners that the sender counts, View stands for that set as
+	// the sender knows all members of it. Zero means that it tells none.
+	Change, View uint64
+}
+
+// UsesHeard returns what the news say of the limits of client accounts.
+func (n News) UsesHeard() UsesHeard {
+	return UsesHeard{
+		From: n.From, Life: n.Life, Sequence: n.Sequence, Part: n.Part, Whole: n.Whole, Uses: n.Uses, Change: n.Change, View: n.View,
+	}
 }
 
 // PeerHeard says that another instance has taken a message, or sent one.
