Quota: the part of an instance that has ended is used on no side of a cut

What callers saw: after an instance ends while others are cut off, more runs for an account than its limit.

Cause: everybody who sees that nothing listens at an address counted the part of the ended instance with its own. Same class as owners that only one side knows.

Change: an instance that has ended counts neither among those in touch nor among those by which limits are divided. When it comes back it is an owner again once all agree.

Ruled out: an ended instance that comes back on one side, before or during the cut, passes before and after (two further specs).

--- a/internal/wasabiquota/parts_test.go
+++ b/internal/wasabiquota/parts_test.go
@@ -69,24 +69,27 @@
 }
 
 var splits = map[string]split{
-	"nothing else":                           {instances: 5, first: among(0, 1, 3, 4), do: grow(0, 0)},
-	"instances come before it":               {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -3000)},
-	"instances come just before it":          {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -300)},
-	"instances come before it is seen":       {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 100)},
-	"instances come while it is seen":        {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 836)},
-	"instances come after it was seen":       {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 2500)},
-	"instances come to the larger side":      {instances: 5, first: among(2, 5, 6, 7, 8, 9), do: grow(5, 500)},
-	"instances come to both sides":           {instances: 6, first: func(i int) bool { return i%2 == 0 }, do: grow(12, 200)},
-	"one instance comes to each of two":      {instances: 2, first: among(0, 2), do: grow(2, 300)},
-	"instances are killed and start again":   {instances: 5, first: among(0, 1, 3, 4), do: restart(-2900, 0, 1, 2, 4)},
-	"instances start again as it begins":     {instances: 5, first: among(0, 1, 3, 4), do: restart(-100, 0, 1, 2, 4)},
-	"a whole side starts again":              {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 1, 2)},
-	"an instance of each side starts again":  {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 3)},
-	"an instance has ended":                  {instances: 5, first: among(0, 1), do: lose(-3000, 4)},
-	"callers are sent to others":             {instances: 10, first: func(i int) bool { return i%2 == 0 }, do: send(-200, 4, 8)},
-	"callers are sent to fewer":              {instances: 10, first: func(i int) bool { return i%2 == 0 }, do: send(-200, 10, 4)},
-	"callers were sent to fewer":             {instances: 10, first: func(i int) bool { return i%2 == 0 }, do: send(-10_500, 10, 4), before: 14 * wasabiridge.Second},
-	"callers are sent to others, then it is": {instances: 10, first: among(8, 9), do: send(-3000, 8, 10)},
+	"nothing else":                             {instances: 5, first: among(0, 1, 3, 4), do: grow(0, 0)},
+	"instances come before it":                 {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -3000)},
+	"instances come just before it":            {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -300)},
+	"instances come before it is seen":         {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 100)},
+	"instances come while it is seen":          {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 836)},
+	"instances come after it was seen":         {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 2500)},
+	"instances come to the larger side":        {instances: 5, first: among(2, 5, 6, 7, 8, 9), do: grow(5, 500)},
+	"instances come to both sides":             {instances: 6, first: func(i int) bool { return i%2 == 0 }, do: grow(12, 200)},
+	"one instance comes to each of two":        {instances: 2, first: among(0, 2), do: grow(2, 300)},
+	"instances are killed and start again":     {instances: 5, first: among(0, 1, 3, 4), do: restart(-2900, 0, 1, 2, 4)},
+	"instances start again as it begins":       {instances: 5, first: among(0, 1, 3, 4), do: restart(-100, 0, 1, 2, 4)},
+	"a whole side starts again":                {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 1, 2)},
+	"an instance of each side starts again":    {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 3)},
+	"an instance has ended":                    {instances: 5, first: among(0, 1), do: lose(-3000, 4)},
+	"an instance ends after it was seen":       {instances: 5, first: among(0, 1), do: lose(2500, 4)},
+	"an instance that has ended comes back":    {instances: 5, first: among(0, 1, 4), do: comeBack(-3000, 2000, 4)},
+	"an instance comes back before it is seen": {instances: 5, first: among(0, 1, 4), do: comeBack(-2000, -200, 4)},
+	"callers are sent to others":               {instances: 10, first: func(i int) bool { return i%2 == 0 }, do: send(-200, 4, 8)},
+	"callers are sent to fewer":                {instances: 10, first: func(i int) bool { return i%2 == 0 }, do: send(-200, 10, 4)},
+	"callers were sent to fewer":               {instances: 10, first: func(i int) bool { return i%2 == 0 }, do: send(-10_500, 10, 4), before: 14 * wasabiridge.Second},
+	"callers are sent to others, then it is":   {instances: 10, first: among(8, 9), do: send(-3000, 8, 10)},
 }
 
 // restart kills instances and starts them again.
@@ -113,6 +116,14 @@
 	}
 }
 
+// comeBack ends an instance, which starts again later.
+func comeBack(after, again wasabiridge.Millis, i int) func(f *fleet, cut wasabiridge.Millis) {
+	return func(f *fleet, cut wasabiridge.Millis) {
+		lose(after, i)(f, cut)
+		f.at(cut+again, func() { f.start(i) })
+	}
+}
+
 // send lets callers be sent to so many instances before a time, and to as many after it.
 func send(after wasabiridge.Millis, before, then int) func(f *fleet, cut wasabiridge.Millis) {
 	return func(f *fleet, cut wasabiridge.Millis) {
--- a/internal/wasabiquota/peer.go
+++ b/internal/wasabiquota/peer.go
@@ -65,7 +65,7 @@
 func (t *Table) owners(now wasabiridge.Millis) float64 {
 	n := 1
 	for _, p := range t.peers {
-		if p.counted {
+		if p.counted && !p.ended {
 			n++
 		}
 	}
@@ -148,6 +148,8 @@
 	n, kept, all := 1, 1, true
 	for _, p := range t.peers {
 		switch {
+		case p.ended:
+			// Nobody owns its part, on no side.
 		case p.counted && p.isInTouch(now):
 			n++
 			if p.kept {
