Quota: newcomers are told what is left by owners that can be heard

What callers saw: instances that start on one side of a cut let run almost a whole limit, beside the other side.

Cause: two owners tell a newcomer what is left, chosen by rank among all that ever told of a part, those that are silent too.

Change: only owners that are heard are ranked.

--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -114,11 +114,11 @@
 }
 
 // isTeller reports whether this is one of the instances that tell another one all that is
-// known. All instances that know the same others agree on them.
+// known. All instances that hear the same others agree on them.
 func (t *Table) isTeller(id wasabiridge.InstanceID) bool {
 	own, ahead := rank(id, t.options.Self), 0
 	for other, p := range t.peers {
-		if other != id && p.part > 0 && rank(id, other) > own {
+		if other != id && p.part > 0 && !p.ended && p.isInTouch(t.last) && rank(id, other) > own {
 			ahead++
 		}
 	}
--- a/internal/wasabiquota/parts_test.go
+++ b/internal/wasabiquota/parts_test.go
@@ -207,3 +207,19 @@
 		})
 	}
 })
+
+// Guards against instances that start on a side of a cut and are told by nobody what is
+// left, because those that should tell them are on the other side.
+var _ = Describe("An owner that hears no other owner", func() {
+	It("tells all newcomers what is left", func() {
+		f := newFleet(1, 5, []wasabiridge.ClientAccount{limited("a", rate)}, newTold)
+		f.play(f.now + 4*wasabiridge.Second)
+		f.cut = func(a, b int) bool { return (a == 2) != (b == 2) }
+		f.play(f.now + splitSeen)
+		owner := f.nodes[2].way.(*told).table
+		for _, id := range names[5:15] {
+			owner.Observe(f.now, wasabiridge.UsesHeard{From: id, Life: 1})
+		}
+		Expect(owner.Newcomers()).To(Equal(names[5:15]))
+	})
+})
