Quota: a side of a cut that has started anew owns what its instances owned before

What callers saw: all instances of one side of a cut start again, others are added there, and the two sides let run more for an account than its limit.

Cause: instances that have started and meet no owner took it that all had started.

Change: while somebody is not heard, such instances use the parts of those of them that the row of the owners names, divided by all of the row and all that are known. Where the row has not been read they use next to nothing, until everybody is heard; an empty row says that nobody owned anything. Newcomers are left out only by instances that are owners.

--- a/internal/wasabiquota/owners.go
+++ b/internal/wasabiquota/owners.go
@@ -52,9 +52,7 @@
 		owners, err := k.getOwners(ctx)
 		if err == nil {
 			k.options.Log.Info().Int("owners", len(owners)).Msg("Owners of the limits read.")
-			if len(owners) > 0 {
-				k.loop.Post(wasabiridge.OwnersKnown{Instances: owners})
-			}
+			k.loop.Post(wasabiridge.OwnersKnown{Instances: owners})
 			return
 		}
 		k.options.Log.Debug().Err(err).Msg("Owners of the limits not read.")
--- a/internal/wasabiquota/parts_test.go
+++ b/internal/wasabiquota/parts_test.go
@@ -69,20 +69,28 @@
 }
 
 var splits = map[string]split{
-	"nothing else":                             {instances: 5, first: among(0, 1, 3, 4), do: grow(0, 0)},
-	"instances come before it":                 {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -3000)},
-	"instances come just before it":            {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -300)},
-	"instances come before it is seen":         {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 100)},
-	"instances come while it is seen":          {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 836)},
-	"instances come after it was seen":         {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 2500)},
-	"instances come to the larger side":        {instances: 5, first: among(2, 5, 6, 7, 8, 9), do: grow(5, 500)},
-	"instances come to both sides":             {instances: 6, first: func(i int) bool { return i%2 == 0 }, do: grow(12, 200)},
-	"one instance comes to each of two":        {instances: 2, first: among(0, 2), do: grow(2, 300)},
-	"instances are killed and start again":     {instances: 5, first: among(0, 1, 3, 4), do: restart(-2900, 0, 1, 2, 4)},
-	"instances start again as it begins":       {instances: 5, first: among(0, 1, 3, 4), do: restart(-100, 0, 1, 2, 4)},
-	"a whole side starts again":                {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 1, 2)},
-	"an instance of each side starts again":    {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 3)},
-	"an instance has ended":                    {instances: 5, first: among(0, 1), do: lose(-3000, 4)},
+	"nothing else":                               {instances: 5, first: among(0, 1, 3, 4), do: grow(0, 0)},
+	"instances come before it":                   {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -3000)},
+	"instances come just before it":              {instances: 5, first: among(0, 1, 3, 4), do: grow(10, -300)},
+	"instances come before it is seen":           {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 100)},
+	"instances come while it is seen":            {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 836)},
+	"instances come after it was seen":           {instances: 5, first: among(0, 1, 3, 4), do: grow(10, 2500)},
+	"instances come to the larger side":          {instances: 5, first: among(2, 5, 6, 7, 8, 9), do: grow(5, 500)},
+	"instances come to both sides":               {instances: 6, first: func(i int) bool { return i%2 == 0 }, do: grow(12, 200)},
+	"one instance comes to each of two":          {instances: 2, first: among(0, 2), do: grow(2, 300)},
+	"instances are killed and start again":       {instances: 5, first: among(0, 1, 3, 4), do: restart(-2900, 0, 1, 2, 4)},
+	"instances start again as it begins":         {instances: 5, first: among(0, 1, 3, 4), do: restart(-100, 0, 1, 2, 4)},
+	"a whole side starts again":                  {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 1, 2)},
+	"an instance of each side starts again":      {instances: 6, first: among(0, 1, 2), do: restart(500, 0, 3)},
+	"an instance has ended":                      {instances: 5, first: among(0, 1), do: lose(-3000, 4)},
+	"all start again in it, and others come":     {instances: 5, first: among(0, 1, 2), do: both(restart(100, 0, 1, 2, 3, 4), grow(4, 1500))},
+	"all of a side start again, and others come": {instances: 5, first: among(0, 1, 2), do: both(restart(100, 3, 4), grow(4, 300))},
+	"all of a side start again, others come, and it is kept who owned a part": {
+		instances: 5, first: among(0, 1, 2), do: both(keepOwners(5), both(restart(100, 3, 4), grow(4, 300))),
+	},
+	"all of a side start again, others come, and it is kept who owned a part long ago": {
+		instances: 5, first: among(0, 1, 2), do: both(keepOwners(2), both(restart(100, 0, 1, 2), grow(4, 300))),
+	},
 	"an instance ends after it was seen":       {instances: 5, first: among(0, 1), do: lose(2500, 4)},
 	"an instance that has ended comes back":    {instances: 5, first: among(0, 1, 4), do: comeBack(-3000, 2000, 4)},
 	"an instance comes back before it is seen": {instances: 5, first: among(0, 1, 4), do: comeBack(-2000, -200, 4)},
@@ -102,6 +110,18 @@
 	}
 }
 
+// keepOwners lets the first instances stand in the row of the owners.
+func keepOwners(n int) func(f *fleet, cut wasabiridge.Millis) {
+	return func(f *fleet, _ wasabiridge.Millis) { f.owners = names[:n] }
+}
+
+func both(a, b func(f *fleet, cut wasabiridge.Millis)) func(f *fleet, cut wasabiridge.Millis) {
+	return func(f *fleet, cut wasabiridge.Millis) {
+		a(f, cut)
+		b(f, cut)
+	}
+}
+
 // lose ends an instance for good. The others see that nothing listens there any more.
 func lose(after wasabiridge.Millis, i int) func(f *fleet, cut wasabiridge.Millis) {
 	return func(f *fleet, cut wasabiridge.Millis) {
--- a/internal/wasabiquota/peer.go
+++ b/internal/wasabiquota/peer.go
@@ -57,7 +57,7 @@
 // takes it after a while that there are none.
 func (t *Table) isSettled(now wasabiridge.Millis) bool {
 	age := now - t.options.Started
-	lonely := t.former <= 1 && t.counted == 1 && age >= aloneAfter
+	lonely := len(t.former) <= 1 && t.counted == 1 && age >= aloneAfter
 	return t.options.Alone || t.met && age >= settleAfter || lonely || age >= lapseAfter
 }
 
@@ -87,9 +87,9 @@
 func (t *Table) own(now wasabiridge.Millis) float64 {
 	settled := t.isSettled(now)
 	switch {
-	case !settled && t.former > 0 && t.wasOwner:
-		return 1 / float64(t.former)
-	case !settled && (t.former > 0 || t.isCounted(now) && !t.active):
+	case !settled && t.former[t.options.Self]:
+		return 1 / float64(len(t.former))
+	case !settled && (len(t.former) > 0 || t.isCounted(now) && !t.active):
 		return t.stray(now)
 	}
 	return 1 / t.owners(now)
@@ -134,12 +134,40 @@
 		}
 	}
 	inTouch := t.inTouch(now)
-	if !t.owner && (inTouch == 1 || t.ownersMet) && t.isSettled(now) {
-		return t.stray(now)
+	if !t.owner && t.isSettled(now) {
+		if inTouch == 1 || t.ownersMet {
+			return t.stray(now)
+		}
+		if inTouch < t.owners(now) {
+			return t.formerPart(now)
+		}
 	}
 	return inTouch / t.owners(now)
 }
 
+// formerPart is the part of instances that have all started anew and hear only some of the
+// others. Those that they do not hear may have gone on: nobody owns a part but as before.
+func (t *Table) formerPart(now wasabiridge.Millis) float64 {
+	if t.former != nil && len(t.former) == 0 {
+		return t.inTouch(now) / t.owners(now)
+	}
+	own, gone := 0, 0
+	for id := range t.former {
+		switch p := t.peers[id]; {
+		case id == t.options.Self:
+			own++
+		case p == nil:
+			gone++
+		case !p.ended && p.isInTouch(now):
+			own++
+		}
+	}
+	if own == 0 {
+		return t.stray(now)
+	}
+	return float64(own) / (t.owners(now) + float64(gone))
+}
+
 // inTouch is how many owners use their parts together with this instance, itself included.
 //
 // The failure it guards against: instances that come just before others are cut off count
@@ -233,7 +261,7 @@
 func (t *Table) meet(now wasabiridge.Millis, id wasabiridge.InstanceID) *peer {
 	p := t.peers[id]
 	if p == nil {
-		p = &peer{used: now, late: t.hasSilent(now) && t.isSettled(now)}
+		p = &peer{used: now, late: t.owner && t.hasSilent(now) && t.isSettled(now)}
 		t.peers[id] = p
 		t.unseated = true
 	}
--- a/internal/wasabiquota/start.go
+++ b/internal/wasabiquota/start.go
@@ -1,8 +1,6 @@
 package wasabiquota
 
 import (
-	"slices"
-
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -80,11 +78,18 @@
 
 // remember takes which instances owned a part before the start.
 func (t *Table) remember(now wasabiridge.Millis, owners []wasabiridge.InstanceID) {
-	if t.met || t.isSettled(now) {
+	if t.owner {
 		return
 	}
 	t.advance(now)
-	t.former, t.wasOwner = len(owners), slices.Contains(owners, t.options.Self)
+	t.partAt = 0
+	t.former = map[wasabiridge.InstanceID]bool{}
+	for _, id := range owners {
+		t.former[id] = true
+	}
+	if t.met || t.isSettled(now) {
+		return
+	}
 	for _, a := range t.accounts {
 		a.refill(t, now)
 		if !a.known && a.own == 0 {
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -127,10 +127,9 @@
 	asking wasabiridge.Millis
 	// newcomers are instances that want to be told all that is known.
 	newcomers map[wasabiridge.InstanceID]bool
-	// former is how many instances owned a part before the start, wasOwner whether this one
-	// did. Zero means that it is not known.
-	former   int
-	wasOwner bool
+	// former are the instances that owned a part before the start. Nil means that it is not
+	// known.
+	former map[wasabiridge.InstanceID]bool
 	// forgot is when it was last not known what was spent. Zero means that it is known.
 	forgot wasabiridge.Millis
 	// known is how many instances there are at most, counted how many there were last, and
