Limits of servers: an instance that has just started does not take a whole rate

What callers saw: after instances start together, a server in need gets several times what it takes, and fails more.

Cause: a process begins with itself as the only sender and takes the whole rate until it is told of others. Same class as the owners of account limits: a sum divided by what one process sees.

Change: in its first ten seconds an instance that knows nobody else sends half a request a second to such a server, so that answers still tell when it takes more. One that stays alone takes the whole after that.

--- a/internal/wasabirate/group.go
+++ b/internal/wasabirate/group.go
@@ -16,17 +16,24 @@
 type Group struct {
 	self wasabiridge.InstanceID
 	// left is when an instance was seen last. Zero means that it is seen now.
-	left    map[wasabiridge.InstanceID]wasabiridge.Millis
+	left map[wasabiridge.InstanceID]wasabiridge.Millis
+	// begun is when the group was first told of. alone says that nobody else is known, and
+	// that others may just not have been seen yet.
+	begun   wasabiridge.Millis
+	alone   bool
 	version uint64
 }
 
 // NewGroup returns a group of which only one instance is known.
 func NewGroup(self wasabiridge.InstanceID) *Group {
-	return &Group{self: self, left: map[wasabiridge.InstanceID]wasabiridge.Millis{self: 0}, version: 1}
+	return &Group{self: self, left: map[wasabiridge.InstanceID]wasabiridge.Millis{self: 0}, alone: true, version: 1}
 }
 
 // Set says which instances callers are sent to.
 func (g *Group) Set(now wasabiridge.Millis, instances []wasabiridge.InstanceID) {
+	if g.begun == 0 {
+		g.begun = now
+	}
 	for id, left := range g.left {
 		if left == 0 && !slices.Contains(instances, id) {
 			g.left[id] = now
@@ -49,13 +56,23 @@
 			g.version++
 		}
 	}
+	if alone := len(g.left) == 1 && (g.begun == 0 || now-g.begun < memory); alone != g.alone {
+		g.alone = alone
+		g.version++
+	}
 }
 
 // part is what this instance may send to a server that takes a rate.
+//
+// The failure it guards against: instances start together, and each takes the whole rate
+// until it knows the others.
 func (g *Group) part(server wasabiridge.BackendServerID, rate float64) float64 {
 	if _, known := g.left[g.self]; !known {
 		return 0
 	}
+	if g.alone {
+		return min(rate, leastRate)
+	}
 	senders := int(min(max(1, sendersPerRate*rate), float64(len(g.left))))
 	own, before := weight(server, g.self), 0
 	for id := range g.left {
--- /dev/null
+++ b/internal/wasabirate/rate_test.go
@@ -0,0 +1,86 @@
+package wasabirate_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirate"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+func TestRate(t *testing.T) {
+	wasabitest.Run(t, "rate")
+}
+
+const (
+	server = wasabiridge.BackendServerID("s")
+	// rate is what the server takes in a second.
+	rate = 6.0
+	// span is over what time requests are added up, most how many may reach the server
+	// in it.
+	span = 4 * wasabiridge.Second
+	most = 41
+)
+
+// sender is one instance that sends whenever it may.
+type sender struct {
+	group *wasabirate.Group
+	limit wasabirate.Limit
+}
+
+func newSenders(now wasabiridge.Millis, n int) []*sender {
+	var out []*sender
+	for _, id := range names(n) {
+		s := &sender{group: wasabirate.NewGroup(id)}
+		s.limit.Name(now, now, rate)
+		out = append(out, s)
+	}
+	return out
+}
+
+func names(n int) []wasabiridge.InstanceID {
+	var out []wasabiridge.InstanceID
+	for i := range n {
+		out = append(out, wasabiridge.InstanceID(fmt.Sprint("i", i)))
+	}
+	return out
+}
+
+// send lets all instances send from one time to another. The server names its limit in
+// each answer.
+func send(from, until wasabiridge.Millis, senders []*sender) int {
+	sent := 0
+	for now := from; now < until; now += 20 {
+		for _, s := range senders {
+			s.group.Tick(now)
+			s.limit.Name(now, now, rate)
+			if s.limit.Wait(now, server, s.group) == 0 {
+				s.limit.Take(now, server, s.group)
+				sent++
+			}
+		}
+	}
+	return sent
+}
+
+var _ = Describe("The rate of a server", func() {
+	// Guards against instances that start together and each take themselves for the only one.
+	It("is not taken as a whole by each instance that has just started", func() {
+		senders := newSenders(1000, 12)
+		for i, s := range senders {
+			s.group.Set(1000, names(12)[i:i+1])
+		}
+		Expect(send(1000, 1000+span, senders)).To(BeNumerically("<=", most))
+	})
+
+	It("is taken as a whole by an instance that has been alone for long", func() {
+		senders := newSenders(1000, 1)
+		senders[0].group.Set(1000, names(1))
+		send(1000, 62_000, senders)
+		Expect(send(62_000, 62_000+span, senders)).To(BeNumerically("~", rate*4, 2))
+	})
+})
