Limits of servers: instances that are cut off keep their parts for a minute

What callers saw: in a cut of more than 10 s each side sends a server in need all that it takes.

Cause: an instance that is not seen is forgotten after 10 s, while it goes on behind the cut.

Change: it is forgotten after a minute, as in the retry budget and in the limits of accounts. Until then the part of an instance that has left for good is not used at servers that name a limit.

--- a/internal/wasabirate/group.go
+++ b/internal/wasabirate/group.go
@@ -10,7 +10,11 @@
 
 // memory is how long an instance that is not seen any more keeps its part. It may have
 // been cut off and go on sending.
-const memory = 10 * wasabiridge.Second
+const memory = wasabiridge.Minute
+
+// aloneAfter is how long after its start an instance that knows of no others takes it
+// that there are none.
+const aloneAfter = 10 * wasabiridge.Second
 
 // Group is the instances that callers are sent to, as one of them sees them.
 type Group struct {
@@ -56,7 +60,7 @@
 			g.version++
 		}
 	}
-	if alone := len(g.left) == 1 && (g.begun == 0 || now-g.begun < memory); alone != g.alone {
+	if alone := len(g.left) == 1 && (g.begun == 0 || now-g.begun < aloneAfter); alone != g.alone {
 		g.alone = alone
 		g.version++
 	}
--- a/internal/wasabirate/rate_test.go
+++ b/internal/wasabirate/rate_test.go
@@ -77,6 +77,21 @@
 		Expect(send(1000, 1000+span, senders)).To(BeNumerically("<=", most))
 	})
 
+	// Guards against sides of a cut that each take the whole rate once they have forgotten
+	// the others.
+	It("is kept together by two sides that have not seen each other for long", func() {
+		senders := newSenders(1000, 12)
+		for _, s := range senders {
+			s.group.Set(1000, names(12))
+		}
+		send(1000, 5000, senders)
+		for i, s := range senders {
+			s.group.Set(5000, names(12)[i/6*6:i/6*6+6])
+		}
+		send(5000, 40_000, senders)
+		Expect(send(40_000, 40_000+span, senders)).To(BeNumerically("<=", most))
+	})
+
 	It("is taken as a whole by an instance that has been alone for long", func() {
 		senders := newSenders(1000, 1)
 		senders[0].group.Set(1000, names(1))
