Quota: an instance that stood still for a minute owns no part of the limits any more

What callers saw: nothing yet; found by looking for the class of the owners' fault.

Cause: the others divide the part of an instance that has been silent for a minute.

Change: after such a time it gives up its part, and owns one again once all agree.

--- a/internal/wasabiquota/idle_test.go
+++ b/internal/wasabiquota/idle_test.go
@@ -40,6 +40,25 @@
 		Expect(t.Part(80_100)).To(Equal(1.0))
 	})
 
+	// Guards against an instance that goes on with its part after the others have forgotten
+	// it.
+	It("that stood still for long owns no part any more", func() {
+		t := wasabiquota.New(wasabiquota.Options{Self: instance(0), Life: 1, Started: 1000})
+		t.Observe(1000, wasabiridge.ConfigAdopted{Config: wasabiridge.Config{Accounts: []wasabiridge.ClientAccount{limited("a", large)}}})
+		t.Observe(1000, wasabiridge.ActiveKnown{Instances: names[:4], Known: 4})
+		answer := func(now wasabiridge.Millis) {
+			for _, id := range t.Strangers(now) {
+				t.Observe(now, wasabiridge.PeerHeard{From: id})
+			}
+		}
+		pass(t, 1000, 4000, answer)
+		Expect(t.Part(4000)).To(Equal(1.0))
+		pass(t, 70_000, 70_100, nil)
+		Expect(t.Part(70_100)).To(BeNumerically("<=", 0.025))
+		pass(t, 70_120, 74_000, answer)
+		Expect(t.Part(74_000)).To(Equal(1.0))
+	})
+
 	// Guards against instances that are cut off while nothing runs: each would let run a
 	// whole burst before it sees that nobody answers.
 	It("sees that the others do not answer", func() {
--- a/internal/wasabiquota/start.go
+++ b/internal/wasabiquota/start.go
@@ -50,7 +50,13 @@
 //
 // The failure it guards against: an instance is frozen, goes on with what was left when
 // it was, and lets it run once more beside what the others have let run meanwhile.
-func (t *Table) stalled(now wasabiridge.Millis) {
+func (t *Table) stalled(now, elapsed wasabiridge.Millis) {
+	if elapsed >= lapseAfter && !t.options.Alone {
+		// The others divide this instance's part by now.
+		t.wants, t.owner, t.unseated = false, false, true
+		t.seat.become(false)
+		t.retire()
+	}
 	for _, p := range t.peers {
 		p.asked = max(1, now-silentAfter)
 	}
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -274,7 +274,7 @@
 		return
 	}
 	if elapsed > stallMost {
-		t.stalled(now)
+		t.stalled(now, elapsed)
 		t.last = now
 		return
 	}
