Quota: which owners an instance counts is logged, counted and told with each refusal

From one refused request, or one window beyond a limit, it could not be told by which owners an instance had divided: the line of a refusal held the part only. Now a line tells each change of the owners, once a second at most (number of the set, members, by how many limits are divided, whether all agree, the own part, who is silent); a refusal names the number of the set, four metrics the same. The files of the keeper and of peers are split by what they do.

--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -119,6 +119,10 @@
 	s := n.quota.Snapshot()
 	lines := []string{
 		line("quota_part_percent", int64(100*s.Part)),
+		line("quota_owners", int64(s.Owners.Members)),
+		line("quota_owners_divided", int64(s.Owners.Divided)),
+		line("quota_owners_change", int64(s.Owners.Change)),
+		line("quota_owners_not_agreed", int64(s.Owners.Open)),
 		line("quota_refused_total", int64(s.Counts.Refused)),
 		line("quota_refused_unlogged_total", int64(s.Counts.Unlogged)),
 	}
--- a/internal/wasabiquota/keeper.go
+++ b/internal/wasabiquota/keeper.go
@@ -11,7 +11,6 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiending"
-	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 )
 
@@ -63,6 +62,9 @@
 	read      bool
 	written   []wasabiridge.InstanceID
 	writtenAt wasabiridge.Millis
+	// owners is what was last logged of the owners, at ownersAt. They belong to Run.
+	owners   Owners
+	ownersAt wasabiridge.Millis
 	// probed is when silent instances were last looked at. It belongs to Run.
 	probed map[wasabiridge.InstanceID]wasabiridge.Millis
 }
@@ -104,11 +106,13 @@
 	var silent, strangers, newcomers, owners []wasabiridge.InstanceID
 	limited := false
 	var hello, all wasabiridge.News
+	var ownership Owners
 	k.loop.Inspect(func() {
 		now := k.options.Clock.Now()
 		k.Add(now, &news)
 		notes, silent = k.table.TakeNotes(), k.table.Silent(now)
 		owners, limited = k.table.Owners(now), k.table.IsLimiting()
+		ownership = k.table.Ownership(now)
 		strangers, hello = k.table.Strangers(now), k.table.Hello(now)
 		if newcomers = k.table.Newcomers(); len(newcomers) > 0 {
 			all = k.table.All(now)
@@ -120,6 +124,9 @@
 	for _, n := range notes {
 		k.log(n)
 	}
+	if limited {
+		k.logOwners(ownership, silent)
+	}
 	k.probeAll(ctx, silent)
 	k.keepOwners(ctx, limited, owners)
 }
@@ -264,25 +271,13 @@
 	}
 }
 
-// log tells why a request was refused.
-func (k *Keeper) log(n Note) {
-	var silent []string
-	for _, id := range n.Silent {
-		silent = append(silent, string(id))
-	}
-	k.options.Log.Info().Str(wasabilog.RequestField, string(n.Request)).Str("account", string(n.Account)).
-		Float64("rate", n.Limit.Rate).Float64("burst", n.Limit.Burst).Str("unit", string(n.Limit.Unit)).
-		Float64("cost", n.Cost).Float64("level", n.Level).Float64("limit_part", n.Part).Bool("known", n.Known).
-		Int64("news_age_ms", int64(n.Oldest)).Strs("silent", silent).Int64("retry_after_ms", int64(n.RetryAfter)).
-		Msg("Request is beyond the limit of its account.")
-}
-
 // Snapshot is what is known of the limits at one moment.
 type Snapshot struct {
 	// Entries are all accounts with a limit.
 	Entries []Entry
 	// Part is the part of every limit that can be used here.
 	Part   float64
+	Owners Owners
 	Counts Counts
 	// Use counts the requests that were let in by the used share of their account's
 	// burst, in equal parts from none to all of it.
@@ -294,7 +289,7 @@
 	var s Snapshot
 	k.loop.Inspect(func() {
 		now := k.options.Clock.Now()
-		s = Snapshot{Entries: k.table.Entries(now), Part: k.table.Part(now), Counts: k.table.Counts(), Use: k.table.Use()}
+		s = Snapshot{Entries: k.table.Entries(now), Part: k.table.Part(now), Owners: k.table.Ownership(now), Counts: k.table.Counts(), Use: k.table.Use()}
 	})
 	return s
 }
--- a/internal/wasabiquota/note.go
+++ b/internal/wasabiquota/note.go
@@ -35,6 +35,8 @@
 	// the others is at most.
 	Silent []wasabiridge.InstanceID
 	Oldest wasabiridge.Millis
+	// Owners is what was known of the owners.
+	Owners Owners
 }
 
 func (t *Table) note(now wasabiridge.Millis, r wasabiridge.Request, a *account, cost float64, after wasabiridge.Millis) {
@@ -44,7 +46,7 @@
 	}
 	n := Note{
 		Request: r.ID, Account: r.Account, Limit: a.limit, Cost: cost, Level: a.level, Part: t.partOf(now, a, t.part(now)), Known: a.known,
-		RetryAfter: after, Silent: t.Silent(now),
+		RetryAfter: after, Silent: t.Silent(now), Owners: t.Ownership(now),
 	}
 	for _, p := range t.peers {
 		n.Oldest = max(n.Oldest, now-p.heard)
--- a/internal/wasabiquota/view.go
+++ b/internal/wasabiquota/view.go
@@ -11,6 +11,37 @@
 // viewRepeats is how often a view is told to an instance that may have it already.
 const viewRepeats = 4
 
+// Owners is what an instance knows of the owners of the limits.
+type Owners struct {
+	// Change numbers the present set, Members is how many are in it, Divided by how many the
+	// limits are divided. Agreed says that all members have the same set; Open is how many
+	// others are not known to have it.
+	Change                 uint64
+	Members, Divided, Open int
+	Agreed                 bool
+	// Own says that this instance owns a part, Part which part can be used here.
+	Own  bool
+	Part float64
+}
+
+// Ownership returns what is known of the owners.
+func (t *Table) Ownership(now wasabiridge.Millis) Owners {
+	t.advance(now)
+	o := Owners{Change: t.change, Divided: int(t.owners(now)), Agreed: t.agreed, Own: t.owner, Part: t.part(now)}
+	if t.seat.member {
+		o.Members++
+	}
+	for _, p := range t.peers {
+		if p.member {
+			o.Members++
+			if !p.isInTouch(now) || !t.agrees(p) {
+				o.Open++
+			}
+		}
+	}
+	return o
+}
+
 // seat is the place of one instance among the owners, as this instance counts them.
 //
 // Sets of owners change one after the other at each instance, and at different times. An
