Test: the retry budget where all instances start in a cut into three groups (failing)

Found by looking for the class of the owners' fault: a sum that all keep together, divided by what one process sees. Not mended: a larger divisor would take slack from everybody always.

--- a/internal/wasabireplica/budget_test.go
+++ b/internal/wasabireplica/budget_test.go
@@ -231,6 +231,22 @@
 			f.pass(2 * retryWindow)
 		},
 	}
+	// Guards against groups of instances that are cut off from each other, have all started
+	// since, and each divide the slack by what they see.
+	It("stay within the budget of every window when all instances start while they are cut into three groups", func() {
+		f := newRetryFleet(1, 9, 20)
+		f.pass(2 * retryWindow)
+		f.cutAt = f.now
+		for i, r := range f.instances {
+			r.side = i % 3
+			f.kill(r, 500)
+		}
+		f.pass(8 * retryWindow)
+		f.failing = true
+		f.pass(2 * retryWindow)
+		Expect(f.excess()).To(BeNumerically("<=", 0))
+	})
+
 	for _, name := range wasabitest.Names(faults) {
 		It("stay within the budget of every window "+name, func() {
 			f := newRetryFleet(1, 7, 71)
