Quota: an instance that starts behind a cut and hears nobody lets run next to nothing

Cause: an instance that has started counts an even part until it has met another one.

Change: after its first second such an instance lets run as much as one that owns nothing and hears nobody. If the row of the owners names it, it owns what it did.

--- a/internal/wasabiquota/part.go
+++ b/internal/wasabiquota/part.go
@@ -34,7 +34,7 @@
 	switch {
 	case !settled && t.former[t.options.Self]:
 		return 1 / float64(len(t.former))
-	case !settled && (len(t.former) > 0 || t.isCounted(now) && !t.active):
+	case !settled && (len(t.former) > 0 || t.isCounted(now) && (!t.active || now-t.options.Started >= settleAfter)):
 		return t.stray(now)
 	}
 	return 1 / t.owners(now)
--- a/internal/wasabiquota/parts_test.go
+++ b/internal/wasabiquota/parts_test.go
@@ -243,3 +243,21 @@
 		Expect(owner.Newcomers()).To(Equal(names[5:15]))
 	})
 })
+
+// Guards against an instance that starts behind a cut, hears nobody, and uses an even part
+// beside the owners until the cut ends.
+var _ = Describe("A newcomer that hears nobody", func() {
+	It("lets run next to nothing after its first second", func() {
+		f := newFleet(1, 3, []wasabiridge.ClientAccount{limited("a", drawnRate)}, newTold)
+		f.play(f.now + 4*wasabiridge.Second)
+		f.cut = func(int, int) bool { return true }
+		f.add()
+		f.play(f.now + 1500)
+		begun := f.now
+		for f.now < begun+4*wasabiridge.Second {
+			f.ask(3, "a", 1)
+			f.play(f.now + 10)
+		}
+		Expect(f.ranIn("a", begun, f.now)).To(BeNumerically("<=", 4))
+	})
+})
