Quota: an owner that does not know what was spent does not tell that nothing was

What callers saw: without any cut, an instance that starts again beside one that is added: a burst runs once more, 14.6 of 404 beyond a limit (small history "heal, restart 1, heal, add", 0.15 s apart).

Cause: who is told all that is known takes accounts that are not named for untouched. An instance that had just become an owner did not know yet what was spent of the account, left it out, and another one that had started beside it took the whole burst for left: the level went from -30.8 to 37.9 at both.

Change: a message counts as whole only if the sender knows all accounts.

Found by all histories of four events (by hand). Small histories freeze two instances now: the planted "spent twice after a freeze" with one of them, 40 units, was seen within three events only together with this fault (the slack alone is 44).

--- a/internal/wasabiquota/news.go
+++ b/internal/wasabiquota/news.go
@@ -139,6 +139,8 @@
 	for _, id := range slices.Sorted(maps.Keys(t.accounts)) {
 		a := t.accounts[id]
 		a.refill(t, now)
+		// What is not known here must not be taken for untouched.
+		news.Whole = news.Whole && a.known
 		if a.known && (a.own != 0 || len(a.peers) > 0) {
 			news.Uses = append(news.Uses, wasabiridge.UseNews{Account: id, Spent: int64(math.Ceil(a.own)), Level: int64(a.level), LevelKnown: true})
 		}
--- a/internal/wasabiquota/small_test.go
+++ b/internal/wasabiquota/small_test.go
@@ -29,13 +29,13 @@
 // smallEvents are what may happen. Instances that are added are on the side of an
 // instance that is cut off if their number is odd.
 var smallEvents = map[string]func(s *smallFleet){
-	"cut off 0": func(s *smallFleet) { s.alone = 0 },
-	"cut off 1": func(s *smallFleet) { s.alone = 1 },
-	"heal":      func(s *smallFleet) { s.alone = -1 },
-	"restart 0": func(s *smallFleet) { s.restart(0) },
-	"restart 1": func(s *smallFleet) { s.restart(1) },
-	"add":       func(s *smallFleet) { s.add() },
-	"freeze 0":  func(s *smallFleet) { s.nodes[0].frozen = s.now + 2500 },
+	"cut off 0":   func(s *smallFleet) { s.alone = 0 },
+	"cut off 1":   func(s *smallFleet) { s.alone = 1 },
+	"heal":        func(s *smallFleet) { s.alone = -1 },
+	"restart 0":   func(s *smallFleet) { s.restart(0) },
+	"restart 1":   func(s *smallFleet) { s.restart(1) },
+	"add":         func(s *smallFleet) { s.add() },
+	"freeze 0, 1": func(s *smallFleet) { s.nodes[0].frozen, s.nodes[1].frozen = s.now+2500, s.now+2500 },
 }
 
 func (s *smallFleet) restart(i int) {
@@ -122,7 +122,7 @@
 }
 
 // sortedEvents are the names of smallEvents in their order.
-var sortedEvents = []string{"cut off 0", "cut off 1", "heal", "restart 0", "restart 1", "add", "freeze 0"}
+var sortedEvents = []string{"cut off 0", "cut off 1", "heal", "restart 0", "restart 1", "add", "freeze 0, 1"}
 
 // BenchmarkSmallHistories plays all histories of four events.
 func BenchmarkSmallHistories(b *testing.B) {
@@ -160,3 +160,14 @@
 		})
 	}
 })
+
+// Guards against an owner that does not know yet what was spent, and whose word is taken
+// for that nothing was.
+var _ = Describe("An instance that starts beside a newcomer", func() {
+	It("does not let a burst run once more", func() {
+		excess := smallHistory(3, noBug, []string{"restart 1", "heal", "add"}, []wasabiridge.Millis{soon, soon})
+		Expect(excess).To(BeNumerically("<=", 0))
+		excess = smallHistory(3, noBug, []string{"heal", "restart 1", "heal", "add"}, []wasabiridge.Millis{soon, soon, soon})
+		Expect(excess).To(BeNumerically("<=", 0))
+	})
+})
