Quota: the row of the owners names those that all have agreed on

What callers saw: nothing yet; found by reading. Instances that start again in a cut use what the row says that they owned.

Change: it is written from the agreed set.

--- a/internal/wasabiquota/part.go
+++ b/internal/wasabiquota/part.go
@@ -43,12 +43,12 @@
 // Owners returns the instances that own a part of every limit, ordered by name. It is
 // empty while that is not known for certain.
 func (t *Table) Owners(now wasabiridge.Millis) []wasabiridge.InstanceID {
-	if !t.owner || !t.isSettled(now) || t.hasSilent(now) {
+	if !t.owner || !t.agreed || !t.isSettled(now) || t.hasSilent(now) {
 		return nil
 	}
 	out := []wasabiridge.InstanceID{t.options.Self}
 	for id, p := range t.peers {
-		if p.active && p.met && !p.late && !p.ended {
+		if p.active && p.kept {
 			out = append(out, id)
 		}
 	}
--- a/internal/wasabiquota/parts_test.go
+++ b/internal/wasabiquota/parts_test.go
@@ -261,3 +261,19 @@
 		Expect(f.ranIn("a", begun, f.now)).To(BeNumerically("<=", 4))
 	})
 })
+
+// Guards against instances that start again in a cut and use the parts of owners that not
+// all others divide by.
+var _ = Describe("The owners that are kept", func() {
+	It("are those that all have agreed on", func() {
+		f := newFleet(1, 3, []wasabiridge.ClientAccount{limited("a", rate)}, newTold)
+		f.play(f.now + 4*wasabiridge.Second)
+		f.add()
+		f.play(f.now + 200)
+		for _, n := range f.nodes {
+			Expect(n.way.(*told).table.Owners(f.now)).NotTo(ContainElement(instance(3)))
+		}
+		f.play(f.now + 4*wasabiridge.Second)
+		Expect(f.nodes[0].way.(*told).table.Owners(f.now)).To(HaveLen(4))
+	})
+})
--- a/internal/wasabiquota/table.go
+++ b/internal/wasabiquota/table.go
@@ -10,14 +10,16 @@
 //
 // # Instances that are not heard
 //
-// What an instance that does not answer lets run is not known. Each of n instances owns
-// an n-th of every limit. Those that hear each other share the parts that they own
-// together; the parts of the others stay untouched until they are heard, are known to
-// have ended, or have been silent for lapseAfter. Two sides of a partition therefore
-// never let run more than the limit between them.
+// What an instance that does not answer lets run is not known. Each of n owners owns an
+// n-th of every limit. Those that hear each other share the parts that they own together;
+// the parts of the others stay untouched until they are heard, or have been silent for
+// lapseAfter. Two sides of a partition therefore never let run more than the limit between
+// them, once they have seen it.
 //
-// Owners are the instances that callers are sent to. Others ask the owners what is left
-// before they let anything run, and go by the part that these have.
+// Owners are the instances that callers are sent to. All of them agree on who they are: an
+// instance counts on one side of a partition only if everybody on the other side divides by
+// it. Others ask the owners what is left before they let anything run, and go by the part
+// that these have.
 //
 // # Starts
 //
