Instances: one that knows nobody reads the rows that were written last

What callers saw: nothing yet; listed as found by reading. After more than 500 instances have been replaced, one that starts with settings that name nobody who lives serves alone.

Cause: rows of instances that are gone are deleted by nobody, and the first 500 in the order of names were read.

Change: all pages are read, 20 at most, and the 500 rows taken that were written last. With less than 500 rows it is one call, as before.

--- a/internal/wasabinode/roster.go
+++ b/internal/wasabinode/roster.go
@@ -1,8 +1,10 @@
 package wasabinode
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,8 +14,10 @@
 
 const (
 	rosterPrefix = "member/"
-	// rosterMost bounds the rows that are read.
-	rosterMost = 500
+	// rosterMost bounds the rows that are gone by and those of one call, rosterPages the
+	// calls.
+	rosterMost  = 500
+	rosterPages = 20
 	// rosterTimeout bounds one call, signInterval is the time between two
 	// tries to write the own row.
 	rosterTimeout = 2 * time.Second
@@ -60,7 +64,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
-	rows, err := r.table.List(ctx, rosterPrefix, "", rosterMost)
+	rows, err := r.latest(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -73,6 +77,26 @@
 	return entries, nil
 }
 
+// latest returns the rows that were written last. Nobody deletes those of instances that
+// are gone.
+func (r *roster) latest(ctx context.Context) ([]wasabiridge.Row, error) {
+	var rows []wasabiridge.Row
+	after := ""
+	for range rosterPages {
+		page, err := r.table.List(ctx, rosterPrefix, after, rosterMost)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, page...)
+		if len(page) < rosterMost {
+			break
+		}
+		after = page[len(page)-1].Key
+	}
+	slices.SortStableFunc(rows, func(a, b wasabiridge.Row) int { return cmp.Compare(b.Revision, a.Revision) })
+	return rows[:min(len(rows), rosterMost)], nil
+}
+
 // sign writes the own row, once this instance has a low rank and the store takes it.
 func (r *roster) sign(ctx context.Context, incarnation wasabiridge.Incarnation) {
 	value, err := json.Marshal(r.self)
