--- a/internal/wasabinode/roster.go
+++ b/internal/wasabinode/roster.go
@@ -14,7 +14,7 @@
 
 const (
 	rosterPrefix = "member/"
-	// rosterMost bounds the rows that are gone by and those of one call, rosterPages the
+	// rosterMost bounds the rows of one call and those that are used, rosterPages the
 	// calls.
 	rosterMost  = 500
 	rosterPages = 20
