platform, wasabinode: log and count servers that announce that they are leaving

The header is now read from every answer to a request, logged once for each server and shown as wasabiridge_server_leaving_ms. Unusable values are logged once a second at most.

--- a/event.go
+++ b/event.go
@@ -97,7 +97,12 @@
 type BackendLost struct{ Backend BackendServerID }
 
 // BackendLeaving reports that a backend server must get no new work.
-type BackendLeaving struct{ Backend BackendServerID }
+type BackendLeaving struct {
+	Backend BackendServerID
+	// Fault describes why the server's announcement is unusable. Such an announcement
+	// is ignored. Empty means that it is usable.
+	Fault string
+}
 
 // WeightsReported reports which version of a model a backend server serves.
 type WeightsReported struct {
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -168,8 +168,13 @@
 // decision loop is full the event is dropped, and the next response brings newer
 // values.
 func (n *Node) Observe(e wasabiridge.Event) {
-	if limit, ok := e.(wasabiridge.LimitAnnounced); ok {
-		n.limits.record(limit, n.options.Clock.Now())
+	switch e := e.(type) {
+	case wasabiridge.LimitAnnounced:
+		n.limits.record(e, n.options.Clock.Now())
+	case wasabiridge.BackendLeaving:
+		if !n.leavers.record(e, n.options.Clock.Now()) {
+			return
+		}
 	}
 	n.loop.TryPost(e)
 }
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -135,8 +135,9 @@
 	loop        *wasabiloop.Loop
 	placer      *wasabireplica.Placer
 	// placed wakes publishPlacements.
-	placed chan struct{}
-	limits serverLimits
+	placed  chan struct{}
+	limits  serverLimits
+	leavers leavingServers
 	// migrationQueue holds the backend servers whose requests wait for migration.
 	migrationQueue chan wasabiridge.BackendServerID
 	quarantine     *wasabiquarantine.Controller
@@ -194,6 +195,7 @@
 		seed = rand.Uint64()
 	}
 	n.limits = serverLimits{log: wasabilog.Part(n.log, "limit"), byServer: map[wasabiridge.BackendServerID]serverLimit{}}
+	n.leavers = leavingServers{log: wasabilog.Part(n.log, "leaving"), byServer: map[wasabiridge.BackendServerID]leavingServer{}}
 	n.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: o.Clock})
 	n.placer = wasabireplica.New(wasabireplica.Options{
 		Seed: seed, Self: s.Instance, Zone: s.Zone, WeightsDeadline: n.bounds.OldWeightsLifetime - weightsMargin,
