--- a/event.go
+++ b/event.go
@@ -104,6 +104,16 @@
 	Fault string
 }
 
+// PauseRequested reports that a backend server refused a request and wants no further
+// requests from this instance for a while.
+type PauseRequested struct {
+	Backend  BackendServerID
+	Duration Millis
+	// Fault describes why the requested duration is unusable. Such a request is ignored.
+	// Empty means that it is usable.
+	Fault string
+}
+
 // WeightsReported reports which version of a model a backend server serves.
 type WeightsReported struct {
 	Backend BackendServerID
@@ -172,6 +182,7 @@
 func (CacheChanged) isEvent()      {}
 func (BackendLost) isEvent()       {}
 func (BackendLeaving) isEvent()    {}
+func (PauseRequested) isEvent()    {}
 func (WeightsReported) isEvent()   {}
 func (TargetWeightsSet) isEvent()  {}
 func (BackendInBackoff) isEvent()  {}
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -171,7 +171,10 @@
 	switch e := e.(type) {
 	case wasabiridge.LimitAnnounced:
 		n.limits.record(e, n.options.Clock.Now())
+	case wasabiridge.PauseRequested:
+		n.paused.record(e, n.options.Clock.Now())
 	case wasabiridge.BackendLeaving:
+		// Every answer repeats it.
 		if !n.leavers.record(e, n.options.Clock.Now()) {
 			return
 		}
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -138,6 +138,7 @@
 	placed  chan struct{}
 	limits  serverLimits
 	leavers leavingServers
+	paused  pausedServers
 	// migrationQueue holds the backend servers whose requests wait for migration.
 	migrationQueue chan wasabiridge.BackendServerID
 	quarantine     *wasabiquarantine.Controller
@@ -196,6 +197,7 @@
 	}
 	n.limits = serverLimits{log: wasabilog.Part(n.log, "limit"), byServer: map[wasabiridge.BackendServerID]serverLimit{}}
 	n.leavers = leavingServers{log: wasabilog.Part(n.log, "leaving"), byServer: map[wasabiridge.BackendServerID]leavingServer{}}
+	n.paused = pausedServers{log: wasabilog.Part(n.log, "pause"), byServer: map[wasabiridge.BackendServerID]pausedServer{}}
 	n.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: o.Clock})
 	n.placer = wasabireplica.New(wasabireplica.Options{
 		Seed: seed, Self: s.Instance, Zone: s.Zone, WeightsDeadline: n.bounds.OldWeightsLifetime - weightsMargin,
