--- a/event.go
+++ b/event.go
@@ -99,6 +99,9 @@
 // BackendLeaving reports that a backend server must get no new work.
 type BackendLeaving struct {
 	Backend BackendServerID
+	// Incarnation is the incarnation of the server that the request was sent to. Zero
+	// means that it is not known.
+	Incarnation Incarnation
 	// Fault describes why the server's announcement is unusable. Such an announcement
 	// is ignored. Empty means that it is usable.
 	Fault string
@@ -107,8 +110,10 @@
 // PauseRequested reports that a backend server refused a request and wants no further
 // requests from this instance for a while.
 type PauseRequested struct {
-	Backend  BackendServerID
-	Duration Millis
+	Backend BackendServerID
+	// Incarnation is as in BackendLeaving.
+	Incarnation Incarnation
+	Duration    Millis
 	// Fault describes why the requested duration is unusable. Such a request is ignored.
 	// Empty means that it is usable.
 	Fault string
--- /dev/null
+++ b/internal/wasabinode/announcement_test.go
@@ -0,0 +1,64 @@
+package wasabinode_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge/platform/standin"
+)
+
+// announcingEngines starts a node before two engines that both receive requests, and
+// returns them with a function that sends requests, which must be served.
+func announcingEngines(g *rig) (n *running, first, second *standin.Replica, sendMany func(count int)) {
+	first = g.replica(standin.ReplicaOptions{ID: "e1", Service: "lm", Model: "m", ProcessingTime: time.Millisecond})
+	second = g.replica(standin.ReplicaOptions{ID: "e2", Service: "lm", Model: "m", ProcessingTime: time.Millisecond})
+	g.store.SetTargetWeights("m", 1)
+	g.configure(1, "k")
+	n = g.start()
+	sent := 0
+	sendMany = func(count int) {
+		for range count {
+			sent++
+			status, _, err := send(n.caller, "/chat/x", fmt.Sprint("a", sent), "k")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK))
+		}
+	}
+	Eventually(status(n.caller, "/chat/x", "k"), "5s").Should(Equal(http.StatusOK))
+	Eventually(func() int {
+		sendMany(5)
+		return min(len(first.Runs()), len(second.Runs()))
+	}, "5s").Should(BeNumerically(">", 0), "both engines receive requests")
+	return n, first, second, sendMany
+}
+
+var _ = Describe("A backend server that announces that it is leaving", func() {
+	// Guards against requests to a leaving server that the platform's list still names as
+	// ready, during an outage of the platform and after it.
+	It("gets no further requests, whatever the platform's list says", func() {
+		g := newRig()
+		n, first, _, sendMany := announcingEngines(g)
+		g.store.Fail(standin.Unavailable)
+		first.AnnounceLeaving("1")
+		Eventually(func() string {
+			sendMany(5)
+			return n.log.String()
+		}, "1s", "1ms").Should(ContainSubstring("Backend server announced that it is leaving."))
+		before := len(first.Runs())
+		sendMany(50)
+		Expect(first.Runs()).To(HaveLen(before))
+
+		g.store.Fail(standin.Healthy)
+		g.configure(2, "k")
+		Eventually(func() string {
+			sendMany(1)
+			return metricsOf(n)
+		}, "5s").Should(ContainSubstring("config_version 2"))
+		sendMany(50)
+		Expect(first.Runs()).To(HaveLen(before))
+	})
+})
