--- a/internal/wasabinode/announcement_test.go
+++ b/internal/wasabinode/announcement_test.go
@@ -62,3 +62,24 @@
 		Expect(first.Runs()).To(HaveLen(before))
 	})
 })
+
+var _ = Describe("A backend server that requests a pause", func() {
+	// Guards against requests to a server that has refused one and asked for a pause.
+	It("gets no further requests during the pause", func() {
+		g := newRig()
+		n, first, _, sendMany := announcingEngines(g)
+		first.RequestPause("60")
+		Eventually(func() string {
+			sendMany(1)
+			return n.log.String()
+		}, "1s", "1ms").Should(ContainSubstring("Backend server requested a pause."))
+		before, notServed := len(first.Arrivals()), 0
+		for i, began := 0, time.Now(); time.Since(began) < 500*time.Millisecond; i++ {
+			if status, _, err := send(n.caller, "/chat/x", fmt.Sprint("p", i), "k"); err != nil || status != http.StatusOK {
+				notServed++
+			}
+		}
+		Expect(first.Arrivals()).To(HaveLen(before))
+		Expect(notServed).To(BeZero(), "the other engine serves all of them")
+	})
+})
--- a/internal/wasabireplica/announcement_test.go
+++ b/internal/wasabireplica/announcement_test.go
@@ -395,6 +395,8 @@
 	cases := map[string]announcement{
 		// Guards against requests to servers that have announced that they are leaving.
 		"that they are leaving": leaves,
+		// Guards against requests to servers during a pause that they have requested.
+		"that they want a pause": pauses,
 	}
 	for _, name := range wasabitest.SortedKeys(cases) {
 		kinds := cases[name]
