wasabireplica, wasabinotice: a server that says that it is leaving gets no more requests

What callers saw: requests went on to a server that ends at any moment; one that it has then is cut, a booking is in doubt, a stream stops until it is resumed.

Cause: the platform's list was the only source of the belief that a server is leaving, and the list is late or missing whenever the store is.

Why it works: the announcement goes to the placer and to the upgrades as a notice of the server's incarnation. No list, report, backoff or loss of the entry replaces it; only a new incarnation ends it. The check stands where every way to a server asks: admission, placement, retry, resumption, target of a migration.

--- a/internal/wasabinode/announcement_test.go
+++ b/internal/wasabinode/announcement_test.go
@@ -61,6 +61,20 @@
 		sendMany(50)
 		Expect(first.Runs()).To(HaveLen(before))
 	})
+
+	// Guards against loads of weights by a server that ends soon.
+	It("is not ordered to load new weights", func() {
+		g := newRig()
+		n, first, second, sendMany := announcingEngines(g)
+		first.AnnounceLeaving("1")
+		Eventually(func() string {
+			sendMany(5)
+			return n.log.String()
+		}, "1s", "1ms").Should(ContainSubstring("Backend server announced that it is leaving."))
+		g.store.SetTargetWeights("m", 2)
+		Eventually(second.Orders, "12s").ShouldNot(BeEmpty())
+		Consistently(first.Orders, "1s").Should(BeEmpty())
+	})
 })
 
 var _ = Describe("A backend server that requests a pause", func() {
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -138,7 +138,7 @@
 // model's weights, for the upgrade.
 func (n *Node) wantedWeights() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion) {
 	v := n.catalog.View()
-	return v.Backends.Entries, v.Snapshot.Weights
+	return n.notices.withLeaving(v.Backends.Entries), v.Snapshot.Weights
 }
 
 // connectionShare is the fraction of a backend server's connections that the
@@ -175,7 +175,7 @@
 		n.paused.record(e, n.options.Clock.Now())
 	case wasabiridge.BackendLeaving:
 		// Every answer repeats it.
-		if !n.leavers.record(e, n.options.Clock.Now()) {
+		if !n.notices.recordLeaving(e, n.options.Clock.Now()) {
 			return
 		}
 	}
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -137,7 +137,7 @@
 	// placed wakes publishPlacements.
 	placed  chan struct{}
 	limits  serverLimits
-	leavers leavingServers
+	notices notices
 	paused  pausedServers
 	// migrationQueue holds the backend servers whose requests wait for migration.
 	migrationQueue chan wasabiridge.BackendServerID
@@ -196,7 +196,7 @@
 		seed = rand.Uint64()
 	}
 	n.limits = serverLimits{log: wasabilog.Part(n.log, "limit"), byServer: map[wasabiridge.BackendServerID]serverLimit{}}
-	n.leavers = leavingServers{log: wasabilog.Part(n.log, "leaving"), byServer: map[wasabiridge.BackendServerID]leavingServer{}}
+	n.notices.log = wasabilog.Part(n.log, "notice")
 	n.paused = pausedServers{log: wasabilog.Part(n.log, "pause"), byServer: map[wasabiridge.BackendServerID]pausedServer{}}
 	n.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: o.Clock})
 	n.placer = wasabireplica.New(wasabireplica.Options{
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -18,6 +18,9 @@
 	maxPriority      = 9
 	// minRetryAfter is the least delay after which refused callers are asked to retry.
 	minRetryAfter = 250 * wasabiridge.Millis(1)
+	// noServerRetryAfter is the same when all replicas of a pool are leaving. A new one
+	// takes seconds to start.
+	noServerRetryAfter = wasabiridge.Second
 	// heavyPromptLoad is the load, as a multiple of a replica's slots, at which heavy
 	// prompts are refused. The remaining slots are for lighter requests.
 	heavyPromptLoad = 0.75
@@ -56,7 +59,11 @@
 	leastExcess, limitedFor := math.Inf(1), wasabiridge.Millis(0)
 	pr := pl.promptOf(q.Request)
 	maxLoad, maxWait := pl.maxLoad(r.Action.Priority, &pr), pl.maxWait(q.Request, &pr)
+	remaining := 0
 	for _, rep := range pl.replicas {
+		if !l.placer.isLeaving(rep) {
+			remaining++
+		}
 		if !l.placer.isUsable(now, rep, q) || rep.loadRatio(now, pr.memory()) >= maxLoad {
 			continue
 		}
@@ -80,6 +87,9 @@
 	if limitedFor > 0 {
 		return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedServerLimit, RetryAfter: max(minRetryAfter, limitedFor)}
 	}
+	if remaining == 0 && len(pl.replicas) > 0 {
+		return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedNoBackend, RetryAfter: noServerRetryAfter}
+	}
 	return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedOverload, RetryAfter: minRetryAfter}
 }
 
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -19,6 +19,8 @@
 		p.rateGroup.Expire(now)
 	case wasabiridge.LimitAnnounced:
 		p.limitReported(now, e)
+	case wasabiridge.BackendLeaving:
+		p.leavingAnnounced(now, e)
 	case wasabiridge.ConfigAdopted:
 		p.adopt(now, e.Config)
 	case wasabiridge.TargetWeightsSet:
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -30,6 +30,11 @@
 // are scored with a surcharge for the lower value of their answers. Shortly before the
 // deadline they receive no further requests.
 //
+// # Announcements
+//
+// A replica that announces that it is leaving receives no further requests, whatever the
+// platform's list says, until a new incarnation of it is known.
+//
 // # Failing replicas
 //
 // A replica that cannot be reached or does not answer is put into an exponential
@@ -50,6 +55,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabibudget"
+	"github.com/wasabiridge/wasabiridge/internal/wasabinotice"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirate"
 )
@@ -109,6 +115,9 @@
 	budgets   map[wasabiridge.PoolID]*wasabibudget.Budget
 	// rateGroup holds the instances that share the rates of servers that report limits.
 	rateGroup *wasabirate.Group
+	// notices holds what the servers stated about themselves. It outlives the state of a
+	// replica, because the list may lose and regain a server.
+	notices wasabinotice.Board
 }
 
 var _ wasabiridge.Placer = (*Placer)(nil)
@@ -185,7 +194,7 @@
 // isUsable reports whether a replica may receive the request, its reported rate limit
 // aside.
 func (p *Placer) isUsable(now wasabiridge.Millis, r *replica, q wasabiridge.PlaceQuery) bool {
-	if r.gone || now < r.backoffUntil || !r.isAvailable(now) {
+	if r.gone || p.isLeaving(r) || now < r.backoffUntil || !r.isAvailable(now) {
 		return false
 	}
 	for _, id := range q.Excluded {
