wasabilife: a freeze of the process confirms no earlier incarnation

What callers would see: a server that had announced that it is leaving gets requests again from an instance that was frozen for 4 s.

Cause: an earlier incarnation is accepted when nothing contradicts it for 4 s, and the time in which this process was frozen counted.

Why it works: gaps between two events of more than a second are no time in which a report could have arrived, so the wait is extended by them, in the placer and in the upgrades.

The spec of a clock set back passed its 4 s in one jump, as a freeze does; it now passes them with ticks, with the same assertion.

--- a/internal/wasabilife/life.go
+++ b/internal/wasabilife/life.go
@@ -7,7 +7,8 @@
 // incarnation. An earlier one is usually a late report of an incarnation that
 // has ended; but the server's clock may have been set back between two starts.
 // So an earlier one is accepted as new when it is the only one reported for
-// longer than any source lags.
+// longer than any source lags. Time in which this process did not run does not count:
+// it received no report that could have contradicted.
 //
 // # Usage
 //
@@ -76,6 +77,12 @@
 	return Restarted
 }
 
+// Postpone makes an earlier incarnation wait longer until it is accepted, by a time in
+// which no report could be received.
+func (l *Tracker) Postpone(by wasabiridge.Millis) {
+	l.since += by
+}
+
 // AcceptedRollback returns an earlier incarnation that has been the only one reported for
 // long enough to be accepted as new. It reports false when there is none.
 func (l *Tracker) AcceptedRollback(now wasabiridge.Millis) (wasabiridge.Incarnation, bool) {
--- a/internal/wasabireplica/announcement_test.go
+++ b/internal/wasabireplica/announcement_test.go
@@ -426,6 +426,16 @@
 	}
 })
 
+// Guards against an instance that is frozen after an outdated report, and then takes an
+// earlier incarnation of the server for the current one.
+var _ = Describe("Announcements to an instance that was frozen", func() {
+	for _, seed := range []uint64{1004365, 1008773} {
+		It(fmt.Sprint("hold in the history of seed ", seed), func() {
+			Expect(playAnnouncements(seed, leaves|pauses, noPlantedBug)).To(BeEmpty())
+		})
+	}
+})
+
 var _ = Describe("A fault of an instance that ignores announcements", func() {
 	bugs := map[string]struct {
 		bug   plantedBug
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -9,6 +9,9 @@
 // that the decider receives.
 func (p *Placer) Observe(now wasabiridge.Millis, e wasabiridge.Event) {
 	p.startBudget(now)
+	if pause := p.pauses.Observe(now); pause > 0 {
+		p.postponeRollbacks(pause)
+	}
 	switch e := e.(type) {
 	case wasabiridge.Ticked:
 		for _, pl := range p.pools {
@@ -76,6 +79,15 @@
 	}
 }
 
+// postponeRollbacks makes earlier incarnations wait for the time in which this process was
+// frozen. Otherwise one late report before a freeze would be accepted after it, and what
+// the current incarnation stated would be ignored.
+func (p *Placer) postponeRollbacks(pause wasabiridge.Millis) {
+	for _, r := range p.replicas {
+		r.incarnation.Postpone(pause)
+	}
+}
+
 // detectSilence puts replicas into backoff that have sent nothing at all since a
 // request was sent to them whose answer is long overdue.
 //
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -57,6 +57,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabibudget"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
 	"github.com/wasabiridge/wasabiridge/internal/wasabinotice"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiquarantine"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirate"
@@ -120,6 +121,7 @@
 	// notices holds what the servers stated about themselves. It outlives the state of a
 	// replica, because the list may lose and regain a server.
 	notices wasabinotice.Board
+	pauses  wasabilife.PauseDetector
 }
 
 var _ wasabiridge.Placer = (*Placer)(nil)
--- a/internal/wasabireplica/restart_test.go
+++ b/internal/wasabireplica/restart_test.go
@@ -23,6 +23,15 @@
 	g.adopt()
 }
 
+// run passes time with regular ticks.
+func (g *rig) run(span wasabiridge.Millis) {
+	const tick = 250 * wasabiridge.Millis(1)
+	for end := g.now + span; g.now < end; {
+		g.now = min(g.now+tick, end)
+		g.observe(wasabiridge.Ticked{})
+	}
+}
+
 // key returns the key of a segment of long prompts under version 1 of the weights.
 func key(segment wasabiridge.BlockHash) uint64 {
 	return wasabiprefix.SegmentKey(wasabiprefix.ShortSalt(wasabiridge.CacheRoot{Model: model, Weights: 1}), segment)
@@ -79,10 +88,15 @@
 		}, "computed", 2},
 		"holds nothing when it restarts with its clock set back": {func(g *rig) {
 			g.setIncarnations(5)
+			g.observe(reported(5, 2))
+			g.run(wasabilife.RollbackDelay)
+		}, "computed", 2},
+		"stays in use when its instance is frozen after an outdated report": {func(g *rig) {
 			g.observe(reported(5, 2))
 			g.now += wasabilife.RollbackDelay
 			g.observe(wasabiridge.Ticked{})
-		}, "computed", 2},
+			g.observe(reported(5, 2))
+		}, "held", 3},
 	}
 	for _, name := range slices.Sorted(maps.Keys(cases)) {
 		It(name, func() {
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -52,6 +52,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
 )
 
 const (
@@ -102,6 +103,7 @@
 	reported map[wasabiridge.BackendServerID]wasabiridge.Millis
 	// rejectedFencing is the highest fencing number that a replica rejected as outdated.
 	rejectedFencing wasabiridge.FencingNumber
+	pauses          wasabilife.PauseDetector
 	effects         []Effect
 }
 
@@ -118,6 +120,12 @@
 // returned slice is valid until the next call.
 func (m *Machine) Handle(now wasabiridge.Millis, e Event) []Effect {
 	m.effects = m.effects[:0]
+	if pause := m.pauses.Observe(now); pause > 0 {
+		// A freeze does not confirm an earlier incarnation.
+		for _, r := range m.replicas {
+			r.incarnation.Postpone(pause)
+		}
+	}
 	switch e := e.(type) {
 	case Ticked:
 		m.updateReplicas(now, e)
