platform: read announcements in responses to all calls, and count unknown ones

For the class of server-leaving: what a server says about itself and nothing reads. Leaving is now read in one function from responses to requests, orders, state reads and migrations. A header Server-... without a known meaning is logged once for each name and counted.

--- a/cmd/wasabirouter/hosted.go
+++ b/cmd/wasabirouter/hosted.go
@@ -24,6 +24,7 @@
 	parts := platform.Connect(platform.Options{Store: s.Hosted.Store, Clock: clock, Instance: s.Instance})
 	var node *wasabinode.Node
 	var err error
+	parts.ObserveWith(func(e wasabiridge.Event) { node.Observe(e) })
 	node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: log, DroppedLogLines: log.Dropped, Platform: wasabinode.Platform{
 		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches, Migrator: parts.Moves,
 		Directory: platform.Directory, Ready: platform.Ready,
@@ -32,7 +33,6 @@
 		return err
 	}
 	parts.Replicas.Limit = node.ConnectionLimit
-	parts.Replicas.Observe = func(e wasabiridge.Event) { node.Observe(e) }
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	go watch(node, file, signals)
--- a/event.go
+++ b/event.go
@@ -107,6 +107,14 @@
 	Fault string
 }
 
+// UnknownAnnouncement reports that a backend server announced something about itself that
+// this version does not know.
+type UnknownAnnouncement struct {
+	Backend BackendServerID
+	// Name is the name of the header that carried it.
+	Name string
+}
+
 // PauseRequested reports that a backend server refused a request and wants no further
 // requests from this instance for a while.
 type PauseRequested struct {
@@ -178,22 +186,23 @@
 // Ticked reports the passage of time. The driver sends one at least every 50 ms.
 type Ticked struct{}
 
-func (RequestArrived) isEvent()    {}
-func (CallerGone) isEvent()        {}
-func (AttemptSent) isEvent()       {}
-func (AttemptFirstToken) isEvent() {}
-func (AttemptEnded) isEvent()      {}
-func (LoadReported) isEvent()      {}
-func (CacheChanged) isEvent()      {}
-func (BackendLost) isEvent()       {}
-func (BackendLeaving) isEvent()    {}
-func (PauseRequested) isEvent()    {}
-func (WeightsReported) isEvent()   {}
-func (TargetWeightsSet) isEvent()  {}
-func (BackendInBackoff) isEvent()  {}
-func (BackendDraining) isEvent()   {}
-func (PeerPlaced) isEvent()        {}
-func (CacheStoreChecked) isEvent() {}
-func (CacheStoreListed) isEvent()  {}
-func (ConfigAdopted) isEvent()     {}
-func (Ticked) isEvent()            {}
+func (RequestArrived) isEvent()      {}
+func (CallerGone) isEvent()          {}
+func (AttemptSent) isEvent()         {}
+func (AttemptFirstToken) isEvent()   {}
+func (AttemptEnded) isEvent()        {}
+func (LoadReported) isEvent()        {}
+func (CacheChanged) isEvent()        {}
+func (BackendLost) isEvent()         {}
+func (BackendLeaving) isEvent()      {}
+func (UnknownAnnouncement) isEvent() {}
+func (PauseRequested) isEvent()      {}
+func (WeightsReported) isEvent()     {}
+func (TargetWeightsSet) isEvent()    {}
+func (BackendInBackoff) isEvent()    {}
+func (BackendDraining) isEvent()     {}
+func (PeerPlaced) isEvent()          {}
+func (CacheStoreChecked) isEvent()   {}
+func (CacheStoreListed) isEvent()    {}
+func (ConfigAdopted) isEvent()       {}
+func (Ticked) isEvent()              {}
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -171,6 +171,9 @@
 	switch e := e.(type) {
 	case wasabiridge.LimitAnnounced:
 		n.limits.record(e, n.options.Clock.Now())
+	case wasabiridge.UnknownAnnouncement:
+		n.notices.recordUnknown(e)
+		return
 	case wasabiridge.PauseRequested:
 		n.notices.recordPause(e, n.options.Clock.Now())
 	case wasabiridge.BackendLeaving:
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabinode"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
@@ -141,6 +142,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	clock := wasabiclock.Boot()
 	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance})
+	parts.ObserveWith(func(e wasabiridge.Event) { r.node.Observe(e) })
 	r.node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: r.log, Platform: wasabinode.Platform{
 		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches,
 		Directory: platform.Directory, Ready: platform.Ready,
@@ -148,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	parts.Replicas.Limit, parts.Replicas.Observe = r.node.ConnectionLimit, r.node.Observe
+	parts.Replicas.Limit = r.node.ConnectionLimit
 	return r, nil
 }
 
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -11,6 +11,9 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabinotice"
 )
 
+// maxUnknownNames bounds the names of announcements without a known meaning.
+const maxUnknownNames = 32
+
 // faultLogInterval is the shortest time between two log lines on unusable announcements
 // of backend servers.
 const faultLogInterval = wasabiridge.Second
@@ -26,6 +29,8 @@
 	// unloggedFaults counts those since.
 	faultLoggedAt  wasabiridge.Millis
 	unloggedFaults int
+	// unknown counts the announcements of each name that has no known meaning.
+	unknown map[string]int
 	// pauses counts the pauses that servers have requested.
 	pauses int
 }
@@ -62,6 +67,22 @@
 	}
 }
 
+// recordUnknown takes an announcement that has no known meaning. It logs each name once.
+func (n *notices) recordUnknown(e wasabiridge.UnknownAnnouncement) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.unknown[e.Name] == 0 && len(n.unknown) >= maxUnknownNames {
+		return
+	}
+	if n.unknown == nil {
+		n.unknown = map[string]int{}
+	}
+	if n.unknown[e.Name]++; n.unknown[e.Name] == 1 {
+		n.log.Warn().Str(wasabilog.BackendField, string(e.Backend)).Str("header", e.Name).
+			Msg("Announcement of a backend server has no known meaning.")
+	}
+}
+
 // logFault logs an unusable announcement, at most once per faultLogInterval.
 func (n *notices) logFault(b wasabiridge.BackendServerID, fault string, now wasabiridge.Millis) {
 	if n.faultLoggedAt != 0 && now-n.faultLoggedAt < faultLogInterval {
@@ -90,7 +111,11 @@
 func (n *notices) lines(now wasabiridge.Millis) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := []string{line("server_pauses_total", int64(n.pauses))}
+	unknown := 0
+	for _, count := range n.unknown {
+		unknown += count
+	}
+	out := []string{line("server_pauses_total", int64(n.pauses)), line("server_announcements_unknown_total", int64(unknown))}
 	for _, s := range n.board.List() {
 		if left := s.PausedUntil - now; left > 0 {
 			out = append(out, line("server_pause_left_ms{backend=\""+string(s.Backend)+"\"}", int64(left)))
