wasabicore: an attempt that was not sent needs no retry budget

What callers saw: requests refused with retry_budget although no server had received them. An attempt whose connection could not be opened, or that was withheld right before its first byte, was followed by one that was charged.

The budget bounds the arrivals beyond the first of each request. Without an arrival the next attempt is the first one. Which and how many attempts a request may have is unchanged. The new spec failed before for both kinds of unsent attempts.

--- a/event.go
+++ b/event.go
@@ -56,6 +56,8 @@
 	Attempt AttemptID
 	Backend BackendServerID
 	Result  AttemptResult
+	// Unsent reports that no byte of the request was written to a connection.
+	Unsent bool
 	// Overloaded reports that the backend server refused for lack of capacity.
 	Overloaded bool
 	// RetryAfter is the time to wait before a retry, as requested by the backend
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -144,7 +144,8 @@
 	if c.refuseQuarantined(now, rs) {
 		return
 	}
-	if !c.options.Limiter.MayRetry(now, rs.request) {
+	// An attempt that was not sent is none at the server, so the next one is no retry.
+	if !e.Unsent && !c.options.Limiter.MayRetry(now, rs.request) {
 		c.refuse(now, rs, wasabiridge.RefusedRetryBudget, max(e.RetryAfter, defaultRetryAfter))
 		return
 	}
--- a/internal/wasabicore/core_test.go
+++ b/internal/wasabicore/core_test.go
@@ -335,3 +335,30 @@
 		}
 	})
 }
+
+// Guards against requests that are refused for want of retries although no server has
+// received them, for example because the connection could not be opened.
+var _ = Describe("The retry budget", func() {
+	cases := map[string]struct {
+		ended   wasabiridge.AttemptEnded
+		retries int
+	}{
+		"is not charged after an attempt that was not sent":     {wasabiridge.AttemptEnded{Result: wasabiridge.AttemptNotRun, Unsent: true}, 0},
+		"is not charged after a connection that was not opened": {wasabiridge.AttemptEnded{Result: wasabiridge.AttemptNotRun, Unsent: true, Unreachable: true}, 0},
+		"is charged after a refusal by the server":              {wasabiridge.AttemptEnded{Result: wasabiridge.AttemptNotRun, Overloaded: true}, 1},
+		"is charged after an attempt that broke":                {wasabiridge.AttemptEnded{Result: wasabiridge.AttemptBroken}, 1},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It(name, func() {
+			limiter := &countingLimiter{}
+			core := newCoreOf(wasabicore.Options{Placer: firstServer{}, Limiter: limiter})
+			first := withoutRecords(core.Handle(1, wasabiridge.RequestArrived{Request: request(wasabiridge.Action{Retry: true})}))[0].(wasabiridge.Dispatch)
+			ended := cases[name].ended
+			ended.Request, ended.Attempt, ended.Backend = "r", first.Attempt, first.Backend.ID
+			effects := withoutRecords(core.Handle(3, ended))
+			Expect(effects).To(HaveLen(1))
+			Expect(effects[0].(wasabiridge.Dispatch).Backend.ID).NotTo(Equal(first.Backend.ID))
+			Expect(limiter.retries).To(Equal(cases[name].retries))
+		})
+	}
+})
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -154,6 +154,7 @@
 	if !x.request.Action.NonIdempotent || before == wasabiridge.NotRun {
 		end = x.relay.options.Runner.Run(ctx, x.attempt(d), s)
 	}
+	end.Unsent = !s.sent
 	x.logFailed(end, started)
 	if end.Result == wasabiridge.AttemptNotRun {
 		x.disposition = before
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -51,6 +51,7 @@
 		Stringer("fingerprint", x.request.Fingerprint).
 		Str(wasabilog.BackendField, string(end.Backend)).
 		Stringer("result", end.Result).
+		Bool("unsent", end.Unsent).
 		Bool("unreachable", end.Unreachable).
 		Bool("silent", end.FirstByteTimeout).
 		Bool("overloaded", end.Overloaded).
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -24,6 +24,8 @@
 	// cancel cancels the attempt.
 	cancel context.CancelCauseFunc
 	stream bool
+	// sent is set when a byte of the request is about to be written.
+	sent bool
 	// gotChunk is set when the first chunk of the body has been received.
 	gotChunk bool
 }
@@ -32,6 +34,7 @@
 
 // Sent implements wasabiridge.AttemptSink.
 func (s *sink) Sent() {
+	s.sent = true
 	s.exchange.disposition = s.exchange.disposition.Advance(wasabiridge.MaybeRun)
 	s.exchange.relay.options.Loop.Post(wasabiridge.AttemptSent{Request: s.dispatch.Request, Attempt: s.dispatch.Attempt})
 }
