wasabirelay: ask right before the first byte whether the server accepts requests

For the class of server-leaving and server-retry-after: one question on the way out. Admission, placement, retry, resumption and the target of a migration ask the placer. A request that was placed before the server's statement and waits for a connection asked nobody any more. Now it is asked where a revoked key is asked for too, and goes to another server without a charge. A run whose KV cache was moved continues where the cache is.

The new spec failed before: the request reached the server.

--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -141,6 +141,12 @@
 	return n.notices.withLeaving(v.Backends.Entries), v.Snapshot.Weights
 }
 
+// accepts reports whether a backend server accepts requests of this instance, as far as
+// it has stated in its answers.
+func (n *Node) accepts(b wasabiridge.BackendServer) bool {
+	return n.notices.accepts(b, n.options.Clock.Now())
+}
+
 // connectionShare is the fraction of a backend server's connections that the
 // instances in the membership view divide between them. The rest is reserved for
 // instances that are not in the view yet.
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -241,6 +241,7 @@
 		Runner: o.Platform.Runner, Protocol: o.Platform.Protocol, View: n.view,
 		MaxKeyAge:  func() wasabiridge.Millis { return n.terms.Load().RevokedKeyLifetime - keyMargin },
 		MaxDenyAge: func() wasabiridge.Millis { return n.terms.Load().ConfigPropagationTime * denyPercent / 100 },
+		Accepts:    n.accepts,
 		Leaving:    n.leaving.Load, Mover: o.Platform.Migrator, Hasher: wasabifingerprint.New([]byte(openPeerKey)),
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -94,6 +94,13 @@
 	n.faultLoggedAt, n.unloggedFaults = now, 0
 }
 
+// accepts reports whether a server accepts requests now, as far as it has stated.
+func (n *notices) accepts(b wasabiridge.BackendServer, now wasabiridge.Millis) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.board.IsLeaving(b.ID, b.Incarnation) && n.board.PauseLeft(now, b.ID, b.Incarnation) == 0
+}
+
 // withLeaving returns the entries with those marked as leaving whose servers have
 // announced it themselves.
 func (n *notices) withLeaving(entries []wasabiridge.BackendEntry) []wasabiridge.BackendEntry {
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -199,9 +199,7 @@
 		Weights: d.Weights, ResumeFrom: d.ResumeFrom, LastEvent: x.lastEvent,
 		ImportFrom: d.ImportFrom, ExportTo: d.ExportTo, CacheHandle: d.CacheHandle, Deadline: x.until,
 	}
-	if x.account.ID != "" {
-		a.MaySend = x.keyInForce
-	}
+	a.MaySend = func() bool { return x.maySend(d) }
 	if x.request.Model != "" {
 		root := x.request.Chain.Root
 		root.Weights = d.Weights
@@ -210,6 +208,17 @@
 	return a
 }
 
+// maySend reports whether an attempt may still be sent. Since it was placed, the key may
+// have been revoked, or the server may have stated that it wants no requests. An answer
+// whose KV cache was moved to the server continues there all the same.
+func (x *exchange) maySend(d wasabiridge.Dispatch) bool {
+	if x.account.ID != "" && !x.keyInForce() {
+		return false
+	}
+	accepts := x.relay.options.Accepts
+	return accepts == nil || d.Why == wasabiridge.WhyMoved || accepts(d.Backend)
+}
+
 // finish writes the buffered rest of a complete answer to the caller.
 func (x *exchange) finish() {
 	if !x.headSent {
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -95,6 +95,10 @@
 	Mover wasabiridge.RequestMigrator
 	// Hasher computes the fingerprints of requests. The zero value uses an empty key.
 	Hasher wasabifingerprint.Hasher
+	// Accepts reports whether a backend server accepts requests of this instance, as far
+	// as the server itself has stated. It must be safe for concurrent use. Nil means
+	// always.
+	Accepts func(b wasabiridge.BackendServer) bool
 	// Leaving reports whether the instance is shutting down. Nil means never.
 	Leaving func() bool
 }
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -93,6 +93,8 @@
 	relay  *wasabirelay.Relay
 	mover  moverOf
 	check  *fixedVerdict
+	// stated are the servers that have stated that they accept no requests.
+	stated map[wasabiridge.BackendServerID]bool
 }
 
 // fixedVerdict is a quarantine that returns the same verdict for every request.
@@ -146,12 +148,20 @@
 		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen, Mover: &g.mover,
 		MaxKeyAge:  func() wasabiridge.Millis { return 4000 },
 		MaxDenyAge: func() wasabiridge.Millis { return 1500 },
+		Accepts:    g.accepts,
 	})
 	g.server = httptest.NewServer(g.relay)
 	DeferCleanup(g.server.Close)
 	return g
 }
 
+// accepts reports whether a server accepts requests, by the stated ones of the rig.
+func (g *rig) accepts(b wasabiridge.BackendServer) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.stated[b.ID]
+}
+
 func (g *rig) seen() wasabirelay.View {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -447,3 +457,33 @@
 		})
 	}
 })
+
+// Guards against a request that reaches a server although the server has stated, after the
+// request was placed there, that it accepts none.
+var _ = Describe("A request that waits to be sent", func() {
+	It("goes to another server without a charge to the retry budget", func() {
+		var g *rig
+		var tried []wasabiridge.BackendServerID
+		attempt := func(_ context.Context, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptResult {
+			if len(tried) == 0 {
+				g.mu.Lock()
+				g.stated = map[wasabiridge.BackendServerID]bool{a.Backend.ID: true}
+				g.mu.Unlock()
+			}
+			tried = append(tried, a.Backend.ID)
+			if !a.MaySend() {
+				return wasabiridge.AttemptNotRun
+			}
+			sink.Sent()
+			Expect(sink.Head(http.StatusOK, http.Header{})).To(Succeed())
+			Expect(sink.Chunk(0, []byte("yes"))).To(Succeed())
+			return wasabiridge.AttemptCompleted
+		}
+		g = newRig(wasabiridge.Action{NonIdempotent: true, Attempts: 1}, attempt, attempt)
+		got := g.send("/open/x", "")
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.body).To(Equal("yes"))
+		Expect(tried).To(HaveLen(2))
+		Expect(tried[0]).NotTo(Equal(tried[1]))
+	})
+})
