wasabinode: tell the other instances that a server has announced that it is leaving

At 370 instances before 1,600 servers each instance sends a server a request a minute or so (9,300 requests a second, reckoned), so nearly all requests that a leaving server gets until it ends come from instances that have had no answer of it yet. While the list of the platform is late, only other instances can tell.

An announcement in an answer is sent to the active instances three times, a second apart, with the updates that go there anyway. What another instance has told is not told again. It counts for the incarnation that it names; a late one does not replace the statement of a later incarnation. Pauses are not told: they concern the instance that was refused.

The new specs: an instance that never got an answer of the server sends it nothing more while the store is down.

--- a/catalog.go
+++ b/catalog.go
@@ -136,6 +136,14 @@
 	Age Millis
 }
 
+// LeavingUpdate notifies other instances that a backend server has announced to the
+// sender that it is leaving.
+type LeavingUpdate struct {
+	Backend BackendServerID
+	// Incarnation is the incarnation that announced it. Zero means that it is not known.
+	Incarnation Incarnation
+}
+
 // SegmentUpdate notifies other instances that the sender has sent a prompt segment to an
 // engine, or knows that the engine holds it.
 type SegmentUpdate struct {
@@ -170,6 +178,7 @@
 	Backoffs []BackoffUpdate
 	Loads    []LoadUpdate
 	Segments []SegmentUpdate
+	Leaving  []LeavingUpdate
 	Crashes  []CrashUpdate
 	// Usage is the usage that the sender has admitted for client accounts. Incarnation
 	// is the sender's incarnation. Sequence increases with each message that carries
--- a/internal/wasabinode/announcement_test.go
+++ b/internal/wasabinode/announcement_test.go
@@ -62,6 +62,33 @@
 		Expect(first.Runs()).To(HaveLen(before))
 	})
 
+	// Guards against requests from each instance that has not had an answer of the server
+	// since, which at many instances is nearly all that the server gets.
+	It("gets no further requests from instances that another one has notified", func() {
+		g := newRig()
+		n, first, second, sendMany := announcingEngines(g)
+		other := g.start()
+		Eventually(func() string {
+			Expect(status(other.caller, "/chat/x", "k")()).NotTo(BeZero())
+			return metricsOf(other)
+		}, "5s").Should(ContainSubstring("wasabiridge_members 1"))
+		g.store.Fail(standin.Unavailable)
+		first.AnnounceLeaving("1")
+		Eventually(func() string {
+			sendMany(5)
+			return n.log.String()
+		}, "1s", "1ms").Should(ContainSubstring("Backend server announced that it is leaving."))
+		Eventually(other.log.String, "3s").Should(ContainSubstring(`"from":"n1"`))
+		before, served := len(first.Runs()), len(second.Runs())
+		for i := range 20 {
+			code, _, err := send(other.caller, "/chat/x", fmt.Sprint("o", i), "k")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(code).To(Equal(http.StatusOK))
+		}
+		Expect(first.Runs()).To(HaveLen(before))
+		Expect(len(second.Runs()) - served).To(Equal(20))
+	})
+
 	// Guards against loads of weights by a server that ends soon.
 	It("is not ordered to load new weights", func() {
 		g := newRig()
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -183,10 +183,16 @@
 	case wasabiridge.PauseRequested:
 		n.notices.recordPause(e, n.options.Clock.Now())
 	case wasabiridge.BackendLeaving:
-		// Every answer repeats it.
-		if !n.notices.recordLeaving(e, n.options.Clock.Now()) {
-			return
-		}
+		n.observeLeaving(e, "")
+		return
 	}
 	n.loop.TryPost(e)
 }
+
+// observeLeaving takes the announcement of a backend server that it is leaving, which
+// arrived in an answer or, if from is not empty, from another instance.
+func (n *Node) observeLeaving(e wasabiridge.BackendLeaving, from wasabiridge.InstanceID) {
+	if n.notices.recordLeaving(e, from, n.options.Clock.Now()) {
+		n.loop.Post(e)
+	}
+}
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -18,6 +18,23 @@
 // of backend servers.
 const faultLogInterval = wasabiridge.Second
 
+const (
+	// leavingUpdates is how often an announcement is sent to the other instances, with
+	// leavingUpdateInterval in between, since an update may be lost.
+	leavingUpdates        = 3
+	leavingUpdateInterval = wasabiridge.Second
+	// maxLeavingUpdates bounds the announcements in one update.
+	maxLeavingUpdates = 256
+)
+
+// untoldLeaving is an announcement that is sent to the other instances left more times,
+// the next time at next.
+type untoldLeaving struct {
+	wasabiridge.LeavingUpdate
+	left int
+	next wasabiridge.Millis
+}
+
 // notices records and logs what backend servers state about themselves in their answers.
 // It is safe for concurrent use.
 type notices struct {
@@ -25,6 +42,9 @@
 
 	mu    sync.Mutex
 	board wasabinotice.Board
+	// untold are the announcements in answers to this instance that the others are still
+	// sent.
+	untold []untoldLeaving
 	// faultLoggedAt is when a line on an unusable announcement was last logged, and
 	// unloggedFaults counts those since.
 	faultLoggedAt  wasabiridge.Millis
@@ -35,9 +55,9 @@
 	pauses int
 }
 
-// recordLeaving takes the announcement of a server that it is leaving. It reports whether
-// that is news.
-func (n *notices) recordLeaving(e wasabiridge.BackendLeaving, now wasabiridge.Millis) bool {
+// recordLeaving takes the announcement of a server that it is leaving, from one of its
+// answers or from another instance. It reports whether that is news.
+func (n *notices) recordLeaving(e wasabiridge.BackendLeaving, from wasabiridge.InstanceID, now wasabiridge.Millis) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if e.Fault != "" {
@@ -47,11 +67,32 @@
 	if !n.board.Leave(now, e.Backend, e.Incarnation) {
 		return false
 	}
-	n.log.Info().Str(wasabilog.BackendField, string(e.Backend)).Uint64("incarnation", uint64(e.Incarnation)).
+	if from == "" {
+		n.untold = append(n.untold, untoldLeaving{LeavingUpdate: wasabiridge.LeavingUpdate{Backend: e.Backend, Incarnation: e.Incarnation}, left: leavingUpdates})
+	}
+	n.log.Info().Str(wasabilog.BackendField, string(e.Backend)).Uint64("incarnation", uint64(e.Incarnation)).Str("from", string(from)).
 		Msg("Backend server announced that it is leaving.")
 	return true
 }
 
+// takeLeaving returns the announcements of servers that are to be sent to the other
+// instances now.
+func (n *notices) takeLeaving(now wasabiridge.Millis) []wasabiridge.LeavingUpdate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []wasabiridge.LeavingUpdate
+	for i := range n.untold {
+		u := &n.untold[i]
+		if now < u.next || len(out) >= maxLeavingUpdates {
+			continue
+		}
+		out = append(out, u.LeavingUpdate)
+		u.left, u.next = u.left-1, now+leavingUpdateInterval
+	}
+	n.untold = slices.DeleteFunc(n.untold, func(u untoldLeaving) bool { return u.left == 0 })
+	return out
+}
+
 // recordPause takes the request of a server for a pause. It logs the first one of a pause.
 func (n *notices) recordPause(e wasabiridge.PauseRequested, now wasabiridge.Millis) {
 	n.mu.Lock()
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -57,6 +57,9 @@
 			n.loop.TryPost(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights, Incarnation: r.Incarnation})
 		}
 	}
+	for _, l := range update.Leaving {
+		n.observeLeaving(wasabiridge.BackendLeaving{Backend: l.Backend, Incarnation: l.Incarnation}, update.From)
+	}
 	n.quarantine.Receive(update)
 	n.quota.Receive(update)
 	if len(update.Loads) > 0 || len(update.Segments) > 0 {
--- a/internal/wasabinode/publish.go
+++ b/internal/wasabinode/publish.go
@@ -39,7 +39,7 @@
 }
 
 // publishPlacements sends the other instances what this one placed on which backend
-// server, with the use of quotas.
+// server, with the use of quotas and the servers that announced that they are leaving.
 func (n *Node) publishPlacements(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
@@ -56,7 +56,8 @@
 			update.Loads, update.Segments = n.placer.TakeUpdates(n.options.Clock.Now())
 			n.quota.Add(n.options.Clock.Now(), &update)
 		})
-		if len(update.Loads) > 0 || len(update.Segments) > 0 || len(update.Usage) > 0 {
+		update.Leaving = n.notices.takeLeaving(n.options.Clock.Now())
+		if len(update.Loads) > 0 || len(update.Segments) > 0 || len(update.Usage) > 0 || len(update.Leaving) > 0 {
 			n.quota.Send(ctx, update, n.activeEntries())
 		}
 	}
--- a/internal/wasabinotice/board.go
+++ b/internal/wasabinotice/board.go
@@ -27,6 +27,7 @@
 	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
 )
 
 const (
@@ -64,7 +65,10 @@
 
 // Leave records that a server is leaving. It reports whether that is news.
 func (b *Board) Leave(now wasabiridge.Millis, server wasabiridge.BackendServerID, incarnation wasabiridge.Incarnation) bool {
-	n := b.noticeOf(server, incarnation)
+	n, ok := b.noticeOf(now, server, incarnation)
+	if !ok {
+		return false
+	}
 	isNew := !n.Leaving
 	if isNew {
 		n.Leaving, n.LeavingSince = true, now
@@ -83,7 +87,10 @@
 // Pause records that a server wants no requests from this instance for a while, at most
 // for MaxPause. It reports whether the server was not paused before.
 func (b *Board) Pause(now wasabiridge.Millis, server wasabiridge.BackendServerID, incarnation wasabiridge.Incarnation, duration wasabiridge.Millis) bool {
-	n := b.noticeOf(server, incarnation)
+	n, ok := b.noticeOf(now, server, incarnation)
+	if !ok {
+		return false
+	}
 	isNew := now >= n.PausedUntil
 	n.PausedUntil = max(n.PausedUntil, now+min(max(duration, 0), MaxPause))
 	b.put(now, n)
@@ -121,12 +128,17 @@
 	return n, true
 }
 
-// noticeOf returns the notice to which a statement of an incarnation is added.
-func (b *Board) noticeOf(server wasabiridge.BackendServerID, incarnation wasabiridge.Incarnation) Notice {
+// noticeOf returns the notice to which a statement of an incarnation is added. It reports
+// false for a late statement of an earlier incarnation than the one that stated something
+// last.
+func (b *Board) noticeOf(now wasabiridge.Millis, server wasabiridge.BackendServerID, incarnation wasabiridge.Incarnation) (Notice, bool) {
 	if n, ok := b.current(server, incarnation); ok {
-		return n
+		return n, true
+	}
+	if n := b.notices[server]; incarnation < n.Incarnation && now-n.ReceivedAt < wasabilife.RollbackDelay {
+		return Notice{}, false
 	}
-	return Notice{Backend: server, Incarnation: incarnation}
+	return Notice{Backend: server, Incarnation: incarnation}, true
 }
 
 func (b *Board) put(now wasabiridge.Millis, n Notice) {
--- a/internal/wasabinotice/board_test.go
+++ b/internal/wasabinotice/board_test.go
@@ -46,6 +46,18 @@
 		Expect(board.IsLeaving("s", 20)).To(BeTrue())
 	})
 
+	// Guards against an update that arrives late and replaces the statement of the current
+	// incarnation.
+	It("is not replaced by a late statement of an earlier incarnation", func() {
+		var board wasabinotice.Board
+		board.Leave(1000, "s", 20)
+		Expect(board.Leave(2000, "s", 10)).To(BeFalse())
+		Expect(board.Pause(2000, "s", 10, 500)).To(BeFalse())
+		Expect(board.IsLeaving("s", 20)).To(BeTrue())
+		Expect(board.Leave(6000, "s", 10)).To(BeTrue(), "its clock was set back")
+		Expect(board.IsLeaving("s", 10)).To(BeTrue())
+	})
+
 	It("stands beside a pause, of which the longest counts, up to a minute", func() {
 		var board wasabinotice.Board
 		Expect(board.Pause(1000, "s", 10, 3000)).To(BeTrue())
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -121,6 +121,9 @@
 			Tokens: uint32(min(max(l.Tokens, 0), maxInsideTokens)), Limit: encodeLimit(l.Limit),
 		})
 	}
+	for _, l := range n.Leaving {
+		out.Leaving = append(out.Leaving, &pb.LeavingNews{Backend: string(l.Backend), Incarnation: uint64(l.Incarnation)})
+	}
 	for _, p := range n.Segments {
 		out.Parts = append(out.Parts, &pb.PartNews{
 			Backend: string(p.Backend), Key: p.Key, Tokens: uint32(max(p.Tokens, 0)), Own: uint32(max(p.RemainingTokens, 0)), Ready: p.Ready, Saved: p.Exported,
@@ -136,7 +139,7 @@
 }
 
 func decodeUpdate(in *pb.News) (wasabiridge.StateUpdate, error) {
-	if len(in.Rests) > maxUpdateEntries || len(in.Loads) > maxUpdateEntries || len(in.Parts) > maxUpdateEntries || len(in.Crashes) > maxUpdateEntries || len(in.Uses) > maxUpdateEntries {
+	if len(in.Rests) > maxUpdateEntries || len(in.Loads) > maxUpdateEntries || len(in.Parts) > maxUpdateEntries || len(in.Crashes) > maxUpdateEntries || len(in.Uses) > maxUpdateEntries || len(in.Leaving) > maxUpdateEntries {
 		return wasabiridge.StateUpdate{}, wasabiridge.ErrInvalid.New("peer: a list of the state update has too many entries")
 	}
 	n := wasabiridge.StateUpdate{From: wasabiridge.InstanceID(in.From), Changed: in.Changed}
@@ -155,6 +158,9 @@
 			Limit: decodeLimit(l.Limit),
 		})
 	}
+	for _, l := range in.Leaving {
+		n.Leaving = append(n.Leaving, wasabiridge.LeavingUpdate{Backend: wasabiridge.BackendServerID(l.Backend), Incarnation: wasabiridge.Incarnation(l.Incarnation)})
+	}
 	for _, p := range in.Parts {
 		n.Segments = append(n.Segments, wasabiridge.SegmentUpdate{
 			Backend: wasabiridge.BackendServerID(p.Backend), Key: p.Key, Tokens: int(min(p.Tokens, maxTokens)),
--- a/internal/wasabipeer/limit_test.go
+++ b/internal/wasabipeer/limit_test.go
@@ -35,3 +35,18 @@
 		})
 	}
 })
+
+// Guards against announcements that do not survive the wire, and against updates with
+// endless lists.
+var _ = Describe("The servers that are leaving in an update", func() {
+	It("arrive complete, up to a number", func() {
+		h := &updateHandler{}
+		o := wasabipeer.Options{Clock: wasabiclock.System(), Key: key}
+		server := serve(h, o)
+		update := wasabiridge.StateUpdate{From: "i", Leaving: []wasabiridge.LeavingUpdate{{Backend: "e1", Incarnation: 7}, {Backend: "e2"}}}
+		Expect(connect(o).SendUpdate(context.Background(), server.Address(), update)).To(Succeed())
+		Expect(h.got.Leaving).To(Equal(update.Leaving))
+		update.Leaving = make([]wasabiridge.LeavingUpdate, 1<<20)
+		Expect(connect(o).SendUpdate(context.Background(), server.Address(), update)).NotTo(Succeed())
+	})
+})
