wasabinotice, wasabibackend: read each form of Retry-After in one place

The OpenAI way read whole seconds only: a server that refused with 0.25 or with a date counted as one that had named no time and was sent requests at once. Both ways of calling now use one parser: seconds with fractions, or a date relative to the Date of the response.

--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabinotice"
 )
 
 // exchange is the state of one attempt in flight. It is used by one goroutine.
@@ -106,17 +107,14 @@
 	return v
 }
 
-// readOverload records a 429 or 503 response and its Retry-After in seconds.
+// readOverload records a 429 or 503 response and its Retry-After time.
 func (x *exchange) readOverload(resp *http.Response) {
 	if resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
 	x.ended.Overloaded = true
-	seconds, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 16)
-	if err != nil {
-		return
-	}
-	x.ended.RetryAfter = wasabiridge.Millis(seconds) * wasabiridge.Second
+	// A malformed time counts as none: the response still says that the server is full.
+	x.ended.RetryAfter, _, _ = wasabinotice.RetryAfter(resp.Header)
 }
 
 // versionsMatch reports whether the engine used the requested weights and
--- a/internal/wasabibackend/send_test.go
+++ b/internal/wasabibackend/send_test.go
@@ -172,4 +172,23 @@
 		Entry("503", http.StatusServiceUnavailable),
 		Entry("429", http.StatusTooManyRequests),
 	)
+
+	// Guards against a server that is sent requests at once because its Retry-After time
+	// is a date or has fractions.
+	DescribeTable("name a time in each form that HTTP allows", func(value string, want wasabiridge.Millis) {
+		url := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Date", "Thu, 03 Dec 2026 17:00:00 GMT")
+			w.Header().Set("Retry-After", value)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		ended, _ := run(newRunner(wasabibackend.Options{}), streamOf(
+			wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url}))
+		Expect(ended.Overloaded).To(BeTrue())
+		Expect(ended.RetryAfter).To(Equal(want))
+	},
+		Entry("seconds", "2", 2*wasabiridge.Second),
+		Entry("fractions of seconds", "0.25", 250*wasabiridge.Millis(1)),
+		Entry("a date", "Thu, 03 Dec 2026 17:00:03 GMT", 3*wasabiridge.Second),
+		Entry("none of them", "soon", wasabiridge.Millis(0)),
+	)
 })
