--- a/internal/wasabiplace/attempt.go
+++ b/internal/wasabiplace/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicache"
+	"github.com/wasabiridge/wasabiridge/internal/wasabinotice"
 )
 
 // attempt is the state of an attempt that has not ended.
@@ -133,7 +134,7 @@
 	l := &p.loads[a.server]
 	l.ended()
 	if e.Overloaded {
-		l.refusedUntil = max(l.refusedUntil, now+e.RetryAfter)
+		l.refusedUntil = max(l.refusedUntil, now+min(e.RetryAfter, wasabinotice.MaxPause))
 	}
 	if a.first == 0 && e.Result != wasabiridge.AttemptCompleted {
 		p.caches.MarkMissing(a.server, a.chain, a.before.Depth())
--- a/internal/wasabiplace/observe.go
+++ b/internal/wasabiplace/observe.go
@@ -41,7 +41,7 @@
 	}
 	l := &p.loads[s]
 	if before != 0 && r.Incarnation > before {
-		l.leaving, l.drainAnnounced, l.lost = false, false, false
+		l.leaving, l.drainAnnounced, l.lost, l.refusedUntil = false, false, false, 0
 	}
 	if l.lost && r.MeasuredAt > l.lostAt {
 		l.lost = false
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -203,7 +203,7 @@
 
 func (p *Placer) eligible(now wasabiridge.Millis, m *member, q wasabiridge.PlaceQuery) bool {
 	l := &p.loads[m.server]
-	if l.leaving || l.isLost(now, p.opts.LostRetryInterval) {
+	if l.leaving || now < l.refusedUntil || l.isLost(now, p.opts.LostRetryInterval) {
 		return false
 	}
 	// An engine with older weights than the rule requires would answer with
--- a/internal/wasabiplace/place_test.go
+++ b/internal/wasabiplace/place_test.go
@@ -163,6 +163,28 @@
 		Expect(place(manual).Backend.ID).To(Equal(all[3].ID))
 	})
 
+	// Guards against requests to a server that has refused one and named a time, when the
+	// others are worse or gone.
+	It("sends nothing to a server before the time that it has named with a refusal", func() {
+		refuse := func(b wasabiridge.BackendServerID, id wasabiridge.AttemptID, after wasabiridge.Millis) {
+			placer.Sent(now, manual, id, wasabiridge.Placement{Backend: wasabiridge.BackendServer{ID: b}})
+			placer.Observe(now, wasabiridge.AttemptEnded{Attempt: id, Backend: b, Result: wasabiridge.AttemptNotRun, Overloaded: true, RetryAfter: after})
+		}
+		for i, b := range pool.Backends {
+			refuse(b.ID, wasabiridge.AttemptID(10+i), 3000)
+		}
+		refuse(pool.Backends[0].ID, 30, 500)
+		refuse(pool.Backends[1].ID, 31, wasabiridge.Day)
+		now += 2999
+		_, ok := placer.Place(now, wasabiridge.PlaceQuery{Request: manual, Pool: pool})
+		Expect(ok).To(BeFalse())
+		now += 2
+		Expect(place(manual).Backend.ID).NotTo(Equal(pool.Backends[1].ID))
+		now += wasabiridge.Minute
+		_, ok = placer.Place(now, wasabiridge.PlaceQuery{Request: manual, Pool: pool, Excluded: append(idsOf(pool.Backends[:1]), idsOf(pool.Backends[2:])...)})
+		Expect(ok).To(BeTrue(), "a time of a day counts as a minute")
+	})
+
 	It("adds the attempts sent after a delayed report was taken", func() {
 		now += 200
 		for i := range 9 {
@@ -211,3 +233,11 @@
 		Expect(testing.AllocsPerRun(1000, func() { w.placer.Place(2100, q) })).To(BeZero())
 	})
 })
+
+func idsOf(servers []wasabiridge.BackendServer) []wasabiridge.BackendServerID {
+	var out []wasabiridge.BackendServerID
+	for _, b := range servers {
+		out = append(out, b.ID)
+	}
+	return out
+}
