wasabireplica: keep what a replica has stated in its state

Each decision looked up two notices by name for each replica. They are now copied into the replica when a statement or an incarnation arrives; the board remains for replicas that the list loses and regains.

--- a/internal/wasabireplica/announcement_test.go
+++ b/internal/wasabireplica/announcement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -687,3 +688,43 @@
 		Expect(len(ends)).To(BeNumerically(">", 20), "of 40 ends of pauses")
 	})
 })
+
+// BenchmarkAnnouncements measures a decision among 1,600 servers, of which a tenth has
+// announced that it is leaving or wants a pause, and the receipt of an announcement.
+func BenchmarkAnnouncements(b *testing.B) {
+	const servers = 1600
+	announced := func() *rig {
+		g := newRig(servers)
+		for i, s := range g.pool.Backends {
+			switch i % 20 {
+			case 0:
+				g.observe(wasabiridge.BackendLeaving{Backend: s.ID})
+			case 1:
+				g.observe(wasabiridge.PauseRequested{Backend: s.ID, Duration: wasabiridge.Minute})
+			}
+		}
+		return g
+	}
+	rigs := map[string]func() *rig{
+		"decision, none announced":  func() *rig { return newRig(servers) },
+		"decision, a tenth of them": announced,
+	}
+	for _, name := range wasabitest.SortedKeys(rigs) {
+		b.Run(name, func(b *testing.B) {
+			g := rigs[name]()
+			b.ResetTimer()
+			for i := range b.N {
+				r := long(uint64(i % 116))
+				g.limiter.Offer(g.now, r)
+				g.placer.Place(g.now, wasabiridge.PlaceQuery{Request: r, Pool: g.pool})
+			}
+		})
+	}
+	b.Run("receipt", func(b *testing.B) {
+		g := announced()
+		b.ResetTimer()
+		for range b.N {
+			g.observe(wasabiridge.BackendLeaving{Backend: "e0"})
+		}
+	})
+}
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -61,11 +61,11 @@
 	maxLoad, maxWait := pl.maxLoad(r.Action.Priority, &pr), pl.maxWait(q.Request, &pr)
 	remaining, full, pausedFor := 0, false, wasabiridge.Millis(0)
 	for _, rep := range pl.replicas {
-		if l.placer.isLeaving(rep) {
+		if rep.leaving {
 			continue
 		}
 		remaining++
-		if left := l.placer.pauseLeft(now, rep); left > 0 && !rep.gone {
+		if left := rep.pauseLeft(now); left > 0 && !rep.gone {
 			pausedFor = earlier(pausedFor, left)
 			continue
 		}
--- a/internal/wasabireplica/notice.go
+++ b/internal/wasabireplica/notice.go
@@ -11,10 +11,14 @@
 	if e.Fault != "" {
 		return
 	}
-	if r := p.replicas[e.Backend]; r != nil && e.Incarnation != 0 && e.Incarnation != r.server.Incarnation {
+	r := p.replicas[e.Backend]
+	if r != nil && e.Incarnation != 0 && e.Incarnation != r.server.Incarnation {
 		return
 	}
 	p.notices.Leave(now, e.Backend, e.Incarnation)
+	if r != nil {
+		p.applyNotice(now, r)
+	}
 }
 
 const (
@@ -41,14 +45,27 @@
 	duration := min(e.Duration, wasabinotice.MaxPause)
 	spread := min(wasabiridge.Millis(pauseSpread*float64(duration)), maxPauseSpread)
 	p.notices.Pause(now, e.Backend, e.Incarnation, duration+wasabiridge.Millis(p.random.Int64N(int64(spread)+1)))
+	if r != nil {
+		p.applyNotice(now, r)
+	}
+}
+
+// acceptIncarnation is like replica.acceptIncarnation, and applies what the incarnation
+// has stated already.
+func (p *Placer) acceptIncarnation(now wasabiridge.Millis, r *replica, incarnation wasabiridge.Incarnation) bool {
+	accepted := r.acceptIncarnation(now, incarnation)
+	p.applyNotice(now, r)
+	return accepted
 }
 
-// pauseLeft returns how long the pause that a replica has requested still lasts.
-func (p *Placer) pauseLeft(now wasabiridge.Millis, r *replica) wasabiridge.Millis {
-	return p.notices.PauseLeft(now, r.server.ID, r.server.Incarnation)
+// applyNotice copies what the current incarnation of a replica has stated into its state,
+// where each decision reads it.
+func (p *Placer) applyNotice(now wasabiridge.Millis, r *replica) {
+	r.leaving = p.notices.IsLeaving(r.server.ID, r.server.Incarnation)
+	r.pausedUntil = now + p.notices.PauseLeft(now, r.server.ID, r.server.Incarnation)
 }
 
-// isLeaving reports whether a replica has announced that it is leaving.
-func (p *Placer) isLeaving(r *replica) bool {
-	return p.notices.IsLeaving(r.server.ID, r.server.Incarnation)
+// pauseLeft returns how long the pause that the replica has requested still lasts.
+func (r *replica) pauseLeft(now wasabiridge.Millis) wasabiridge.Millis {
+	return max(0, r.pausedUntil-now)
 }
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -74,7 +74,7 @@
 func (p *Placer) reviewIncarnations(now wasabiridge.Millis) {
 	for _, r := range p.replicas {
 		if incarnation, due := r.incarnation.AcceptedRollback(now); due {
-			r.acceptIncarnation(now, incarnation)
+			p.acceptIncarnation(now, r, incarnation)
 		}
 	}
 }
@@ -112,7 +112,7 @@
 	if r == nil {
 		return
 	}
-	if !r.acceptIncarnation(now, e.Incarnation) {
+	if !p.acceptIncarnation(now, r, e.Incarnation) {
 		if r.unconfirmedWeights == nil {
 			r.unconfirmedWeights = map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}
 		}
@@ -157,7 +157,7 @@
 		pl.observeOverrun(float64(now-a.sent) / a.expected)
 	}
 	a.replica.clearFailures()
-	a.replica.resuming = a.replica.resuming && p.pauseLeft(now, a.replica) > 0
+	a.replica.resuming = a.replica.resuming && now < a.replica.pausedUntil
 	a.replica.prefillQueue.markStarted(now, func(w queuedPrompt) bool { return w.attempt == id })
 	for i, key := range a.keys {
 		a.replica.cache.markReady(key)
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -198,7 +198,7 @@
 // isUsable reports whether a replica may receive the request, its reported rate limit
 // aside.
 func (p *Placer) isUsable(now wasabiridge.Millis, r *replica, q wasabiridge.PlaceQuery) bool {
-	if r.gone || p.isLeaving(r) || p.pauseLeft(now, r) > 0 || now < r.backoffUntil || !r.isAvailable(now) {
+	if r.gone || r.leaving || now < r.pausedUntil || now < r.backoffUntil || !r.isAvailable(now) {
 		return false
 	}
 	for _, id := range q.Excluded {
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -160,7 +160,7 @@
 				r = newReplica(b)
 				p.replicas[b.ID] = r
 			}
-			r.acceptIncarnation(now, b.Incarnation)
+			p.acceptIncarnation(now, r, b.Incarnation)
 			b.Incarnation = r.incarnation.Current()
 			r.server, r.gone = b, false
 			r.memory = cp.CacheTokens
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -97,6 +97,10 @@
 	failureBackoffUntil wasabiridge.Millis
 	failureBackoff      wasabiridge.Millis
 	probing             bool
+	// leaving is set once the replica has announced that it is leaving, and pausedUntil is
+	// the end of the longest pause that it has requested. See Placer.applyNotice.
+	leaving     bool
+	pausedUntil wasabiridge.Millis
 	// resuming is set from a pause that the replica requested until a request is answered
 	// after it. Until then, only one request at a time is sent.
 	resuming bool
@@ -146,7 +150,8 @@
 	r.cache.clear()
 	r.prefillQueue.clear()
 	r.running, r.waiting, r.reported, r.ownAtReport = 0, 0, 0, 0
-	r.backoffUntil, r.drainUntil, r.resuming = 0, 0, false
+	r.backoffUntil, r.drainUntil = 0, 0
+	r.leaving, r.pausedUntil, r.resuming = false, 0, false
 	r.clearFailures()
 	r.failures, r.delay, r.samples = 0, 0, 0
 	r.limit, r.pendingLimit, r.limitSentAt = wasabirate.Limit{}, wasabiridge.LimitAnnounced{}, 0
--- a/internal/wasabireplica/updates.go
+++ b/internal/wasabireplica/updates.go
@@ -61,7 +61,7 @@
 	}
 	for _, segment := range e.Segments {
 		r := p.replicas[segment.Backend]
-		if r == nil || !r.acceptIncarnation(now, segment.Incarnation) {
+		if r == nil || !p.acceptIncarnation(now, r, segment.Incarnation) {
 			continue
 		}
 		if segment.Ready {
