--- a/internal/wasabireplica/announcement_test.go
+++ b/internal/wasabireplica/announcement_test.go
@@ -76,7 +76,9 @@
 	// disturbed is set while faults are started, and quiet when no requests arrive.
 	disturbed, quiet bool
 	violations       []string
-	refused          int
+	// served counts the requests that were answered. The others were refused at once, or
+	// found no server or no retry after an attempt that failed.
+	served, refusedAtOnce, lost int
 }
 
 func newAnnouncementHistory(seed uint64, kinds announcement, instances, servers int, bug plantedBug) *announcementHistory {
@@ -179,12 +181,15 @@
 		r = long(uint64(h.random.IntN(5)))
 	}
 	if a.limiter.Offer(h.now, r).Verdict != wasabiridge.Admitted {
-		h.refused++
+		h.refusedAtOnce++
 		return
 	}
-	if pl, id := a.place(r); id != 0 {
-		h.send(a, r, pl, id, nil)
+	pl, id := a.place(r)
+	if id == 0 {
+		h.lost++
+		return
 	}
+	h.send(a, r, pl, id, nil)
 }
 
 // send lets a request arrive at a server, and schedules its answer.
@@ -252,6 +257,7 @@
 	case answer.broken:
 		a.end(id, wasabiridge.AttemptEnded{Result: wasabiridge.AttemptBroken})
 	case !answer.refused:
+		h.served++
 		a.answer(id)
 		return
 	default:
@@ -259,15 +265,19 @@
 	}
 	excluded = append(excluded, s.id)
 	if len(excluded) > 1 || !a.limiter.MayRetry(h.now, r) {
+		h.lost++
 		return
 	}
 	if h.bug == uncheckedRetry {
 		h.check(a, h.anyServer(), "a retry")
 		return
 	}
-	if pl, next := a.place(r, excluded...); next != 0 {
-		h.send(a, r, pl, next, excluded)
+	pl, next := a.place(r, excluded...)
+	if next == 0 {
+		h.lost++
+		return
 	}
+	h.send(a, r, pl, next, excluded)
 }
 
 // requestPause gives an instance the request for a pause.
