wasabibudget: three groups of started instances stay within the retry budget

What callers would see: servers that get more retries than the operators allow while availability zones are cut off from each other and processes have restarted.

Cause: the slack is divided by 2.5 times the instances that a process sees; one that started in a cut into three groups sees a third of them, so the shares sum to 1.2 times the slack. Now it is divided by 3.

--- a/internal/wasabibudget/instances.go
+++ b/internal/wasabibudget/instances.go
@@ -4,9 +4,10 @@
 
 const (
 	// undercountFactor is by how much the number of instances may be underestimated.
-	// Instances that start during a partition into halves see only half of them, and
-	// further ones may have been added that are not seen yet.
-	undercountFactor = 2.5
+	// Instances that start during a partition into three groups see a third of them. In
+	// a partition into halves, half as many again may have been added that are not seen
+	// yet.
+	undercountFactor = 3.0
 	// An instance that is no longer seen still counts for retentionSlots slots of slotTime
 	// each. It may be partitioned and go on spending its share.
 	retentionSlots = 12
