wasabibudget: instances that are not seen any more count for an hour

What callers would see: availability zones that are cut off from each other for more than a minute send servers more retries than the operators allow, without any restart.

Cause: an instance was forgotten after a minute, so that each group of a longer cut divided the slack by its own members. Regions lose each other for an hour now and then.

After a reduction of instances the shares of the rest stay small for an hour; the ratio of the budget is not touched.

--- a/internal/wasabibudget/instances.go
+++ b/internal/wasabibudget/instances.go
@@ -11,7 +11,10 @@
 	// An instance that is no longer seen still counts for retentionSlots slots of slotTime
 	// each. It may be partitioned and go on spending its share.
 	retentionSlots = 12
-	slotTime       = 5 * wasabiridge.Second
+	slotTime       = 5 * wasabiridge.Minute
+	// aloneDelay is how long a process that has seen no other instance has next to no
+	// share.
+	aloneDelay = wasabiridge.Minute
 	// newProcessShare is the share of a process that cannot estimate it yet. It allows
 	// one retry of a request that fails right after the start.
 	newProcessShare = 1.0
@@ -66,12 +69,11 @@
 
 // SlackShare returns how much of the slack of a window this instance may take. A
 // process has next to no share in its first window. The same holds for a process that
-// has seen no other instance, until an instance seen before its start would no longer
-// count.
+// has seen no other instance, until aloneDelay after its start.
 func (s *InstanceCounter) SlackShare(now wasabiridge.Millis) float64 {
 	instances, age := s.Instances(now), now-s.startedAt
 	share := s.terms.Slack / (undercountFactor * float64(instances))
-	if age < s.terms.Window || instances == 1 && age < retentionSlots*slotTime {
+	if age < s.terms.Window || instances == 1 && age < aloneDelay {
 		return min(newProcessShare, share)
 	}
 	return share
--- a/internal/wasabireplica/budget_test.go
+++ b/internal/wasabireplica/budget_test.go
@@ -251,6 +251,23 @@
 		Expect(f.excess()).To(BeNumerically("<=", 0))
 	})
 
+	// Guards against instances that forget those on the other sides while a cut lasts.
+	It("stay within the budget of every window when they are cut into four groups for longer than a minute", func() {
+		f := newRetryFleet(1, 12, 20)
+		f.advance(2 * retryWindow)
+		f.partitionedAt = f.now
+		for i, r := range f.instances {
+			r.side = i % 4
+		}
+		for range 4 {
+			f.failing = false
+			f.advance(8 * retryWindow)
+			f.failing = true
+			f.advance(2 * retryWindow)
+		}
+		Expect(f.excess()).To(BeNumerically("<=", 0))
+	})
+
 	for _, name := range wasabitest.SortedKeys(faults) {
 		It("stay within the budget of every window "+name, func() {
 			f := newRetryFleet(1, 7, 71)
