wasabiquota: repeat a write of the owners that failed

What callers would see: after a restart of all instances, most of what an account sends is refused for a second, since the stored list of owners is missing or old.

Cause: the list was marked as written before the write, and the write was not repeated until the owners changed; the log line said written whether it was or not.

The new spec failed before.

--- a/internal/wasabiquota/controller.go
+++ b/internal/wasabiquota/controller.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -66,6 +67,8 @@
 	ownersRead      bool
 	ownersWritten   []wasabiridge.InstanceID
 	ownersWrittenAt wasabiridge.Millis
+	// ownersWriteFailed is set by a write that failed.
+	ownersWriteFailed atomic.Bool
 	// loggedOwners is the last ownership logged, at loggedAt. Only Run uses these fields.
 	loggedOwners Owners
 	loggedAt     wasabiridge.Millis
--- a/internal/wasabiquota/controller_test.go
+++ b/internal/wasabiquota/controller_test.go
@@ -18,6 +18,8 @@
 	mu          sync.Mutex
 	rows        map[string]wasabiridge.Row
 	unavailable bool
+	// failingCommits is the number of commits that still fail.
+	failingCommits int
 }
 
 func (r *memoryTable) Get(_ context.Context, key string) (wasabiridge.Row, error) {
@@ -36,6 +38,10 @@
 func (r *memoryTable) Commit(_ context.Context, tx wasabiridge.Transaction) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.failingCommits > 0 {
+		r.failingCommits--
+		return wasabiridge.ErrUnavailable.New("test: table is unavailable")
+	}
 	for _, c := range tx.Changes {
 		r.rows[c.Key] = wasabiridge.Row{Key: c.Key, Revision: r.rows[c.Key].Revision + 1, Value: c.Value}
 	}
@@ -102,6 +108,14 @@
 		Eventually(func() float64 { return level(again) }, "10s").Should(BeNumerically(">", largeRate/16))
 	})
 
+	// Guards against a list that is never stored because its only write fell into an
+	// outage of the platform.
+	It("is stored when the first write has failed", func() {
+		table := &memoryTable{rows: map[string]wasabiridge.Row{}, failingCommits: 1}
+		startController("a", table, true)
+		Eventually(func() string { return table.value(wasabiquota.OwnersKey) }, "20s").Should(Equal(`["a","z"]`))
+	})
+
 	It("is not waited for when the platform is unavailable, and not taken from an invalid row", func() {
 		for _, table := range []*memoryTable{{unavailable: true}, {rows: map[string]wasabiridge.Row{wasabiquota.OwnersKey: {Revision: 1, Value: []byte("{")}}}} {
 			k := startController("a", table, false)
--- a/internal/wasabiquota/owners.go
+++ b/internal/wasabiquota/owners.go
@@ -39,6 +39,9 @@
 		k.ownersRead = true
 		go k.readOwners(ctx)
 	}
+	if k.ownersWriteFailed.Swap(false) {
+		k.ownersWritten = nil
+	}
 	now := k.options.Clock.Now()
 	if len(owners) < 2 || owners[0] != k.options.Self || slices.Equal(owners, k.ownersWritten) || now-k.ownersWrittenAt < ownersWriteInterval {
 		return
@@ -78,8 +81,8 @@
 	return owners, nil
 }
 
-// writeOwners writes the names into the row. If the write fails, this instance does not
-// repeat it until the owners change.
+// writeOwners writes the names into the row. A write that fails is repeated after
+// ownersWriteInterval.
 func (k *Controller) writeOwners(ctx context.Context, owners []wasabiridge.InstanceID) {
 	value, err := json.Marshal(owners)
 	if err != nil {
@@ -96,5 +99,10 @@
 			Changes: []wasabiridge.RowChange{{Key: OwnersKey, IfRevision: row.Revision, Value: value}},
 		})
 	}
-	k.options.Log.Info().Err(err).Int("owners", len(owners)).Msg("Owners of the limits written.")
+	if err != nil {
+		k.ownersWriteFailed.Store(true)
+		k.options.Log.Info().Err(err).Int("owners", len(owners)).Msg("Owners of the limits not written.")
+		return
+	}
+	k.options.Log.Info().Int("owners", len(owners)).Msg("Owners of the limits written.")
 }
