--- a/internal/wasabiquarantine/blocks.go
+++ b/internal/wasabiquarantine/blocks.go
@@ -13,7 +13,7 @@
 	// not stored, and only the running instances know of them.
 	blockQueueSize = 64
 	// maxBlockRows bounds the rows that are read.
-	maxBlockRows = 500
+	maxBlockRows = 4096
 	// rowTimeout bounds one call to the platform's table, rowRetryPause is the pause
 	// between two attempts.
 	rowTimeout    = 2 * time.Second
