--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -93,6 +93,7 @@
 	relay  *wasabirelay.Relay
 	mover  moverOf
 	check  *fixedVerdict
+	loop   *wasabiloop.Loop
 	// stated are the servers that have stated that they accept no requests.
 	stated map[wasabiridge.BackendServerID]bool
 }
@@ -144,6 +145,7 @@
 	loop := wasabiloop.New(wasabiloop.Options{Decider: core, Clock: g.clock})
 	DeferCleanup(loop.Close)
 	loop.Post(wasabiridge.ConfigAdopted{Config: *cfg})
+	g.loop = loop
 	g.relay = wasabirelay.New(wasabirelay.Options{
 		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen, Mover: &g.mover,
 		MaxKeyAge:  func() wasabiridge.Millis { return 4000 },
@@ -487,3 +489,24 @@
 		Expect(tried[0]).NotTo(Equal(tried[1]))
 	})
 })
+
+// Guards against callers that all return at the same time when no server accepts requests
+// for longer than any of them can wait.
+var _ = Describe("Callers of servers that have all requested a pause", func() {
+	It("are refused as not run, with times that differ and that they can wait", func() {
+		g := newRig(wasabiridge.Action{NonIdempotent: true, Attempts: 1})
+		for _, id := range []wasabiridge.BackendServerID{"s1", "s2", "s3"} {
+			g.loop.Post(wasabiridge.PauseRequested{Backend: id, Duration: wasabiridge.Minute})
+		}
+		times := map[string]bool{}
+		for range 20 {
+			got := g.send("/open/x", "")
+			Expect(got.kind).To(Equal(string(wasabiridge.RefusalNotRun)))
+			back, err := time.ParseDuration(got.back)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(back).To(And(BeNumerically(">", 0), BeNumerically("<=", 10*time.Second)), "a third of the caller's 30 s")
+			times[got.back] = true
+		}
+		Expect(len(times)).To(BeNumerically(">", 10))
+	})
+})
