--- a/internal/wasabireplica/budget_test.go
+++ b/internal/wasabireplica/budget_test.go
@@ -251,6 +251,21 @@
 		Expect(f.excess()).To(BeNumerically("<=", 0))
 	})
 
+	// Guards against the same with four groups, as many as a user has availability zones.
+	It("stay within the budget of every window when all instances start while they are cut into four groups", func() {
+		f := newRetryFleet(1, 12, 20)
+		f.advance(2 * retryWindow)
+		f.partitionedAt = f.now
+		for i, r := range f.instances {
+			r.side = i % 4
+			f.kill(r, 500)
+		}
+		f.advance(8 * retryWindow)
+		f.failing = true
+		f.advance(2 * retryWindow)
+		Expect(f.excess()).To(BeNumerically("<=", 0))
+	})
+
 	// Guards against instances that forget those on the other sides while a cut lasts.
 	It("stay within the budget of every window when they are cut into four groups for longer than a minute", func() {
 		f := newRetryFleet(1, 12, 20)
