wasabireplica: fetch nothing from a server that has ended after it announced it

What callers would see: while the list of the platform is out of date, prompts wait some hundred ms for a source of cached segments that has ended.

Cause: by the fix of server-leaving, no request goes to such a server any more, so none fails and the server stays a source until the list loses it. Found by reading. It is a source for two seconds after its announcement now. The new spec failed before.

The announcements that wait to be sent to other instances have the name pending.

--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -27,9 +27,9 @@
 	maxLeavingUpdates = 256
 )
 
-// untoldLeaving is an announcement that is sent to the other instances left more times,
+// pendingLeaving is an announcement that is sent to the other instances left more times,
 // the next time at next.
-type untoldLeaving struct {
+type pendingLeaving struct {
 	wasabiridge.LeavingUpdate
 	left int
 	next wasabiridge.Millis
@@ -42,9 +42,9 @@
 
 	mu    sync.Mutex
 	board wasabinotice.Board
-	// untold are the announcements in answers to this instance that the others are still
+	// pending are the announcements in answers to this instance that the others are still
 	// sent.
-	untold []untoldLeaving
+	pending []pendingLeaving
 	// faultLoggedAt is when a line on an unusable announcement was last logged, and
 	// unloggedFaults counts those since.
 	faultLoggedAt  wasabiridge.Millis
@@ -68,7 +68,7 @@
 		return false
 	}
 	if from == "" {
-		n.untold = append(n.untold, untoldLeaving{LeavingUpdate: wasabiridge.LeavingUpdate{Backend: e.Backend, Incarnation: e.Incarnation}, left: leavingUpdates})
+		n.pending = append(n.pending, pendingLeaving{LeavingUpdate: wasabiridge.LeavingUpdate{Backend: e.Backend, Incarnation: e.Incarnation}, left: leavingUpdates})
 	}
 	n.log.Info().Str(wasabilog.BackendField, string(e.Backend)).Uint64("incarnation", uint64(e.Incarnation)).Str("from", string(from)).
 		Msg("Backend server announced that it is leaving.")
@@ -81,15 +81,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []wasabiridge.LeavingUpdate
-	for i := range n.untold {
-		u := &n.untold[i]
+	for i := range n.pending {
+		u := &n.pending[i]
 		if now < u.next || len(out) >= maxLeavingUpdates {
 			continue
 		}
 		out = append(out, u.LeavingUpdate)
 		u.left, u.next = u.left-1, now+leavingUpdateInterval
 	}
-	n.untold = slices.DeleteFunc(n.untold, func(u untoldLeaving) bool { return u.left == 0 })
+	n.pending = slices.DeleteFunc(n.pending, func(u pendingLeaving) bool { return u.left == 0 })
 	return out
 }
 
--- a/internal/wasabinotice/board.go
+++ b/internal/wasabinotice/board.go
@@ -80,8 +80,14 @@
 // IsLeaving reports whether a server has stated in its current incarnation that it is
 // leaving. Incarnation zero means that none is known.
 func (b *Board) IsLeaving(server wasabiridge.BackendServerID, current wasabiridge.Incarnation) bool {
+	_, leaving := b.LeavingSince(server, current)
+	return leaving
+}
+
+// LeavingSince is like IsLeaving, and returns when that was first stated.
+func (b *Board) LeavingSince(server wasabiridge.BackendServerID, current wasabiridge.Incarnation) (wasabiridge.Millis, bool) {
 	n, ok := b.current(server, current)
-	return ok && n.Leaving
+	return n.LeavingSince, ok && n.Leaving
 }
 
 // Pause records that a server wants no requests from this instance for a while, at most
--- a/internal/wasabinotice/retryafter.go
+++ b/internal/wasabinotice/retryafter.go
@@ -9,8 +9,7 @@
 	"github.com/wasabiridge/wasabiridge"
 )
 
-// maxRetryAfterSeconds is the longest Retry-After time that is told apart from longer
-// ones.
+// maxRetryAfterSeconds bounds a Retry-After time. Longer ones count as this one.
 const maxRetryAfterSeconds = 1e6
 
 // RetryAfter parses the Retry-After time in the header of a response: a number of
--- a/internal/wasabireplica/announcement_test.go
+++ b/internal/wasabireplica/announcement_test.go
@@ -299,8 +299,8 @@
 	a.pausedUntil[s.id], a.pausedBy[s.id] = max(a.pausedUntil[s.id], until), pause.Incarnation
 }
 
-// check records a violation if the instance was told by the server that it must not get
-// what it gets now.
+// check records a violation if a server receives what it has stated to the instance that
+// it accepts no more.
 func (h *announcementHistory) check(a *announcingInstance, s *announcingServer, what string) {
 	if incarnation, ok := a.leaving[s.id]; ok && incarnation == s.incarnation {
 		h.violations = append(h.violations, fmt.Sprintf("%d: %s of %s reaches %s, which is leaving", h.now, what, a.id, s.id))
@@ -527,7 +527,7 @@
 		Expect(g.limiter.Offer(g.now, short()).Verdict).To(Equal(wasabiridge.Admitted))
 	})
 
-	// Guards against callers that are told that the servers are busy when none is left.
+	// Guards against a refusal that names busy servers as its reason when none is left.
 	It("leaves callers with a refusal when it was the last one", func() {
 		g := newRig(2)
 		for _, b := range g.pool.Backends {
@@ -537,6 +537,23 @@
 		Expect(a).To(Equal(wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedNoBackend, RetryAfter: wasabiridge.Second}))
 	})
 
+	// Guards against fetches from a server that has ended unnoticed: since it receives no
+	// requests, none of them fails.
+	It("is a source of cached segments only as long as it surely runs", func() {
+		g := newRig(2)
+		first, id := g.place(long(7), "e1")
+		g.now += 150
+		g.answer(id)
+		g.observe(wasabiridge.BackendLeaving{Backend: first.Backend.ID})
+		g.now += 1900
+		pl, id := g.place(long(7))
+		Expect(pl.Why).To(Equal("fetched"))
+		g.end(id, wasabiridge.AttemptEnded{Result: wasabiridge.AttemptCancelled})
+		g.now += 200
+		pl, _ = g.place(long(7))
+		Expect(pl.Why).To(Equal("computed"))
+	})
+
 	It("receives no migrated answers", func() {
 		g := left()
 		g.pool.MigratesRequests = true
@@ -646,8 +663,7 @@
 		Expect(third.Why).To(Equal("held"))
 	})
 
-	// Guards against callers that are told to return while all servers are still paused,
-	// and against all of them returning at once.
+	// Guards against a Retry-After time that ends while all servers are still paused.
 	It("leaves callers with the time of the first end when all are paused", func() {
 		g := newRig(3)
 		for i, b := range g.pool.Backends {
--- a/internal/wasabireplica/notice.go
+++ b/internal/wasabireplica/notice.go
@@ -61,10 +61,20 @@
 // applyNotice copies what the current incarnation of a replica has stated into its state,
 // where each decision reads it.
 func (p *Placer) applyNotice(now wasabiridge.Millis, r *replica) {
-	r.leaving = p.notices.IsLeaving(r.server.ID, r.server.Incarnation)
+	r.leavingSince, r.leaving = p.notices.LeavingSince(r.server.ID, r.server.Incarnation)
 	r.pausedUntil = now + p.notices.PauseLeft(now, r.server.ID, r.server.Incarnation)
 }
 
+// leavingSourceTime is how long a replica that is leaving is still used as a source of
+// cached segments. It serves at least that long after it has announced it.
+const leavingSourceTime = 2 * wasabiridge.Second
+
+// mayHaveEnded reports whether the replica announced so long ago that it is leaving that
+// it may have ended. No request fails there any more that would show it.
+func (r *replica) mayHaveEnded(now wasabiridge.Millis) bool {
+	return r.leaving && now-r.leavingSince > leavingSourceTime
+}
+
 // pauseLeft returns how long the pause that the replica has requested still lasts.
 func (r *replica) pauseLeft(now wasabiridge.Millis) wasabiridge.Millis {
 	return max(0, r.pausedUntil-now)
--- a/internal/wasabireplica/prompt.go
+++ b/internal/wasabireplica/prompt.go
@@ -152,7 +152,7 @@
 	last := keys[len(keys)-1]
 	out.why, out.importFrom = whyComputed, p.kvStores.addressOf(last)
 	k := p.kvStores.holder(last)
-	holders := pr.holdersOf(pl, last)
+	holders := pr.holdersOf(now, pl, last)
 	if k != nil || isHeldElsewhere(holders, r) {
 		out.recomputed = missing
 	}
@@ -177,13 +177,13 @@
 
 // holdersOf returns the holders of a segment, in the order of the pool. They are the same
 // for every candidate of a decision, so they are looked up once.
-func (p *prompt) holdersOf(pl *pool, key uint64) []holder {
+func (p *prompt) holdersOf(now wasabiridge.Millis, pl *pool, key uint64) []holder {
 	if found, ok := p.holders[key]; ok {
 		return found
 	}
 	var found []holder
 	for _, r := range pl.replicas {
-		if ready, held := r.cache.lookup(key); held && !r.gone {
+		if ready, held := r.cache.lookup(key); held && !r.gone && !r.mayHaveEnded(now) {
 			found = append(found, holder{replica: r, ready: ready})
 		}
 	}
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -97,10 +97,12 @@
 	failureBackoffUntil wasabiridge.Millis
 	failureBackoff      wasabiridge.Millis
 	probing             bool
-	// leaving is set once the replica has announced that it is leaving, and pausedUntil is
-	// the end of the longest pause that it has requested. See Placer.applyNotice.
-	leaving     bool
-	pausedUntil wasabiridge.Millis
+	// leaving is set once the replica has announced that it is leaving, at leavingSince,
+	// and pausedUntil is the end of the longest pause that it has requested. See
+	// Placer.applyNotice.
+	leaving      bool
+	leavingSince wasabiridge.Millis
+	pausedUntil  wasabiridge.Millis
 	// resuming is set from a pause that the replica requested until a request is answered
 	// after it. Until then, only one request at a time is sent.
 	resuming bool
