wasabinode: show a leaving server in the metrics for a minute only

Each server that had ever announced it stayed a line of the metrics. Specs for this, for the bound on unknown announcements and for the three updates to other instances.

--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -11,6 +11,10 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabinotice"
 )
 
+// noticeMetricTime is how long a server that is leaving is shown in the metrics after it
+// last announced it. Servers that have ended announce nothing any more.
+const noticeMetricTime = wasabiridge.Minute
+
 // maxUnknownNames bounds the names of announcements without a known meaning.
 const maxUnknownNames = 32
 
@@ -168,7 +172,7 @@
 		if left := s.PausedUntil - now; left > 0 {
 			out = append(out, line("server_pause_left_ms{backend=\""+string(s.Backend)+"\"}", int64(left)))
 		}
-		if s.Leaving {
+		if s.Leaving && now-s.ReceivedAt < noticeMetricTime {
 			out = append(out, line("server_leaving_ms{backend=\""+string(s.Backend)+"\"}", int64(now-s.LeavingSince)))
 		}
 	}
--- /dev/null
+++ b/internal/wasabinode/notice_test.go
@@ -0,0 +1,49 @@
+package wasabinode
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// Guards against metrics that grow with every server that has ever left.
+func TestMetricsShowLeavingServersBriefly(t *testing.T) {
+	g := NewWithT(t)
+	var n notices
+	n.recordLeaving(wasabiridge.BackendLeaving{Backend: "e1"}, "", 1000)
+	leaving := ContainElement("wasabiridge_server_leaving_ms{backend=\"e1\"} 5000\n")
+	g.Expect(n.lines(6000)).To(leaving)
+	g.Expect(n.lines(1000 + 2*wasabiridge.Minute)).NotTo(ContainElement(ContainSubstring("e1")))
+	n.recordLeaving(wasabiridge.BackendLeaving{Backend: "e1"}, "", 5000)
+	g.Expect(n.lines(6000)).To(leaving)
+}
+
+// Guards against log lines and counters without bound when a server sends many headers
+// of unknown meaning.
+func TestUnknownAnnouncementsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	var n notices
+	for i := range 1000 {
+		n.recordUnknown(wasabiridge.UnknownAnnouncement{Backend: "e1", Name: string(rune('a' + i))})
+	}
+	g.Expect(n.unknown).To(HaveLen(maxUnknownNames))
+}
+
+// Guards against an announcement that is lost on its way to the other instances, and
+// against one that is sent for ever.
+func TestLeavingIsSentThreeTimes(t *testing.T) {
+	g := NewWithT(t)
+	var n notices
+	n.recordLeaving(wasabiridge.BackendLeaving{Backend: "own", Incarnation: 7}, "", 1000)
+	n.recordLeaving(wasabiridge.BackendLeaving{Backend: "received"}, "i2", 1000)
+	var sentAt []wasabiridge.Millis
+	for now := wasabiridge.Millis(1000); now < 20000; now += 100 {
+		for _, u := range n.takeLeaving(now) {
+			g.Expect(u).To(Equal(wasabiridge.LeavingUpdate{Backend: "own", Incarnation: 7}))
+			sentAt = append(sentAt, now)
+		}
+	}
+	g.Expect(sentAt).To(Equal([]wasabiridge.Millis{1000, 2000, 3000}))
+}
