wasabinode: show no limit in the metrics that is not in force any more

What operators saw: wasabiridge_server_limit_milli named limits of servers that no answer had reported for minutes; the limit itself ends after ten seconds.

--- a/internal/wasabinode/limit.go
+++ b/internal/wasabinode/limit.go
@@ -18,6 +18,9 @@
 	// and maxLimits bounds how many servers are.
 	limitRetention = wasabiridge.Minute
 	maxLimits      = 4096
+	// limitMetricTime is how long a limit is shown in the metrics after it was last
+	// reported. It is not kept any longer either.
+	limitMetricTime = 10 * wasabiridge.Second
 )
 
 // serverLimit is the limit that a backend server last reported to this instance.
@@ -77,12 +80,12 @@
 
 // lines returns one metrics line for each server that is limited now, in thousandths of
 // requests a second.
-func (l *serverLimits) lines() []string {
+func (l *serverLimits) lines(now wasabiridge.Millis) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []string
 	for id, s := range l.byServer {
-		if s.Limited {
+		if s.Limited && now-s.receivedAt < limitMetricTime {
 			out = append(out, line("server_limit_milli{backend=\""+string(id)+"\"}", int64(1000*min(s.Rate, 1e9))))
 		}
 	}
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -50,7 +50,7 @@
 	}
 	lines = append(lines, n.engineLines()...)
 	lines = append(lines, n.retryLines()...)
-	lines = append(lines, n.limits.lines()...)
+	lines = append(lines, n.limits.lines(now)...)
 	lines = append(lines, n.notices.lines(now)...)
 	lines = append(lines, n.quarantineLines()...)
 	lines = append(lines, n.quotaLines()...)
--- a/internal/wasabinode/notice_test.go
+++ b/internal/wasabinode/notice_test.go
@@ -47,3 +47,12 @@
 	}
 	g.Expect(sentAt).To(Equal([]wasabiridge.Millis{1000, 2000, 3000}))
 }
+
+// Guards against metrics that show a limit which is not in force any more.
+func TestMetricsShowCurrentLimits(t *testing.T) {
+	g := NewWithT(t)
+	l := serverLimits{byServer: map[wasabiridge.BackendServerID]serverLimit{}}
+	l.record(wasabiridge.LimitAnnounced{Backend: "e1", Limited: true, Rate: 2, RequestSentAt: 900}, 1000)
+	g.Expect(l.lines(2000)).To(HaveLen(1))
+	g.Expect(l.lines(1000 + 11*wasabiridge.Second)).To(BeEmpty())
+}
