wasabiquarantine: log whether a useless row was deleted

What operators saw: a line that a stored block was being deleted, also when the store did not take the change. The line follows the change now and says whether it was made. No test: the line decides nothing.

--- a/internal/wasabiquarantine/blocks.go
+++ b/internal/wasabiquarantine/blocks.go
@@ -101,8 +101,8 @@
 	for _, row := range rows {
 		c, err := DecodeRow(now, row)
 		if err != nil || IsExpired(c) {
-			k.options.Log.Info().Err(err).Str("row", row.Key).Msg("Deleting a stored block that has expired or is invalid.")
-			k.commitBlock(ctx, row, nil)
+			deleted := k.commitBlock(ctx, row, nil)
+			k.options.Log.Info().Err(err).Str("row", row.Key).Bool("deleted", deleted).Msg("Ignoring a stored block that has expired or is invalid.")
 			continue
 		}
 		crashes = append(crashes, c)
