wasabireach, wasabinode: show that an instance has no path to the backend servers

Nothing in the logs of the incident told that an instance had lost every replica, or which addresses callers were given. A tracker takes part in every attempt: when nothing is received while attempts are in flight, or connections to two servers fail, new connections to a sample of three servers are opened, then to four others; when all fail the instance is detached. It is logged and shown in the metrics; no decision uses it yet. Instances that callers are sent to are logged when they change.

--- a/attempt.go
+++ b/attempt.go
@@ -74,6 +74,14 @@
 	Chunk(tokens int, data []byte) error
 }
 
+// BackendProber checks whether backend servers can be reached. Implementations are safe
+// for concurrent use.
+type BackendProber interface {
+	// Probe opens a connection to a backend server and sends nothing. It reports whether
+	// the connection could be opened.
+	Probe(ctx context.Context, b BackendServer) bool
+}
+
 // AttemptRunner sends attempts to backend servers. Implementations are safe
 // for concurrent use.
 type AttemptRunner interface {
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -167,6 +167,18 @@
 	return true
 }
 
+// Connect opens a connection to an address, whether the pool has an idle one or not, and
+// keeps it for the next request. It sends nothing. Its errors are those of Get.
+func (p *Pool) Connect(ctx context.Context, address string, w Requirements) error {
+	w.NewConnection = true
+	c, err := p.Get(ctx, address, w)
+	if err != nil {
+		return err
+	}
+	p.put(c, unusedIdle)
+	return nil
+}
+
 // take returns an idle connection. It returns nil when the caller must open a new
 // one, which is counted already.
 func (p *Pool) take(address string, w Requirements) (*Conn, error) {
--- a/internal/wasabinode/background.go
+++ b/internal/wasabinode/background.go
@@ -31,6 +31,7 @@
 	go n.upgrade.Run(ctx)
 	go n.countInstances(ctx)
 	go n.watchCacheStores(ctx)
+	go n.reach.watch(ctx)
 	go n.publishPlacements(ctx)
 	go n.quarantine.Run(ctx)
 	go n.quota.Run(ctx)
@@ -44,6 +45,7 @@
 
 // countInstances posts to the decision loop how many instances share the
 // backend servers, and which of them serve callers, whenever either changes.
+// It logs both.
 func (n *Node) countInstances(ctx context.Context) {
 	ticker := time.NewTicker(countInterval)
 	defer ticker.Stop()
@@ -53,6 +55,9 @@
 		if counted.Count != posted.Count {
 			n.log.Info().Int("instances", counted.Count).Int("serving", len(counted.Serving)).Msg("Number of instances changed.")
 		}
+		if !slices.Equal(counted.Serving, posted.Serving) {
+			n.log.Info().Int("serving", len(counted.Serving)).Strs("instances", names(counted.Serving)).Msg("Instances that callers are sent to changed.")
+		}
 		if counted.Count != posted.Count || !slices.Equal(counted.Serving, posted.Serving) {
 			posted = counted
 			n.loop.Post(counted)
@@ -76,6 +81,17 @@
 	return out
 }
 
+// maxLoggedNames bounds the names in a log line.
+const maxLoggedNames = 16
+
+func names(ids []wasabiridge.InstanceID) []string {
+	var out []string
+	for _, id := range ids[:min(len(ids), maxLoggedNames)] {
+		out = append(out, string(id))
+	}
+	return out
+}
+
 // watchCacheStores polls the KV cache stores and reports to the decision loop
 // which of them can be reached. An engine that is sent to an unreachable store
 // loses some hundred milliseconds.
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -52,6 +52,7 @@
 	lines = append(lines, n.retryLines()...)
 	lines = append(lines, n.limits.lines(now)...)
 	lines = append(lines, n.notices.lines(now)...)
+	lines = append(lines, n.reach.lines(now)...)
 	lines = append(lines, n.quarantineLines()...)
 	lines = append(lines, n.quotaLines()...)
 	slices.Sort(lines)
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -138,6 +138,7 @@
 	placed  chan struct{}
 	limits  serverLimits
 	notices notices
+	reach   *reach
 	// migrationQueue holds the backend servers whose requests wait for migration.
 	migrationQueue chan wasabiridge.BackendServerID
 	quarantine     *wasabiquarantine.Controller
@@ -201,6 +202,7 @@
 		Seed: seed, Self: s.Instance, Zone: s.Zone, WeightsDeadline: n.bounds.OldWeightsLifetime - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
 	})
+	n.reach = newReach(o.Platform.Runner, o.Clock, seed, wasabilog.Part(n.log, "reach"), n.backendServers)
 	n.quarantine = wasabiquarantine.NewController(wasabiquarantine.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Seed: seed, Log: wasabilog.Part(n.log, "quarantine"),
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries, Rows: o.Platform.Table,
@@ -238,7 +240,7 @@
 	})
 	n.relay = wasabirelay.New(wasabirelay.Options{
 		Instance: s.Instance, Clock: o.Clock, Log: wasabilog.Part(n.log, "relay"), Loop: n.loop,
-		Runner: o.Platform.Runner, Protocol: o.Platform.Protocol, View: n.view,
+		Runner: n.reach, Protocol: o.Platform.Protocol, View: n.view,
 		MaxKeyAge:  func() wasabiridge.Millis { return n.terms.Load().RevokedKeyLifetime - keyMargin },
 		MaxDenyAge: func() wasabiridge.Millis { return n.terms.Load().ConfigPropagationTime * denyPercent / 100 },
 		Accepts:    n.accepts,
