Test that fails: a node without a path to the replicas refuses its callers

Three nodes before seven stand-in replicas; the links of one node to the replicas hang, are reset, or refuse new connections. Its requests are refused (503) as long as that lasts, and every directory goes on naming it.

--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -71,6 +71,9 @@
 	// UserTimeout is how long sent bytes or keep-alive probes may stay unacknowledged.
 	// Zero means DefaultUserTimeout.
 	UserTimeout wasabiridge.Millis
+	// Dial opens a connection. Its context ends after DialTimeout. Nil means a TCP
+	// connection of the system.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Requirements describes the connection that a request needs. With the zero value any
@@ -123,6 +126,9 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: max(1, int(o.UserTimeout/wasabiridge.Second))},
 		Control:         p.setUserTimeout,
 	}
+	if o.Dial == nil {
+		p.options.Dial = p.dialer.DialContext
+	}
 	return p
 }
 
@@ -147,8 +153,10 @@
 	if c != nil || err != nil {
 		return c, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout.Duration())
+	defer cancel()
 	var raw net.Conn
-	if raw, err = p.dialer.DialContext(ctx, "tcp", address); err != nil {
+	if raw, err = p.options.Dial(ctx, "tcp", address); err != nil {
 		p.uncount(address)
 		return nil, wasabiridge.ErrUnavailable.Wrap(err, "conn: connect to %s", address)
 	}
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -39,6 +39,8 @@
 	started int
 	// callerAddress is the caller address of the next node. Empty means a free one.
 	callerAddress string
+	// links are the links of the next node to the replicas. Nil means that they work.
+	links *links
 }
 
 // running is one node, with the addresses on which it listens.
@@ -141,7 +143,7 @@
 		g.started, r.caller, peer, seeds, g.address, r.ready, r.directory, r.metrics)))
 	Expect(err).NotTo(HaveOccurred())
 	clock := wasabiclock.Boot()
-	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance})
+	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance, Dial: g.links.dialer()})
 	parts.ObserveWith(func(e wasabiridge.Event) { r.node.Observe(e) })
 	r.node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: r.log, Platform: wasabinode.Platform{
 		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches,
--- /dev/null
+++ b/internal/wasabinode/partition_test.go
@@ -0,0 +1,188 @@
+package wasabinode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge/platform/standin"
+)
+
+// linkState is the state of the links between a node and the replicas.
+type linkState int
+
+const (
+	linksWork linkState = iota
+	// linksHang means that nothing passes the links: established connections hang, and
+	// new ones time out.
+	linksHang
+	// linksReset means that established connections are reset and new ones time out.
+	linksReset
+	// linksRefuse means that established connections work and new ones are refused.
+	linksRefuse
+)
+
+// links are the links between a node and the replicas. Their state can be changed.
+type links struct {
+	mu    sync.Mutex
+	state linkState
+	conns []*net.TCPConn
+}
+
+func (l *links) set(s linkState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = s
+	if s != linksReset {
+		return
+	}
+	for _, c := range l.conns {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func (l *links) current() linkState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state
+}
+
+// dialer returns a function that opens connections over the links, or nil if l is nil.
+func (l *links) dialer() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if l == nil {
+		return nil
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		switch l.current() {
+		case linksHang, linksReset:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		case linksRefuse:
+			return nil, syscall.ECONNREFUSED
+		}
+		raw, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		c := raw.(*net.TCPConn)
+		l.conns = append(l.conns, c)
+		return &link{TCPConn: c, links: l}, nil
+	}
+}
+
+// link is a connection over links.
+type link struct {
+	*net.TCPConn
+	links *links
+}
+
+// Write drops the bytes while the links hang.
+func (c *link) Write(p []byte) (int, error) {
+	if c.links.current() == linksHang {
+		return len(p), nil
+	}
+	return c.TCPConn.Write(p)
+}
+
+// listed returns the addresses that the directory of a node gives to callers.
+func listed(n *running) string {
+	response, err := http.Get("http://" + n.directory + "/api/resolve?zone=z")
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return string(body)
+}
+
+// partitionRig starts three nodes before seven replicas. The first node has links that can
+// be cut.
+func partitionRig() (g *rig, cut *running, l *links, apps []*standin.Replica) {
+	g, l = newRig(), &links{}
+	for i := range 4 {
+		g.replica(standin.ReplicaOptions{ID: fmt.Sprint("e", i), Service: "lm", Model: "m", ProcessingTime: 5 * time.Millisecond})
+	}
+	for i := range 3 {
+		apps = append(apps, g.replica(standin.ReplicaOptions{ID: fmt.Sprint("s", i), Service: "app", ProcessingTime: 5 * time.Millisecond}))
+	}
+	g.store.SetTargetWeights("m", 1)
+	g.configure(1, "k")
+	g.links = l
+	cut = g.start()
+	g.links = nil
+	g.start()
+	g.start()
+	for _, n := range g.nodes {
+		Eventually(status(n.caller, "/chat/x", "k"), "5s").Should(Equal(http.StatusOK))
+		Eventually(status(n.caller, "/book/x", "k"), "5s").Should(Equal(http.StatusOK))
+		for _, other := range g.nodes {
+			Eventually(func() string { return listed(n) }, "10s").Should(ContainSubstring(other.caller))
+		}
+	}
+	return g, cut, l, apps
+}
+
+// statuses sends a number of requests of each kind to a node, all at once, and returns the
+// statuses that are not OK.
+func statuses(n *running, each int) []int {
+	answers := make(chan int, 2*each)
+	for range each {
+		for _, path := range []string{"/chat/x", "/book/x"} {
+			go func() { answers <- status(n.caller, path, "k")() }()
+		}
+	}
+	var failed []int
+	for range 2 * each {
+		if s := <-answers; s != http.StatusOK {
+			failed = append(failed, s)
+		}
+	}
+	return failed
+}
+
+var _ = Describe("A node without a path to the replicas", func() {
+	// Guards against callers of an instance that is partitioned from all replicas, and not
+	// from the other instances, being refused until the partition heals.
+	DescribeTable("has other nodes serve its callers, and callers are sent to the others",
+		func(state linkState) {
+			g, cut, l, apps := partitionRig()
+			l.set(state)
+			Eventually(func() []int { return statuses(cut, 6) }, "10s").Should(BeEmpty())
+			Expect(statuses(cut, 6)).To(BeEmpty())
+			for _, n := range g.nodes {
+				Eventually(func() string { _ = statuses(cut, 6); return listed(n) }, "10s").ShouldNot(ContainSubstring(cut.caller))
+			}
+			Expect(metricsOf(cut)).NotTo(ContainSubstring("wasabiridge_backends_detached_ms 0\n"))
+
+			l.set(linksWork)
+			for _, n := range g.nodes {
+				Eventually(func() string { return listed(n) }, "10s").Should(ContainSubstring(cut.caller))
+			}
+			Expect(metricsOf(cut)).To(ContainSubstring("wasabiridge_backends_detached_ms 0\n"))
+			Expect(statuses(cut, 6)).To(BeEmpty())
+			runs := map[string]int{}
+			for _, r := range apps {
+				for _, run := range r.Runs() {
+					runs[run.Attempt]++
+				}
+			}
+			for id, count := range runs {
+				Expect(count).To(Equal(1), "a booking runs at most once: "+id)
+			}
+		},
+		Entry("whose established connections hang", linksHang),
+		Entry("whose established connections are reset", linksReset),
+		Entry("whose new connections are refused", linksRefuse),
+	)
+})
