wasabinode, wasabirelay: instances without a path to the servers pass requests on

Cause: an instance took what it reached itself for what the system reaches. It tried replica after replica, had no other way to any of them, and told nobody, so that callers were still sent to it.

An instance whose path to a pool is lost (wasabireach) now passes requests for it on to another instance, over the service between instances: authenticated like all peer calls, one hop, marked by the call itself, so that no caller can set the mark. The second instance decides, limits and answers as for a caller of its own, by a configuration that is not older, within the attempts that the rule still allows and the time that is left. A request is passed to a further instance only if the one before has said that it did not take it. Idempotent attempts that hang when the path is found to be lost end at once. Other instances are told with the heartbeats (Member.Detached); callers are not sent to a detached instance while there are others. It holds no lease for orders to engines. What its own failures showed of the servers is dropped when the path is back, and connections that break count as the end of a server only if another server of the pool can be reached.

--- a/event.go
+++ b/event.go
@@ -6,6 +6,14 @@
 // CallerGone reports that the caller closed its connection.
 type CallerGone struct{ Request RequestID }
 
+// RequestForwarded reports that another instance serves the request. None of its attempts
+// here has sent anything.
+type RequestForwarded struct{ Request RequestID }
+
+// PathRestored reports that this instance has a path to the backend servers of a pool
+// again. What failed before says nothing about the servers.
+type PathRestored struct{ Pool PoolID }
+
 // AttemptSent reports that the first byte of an attempt is about to be written to a
 // connection of the backend server. From here on the request may have run.
 type AttemptSent struct {
@@ -190,6 +198,8 @@
 
 func (RequestArrived) isEvent()      {}
 func (CallerGone) isEvent()          {}
+func (RequestForwarded) isEvent()    {}
+func (PathRestored) isEvent()        {}
 func (AttemptSent) isEvent()         {}
 func (AttemptFirstToken) isEvent()   {}
 func (AttemptEnded) isEvent()        {}
--- a/internal/wasabiaddress/selector.go
+++ b/internal/wasabiaddress/selector.go
@@ -12,7 +12,8 @@
 // instances compute the same order without messages. The first two of the caller's
 // availability zone get nearly all the weight. One instance of each of two further
 // zones is the fallback for a caller whose zone fails. Instances that are leaving,
-// and instances that do not respond to their peers, are left out.
+// and instances that do not respond to their peers, are left out. So are those that have no
+// path to the backend servers, unless there are no others.
 //
 // # Usage
 //
@@ -55,6 +56,9 @@
 	// Members returns the instances in the membership view. Nil means that there
 	// are no other instances.
 	Members func() []wasabiridge.Member
+	// Detached reports whether this instance has no path to any backend server. Nil
+	// means never.
+	Detached func() bool
 	// Lifetime is how long callers may cache an answer.
 	Lifetime wasabiridge.Millis
 	// Ticket returns a new idempotency key. With nil answers contain none.
@@ -206,17 +210,28 @@
 
 // candidates returns the instances that serve, highest hash first.
 func (b *Selector) candidates(account wasabiridge.ClientAccountID) []candidate {
-	var list []candidate
+	var list, detached []candidate
 	if !b.leaving.Load() {
-		list = append(list, newCandidate(account, b.options.Self))
+		if b.options.Detached != nil && b.options.Detached() {
+			detached = append(detached, newCandidate(account, b.options.Self))
+		} else {
+			list = append(list, newCandidate(account, b.options.Self))
+		}
 	}
 	if b.options.Members != nil {
 		for _, m := range b.options.Members() {
-			if m.ID != b.options.Self.ID && !m.Leaving && !m.Suspect && m.CallerURL != "" {
+			switch {
+			case m.ID == b.options.Self.ID || m.Leaving || m.Suspect || m.CallerURL == "":
+			case m.Detached:
+				detached = append(detached, newCandidate(account, m.InstanceEntry))
+			default:
 				list = append(list, newCandidate(account, m.InstanceEntry))
 			}
 		}
 	}
+	if len(list) == 0 {
+		list = detached
+	}
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].score != list[j].score {
 			return list[i].score > list[j].score
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -199,3 +199,17 @@
 	c.record(line)
 	c.removeIfDone(rs)
 }
+
+// forwarded ends a request that another instance serves.
+func (c *Core) forwarded(now wasabiridge.Millis, id wasabiridge.RequestID) {
+	rs := c.requests[id]
+	if rs == nil || rs.answered {
+		return
+	}
+	rs.answered = true
+	c.options.Limiter.Withdraw(id)
+	line := rs.event(now, wasabiridge.EventEnded)
+	line.Cause = "forwarded"
+	c.record(line)
+	c.removeIfDone(rs)
+}
--- a/internal/wasabicore/core.go
+++ b/internal/wasabicore/core.go
@@ -115,6 +115,8 @@
 		c.arrive(now, e.Request)
 	case wasabiridge.CallerGone:
 		c.callerGone(now, e.Request)
+	case wasabiridge.RequestForwarded:
+		c.forwarded(now, e.Request)
 	case wasabiridge.AttemptSent:
 		c.attemptSent(now, e)
 	case wasabiridge.AttemptFirstToken:
--- a/internal/wasabimember/controller.go
+++ b/internal/wasabimember/controller.go
@@ -287,6 +287,12 @@
 // Leave announces to all members that this instance is leaving.
 func (k *Controller) Leave(ctx context.Context) { k.post(ctx, LeaveStarted{}) }
 
+// SetDetached announces to all members whether this instance has no path to any backend
+// server.
+func (k *Controller) SetDetached(detached bool) {
+	k.post(context.Background(), DetachedChanged{Detached: detached})
+}
+
 // SetConfig sets the version of the configuration in force at this instance,
 // which heartbeats carry.
 func (k *Controller) SetConfig(v wasabiridge.ConfigVersion) {
--- a/internal/wasabimember/event.go
+++ b/internal/wasabimember/event.go
@@ -29,6 +29,9 @@
 // this instance.
 type ConfigChanged struct{ Version wasabiridge.ConfigVersion }
 
+// DetachedChanged reports whether this instance has no path to any backend server.
+type DetachedChanged struct{ Detached bool }
+
 // BackendsLeft names backend servers that reported to this instance that they
 // are leaving.
 type BackendsLeft struct{ Backends []wasabiridge.BackendServerID }
@@ -42,6 +45,7 @@
 func (ResponseReceived) isEvent()  {}
 func (LeaveStarted) isEvent()      {}
 func (ConfigChanged) isEvent()     {}
+func (DetachedChanged) isEvent()   {}
 func (BackendsLeft) isEvent()      {}
 func (AnnounceRequested) isEvent() {}
 
--- a/internal/wasabimember/machine.go
+++ b/internal/wasabimember/machine.go
@@ -84,6 +84,8 @@
 		m.leave(now)
 	case ConfigChanged:
 		m.configChanged(e.Version)
+	case DetachedChanged:
+		m.detachedChanged(now, e.Detached)
 	case BackendsLeft:
 		for _, b := range e.Backends {
 			m.broadcastDue = m.leaving.add(now, b) || m.broadcastDue
@@ -135,6 +137,17 @@
 	m.recordChange(now, m.self, 0)
 }
 
+func (m *Machine) detachedChanged(now wasabiridge.Millis, detached bool) {
+	if m.self.member.Detached == detached {
+		return
+	}
+	m.table.set(m.self, alive, func() {
+		m.self.member.Detached = detached
+		m.self.member.Sequence++
+	})
+	m.recordChange(now, m.self, 0)
+}
+
 func (m *Machine) configChanged(v wasabiridge.ConfigVersion) {
 	if v <= m.self.member.Config {
 		return
--- a/internal/wasabimember/summary.go
+++ b/internal/wasabimember/summary.go
@@ -60,7 +60,7 @@
 		return
 	}
 	line := log.Info().Int("members", members)
-	for _, state := range [...]string{stateAlive, stateLeaving, stateDead} {
+	for _, state := range [...]string{stateAlive, stateDetached, stateLeaving, stateDead} {
 		if c := s.states[state]; c != nil {
 			line = line.Int(state, c.count).Strs(state+"_names", c.names)
 		}
@@ -71,9 +71,10 @@
 
 // States of a member in the log and the timeline.
 const (
-	stateAlive   = "alive"
-	stateLeaving = "leaving"
-	stateDead    = "dead"
+	stateAlive    = "alive"
+	stateDetached = "detached"
+	stateLeaving  = "leaving"
+	stateDead     = "dead"
 )
 
 func stateOf(m wasabiridge.Member) string {
@@ -82,6 +83,8 @@
 		return stateDead
 	case m.Leaving:
 		return stateLeaving
+	case m.Detached:
+		return stateDetached
 	}
 	return stateAlive
 }
--- a/internal/wasabimember/table.go
+++ b/internal/wasabimember/table.go
@@ -55,8 +55,8 @@
 	return e
 }
 
-// updateDigestPart recomputes digestPart after a change of the incarnation or
-// of the leaving flag.
+// updateDigestPart recomputes digestPart after a change of the incarnation, or
+// of whether the member is leaving or detached.
 func (e *entry) updateDigestPart() {
 	var d xxhash.Digest
 	d.Reset()
@@ -70,6 +70,9 @@
 		b[i] = byte(v >> (8 * i))
 	}
 	_, _ = d.Write(b[:])
+	if e.member.Detached {
+		_, _ = d.WriteString(stateDetached)
+	}
 	e.digestPart = d.Sum64()
 }
 
--- a/internal/wasabinode/lifecycle.go
+++ b/internal/wasabinode/lifecycle.go
@@ -9,9 +9,13 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 )
 
+// openInterval is how often a node that is shutting down checks for open requests.
+const openInterval = 20 * time.Millisecond
+
 // listen opens the listeners for callers, readiness checks, metrics and the
 // directory of addresses.
 func (n *Node) listen() error {
@@ -118,7 +122,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
 	var err error
-	if failed := n.servers[0].Shutdown(ctx); failed != nil {
+	failed := n.servers[0].Shutdown(ctx)
+	if failed == nil {
+		failed = n.waitForwarded(ctx)
+	}
+	if failed != nil {
 		n.log.Error().Int("open", n.relay.Open()).Msg("Grace period over; aborting open requests.")
 		err = wasabiridge.ErrUnavailable.Wrap(failed, "node: grace period ended with open requests")
 	}
@@ -127,6 +135,24 @@
 	return err
 }
 
+// waitForwarded waits for the requests that other instances have passed on to this one.
+func (n *Node) waitForwarded(ctx context.Context) error {
+	ticker := time.NewTicker(openInterval)
+	defer ticker.Stop()
+	for n.relay.Open() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// isUnfit reports whether this instance should not give orders to engines: it is shutting
+// down, or has no path to them.
+func (n *Node) isUnfit() bool { return n.leaving.Load() || n.reach.enginesLost() }
+
 // close closes the listeners, the peer connections and the decision loop. Parts
 // that New did not reach are nil and skipped.
 func (n *Node) close() {
@@ -136,8 +162,10 @@
 	for _, socket := range n.sockets {
 		_ = socket.Close()
 	}
-	if n.client != nil {
-		_ = n.client.Close()
+	for _, client := range []*wasabipeer.Client{n.client, n.forwards} {
+		if client != nil {
+			_ = client.Close()
+		}
 	}
 	if n.server != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -147,16 +147,19 @@
 	catalog        *wasabicatalog.Controller
 	upgrade        *wasabiupgrade.Controller
 	client         *wasabipeer.Client
-	server         *wasabipeer.Server
-	members        *wasabimember.Controller
-	book           *wasabiaddress.Selector
-	roster         *roster
-	activeConfig   atomic.Pointer[activeConfig]
-	sockets        []net.Listener
-	servers        []*http.Server
-	leaving        atomic.Bool
-	once           sync.Once
-	drained        chan struct{}
+	// forwards passes requests on to other instances, over connections of its own, so that
+	// many of them do not delay heartbeats.
+	forwards     *wasabipeer.Client
+	server       *wasabipeer.Server
+	members      *wasabimember.Controller
+	book         *wasabiaddress.Selector
+	roster       *roster
+	activeConfig atomic.Pointer[activeConfig]
+	sockets      []net.Listener
+	servers      []*http.Server
+	leaving      atomic.Bool
+	once         sync.Once
+	drained      chan struct{}
 }
 
 // New opens the listeners and assembles the node; Run serves. It returns
@@ -202,7 +205,11 @@
 		Seed: seed, Self: s.Instance, Zone: s.Zone, WeightsDeadline: n.bounds.OldWeightsLifetime - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
 	})
-	n.reach = newReach(o.Platform.Runner, o.Clock, seed, wasabilog.Part(n.log, "reach"), n.backendServers)
+	n.reach = &reach{
+		log: wasabilog.Part(n.log, "reach"), clock: o.Clock, runner: o.Platform.Runner, seed: seed,
+		pools: func() []wasabiridge.Pool { return n.activeConfig.Load().config.Pools }, changed: n.pathChanged,
+	}
+	n.reach.prober, _ = o.Platform.Runner.(wasabiridge.BackendProber)
 	n.quarantine = wasabiquarantine.NewController(wasabiquarantine.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Seed: seed, Log: wasabilog.Part(n.log, "quarantine"),
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries, Rows: o.Platform.Table,
@@ -235,7 +242,7 @@
 	})
 	n.upgrade = wasabiupgrade.NewController(wasabiupgrade.Options{
 		Self: s.Instance, Address: s.Peer.Address, Incarnation: n.incarnation, Clock: o.Clock, Table: o.Platform.Table, Engines: o.Platform.Engines,
-		Recorder: n.timeline, Catalog: n.wantedWeights, Rank: n.rank, Leaving: n.leaving.Load, Send: n.sendBackoffs, Log: wasabilog.Part(n.log, "upgrade"),
+		Recorder: n.timeline, Catalog: n.wantedWeights, Rank: n.rank, Unfit: n.isUnfit, Send: n.sendBackoffs, Log: wasabilog.Part(n.log, "upgrade"),
 		Timing: wasabiupgrade.Timing{LeaseTerm: n.bounds.LeaseTerm},
 	})
 	n.relay = wasabirelay.New(wasabirelay.Options{
@@ -243,11 +250,11 @@
 		Runner: n.reach, Protocol: o.Platform.Protocol, View: n.view,
 		MaxKeyAge:  func() wasabiridge.Millis { return n.terms.Load().RevokedKeyLifetime - keyMargin },
 		MaxDenyAge: func() wasabiridge.Millis { return n.terms.Load().ConfigPropagationTime * denyPercent / 100 },
-		Accepts:    n.accepts,
-		Leaving:    n.leaving.Load, Mover: o.Platform.Migrator, Hasher: wasabifingerprint.New([]byte(openPeerKey)),
+		Accepts:    n.accepts, Detour: &detour{Forwarder: n.forwards, node: n},
+		Leaving: n.leaving.Load, Mover: o.Platform.Migrator, Hasher: wasabifingerprint.New([]byte(openPeerKey)),
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
-		Self: n.self(), Members: n.members.Members, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLifetime)),
+		Self: n.self(), Members: n.members.Members, Detached: n.reach.detached, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLifetime)),
 	})
 	return n.listen()
 }
@@ -274,6 +281,9 @@
 	if n.client, err = wasabipeer.NewClient(o); err != nil {
 		return err
 	}
+	if n.forwards, err = wasabipeer.NewClient(o); err != nil {
+		return err
+	}
 	if n.server, err = wasabipeer.Listen(s.Listen, peerHandler{node: n}, o); err != nil {
 		return err
 	}
--- a/internal/wasabinode/partition_test.go
+++ b/internal/wasabinode/partition_test.go
@@ -97,12 +97,13 @@
 
 // listed returns the addresses that the directory of a node gives to callers.
 func listed(n *running) string {
+	GinkgoHelper()
 	response, err := http.Get("http://" + n.directory + "/api/resolve?zone=z")
-	if err != nil {
-		return ""
-	}
+	Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
-	body, _ := io.ReadAll(response.Body)
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
 	return string(body)
 }
 
@@ -163,13 +164,13 @@
 			for _, n := range g.nodes {
 				Eventually(func() string { _ = statuses(cut, 6); return listed(n) }, "10s").ShouldNot(ContainSubstring(cut.caller))
 			}
-			Expect(metricsOf(cut)).NotTo(ContainSubstring("wasabiridge_backends_detached_ms 0\n"))
+			Eventually(func() string { return metricsOf(cut) }, "5s").ShouldNot(MatchRegexp(`path_lost_ms\{[^}]*\} 0\n`))
 
 			l.set(linksWork)
 			for _, n := range g.nodes {
 				Eventually(func() string { return listed(n) }, "10s").Should(ContainSubstring(cut.caller))
 			}
-			Expect(metricsOf(cut)).To(ContainSubstring("wasabiridge_backends_detached_ms 0\n"))
+			Eventually(func() string { return metricsOf(cut) }, "5s").ShouldNot(MatchRegexp(`path_lost_ms\{[^}]*\} [1-9]`))
 			Expect(statuses(cut, 6)).To(BeEmpty())
 			runs := map[string]int{}
 			for _, r := range apps {
--- a/internal/wasabipeer/codec.go
+++ b/internal/wasabipeer/codec.go
@@ -25,6 +25,7 @@
 		Leaving:     m.Leaving,
 		Suspect:     m.Suspect,
 		Dead:        m.Dead,
+		Detached:    m.Detached,
 		Vouched:     m.ConfirmedAlive,
 		AgeMs:       uint64(max(m.Age, 0)),
 		PeerAddress: m.PeerAddress,
@@ -60,6 +61,7 @@
 	out.Config = wasabiridge.ConfigVersion(m.Config)
 	out.Suspect = m.Suspect
 	out.Dead = m.Dead
+	out.Detached = m.Detached
 	out.ConfirmedAlive = m.Vouched
 	out.Age = wasabiridge.Millis(m.AgeMs)
 	out.Capacity = float64(m.CapacityMilli) / milli
--- a/internal/wasabipeer/server.go
+++ b/internal/wasabipeer/server.go
@@ -61,6 +61,7 @@
 	}
 	options := []grpc.ServerOption{
 		grpc.UnaryInterceptor(interceptor.intercept),
+		grpc.StreamInterceptor(interceptor.interceptStream),
 		grpc.MaxRecvMsgSize(MaxRequestBytes),
 		grpc.MaxSendMsgSize(MaxResponseBytes),
 		grpc.MaxConcurrentStreams(maxConcurrentCalls),
@@ -144,6 +145,16 @@
 	return next(ctx, req)
 }
 
+// interceptStream authenticates a streaming call. The call bounds its time itself.
+func (g *callInterceptor) interceptStream(service any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+	if g.tokens != nil {
+		if err := g.tokens.check(stream.Context()); err != nil {
+			return err
+		}
+	}
+	return next(service, stream)
+}
+
 type service struct {
 	pb.UnimplementedPeerServer
 	handler wasabiridge.PeerHandler
--- a/internal/wasabireach/tracker.go
+++ b/internal/wasabireach/tracker.go
@@ -4,8 +4,8 @@
 //
 // A Tracker is a deterministic state machine. It becomes suspicious when attempts are in
 // flight and nothing at all is received from any server for a while, or when no
-// connection to several servers can be opened. It then requests a check: new connections
-// to a random sample of the servers. If no connection of two successive samples can be
+// connection to several servers can be opened. It then requests a check: a new connection
+// to a random server and, if that cannot be opened, to several others. If none can be
 // opened, the instance is detached. While it is detached, checks continue until most
 // connections of a sample can be opened.
 //
@@ -41,10 +41,12 @@
 	// connectedInterval the time after a check that found a server.
 	checkInterval     = 500 * wasabiridge.Millis(1)
 	connectedInterval = wasabiridge.Second
-	// sampleSize is the number of servers in the first sample of a check, and
-	// secondSampleSize that in the second one.
-	sampleSize       = 3
-	secondSampleSize = 4
+	// firstSample is the number of servers in the first sample of a check, and
+	// secondSample that in the second one. While the instance is detached, each check has
+	// one sample of restoreSample servers.
+	firstSample   = 1
+	secondSample  = 5
+	restoreSample = 3
 )
 
 // Result is the outcome of one sample: the number of servers to which a connection could
@@ -58,6 +60,8 @@
 	random *rand.Rand
 	// unanswered holds when the attempts that have no byte of an answer yet were sent.
 	unanswered map[wasabiridge.AttemptID]wasabiridge.Millis
+	// suspected is set by Suspect until the next check.
+	suspected bool
 	// received is when anything was last received from a server.
 	received wasabiridge.Millis
 	// failures holds when a connection to a server last failed.
@@ -100,6 +104,9 @@
 	}
 }
 
+// Suspect requests a check.
+func (t *Tracker) Suspect() { t.suspected = true }
+
 // Detached reports whether the instance has no path to any backend server, and since when.
 func (t *Tracker) Detached() (since wasabiridge.Millis, detached bool) { return t.since, t.detached }
 
@@ -129,16 +136,20 @@
 	case t.confirming:
 		return true
 	}
-	return now >= t.nextCheck && (t.detached || t.suspicious(now))
+	return now >= t.nextCheck && (t.detached || t.suspected || t.suspicious(now))
 }
 
 // Check returns the servers, of all given, to which a connection has to be opened for the
 // check that is due. The result must be passed to Checked.
 func (t *Tracker) Check(servers []wasabiridge.BackendServer) []wasabiridge.BackendServer {
-	size := sampleSize
-	if t.confirming {
-		size = secondSampleSize
-	} else {
+	size := firstSample
+	switch {
+	case t.confirming:
+		size = secondSample
+	case t.detached:
+		size = restoreSample
+	}
+	if !t.confirming {
 		clear(t.sampled)
 	}
 	var sample []wasabiridge.BackendServer
@@ -150,7 +161,7 @@
 	for _, s := range sample {
 		t.sampled[s.ID] = true
 	}
-	t.checking = len(sample) > 0
+	t.checking, t.suspected = len(sample) > 0, false
 	t.conclusive = t.confirming || len(sample) == len(servers)
 	t.confirming = t.confirming && t.checking
 	return sample
--- a/internal/wasabirelay/counts.go
+++ b/internal/wasabirelay/counts.go
@@ -73,6 +73,13 @@
 	c.causes["move/"+outcome]++
 }
 
+// addForward counts a request that was passed on to another instance, by its outcome.
+func (c *Counts) addForward(outcome string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.causes["forward/"+outcome]++
+}
+
 func (c *Counts) observe(name string, took wasabiridge.Millis) {
 	h := c.byName[name]
 	if h == nil {
@@ -94,8 +101,8 @@
 	return out
 }
 
-// Causes returns the number of requests by "outcome/cause", and of moves by
-// "move/outcome".
+// Causes returns the number of requests by "outcome/cause", of moves by "move/outcome", and
+// of requests that were passed on to another instance by "forward/outcome".
 func (c *Counts) Causes() map[string]uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -47,7 +47,9 @@
 	lastEvent string
 	backend   wasabiridge.BackendServerID
 	attempts  int
-	firstByte wasabiridge.Millis
+	// possibleRuns counts the attempts after which the request may have run.
+	possibleRuns int
+	firstByte    wasabiridge.Millis
 }
 
 func newExchange(c *call) *exchange {
@@ -74,6 +76,9 @@
 	if c.account.Priority != nil {
 		r = r.WithPriority(*c.account.Priority)
 	}
+	if c.received != nil && c.received.Attempts > 0 {
+		r = r.WithAttempts(c.received.Attempts)
+	}
 	if split := c.rule.Then.Split; len(split) > 0 {
 		r = r.WithPool(choosePool(split, c.parsed.ID))
 	}
@@ -93,11 +98,6 @@
 // regular end for a complete answer.
 func (x *exchange) run() {
 	o := x.relay.options
-	if err := o.Loop.Submit(x.request, x.box); err != nil {
-		x.refuse(*x.notRun("too many requests wait here"))
-		return
-	}
-	defer o.Loop.CloseMailbox(x.request.ID)
 	left := x.until - finalMargin - o.Clock.Now()
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithTimeout(x.r.Context(), left.Duration())
@@ -107,6 +107,14 @@
 	// deadlines.
 	_ = control.SetWriteDeadline(time.Now().Add((x.until - o.Clock.Now() + wasabiridge.Second).Duration()))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	if x.forward() {
+		return
+	}
+	if err := o.Loop.Submit(x.request, x.box); err != nil {
+		x.refuse(*x.notRun("too many requests wait here"))
+		return
+	}
+	defer o.Loop.CloseMailbox(x.request.ID)
 	for {
 		select {
 		case effect, ok := <-x.box.Effects():
@@ -130,7 +138,9 @@
 	case wasabiridge.Dispatch:
 		return x.runAttempt(e)
 	case wasabiridge.Refuse:
-		x.fail(e)
+		if !x.mayForwardRefused(e.Reason) || !x.forward() {
+			x.fail(e)
+		}
 		return true
 	}
 	return false
@@ -139,6 +149,11 @@
 // runAttempt runs an attempt and passes its result to the decider. It reports whether
 // the request has ended.
 func (x *exchange) runAttempt(d wasabiridge.Dispatch) bool {
+	if x.mayForward(d) && x.forward() {
+		x.relay.options.Loop.Post(wasabiridge.RequestForwarded{Request: d.Request})
+		x.relay.options.Loop.Post(wasabiridge.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Backend: d.Backend.ID, Result: wasabiridge.AttemptNotRun, Unsent: true})
+		return true
+	}
 	x.attempts++
 	x.backend = d.Backend.ID
 	x.logPlaced(d)
@@ -158,6 +173,8 @@
 	x.logFailed(end, started)
 	if end.Result == wasabiridge.AttemptNotRun {
 		x.disposition = before
+	} else {
+		x.possibleRuns++
 	}
 	completed := end.Result == wasabiridge.AttemptCompleted
 	if completed {
@@ -184,6 +201,21 @@
 	return false
 }
 
+// mayForwardRefused reports whether another instance may serve a request that the decider
+// refused for the given reason.
+func (x *exchange) mayForwardRefused(reason wasabiridge.RefuseReason) bool {
+	switch reason {
+	case wasabiridge.RefusedByRule, wasabiridge.RefusedQuota, wasabiridge.RefusedQuarantined:
+		return false
+	}
+	return x.disposition == wasabiridge.NotRun && x.status == 0
+}
+
+// mayForward reports whether another instance may run an attempt in place of this one.
+func (x *exchange) mayForward(d wasabiridge.Dispatch) bool {
+	return d.Why != wasabiridge.WhyMoved && x.events == 0 && x.status == 0 && (x.disposition == wasabiridge.NotRun || !x.request.Action.NonIdempotent)
+}
+
 // mayImprove reports whether the buffered answer is a server error (status 500 or
 // above) and the rule allows another attempt, which may succeed.
 func (x *exchange) mayImprove(d wasabiridge.Dispatch) bool {
--- /dev/null
+++ b/internal/wasabirelay/forward.go
@@ -0,0 +1,232 @@
+package wasabirelay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+)
+
+const (
+	// maxForwards is the number of instances that are asked to serve one request.
+	maxForwards = 3
+	// forwardMargin is how much earlier than this instance the other one gives up, so
+	// that its answer arrives in time.
+	forwardMargin = 25 * wasabiridge.Millis(1)
+)
+
+// Detour passes requests on to other instances while this one has no path to the backend
+// servers. Implementations are safe for concurrent use.
+type Detour interface {
+	wasabiridge.Forwarder
+	// Detached reports whether this instance has no path to the servers of a pool.
+	Detached(pool wasabiridge.PoolID) bool
+	// Instances returns other instances that may serve requests for a pool, in the order
+	// in which to try them. It returns none while this instance has a path to the pool.
+	Instances(pool wasabiridge.PoolID) []wasabiridge.InstanceEntry
+	// Declined records that an instance cannot serve requests for a pool either.
+	Declined(pool wasabiridge.PoolID, by wasabiridge.InstanceID)
+}
+
+// forward has another instance serve the request. It reports false if none takes it; then
+// nothing of it has run there.
+//
+// It must be called only while the request has not run here, or while it is being retried
+// with the consent of the decider. Once another instance may have run it, it is passed on
+// to no further one, so that a request reaches no more servers than its rule allows.
+func (x *exchange) forward() bool {
+	d := x.relay.options.Detour
+	if d == nil || x.received != nil || x.headSent {
+		return false
+	}
+	left := 0
+	if n := x.request.Action.Attempts; n > 0 {
+		if left = n - x.possibleRuns; left <= 0 {
+			return false
+		}
+	}
+	pool := x.request.Action.Pool
+	for i, to := range d.Instances(pool) {
+		timeout := x.until - forwardMargin - x.relay.options.Clock.Now()
+		if i >= maxForwards || timeout <= 0 || x.account.ID != "" && !x.keyInForce() {
+			return false
+		}
+		before, started := x.disposition, x.relay.options.Clock.Now()
+		x.disposition = x.disposition.Advance(wasabiridge.MaybeRun)
+		result := d.Forward(x.ctx, to.PeerAddress, wasabiridge.ForwardedRequest{
+			From: x.relay.options.Instance, Config: x.view.Config.Version, Attempts: left, Method: x.r.Method, Host: x.r.Host,
+			Target: x.r.URL.RequestURI(), Header: x.r.Header, Body: x.body, Timeout: timeout,
+		}, &forwardSink{exchange: x})
+		x.logForwarded(to, result, started)
+		if result.Declined {
+			x.disposition = before
+			d.Declined(pool, to.ID)
+			continue
+		}
+		x.finishForwarded(result, before)
+		return true
+	}
+	return false
+}
+
+// finishForwarded answers the caller after another instance has served or refused the
+// request.
+func (x *exchange) finishForwarded(result wasabiridge.ForwardResult, before wasabiridge.Disposition) {
+	if result.Result == wasabiridge.AttemptNotRun {
+		x.disposition = before
+	}
+	switch {
+	case result.Result == wasabiridge.AttemptCompleted:
+		x.disposition = wasabiridge.Ran
+		x.finish()
+	case x.ctx.Err() != nil:
+		if !x.headSent {
+			x.status = 0
+		}
+		x.contextDone()
+	case x.headSent:
+		x.abort("forwarded")
+	case result.Refusal.Kind == "" || x.disposition != wasabiridge.NotRun && result.Result == wasabiridge.AttemptNotRun:
+		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalBroken, Reason: "forwarded"})
+	default:
+		x.refuse(result.Refusal)
+	}
+}
+
+func (x *exchange) logForwarded(to wasabiridge.InstanceEntry, result wasabiridge.ForwardResult, started wasabiridge.Millis) {
+	outcome := result.Result.String()
+	if result.Declined {
+		outcome = "declined"
+	}
+	x.relay.counts.addForward(outcome)
+	x.relay.options.Log.Info().
+		Str(wasabilog.RequestField, string(x.request.ID)).
+		Str("account", string(x.request.Account)).
+		Str("rule", string(x.request.Rule)).
+		Str("to", string(to.ID)).
+		Str("outcome", outcome).
+		Str("cause", result.Reason).
+		Int("status", x.status).
+		Int64("took_ms", int64(x.relay.options.Clock.Now()-started)).
+		Msg("Request forwarded.")
+}
+
+// forwardSink receives the answer to a request that another instance serves.
+type forwardSink struct {
+	exchange *exchange
+	stream   bool
+}
+
+var _ wasabiridge.ForwardSink = (*forwardSink)(nil)
+
+// Head implements wasabiridge.ForwardSink.
+func (s *forwardSink) Head(status int, h http.Header) error {
+	s.stream = isEventStream(h)
+	s.exchange.status, s.exchange.head, s.exchange.buffered = status, h, nil
+	return nil
+}
+
+// Chunk implements wasabiridge.ForwardSink.
+func (s *forwardSink) Chunk(data []byte) error {
+	s.exchange.countFirstByte(s.stream)
+	return s.exchange.deliver(s.stream, data)
+}
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+// received is a request that another instance passed on to this one.
+type received struct {
+	wasabiridge.ForwardedRequest
+	// result is the refusal of this instance, if it refused the request.
+	result wasabiridge.ForwardResult
+}
+
+// ServeForwarded serves a request that another instance passes on, as if its caller had
+// sent it here. It is not passed on again. A configuration that is older than that of the
+// other instance is not applied, since the caller has been served by the newer one.
+func (l *Relay) ServeForwarded(ctx context.Context, in wasabiridge.ForwardedRequest, sink wasabiridge.ForwardSink) (result wasabiridge.ForwardResult) {
+	l.open.Add(1)
+	defer l.open.Add(-1)
+	r, err := http.NewRequestWithContext(ctx, in.Method, "http://"+in.Host+in.Target, http.NoBody)
+	if err != nil {
+		return wasabiridge.ForwardResult{Result: wasabiridge.AttemptNotRun, Refusal: wasabiridge.Refusal{Kind: wasabiridge.RefusalInvalid, Reason: "unreadable request"}}
+	}
+	r.Header, r.Host, r.RequestURI = in.Header, in.Host, in.Target
+	w := &forwardWriter{sink: sink, header: http.Header{}}
+	c := &call{relay: l, w: w, r: r, arrived: l.options.Clock.Now(), view: l.options.View(), received: &received{ForwardedRequest: in}, body: in.Body}
+	defer func() {
+		if aborted := recover(); aborted != nil && aborted != http.ErrAbortHandler {
+			panic(aborted)
+		} else if aborted != nil {
+			result = wasabiridge.ForwardResult{Result: wasabiridge.AttemptBroken, Reason: "answer cut off"}
+		}
+	}()
+	if refusal := c.prepare(); refusal != nil {
+		c.received.result.Declined = refusal.Kind == wasabiridge.RefusalNotRun
+		c.refuse(*refusal)
+		return c.received.result
+	}
+	if refusal := c.checkPath(); refusal != nil {
+		c.received.result.Declined = true
+		c.refuse(*refusal)
+		return c.received.result
+	}
+	newExchange(c).run()
+	if c.received.result.Refusal.Kind != "" {
+		return c.received.result
+	}
+	return wasabiridge.ForwardResult{Result: wasabiridge.AttemptCompleted}
+}
+
+// checkVersion refuses a request that another instance accepted by a newer configuration.
+func (c *call) checkVersion() *wasabiridge.Refusal {
+	if c.received != nil && c.view.Config.Version < c.received.Config {
+		return c.notRun("configuration older than that of the forwarding instance")
+	}
+	return nil
+}
+
+// checkPath refuses a forwarded request if this instance has no path to its pool either.
+func (c *call) checkPath() *wasabiridge.Refusal {
+	if d := c.relay.options.Detour; d != nil && d.Detached(c.request().Action.Pool) {
+		return c.notRun("no path to the backend servers")
+	}
+	return nil
+}
+
+// forwardWriter passes an answer on to the instance that forwarded the request.
+type forwardWriter struct {
+	sink   wasabiridge.ForwardSink
+	header http.Header
+	// err is the error of WriteHeader, which cannot return it.
+	err error
+}
+
+var _ http.ResponseWriter = (*forwardWriter)(nil)
+
+// Header implements http.ResponseWriter.
+func (w *forwardWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *forwardWriter) WriteHeader(status int) { w.err = w.sink.Head(status, w.header) }
+
+// Write implements http.ResponseWriter.
+func (w *forwardWriter) Write(data []byte) (int, error) {
+	if w.err == nil {
+		w.err = w.sink.Chunk(data)
+	}
+	if w.err != nil {
+		return 0, w.err
+	}
+	return len(data), nil
+}
+
+// FlushError is called by http.ResponseController. Each Write is sent at once.
+func (w *forwardWriter) FlushError() error { return w.err }
+
+var _ io.Writer = (*forwardWriter)(nil)
--- a/internal/wasabirelay/refusal.go
+++ b/internal/wasabirelay/refusal.go
@@ -69,5 +69,12 @@
 		Int64("config_age_ms", int64(c.arrived-c.view.ConfirmedAt)).
 		Int64("took_ms", int64(c.relay.options.Clock.Now()-c.arrived)).
 		Msg("Request refused.")
+	if c.received != nil {
+		c.received.result.Result, c.received.result.Refusal, c.received.result.Reason = wasabiridge.AttemptNotRun, f, f.Reason
+		if outcome == OutcomeBroken {
+			c.received.result.Result = wasabiridge.AttemptBroken
+		}
+		return
+	}
 	c.relay.options.Protocol.Refuse(c.w, f)
 }
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -15,6 +15,12 @@
 // connection, or if all backend servers that received the request reported that they
 // did not run it.
 //
+// # Instances without a path to the backend servers
+//
+// An instance that has no path to the backend servers of a request passes it on to another
+// instance, which decides and answers as if the caller had sent the request there. A
+// request is passed on once at most. See Detour.
+//
 // # Revoked keys
 //
 // A request with a key is accepted only if the configuration with the account's keys
@@ -99,6 +105,8 @@
 	// as the server itself has stated. It must be safe for concurrent use. Nil means
 	// always.
 	Accepts func(b wasabiridge.BackendServer) bool
+	// Detour passes requests on to other instances. Nil disables that.
+	Detour Detour
 	// Leaving reports whether the instance is shutting down. Nil means never.
 	Leaving func() bool
 }
@@ -160,11 +168,13 @@
 	fingerprint wasabiridge.Fingerprint
 	// until is the deadline: the earlier of the caller's and the rule's.
 	until wasabiridge.Millis
+	// received is set if another instance passed the request on.
+	received *received
 }
 
 // filters are called in order. The first refusal ends the request.
 var filters = []func(*call) *wasabiridge.Refusal{
-	(*call).read, (*call).checkConfig, (*call).checkSize, (*call).match, (*call).authenticate, (*call).checkKeyFreshness, (*call).readBody,
+	(*call).read, (*call).checkConfig, (*call).checkVersion, (*call).checkSize, (*call).match, (*call).authenticate, (*call).checkKeyFreshness, (*call).readBody,
 }
 
 func (c *call) prepare() *wasabiridge.Refusal {
@@ -184,6 +194,9 @@
 	if c.parsed.Timeout == 0 {
 		c.parsed.Timeout = defaultTimeLimit
 	}
+	if c.received != nil {
+		c.parsed.Timeout = min(c.parsed.Timeout, c.received.Timeout)
+	}
 	c.until = c.arrived + c.parsed.Timeout
 	return nil
 }
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -46,7 +45,7 @@
 	if s.firstByteTimer != nil {
 		s.firstByteTimer.Stop()
 	}
-	s.stream = strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+	s.stream = isEventStream(h)
 	if x.headSent {
 		// This answer continues a stream whose head the caller already has.
 		if status != http.StatusOK || !s.stream {
@@ -66,10 +65,7 @@
 // Chunk implements wasabiridge.AttemptSink.
 func (s *sink) Chunk(events int, data []byte) error {
 	x := s.exchange
-	if x.firstByte == 0 {
-		x.firstByte = x.relay.options.Clock.Now()
-		x.relay.counts.addFirstByte(s.stream, x.firstByte-x.arrived)
-	}
+	x.countFirstByte(s.stream)
 	if !s.gotChunk {
 		s.gotChunk = true
 		if s.stream && x.request.Action.Resume {
@@ -77,7 +73,28 @@
 		}
 		x.relay.options.Loop.Post(wasabiridge.AttemptFirstToken{Request: s.dispatch.Request, Attempt: s.dispatch.Attempt})
 	}
-	if !s.stream && len(x.buffered)+len(data) <= maxBufferedBytes && !x.headSent {
+	if err := x.deliver(s.stream, data); err != nil {
+		return err
+	}
+	x.events += events
+	if id := x.relay.options.Protocol.LastEvent(data); id != "" {
+		x.lastEvent = id
+	}
+	return nil
+}
+
+// countFirstByte records when the first byte of an answer arrived.
+func (x *exchange) countFirstByte(stream bool) {
+	if x.firstByte == 0 {
+		x.firstByte = x.relay.options.Clock.Now()
+		x.relay.counts.addFirstByte(stream, x.firstByte-x.arrived)
+	}
+}
+
+// deliver sends a piece of the answer to the caller. Small answers that are no streams are
+// buffered until they are complete.
+func (x *exchange) deliver(stream bool, data []byte) error {
+	if !stream && len(x.buffered)+len(data) <= maxBufferedBytes && !x.headSent {
 		x.buffered = append(x.buffered, data...)
 		return nil
 	}
@@ -94,9 +111,5 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return errCallerGone
 	}
-	x.events += events
-	if id := x.relay.options.Protocol.LastEvent(data); id != "" {
-		x.lastEvent = id
-	}
 	return nil
 }
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -56,6 +56,13 @@
 		if len(e.Serving) > 0 {
 			p.rateGroup.SetInstances(now, e.Serving)
 		}
+	case wasabiridge.PathRestored:
+		if pl := p.pools[e.Pool]; pl != nil {
+			for _, r := range pl.replicas {
+				r.clearFailures()
+				r.failures = pl.failures
+			}
+		}
 	case wasabiridge.BackendLost:
 		if r := p.replicas[e.Backend]; r != nil {
 			r.recordFailure(now)
--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -34,7 +34,7 @@
 // instances until the old lease has expired.
 var LeaseTiming = wasabilease.Timing{TTL: 2400, Drift: 600, Renew: 1100, Poll: 600, Reclaim: true}
 
-// Options configures a Controller. Recorder, Leaving, Log and Timing are optional.
+// Options configures a Controller. Recorder, Unfit, Log and Timing are optional.
 type Options struct {
 	Self wasabiridge.InstanceID
 	// Address is the listen address of the instance. Together with Self it
@@ -50,9 +50,10 @@
 	Catalog func() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion)
 	// Rank returns the position of this instance among the live instances, from 0.
 	Rank func() int
-	// Leaving reports whether the instance is shutting down. It then releases the
-	// lease, so that the next holder need not wait for its expiry. Nil means never.
-	Leaving func() bool
+	// Unfit reports whether the instance should not give orders, because it is shutting
+	// down or has no path to the engines. It then releases the lease and does not
+	// contend for it.
+	Unfit func() bool
 	// Send sends state updates about replicas to all instances that place requests or
 	// may send the next orders, including this one. It must not block.
 	Send   func(updates []wasabiridge.BackoffUpdate)
@@ -136,7 +137,7 @@
 		k.stalledSince = now
 	}
 	k.lastOutstanding = outstanding
-	if outstanding == 0 || k.options.Leaving != nil && k.options.Leaving() {
+	if outstanding == 0 || k.options.Unfit != nil && k.options.Unfit() {
 		return false
 	}
 	return k.lease.Grant().Fencing != 0 || now-k.stalledSince >= wasabiridge.Millis(k.options.Rank())*rankDelay
--- a/internal/wasabiupgrade/controller_test.go
+++ b/internal/wasabiupgrade/controller_test.go
@@ -43,7 +43,7 @@
 					Server: wasabiridge.BackendServer{ID: "e"}, Weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: 1},
 				}}, map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: 2}
 			},
-			Rank: func() int { return 0 }, Leaving: leaving.Load, Send: func([]wasabiridge.BackoffUpdate) {},
+			Rank: func() int { return 0 }, Unfit: leaving.Load, Send: func([]wasabiridge.BackoffUpdate) {},
 		})
 		go controller.Run(running)
 
--- a/peer.go
+++ b/peer.go
@@ -10,12 +10,16 @@
 	// Config is the version in force at the instance.
 	Config ConfigVersion
 	// Sequence increases when the instance announces a change of its own state within
-	// one incarnation: that it is leaving, or that reports of its death are wrong.
+	// one incarnation: that it is leaving, that it is detached or not any more, or that
+	// reports of its death are wrong.
 	Sequence uint64
 	// Suspect reports that the instance has recently not responded.
 	Suspect bool
 	// Dead reports that the instance is considered dead.
 	Dead bool
+	// Detached reports that the instance has no path to any backend server. It passes
+	// requests on to others, and callers are not sent to it.
+	Detached bool
 	// ConfirmedAlive reports that the sender was asked whether it can still reach the
 	// instance, and has just received a message from it.
 	ConfirmedAlive bool
--- a/request.go
+++ b/request.go
@@ -110,6 +110,12 @@
 	return r
 }
 
+// WithAttempts returns a copy of the request that at most n backend servers may run.
+func (r Request) WithAttempts(n int) Request {
+	r.Action.Attempts = n
+	return r
+}
+
 // WithPool returns a copy of the request that is sent to another pool.
 func (r Request) WithPool(id PoolID) Request {
 	r.Action.Pool = id
