--- a/internal/wasabiaddress/selector_test.go
+++ b/internal/wasabiaddress/selector_test.go
@@ -189,3 +189,30 @@
 		Expect(ids(bookOf(remaining[0].InstanceEntry, remaining).Active())).To(And(HaveLen(len(active)), Not(ContainElement(string(gone)))))
 	})
 })
+
+var _ = Describe("instances without a path to the backend servers", func() {
+	addresses := func(b *wasabiaddress.Selector) []string {
+		var out []string
+		for _, e := range b.Nearest("a") {
+			out = append(out, e.CallerURL)
+		}
+		return out
+	}
+
+	// Guards against callers being sent to instances that cannot reach any server.
+	It("are left out, unless there are no others", func() {
+		members := fleet(4) // i0 and i3 are in zone a.
+		detached := false
+		book := wasabiaddress.New(wasabiaddress.Options{
+			Self: members[0].InstanceEntry, Members: func() []wasabiridge.Member { return members[1:] }, Detached: func() bool { return detached },
+		})
+		Expect(addresses(book)).To(ConsistOf("http://i0", "http://i3"))
+		members[3].Detached = true
+		Expect(addresses(book)).To(ContainElement("http://i0"))
+		Expect(addresses(book)).NotTo(ContainElement("http://i3"))
+		detached = true
+		Expect(addresses(book)).To(ConsistOf("http://i1", "http://i2"))
+		members[1].Detached, members[2].Detached = true, true
+		Expect(addresses(book)).To(ConsistOf("http://i0", "http://i3"))
+	})
+})
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -281,6 +281,7 @@
 	if n.client, err = wasabipeer.NewClient(o); err != nil {
 		return err
 	}
+	o.StreamWindow = wasabipeer.ForwardWindow
 	if n.forwards, err = wasabipeer.NewClient(o); err != nil {
 		return err
 	}
--- a/internal/wasabipeer/client.go
+++ b/internal/wasabipeer/client.go
@@ -80,6 +80,9 @@
 		}),
 		grpc.WithUserAgent("wasabiridge"),
 	}, commonDialOptions...)
+	if o.StreamWindow > 0 {
+		options = append(options, grpc.WithInitialWindowSize(o.StreamWindow))
+	}
 	if len(o.Key) > 0 {
 		options = append(options, grpc.WithPerRPCCredentials(&tokens{key: o.Key, clock: o.clock()}))
 	}
--- a/internal/wasabipeer/options.go
+++ b/internal/wasabipeer/options.go
@@ -40,6 +40,9 @@
 	// the bandwidth estimator of grpc-go, whose pings would cost more bytes
 	// than the heartbeats.
 	windowBytes = 1 << 20
+	// ForwardWindow is the StreamWindow for forwarded requests, many of which may have
+	// callers that read slowly.
+	ForwardWindow = 128 << 10
 )
 
 // Options configures both clients and servers. Either TLS or Key must be set.
@@ -55,6 +58,9 @@
 	// WrapConn wraps every connection, for instance to count its bytes. Nil
 	// leaves connections unchanged.
 	WrapConn func(net.Conn) net.Conn
+	// StreamWindow bounds the bytes of one answer that a client has received and not yet
+	// read. Zero means windowBytes.
+	StreamWindow int32
 }
 
 func (o Options) check() error {
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -94,6 +94,7 @@
 	mover  moverOf
 	check  *fixedVerdict
 	loop   *wasabiloop.Loop
+	detour *detour
 	// stated are the servers that have stated that they accept no requests.
 	stated map[wasabiridge.BackendServerID]bool
 }
@@ -125,7 +126,7 @@
 func newRig(then wasabiridge.Action, script ...scriptedAttempt) *rig {
 	// The deadlines of the relay are timers of the real clock. Only the age of the
 	// configuration depends on the virtual clock, which the test advances.
-	g := &rig{runner: &runner{script: script}, clock: wasabiclock.NewVirtual(1e6), check: &fixedVerdict{}}
+	g := &rig{runner: &runner{script: script}, clock: wasabiclock.NewVirtual(1e6), check: &fixedVerdict{}, detour: &detour{}}
 	then.Pool = "p"
 	servers := []wasabiridge.BackendServer{{ID: "s1", URL: "http://a", Slots: 9}, {ID: "s2", URL: "http://b", Slots: 9}, {ID: "s3", URL: "http://c", Slots: 9}}
 	cfg := &wasabiridge.Config{
@@ -150,7 +151,7 @@
 		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen, Mover: &g.mover,
 		MaxKeyAge:  func() wasabiridge.Millis { return 4000 },
 		MaxDenyAge: func() wasabiridge.Millis { return 1500 },
-		Accepts:    g.accepts,
+		Accepts:    g.accepts, Detour: g.detour,
 	})
 	g.server = httptest.NewServer(g.relay)
 	DeferCleanup(g.server.Close)
