soak: routers that are partitioned from all replicas

A build with the tag soak reads the state of its links from a file; the links are those of the specs of wasabinode, moved to the stand-in.

--- a/cmd/wasabirouter/hosted.go
+++ b/cmd/wasabirouter/hosted.go
@@ -21,7 +21,7 @@
 	clock := wasabiclock.Boot()
 	log := wasabilog.NewRing(os.Stdout)
 	defer func() { _ = log.Close() }()
-	parts := platform.Connect(platform.Options{Store: s.Hosted.Store, Clock: clock, Instance: s.Instance})
+	parts := platform.Connect(platform.Options{Store: s.Hosted.Store, Clock: clock, Instance: s.Instance, Dial: dialReplicas})
 	var node *wasabinode.Node
 	var err error
 	parts.ObserveWith(func(e wasabiridge.Event) { node.Observe(e) })
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -40,7 +40,7 @@
 	// callerAddress is the caller address of the next node. Empty means a free one.
 	callerAddress string
 	// links are the links of the next node to the replicas. Nil means that they work.
-	links *links
+	links *standin.Links
 }
 
 // running is one node, with the addresses on which it listens.
@@ -143,7 +143,11 @@
 		g.started, r.caller, peer, seeds, g.address, r.ready, r.directory, r.metrics)))
 	Expect(err).NotTo(HaveOccurred())
 	clock := wasabiclock.Boot()
-	parts := platform.Connect(platform.Options{Store: g.address, Clock: clock, Instance: s.Instance, Dial: g.links.dialer()})
+	o := platform.Options{Store: g.address, Clock: clock, Instance: s.Instance}
+	if g.links != nil {
+		o.Dial = g.links.Dial
+	}
+	parts := platform.Connect(o)
 	parts.ObserveWith(func(e wasabiridge.Event) { r.node.Observe(e) })
 	r.node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: r.log, Platform: wasabinode.Platform{
 		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches,
--- a/internal/wasabinode/partition_test.go
+++ b/internal/wasabinode/partition_test.go
@@ -1,13 +1,9 @@
 package wasabinode_test
 
 import (
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"sync"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,85 +12,6 @@
 	"github.com/wasabiridge/wasabiridge/platform/standin"
 )
 
-// linkState is the state of the links between a node and the replicas.
-type linkState int
-
-const (
-	linksWork linkState = iota
-	// linksHang means that nothing passes the links: established connections hang, and
-	// new ones time out.
-	linksHang
-	// linksReset means that established connections are reset and new ones time out.
-	linksReset
-	// linksRefuse means that established connections work and new ones are refused.
-	linksRefuse
-)
-
-// links are the links between a node and the replicas. Their state can be changed.
-type links struct {
-	mu    sync.Mutex
-	state linkState
-	conns []*net.TCPConn
-}
-
-func (l *links) set(s linkState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.state = s
-	if s != linksReset {
-		return
-	}
-	for _, c := range l.conns {
-		_ = c.SetLinger(0)
-		_ = c.Close()
-	}
-}
-
-func (l *links) current() linkState {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state
-}
-
-// dialer returns a function that opens connections over the links, or nil if l is nil.
-func (l *links) dialer() func(ctx context.Context, network, address string) (net.Conn, error) {
-	if l == nil {
-		return nil
-	}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		switch l.current() {
-		case linksHang, linksReset:
-			<-ctx.Done()
-			return nil, ctx.Err()
-		case linksRefuse:
-			return nil, syscall.ECONNREFUSED
-		}
-		raw, err := new(net.Dialer).DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		c := raw.(*net.TCPConn)
-		l.conns = append(l.conns, c)
-		return &link{TCPConn: c, links: l}, nil
-	}
-}
-
-// link is a connection over links.
-type link struct {
-	*net.TCPConn
-	links *links
-}
-
-// Write drops the bytes while the links hang.
-func (c *link) Write(p []byte) (int, error) {
-	if c.links.current() == linksHang {
-		return len(p), nil
-	}
-	return c.TCPConn.Write(p)
-}
-
 // listed returns the addresses that the directory of a node gives to callers.
 func listed(n *running) string {
 	GinkgoHelper()
@@ -109,8 +26,8 @@
 
 // partitionRig starts three nodes before seven replicas. The first node has links that can
 // be cut.
-func partitionRig() (g *rig, cut *running, l *links, apps []*standin.Replica) {
-	g, l = newRig(), &links{}
+func partitionRig() (g *rig, cut *running, l *standin.Links, apps []*standin.Replica) {
+	g, l = newRig(), &standin.Links{}
 	for i := range 4 {
 		g.replica(standin.ReplicaOptions{ID: fmt.Sprint("e", i), Service: "lm", Model: "m", ProcessingTime: 5 * time.Millisecond})
 	}
@@ -156,9 +73,9 @@
 	// Guards against callers of an instance that is partitioned from all replicas, and not
 	// from the other instances, being refused until the partition heals.
 	DescribeTable("has other nodes serve its callers, and callers are sent to the others",
-		func(state linkState) {
+		func(state standin.LinkState) {
 			g, cut, l, apps := partitionRig()
-			l.set(state)
+			l.Set(state)
 			Eventually(func() []int { return statuses(cut, 6) }, "10s").Should(BeEmpty())
 			Expect(statuses(cut, 6)).To(BeEmpty())
 			for _, n := range g.nodes {
@@ -166,7 +83,7 @@
 			}
 			Eventually(func() string { return metricsOf(cut) }, "5s").ShouldNot(MatchRegexp(`path_lost_ms\{[^}]*\} 0\n`))
 
-			l.set(linksWork)
+			l.Set(standin.LinksWork)
 			for _, n := range g.nodes {
 				Eventually(func() string { return listed(n) }, "10s").Should(ContainSubstring(cut.caller))
 			}
@@ -182,8 +99,8 @@
 				Expect(count).To(Equal(1), "a booking runs at most once: "+id)
 			}
 		},
-		Entry("whose established connections hang", linksHang),
-		Entry("whose established connections are reset", linksReset),
-		Entry("whose new connections are refused", linksRefuse),
+		Entry("whose established connections hang", standin.LinksHang),
+		Entry("whose established connections are reset", standin.LinksReset),
+		Entry("whose new connections are refused", standin.LinksRefuse),
 	)
 })
