wasabipeer: forwarded requests do not hang on a connection that has gone silent

Connections between instances may go silent while new ones work. Heartbeats and forwarded requests have connections of their own, so a silent one for requests is not seen by the membership, and each request on it waits out its deadline. TCP_USER_TIMEOUT of 1.5 s on these connections; the function that sets it is shared with wasabiconn.

--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -124,7 +124,7 @@
 	p.dialer = net.Dialer{
 		Timeout:         o.DialTimeout.Duration(),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: max(1, int(o.UserTimeout/wasabiridge.Second))},
-		Control:         p.setUserTimeout,
+		Control:         UserTimeout(o.UserTimeout),
 	}
 	if o.Dial == nil {
 		p.options.Dial = p.dialer.DialContext
@@ -132,17 +132,20 @@
 	return p
 }
 
-// setUserTimeout makes the system close connections whose sent bytes stay
-// unacknowledged. Without it they hang for minutes in a network partition.
-func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.options.UserTimeout))
-	})
-	if err != nil {
-		return err
+// UserTimeout returns a control function of a net.Dialer that makes the system close
+// connections whose sent bytes or keep-alive probes stay unacknowledged for the given
+// time. Without it they hang for minutes in a network partition.
+func UserTimeout(timeout wasabiridge.Millis) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
 	}
-	return failed
 }
 
 // Get returns an idle or a new connection to an address, given as IP:port. It
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -281,7 +281,7 @@
 	if n.client, err = wasabipeer.NewClient(o); err != nil {
 		return err
 	}
-	o.StreamWindow = wasabipeer.ForwardWindow
+	o.StreamWindow, o.AckTimeout = wasabipeer.ForwardWindow, wasabipeer.ForwardAckTimeout
 	if n.forwards, err = wasabipeer.NewClient(o); err != nil {
 		return err
 	}
--- a/internal/wasabipeer/client.go
+++ b/internal/wasabipeer/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiconn"
 	pb "github.com/wasabiridge/wasabiridge/internal/wasabipeer/wasabipeerpb"
 )
 
@@ -66,6 +67,10 @@
 	if o.TLS != nil {
 		creds = credentials.NewTLS(o.TLS)
 	}
+	dialer := &net.Dialer{}
+	if o.AckTimeout > 0 {
+		dialer.Control = wasabiconn.UserTimeout(o.AckTimeout)
+	}
 	options := append([]grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
 		grpc.WithConnectParams(connectBackoff),
@@ -73,7 +78,7 @@
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			var conn net.Conn
 			var err error
-			if conn, err = (&net.Dialer{}).DialContext(ctx, "tcp", address); err != nil {
+			if conn, err = dialer.DialContext(ctx, "tcp", address); err != nil {
 				return nil, err
 			}
 			return o.wrap(conn), nil
--- a/internal/wasabipeer/options.go
+++ b/internal/wasabipeer/options.go
@@ -43,6 +43,9 @@
 	// ForwardWindow is the StreamWindow for forwarded requests, many of which may have
 	// callers that read slowly.
 	ForwardWindow = 128 << 10
+	// ForwardAckTimeout is the AckTimeout for forwarded requests. A connection may go
+	// silent while that of the heartbeats works.
+	ForwardAckTimeout = 1500 * wasabiridge.Millis(1)
 )
 
 // Options configures both clients and servers. Either TLS or Key must be set.
@@ -61,6 +64,9 @@
 	// StreamWindow bounds the bytes of one answer that a client has received and not yet
 	// read. Zero means windowBytes.
 	StreamWindow int32
+	// AckTimeout is how long bytes that a client sent may stay unacknowledged before the
+	// connection is closed. Zero leaves that to the system, which waits for minutes.
+	AckTimeout wasabiridge.Millis
 }
 
 func (o Options) check() error {
--- a/internal/wasabireplica/brittle_test.go
+++ b/internal/wasabireplica/brittle_test.go
@@ -27,12 +27,12 @@
 
 // brittleServer is a server that ends when it refuses too many requests.
 type brittleServer struct {
-	running, waiting int
-	queue            []func()
-	refused          []wasabiridge.Millis
-	downUntil        wasabiridge.Millis
-	falls            []wasabiridge.Millis
-	incarnation      int
+	running     int
+	queue       []func()
+	refused     []wasabiridge.Millis
+	downUntil   wasabiridge.Millis
+	falls       []wasabiridge.Millis
+	incarnation int
 }
 
 // brittleFleet simulates instances in front of brittle servers in virtual time.
