wasabireplica: a second of silence is no measurement of an engine's speed

A sound server may be silent for a second and go on. The answers that waited for it counted as measurements: in the spec the first token of any prompt then seems to take 630 ms and a thousand tokens nothing, so that prompts are sent by load and what servers hold is computed again. The time of an attempt that the silence check has suspected is not learned any more.

The spec fails without the change (placed by load, not where it is held) and passes with it.

--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -180,9 +180,10 @@
 // estimate.
 const maxWaitRatio = 1.0
 
-// observeCosts updates the cost estimate with the time to the first token of a prompt.
+// observeCosts updates the cost estimate with the time to the first token of a prompt. The
+// time at a replica that sent nothing to anyone meanwhile is no measurement of its speed.
 func (a *attempt) observeCosts(now wasabiridge.Millis) {
-	if !a.measuresCost || !a.prompt.engine || a.wait > maxWaitRatio*a.work {
+	if !a.measuresCost || a.suspected || !a.prompt.engine || a.wait > maxWaitRatio*a.work {
 		return
 	}
 	work := wasabicost.Work{Tokens: a.prompt.tokens() - a.held, Preceding: a.held}
--- a/internal/wasabireplica/silence_test.go
+++ b/internal/wasabireplica/silence_test.go
@@ -15,6 +15,7 @@
 		pl, id := g.place(long(1))
 		g.now += 100
 		g.answer(id)
+		g.now++
 		var open []wasabiridge.AttemptID
 		for range 4 {
 			var same wasabiridge.Placement
