wasabinode: find the pool of a server by an index, confirm a path by three servers

Each attempt searched all pools for its server. A connection that broke with its server counted as the server's end only if one other server could be reached; where several had ended, that one could be among them and the end would not have counted. No behaviour without a fault changes; specs of the package pass.

--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -19,6 +19,27 @@
 	config *wasabiridge.Config
 	// sharing is the result of sharingScope for the accounts of config.
 	sharing string
+	// pools holds the index of the pool of each backend server.
+	pools map[wasabiridge.BackendServerID]int
+}
+
+// poolOf returns the pool of a backend server.
+func (c *activeConfig) poolOf(b wasabiridge.BackendServerID) (wasabiridge.Pool, bool) {
+	i, ok := c.pools[b]
+	if !ok {
+		return wasabiridge.Pool{}, false
+	}
+	return c.config.Pools[i], true
+}
+
+func newActiveConfig(cfg *wasabiridge.Config) *activeConfig {
+	out := &activeConfig{config: cfg, sharing: sharingScope(cfg.Accounts), pools: map[wasabiridge.BackendServerID]int{}}
+	for i, pool := range cfg.Pools {
+		for _, b := range pool.Backends {
+			out.pools[b.ID] = i
+		}
+	}
+	return out
 }
 
 // adopt makes the configuration and the backend servers of a catalog view the
@@ -29,7 +50,7 @@
 	}
 	cfg := withBackends(v.Snapshot.Config, v.Backends.Entries)
 	before := n.activeConfig.Load()
-	n.activeConfig.Store(&activeConfig{config: &cfg, sharing: sharingScope(cfg.Accounts)})
+	n.activeConfig.Store(newActiveConfig(&cfg))
 	n.loop.Post(wasabiridge.ConfigAdopted{Config: cfg})
 	for _, target := range v.TargetVersions {
 		n.loop.Post(wasabiridge.TargetWeightsSet{Model: target.Model, Weights: target.Weights, At: n.targetSetAt(target)})
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -208,6 +208,7 @@
 	n.reach = &reach{
 		log: wasabilog.Part(n.log, "reach"), clock: o.Clock, runner: o.Platform.Runner, seed: seed,
 		pools: func() []wasabiridge.Pool { return n.activeConfig.Load().config.Pools }, changed: n.pathChanged,
+		poolOf: func(b wasabiridge.BackendServerID) (wasabiridge.Pool, bool) { return n.activeConfig.Load().poolOf(b) },
 	}
 	n.reach.prober, _ = o.Platform.Runner.(wasabiridge.BackendProber)
 	n.quarantine = wasabiquarantine.NewController(wasabiquarantine.ControllerOptions{
--- a/internal/wasabinode/reach.go
+++ b/internal/wasabinode/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	// confirmedTime is how long a connection that was opened for a check proves that
 	// this instance has a path to the servers of the pool.
 	confirmedTime = 300 * wasabiridge.Millis(1)
+	// confirmingServers is the number of servers to which connections are opened to
+	// confirm a path.
+	confirmingServers = 3
 )
 
 // reach determines to the servers of which pools this instance has a path, from the
@@ -33,8 +37,9 @@
 	// prober is nil if the platform has none. The instance then has a path to all pools.
 	prober wasabiridge.BackendProber
 	seed   uint64
-	// pools returns the pools of the active configuration.
-	pools func() []wasabiridge.Pool
+	// pools returns the pools of the active configuration, and poolOf that of a server.
+	pools  func() []wasabiridge.Pool
+	poolOf func(b wasabiridge.BackendServerID) (wasabiridge.Pool, bool)
 	// changed is called when a path was lost or restored. detached tells whether none is
 	// left.
 	changed func(pool wasabiridge.PoolID, lost, detached bool)
@@ -57,18 +62,7 @@
 
 var errPathLost = wasabiridge.ErrFirstByteTimeout.New("node: the path to the backend servers is lost")
 
-// poolOf returns the pool of a server and its path. The mutex must be held.
-func (r *reach) poolOf(b wasabiridge.BackendServerID) (wasabiridge.Pool, *path) {
-	for _, pool := range r.pools() {
-		for _, s := range pool.Backends {
-			if s.ID == b {
-				return pool, r.path(pool.ID)
-			}
-		}
-	}
-	return wasabiridge.Pool{}, nil
-}
-
+// path returns the path to a pool. The mutex must be held.
 func (r *reach) path(id wasabiridge.PoolID) *path {
 	p := r.byPool[id]
 	if p == nil {
@@ -84,12 +78,13 @@
 // Run implements wasabiridge.AttemptRunner. An idempotent attempt that is unanswered when
 // the path to its pool is found to be lost ends at once.
 func (r *reach) Run(ctx context.Context, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
-	r.mu.Lock()
-	pool, p := r.poolOf(a.Backend.ID)
-	r.mu.Unlock()
-	if p == nil || r.prober == nil {
+	pool, known := r.poolOf(a.Backend.ID)
+	if !known || r.prober == nil {
 		return r.runner.Run(ctx, a, sink)
 	}
+	r.mu.Lock()
+	p := r.path(pool.ID)
+	r.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &reachSink{AttemptSink: sink, reach: r, path: p, attempt: a, cancel: cancel}
@@ -105,24 +100,21 @@
 }
 
 // confirm reports whether this instance has a path to a server of the pool other than the
-// given one. It opens a connection unless a check has done so just before.
+// given one. It opens connections unless a check has done so just before.
 //
 // It guards against a request being blocked because its connections were reset and new
 // ones refused on the way, which looks as if each server had ended under the request.
 func (r *reach) confirm(ctx context.Context, pool wasabiridge.Pool, p *path, except wasabiridge.BackendServerID) bool {
 	r.mu.Lock()
 	confirmed := p.confirmedAt > 0 && r.clock.Now()-p.confirmedAt <= confirmedTime
-	var other wasabiridge.BackendServer
-	for _, b := range pool.Backends {
-		if b.ID != except {
-			other = b
-		}
-	}
 	r.mu.Unlock()
-	if confirmed || other.ID == "" {
-		return true
+	var others []wasabiridge.BackendServer
+	for _, i := range rand.Perm(len(pool.Backends)) {
+		if b := pool.Backends[i]; b.ID != except && len(others) < confirmingServers {
+			others = append(others, b)
+		}
 	}
-	return r.probe(ctx, p, []wasabiridge.BackendServer{other}).Connected > 0
+	return confirmed || len(others) == 0 || r.probe(ctx, p, others).Connected > 0
 }
 
 // reachSink records when an attempt is sent and when its answer arrives.
@@ -277,7 +269,7 @@
 // allLost reports whether the paths to all pools with servers are lost. The mutex must be
 // held.
 func (r *reach) allLost() bool {
-	any := false
+	found := false
 	for _, pool := range r.pools() {
 		if len(pool.Backends) == 0 {
 			continue
@@ -285,9 +277,9 @@
 		if !r.lost(pool.ID) {
 			return false
 		}
-		any = true
+		found = true
 	}
-	return any
+	return found
 }
 
 // lost reports whether the path to the servers of a pool is lost. The mutex must be held.
