wasabireplica, wasabinode, wasabirelay: files by concept

The histories of announcements, and the specs of leaving and of pauses, leave the largest test file; checks of a path leave the file of the attempts; what may be passed on stands with the passing on.

--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -72,6 +72,21 @@
 	return false
 }
 
+// mayForwardRefused reports whether another instance may serve a request that the decider
+// refused for the given reason.
+func (x *exchange) mayForwardRefused(reason wasabiridge.RefuseReason) bool {
+	switch reason {
+	case wasabiridge.RefusedByRule, wasabiridge.RefusedQuota, wasabiridge.RefusedQuarantined:
+		return false
+	}
+	return x.disposition == wasabiridge.NotRun && x.status == 0
+}
+
+// mayForward reports whether another instance may run an attempt in place of this one.
+func (x *exchange) mayForward(d wasabiridge.Dispatch) bool {
+	return d.Why != wasabiridge.WhyMoved && x.events == 0 && x.status == 0 && (x.disposition == wasabiridge.NotRun || !x.request.Action.NonIdempotent)
+}
+
 // finishForwarded answers the caller after another instance has served or refused the
 // request.
 func (x *exchange) finishForwarded(result wasabiridge.ForwardResult, before wasabiridge.Disposition) {
