wasabinode: the state of the paths is told in the order in which it was found

Two pools whose checks end at the same time each told the others whether the instance is detached, by what they had found before; the older of the two could be told last and hold until the next change, so that callers were sent to a detached instance or kept away from a connected one. Found by reading, not seen; no test brings the two together.

--- a/internal/wasabinode/pathcheck.go
+++ b/internal/wasabinode/pathcheck.go
@@ -123,11 +123,15 @@
 			r.path(other.ID).tracker.Suspect()
 		}
 	}
-	detached := r.allLost()
 	r.mu.Unlock()
 	if !changed {
 		return
 	}
+	// Checks of several pools may end at the same time. The one that reports last must
+	// report the latest state.
+	r.reporting.Lock()
+	defer r.reporting.Unlock()
+	detached := r.detached()
 	r.log.Warn().Str("pool", string(pool)).Bool("lost", lost).Bool("detached", detached).Int("connected", result.Connected).
 		Int("failed", result.Failed).Int64("lasted_ms", int64(now-before)).Msg("Path to the backend servers changed.")
 	r.changed(pool, lost, detached)
--- a/internal/wasabinode/reach.go
+++ b/internal/wasabinode/reach.go
@@ -28,6 +28,9 @@
 	// left.
 	changed func(pool wasabiridge.PoolID, lost, detached bool)
 
+	// reporting is held while changed is called.
+	reporting sync.Mutex
+
 	mu     sync.Mutex
 	byPool map[wasabiridge.PoolID]*path
 }
