--- a/internal/wasabinode/reach.go
+++ b/internal/wasabinode/reach.go
@@ -24,7 +24,7 @@
 	// pools returns the pools of the active configuration, and poolOf that of a server.
 	pools  func() []wasabiridge.Pool
 	poolOf func(b wasabiridge.BackendServerID) (wasabiridge.Pool, bool)
-	// changed is called when a path was lost or restored. detached tells whether none is
+	// changed is called when a path was lost or restored. detached reports whether none is
 	// left.
 	changed func(pool wasabiridge.PoolID, lost, detached bool)
 
