wasabirelay: show the software of backend servers and which streams are continued

The logs could not tell the hypotheses of the incident apart: no line named the software version of a backend server, nor said that a request or an attempt continues a stream, after which event, and which stream its caller names.

The version is read from the platform's list. It and the continuation are logged at each placement, and continued streams are counted by kind. No decision changes.

--- a/caller.go
+++ b/caller.go
@@ -24,6 +24,9 @@
 	// LastEvent is the ID of the stream event after which the caller resumes. Empty
 	// means from the start.
 	LastEvent string
+	// Resumes is the ID of the caller's request whose response contained the first event
+	// of the stream that the caller resumes. Empty means that the caller named none.
+	Resumes RequestID
 }
 
 // RefusalKind classifies the error responses that the router itself sends to callers.
--- a/config.go
+++ b/config.go
@@ -39,6 +39,9 @@
 	// Weights is the version that the server last reported to the platform as served.
 	// Zero means that it did not report one.
 	Weights WeightsVersion `json:"weights,omitempty"`
+	// Software is the version of the server's software. Servers of several versions may
+	// serve in one pool.
+	Software SoftwareVersion `json:"software,omitempty"`
 	// ChecksFencing reports that the server refuses orders with an outdated fencing
 	// number.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
--- a/id.go
+++ b/id.go
@@ -45,6 +45,11 @@
 // rollback is published under a new number.
 type WeightsVersion uint64
 
+// SoftwareVersion is the version of the software of a backend server, as the platform lists
+// it. The output of two versions must not be joined in one stream. Empty means that the
+// server states none.
+type SoftwareVersion string
+
 // ConfigVersion numbers the accepted configurations. Versions only increase. The zero
 // ConfigVersion means that no configuration is known.
 type ConfigVersion uint64
--- a/internal/wasabirelay/counts.go
+++ b/internal/wasabirelay/counts.go
@@ -80,6 +80,14 @@
 	c.causes["forward/"+outcome]++
 }
 
+// addContinuation counts a stream that was continued, by who continued it and whether the
+// server has the same software as the one that began it.
+func (c *Counts) addContinuation(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.causes["continued/"+kind]++
+}
+
 func (c *Counts) observe(name string, took wasabiridge.Millis) {
 	h := c.byName[name]
 	if h == nil {
@@ -101,8 +109,9 @@
 	return out
 }
 
-// Causes returns the number of requests by "outcome/cause", of moves by "move/outcome", and
-// of requests that were passed on to another instance by "forward/outcome".
+// Causes returns the number of requests by "outcome/cause", of moves by "move/outcome", of
+// requests that were passed on to another instance by "forward/outcome", and of streams that
+// were continued by "continued/kind".
 func (c *Counts) Causes() map[string]uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -45,8 +45,10 @@
 	// identifier of the last one.
 	events    int
 	lastEvent string
-	backend   wasabiridge.BackendServerID
-	attempts  int
+	// software is that of the server which sent the last of these events.
+	software wasabiridge.SoftwareVersion
+	backend  wasabiridge.BackendServerID
+	attempts int
 	// possibleRuns counts the attempts after which the request may have run.
 	possibleRuns int
 	firstByte    wasabiridge.Millis
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -32,6 +32,9 @@
 		Int("shared_tokens", shared).
 		Str("part_key", strconv.FormatUint(key, 16)).
 		Uint64("weights", uint64(d.Weights)).
+		Str("software", string(d.Backend.Software)).
+		Str("after_event", x.lastEvent).
+		Str("resumes", string(x.parsed.Resumes)).
 		Bool("fetch", d.ImportFrom != "").
 		Bool("save", d.ExportTo != "").
 		Int("priority", int(x.request.Action.Priority)).
@@ -40,6 +43,40 @@
 		Msg("Request placed.")
 }
 
+// Kinds of continued streams, for the metrics.
+const (
+	continuedSame     = "router, same software"
+	continuedOther    = "router, other software"
+	continuedByCaller = "caller"
+)
+
+// noteContinuation counts and logs that a server sent the first events of an answer that
+// continues a stream.
+func (x *exchange) noteContinuation(b wasabiridge.BackendServer) {
+	before := x.software
+	x.software = b.Software
+	kind := continuedByCaller
+	switch {
+	case x.events > 0 && before == b.Software:
+		kind = continuedSame
+	case x.events > 0:
+		kind = continuedOther
+	case x.parsed.LastEvent == "":
+		return
+	}
+	x.relay.counts.addContinuation(kind)
+	x.relay.options.Log.Info().
+		Str(wasabilog.RequestField, string(x.request.ID)).
+		Str("account", string(x.request.Account)).
+		Str("resumes", string(x.parsed.Resumes)).
+		Str("after_event", x.lastEvent).
+		Str(wasabilog.BackendField, string(b.ID)).
+		Str("software", string(b.Software)).
+		Str("software_before", string(before)).
+		Str("kind", kind).
+		Msg("Stream continued.")
+}
+
 // logFailed logs the result of an attempt that did not complete.
 func (x *exchange) logFailed(end wasabiridge.AttemptEnded, started wasabiridge.Millis) {
 	if end.Result == wasabiridge.AttemptCompleted {
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -68,6 +68,9 @@
 	x.countFirstByte(s.stream)
 	if !s.gotChunk {
 		s.gotChunk = true
+		if s.stream {
+			x.noteContinuation(s.dispatch.Backend)
+		}
 		if s.stream && x.request.Action.Resume {
 			x.relay.running.add(&run{request: x.request, dispatch: s.dispatch, cancel: s.cancel})
 		}
