wasabicore: continue an answer only at the software that began it

What callers saw: a stream that broke was continued within the same answer by a backend server with another software version (traced in the incident at 67.2 s: the engine crashed, and 21 ms later the cheapest engine with the same weights was sent the rest).

Cause: a continuation was placed by weights and cost alone; nothing that decides knew the software version. The decider now remembers pool and software of the server that sent the first events, and every placement of a continuation asks for both: retries after a break, waiting ones, hedges, fallback pools, in all three placers.

--- a/internal/wasabibaseline/view.go
+++ b/internal/wasabibaseline/view.go
@@ -74,7 +74,7 @@
 	var alive, lost []wasabiridge.BackendServer
 	for _, b := range q.Pool.Backends {
 		switch {
-		case v.leaving[b.ID] || excluded(q, b.ID):
+		case v.leaving[b.ID] || excluded(q, b.ID) || !q.CanContinue(b):
 		case v.lost[b.ID]:
 			lost = append(lost, b)
 		default:
--- a/internal/wasabicore/attempt.go
+++ b/internal/wasabicore/attempt.go
@@ -74,6 +74,8 @@
 	if e.Delivered > rs.delivered {
 		rs.delivered = e.Delivered
 		rs.weights = e.Usage.Weights
+		origin := a.origin
+		rs.origin = &origin
 	}
 	if rs.answered || a.cancelled {
 		c.handleLateResult(now, rs, a)
@@ -160,7 +162,7 @@
 	if c.refuseQuarantined(now, rs) {
 		return
 	}
-	c.dispatch(now, rs, wasabiridge.Placement{Backend: m.To, Weights: rs.weights, Why: wasabiridge.WhyMoved, CacheHandle: m.Handle}, placeResume)
+	c.dispatch(now, rs, rs.origin.Pool, wasabiridge.Placement{Backend: m.To, Weights: rs.weights, Why: wasabiridge.WhyMoved, CacheHandle: m.Handle}, placeResume)
 }
 
 // furtherAttempt returns the kind of the next attempt after a failure, and whether
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -70,7 +70,7 @@
 		p, found, full := c.choose(now, rs, pool)
 		never = never || p.Unplaceable
 		if found {
-			c.dispatch(now, rs, p, why)
+			c.dispatch(now, rs, pool.ID, p, why)
 			return true
 		}
 		if full {
@@ -99,7 +99,10 @@
 func (c *Core) choose(now wasabiridge.Millis, rs *requestState, pool wasabiridge.Pool) (p wasabiridge.Placement, found, full bool) {
 	q := wasabiridge.PlaceQuery{Request: rs.request, Pool: pool, Excluded: rs.excluded, IsolationKey: c.isolation(now, rs)}
 	if rs.delivered > 0 {
-		q.Weights = rs.weights
+		q.Weights, q.Origin = rs.weights, rs.origin
+	}
+	if q.Origin != nil && q.Origin.Pool != pool.ID {
+		return wasabiridge.Placement{}, false, false
 	}
 	for range maxFullServers {
 		if p, found = c.options.Placer.Place(now, q); !found {
@@ -114,7 +117,7 @@
 	return p, false, true
 }
 
-func (c *Core) dispatch(now wasabiridge.Millis, rs *requestState, p wasabiridge.Placement, why placeReason) {
+func (c *Core) dispatch(now wasabiridge.Millis, rs *requestState, pool wasabiridge.PoolID, p wasabiridge.Placement, why placeReason) {
 	if p.WaitUntil > now && !rs.joined && why == placeFirst {
 		rs.joined = true
 		c.timers.add(p.WaitUntil, timer{kind: timerJoin, request: rs.request.ID})
@@ -122,7 +125,9 @@
 	}
 	c.lastID++
 	id := c.lastID
-	rs.attempts = append(rs.attempts, attempt{id: id, backend: p.Backend.ID})
+	rs.attempts = append(rs.attempts, attempt{
+		id: id, backend: p.Backend.ID, origin: wasabiridge.StreamOrigin{Pool: pool, Software: p.Backend.Software},
+	})
 	c.options.Limiter.Sent(now, rs.request, id, p.Backend.ID)
 	c.options.Placer.Sent(now, rs.request, id, p)
 	if c.options.Quarantine != nil {
--- a/internal/wasabicore/request.go
+++ b/internal/wasabicore/request.go
@@ -17,6 +17,8 @@
 	// weights is the version of the weights that produced the delivered tokens. A
 	// resumed stream must come from the same version. Zero before the first token.
 	weights wasabiridge.WeightsVersion
+	// origin is where the stream of the delivered tokens began. Nil before the first one.
+	origin *wasabiridge.StreamOrigin
 	// resumeBy is the time until which a broken stream waits for a server that
 	// can continue it.
 	resumeBy wasabiridge.Millis
@@ -34,6 +36,7 @@
 type attempt struct {
 	id          wasabiridge.AttemptID
 	backend     wasabiridge.BackendServerID
+	origin      wasabiridge.StreamOrigin
 	disposition wasabiridge.Disposition
 	// ended is set when the driver has reported the result.
 	ended      bool
--- a/internal/wasabicore/timer.go
+++ b/internal/wasabicore/timer.go
@@ -132,6 +132,6 @@
 	p, found, _ := c.choose(now, rs, pool)
 	rs.excluded = before
 	if found {
-		c.dispatch(now, rs, p, placeHedge)
+		c.dispatch(now, rs, pool.ID, p, placeHedge)
 	}
 }
--- a/internal/wasabiplace/place.go
+++ b/internal/wasabiplace/place.go
@@ -203,6 +203,9 @@
 
 func (p *Placer) eligible(now wasabiridge.Millis, m *member, q wasabiridge.PlaceQuery) bool {
 	l := &p.loads[m.server]
+	if !q.CanContinue(m.backend) {
+		return false
+	}
 	if l.leaving || now < l.refusedUntil || l.isLost(now, p.opts.LostRetryInterval) {
 		return false
 	}
--- a/internal/wasabireplica/deadline.go
+++ b/internal/wasabireplica/deadline.go
@@ -45,14 +45,19 @@
 }
 
 // isUnresumable reports whether no replica will ever be able to continue a stream,
-// because its weights are past their deadline or no replica serves them. Replicas never
-// return to older weights, so waiting would only delay the caller's own retry.
+// because its weights are past their deadline, or no replica serves them with its software.
+// Replicas never return to older weights, so waiting would only delay the caller's own retry.
 func (p *Placer) isUnresumable(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery) bool {
 	model := q.Request.Model
-	if model == "" || q.Weights == 0 {
-		return false
+	if q.Weights == 0 || model == "" {
+		return q.Origin != nil && !pl.hasReplica(func(r *replica) bool { return q.CanContinue(r.server) })
 	}
-	return !p.weightsAllowed(now, model, q.Weights) || !slices.ContainsFunc(pl.replicas, func(r *replica) bool {
-		return !r.gone && r.weights[model] == q.Weights
+	return !p.weightsAllowed(now, model, q.Weights) || !pl.hasReplica(func(r *replica) bool {
+		return r.weights[model] == q.Weights && q.CanContinue(r.server)
 	})
 }
+
+// hasReplica reports whether some replica that is listed meets a condition.
+func (pl *pool) hasReplica(meets func(r *replica) bool) bool {
+	return slices.ContainsFunc(pl.replicas, func(r *replica) bool { return !r.gone && meets(r) })
+}
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -211,6 +211,9 @@
 			return false
 		}
 	}
+	if !q.CanContinue(r.server) {
+		return false
+	}
 	model := q.Request.Model
 	if model == "" {
 		return true
--- a/internal/wasabireplica/weights_test.go
+++ b/internal/wasabireplica/weights_test.go
@@ -43,6 +43,46 @@
 	})
 })
 
+var _ = Describe("A stream that broke before replicas of two software versions", func() {
+	resume := func(g *rig, pool wasabiridge.PoolID, software wasabiridge.SoftwareVersion) (wasabiridge.Placement, bool) {
+		return g.placer.Place(g.now, wasabiridge.PlaceQuery{
+			Request: long(1), Pool: g.pool, Weights: 1, Origin: &wasabiridge.StreamOrigin{Pool: pool, Software: software},
+		})
+	}
+	newRigWithSoftware := func() *rig {
+		g := newRig(2)
+		g.pool.Backends[0].Software, g.pool.Backends[1].Software = "v1", "v2"
+		g.adopt()
+		return g
+	}
+
+	// Guards against a stream that continues at a replica whose output does not fit.
+	It("continues at the version that began it, in the pool that began it", func() {
+		g := newRigWithSoftware()
+		for version, id := range map[wasabiridge.SoftwareVersion]wasabiridge.BackendServerID{"v1": "e0", "v2": "e1"} {
+			pl, ok := resume(g, "p", version)
+			Expect(ok).To(BeTrue())
+			Expect(pl.Backend.ID).To(Equal(id))
+		}
+		_, ok := resume(g, "other", "v1")
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against callers that wait for seconds on a stream that no replica can continue.
+	It("fails at once when no replica has its software, and waits for a replica in backoff", func() {
+		g := newRigWithSoftware()
+		g.observe(wasabiridge.BackendInBackoff{Backend: "e0", Until: g.now + 100})
+		pl, ok := resume(g, "p", "v1")
+		Expect(ok).To(BeFalse())
+		Expect(pl.Unplaceable).To(BeFalse())
+		for _, software := range []wasabiridge.SoftwareVersion{"v3", ""} {
+			pl, ok = resume(g, "p", software)
+			Expect(ok).To(BeFalse())
+			Expect(pl.Unplaceable).To(BeTrue())
+		}
+	})
+})
+
 var _ = Describe("A request that would wait long at a replica with superseded weights", func() {
 	// In an overload prompts wait for seconds inside the replicas. A prompt that is
 	// sent just before the deadline of the old weights starts long after it.
--- a/placement.go
+++ b/placement.go
@@ -11,12 +11,21 @@
 	// Weights is the version that must produce the response, such as that of a stream
 	// to be continued. Zero means any that may serve.
 	Weights WeightsVersion
+	// Origin is where the stream began that the request continues. Nil means that it
+	// continues none.
+	Origin *StreamOrigin
 	// IsolationKey selects, among all servers that may serve the request, the one that
 	// wasabiquarantine.IsolationRank ranks first for the fingerprint, whatever the cost.
 	// Zero means no such constraint.
 	IsolationKey Fingerprint
 }
 
+// CanContinue reports whether a backend server can continue the stream of the request, as far
+// as its pool and software matter. It can if there is none to continue.
+func (q PlaceQuery) CanContinue(b BackendServer) bool {
+	return q.Origin == nil || q.Origin.Accepts(q.Pool.ID, b)
+}
+
 // Placement is a chosen backend server.
 type Placement struct {
 	Backend     BackendServer
