wasabireplica: move answers only to engines with the same software

A running answer that left an engine loading weights was moved to any engine with the same weights, also one with another software version. The new case of the migration table chose the other version before.

--- a/internal/wasabinode/migrate.go
+++ b/internal/wasabinode/migrate.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/wasabiridge/wasabiridge"
-	"github.com/wasabiridge/wasabiridge/internal/wasabirelay"
 )
 
 const (
@@ -38,7 +37,7 @@
 			slots <- struct{}{}
 			go func() {
 				defer func() { <-slots }()
-				n.relay.MigrateAnswers(ctx, b, n.migrationTarget(b))
+				n.relay.MigrateAnswers(ctx, b, n.selectMigrationTarget)
 			}()
 		case <-ctx.Done():
 			return
@@ -46,13 +45,10 @@
 	}
 }
 
-// migrationTarget returns the function that chooses the backend server on which a request
-// from the given server continues.
-func (n *Node) migrationTarget(b wasabiridge.BackendServerID) wasabirelay.TargetSelector {
-	return func(r wasabiridge.Request, w wasabiridge.WeightsVersion, not []wasabiridge.BackendServerID) (to wasabiridge.BackendServer, ok bool) {
-		n.loop.Inspect(func() {
-			to, ok = n.placer.MigrationTarget(n.options.Clock.Now(), r, w, append([]wasabiridge.BackendServerID{b}, not...))
-		})
-		return to, ok
-	}
+// selectMigrationTarget implements wasabirelay.TargetSelector.
+func (n *Node) selectMigrationTarget(r wasabiridge.Request, from wasabiridge.Dispatch, excluded []wasabiridge.BackendServerID) (to wasabiridge.BackendServer, ok bool) {
+	n.loop.Inspect(func() {
+		to, ok = n.placer.MigrationTarget(n.options.Clock.Now(), r, from.Backend, from.Weights, excluded)
+	})
+	return to, ok
 }
--- a/internal/wasabirelay/move.go
+++ b/internal/wasabirelay/move.go
@@ -30,9 +30,10 @@
 )
 
 // TargetSelector selects the engine to which an answer is moved from an engine that is
-// being drained. Engines in excluded have refused an answer and must not be selected.
-// It reports false if no engine can take the answer.
-type TargetSelector func(r wasabiridge.Request, weights wasabiridge.WeightsVersion, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool)
+// being drained. The attempt that produces the answer was sent by dispatch from. Engines in
+// excluded have refused an answer and must not be selected. It reports false if no engine
+// can take the answer.
+type TargetSelector func(r wasabiridge.Request, from wasabiridge.Dispatch, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool)
 
 // activeRuns holds the resumable streams that are being answered, by attempt. It is
 // safe for concurrent use.
@@ -155,7 +156,7 @@
 			if r == nil {
 				break // The answer has ended or is already being moved.
 			}
-			to, ok := selectTarget(r.request, r.dispatch.Weights, excluded)
+			to, ok := selectTarget(r.request, r.dispatch, excluded)
 			if !ok {
 				l.running.cancelMove(r)
 				left = append(left, id)
--- a/internal/wasabirelay/move_test.go
+++ b/internal/wasabirelay/move_test.go
@@ -88,7 +88,7 @@
 		return g, done, end
 	}
 	migrateAnswers := func(g *rig, found bool) {
-		g.relay.MigrateAnswers(context.Background(), g.first().Backend.ID, func(_ wasabiridge.Request, _ wasabiridge.WeightsVersion, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
+		g.relay.MigrateAnswers(context.Background(), g.first().Backend.ID, func(_ wasabiridge.Request, _ wasabiridge.Dispatch, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
 			return other, found && len(excluded) == 0
 		})
 	}
@@ -123,7 +123,7 @@
 				ends <- wasabiridge.AttemptBroken
 			}
 		}
-		g.relay.MigrateAnswers(context.Background(), g.first().Backend.ID, func(_ wasabiridge.Request, _ wasabiridge.WeightsVersion, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
+		g.relay.MigrateAnswers(context.Background(), g.first().Backend.ID, func(_ wasabiridge.Request, _ wasabiridge.Dispatch, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
 			if len(excluded) == 0 {
 				return wasabiridge.BackendServer{ID: "dark"}, true
 			}
@@ -141,7 +141,7 @@
 		g, done, ends := startStream(m, streams(wasabiridge.AttemptCompleted, "3"))
 		m.stops = func() { ends <- wasabiridge.AttemptBroken }
 		asked := 0
-		g.relay.MigrateAnswers(context.Background(), g.first().Backend.ID, func(wasabiridge.Request, wasabiridge.WeightsVersion, []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
+		g.relay.MigrateAnswers(context.Background(), g.first().Backend.ID, func(wasabiridge.Request, wasabiridge.Dispatch, []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
 			asked++
 			return other, asked > 2
 		})
--- a/internal/wasabireplica/announcement_history_test.go
+++ b/internal/wasabireplica/announcement_history_test.go
@@ -345,7 +345,7 @@
 	case 10:
 		a.frozenUntil = h.now + wasabiridge.Millis(h.random.IntN(5000))
 	case 11:
-		if to, ok := a.placer.MigrationTarget(h.now, short(), h.weights, nil); ok && h.now >= a.frozenUntil {
+		if to, ok := a.placer.MigrationTarget(h.now, short(), wasabiridge.BackendServer{}, h.weights, nil); ok && h.now >= a.frozenUntil {
 			h.check(a, h.server(to.ID), "a migration")
 		}
 	}
--- a/internal/wasabireplica/leaving_test.go
+++ b/internal/wasabireplica/leaving_test.go
@@ -95,10 +95,10 @@
 		g := left()
 		g.pool.MigratesRequests = true
 		g.adopt()
-		to, ok := g.placer.MigrationTarget(g.now, short(), 1, nil)
+		to, ok := g.placer.MigrationTarget(g.now, short(), wasabiridge.BackendServer{}, 1, nil)
 		Expect(ok).To(BeTrue())
 		Expect(to.ID).To(BeEquivalentTo("e1"))
-		_, ok = g.placer.MigrationTarget(g.now, short(), 1, []wasabiridge.BackendServerID{"e1"})
+		_, ok = g.placer.MigrationTarget(g.now, short(), wasabiridge.BackendServer{ID: "e1"}, 1, nil)
 		Expect(ok).To(BeFalse())
 	})
 })
--- a/internal/wasabireplica/migration.go
+++ b/internal/wasabireplica/migration.go
@@ -17,16 +17,19 @@
 const maxTargetLoad = 0.9
 
 // MigrationTarget chooses the replica to which a running answer is migrated when it has
-// to leave its own. The target serves version w of the weights, has room and is not
-// excluded. MigrationTarget reports false when there is none, when w is zero, or when
-// the engines of the pool cannot migrate answers.
-func (p *Placer) MigrationTarget(now wasabiridge.Millis, r wasabiridge.Request, w wasabiridge.WeightsVersion, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
+// to leave the replica from. The target has the same software, serves version w of the
+// weights, has room and is not excluded. MigrationTarget reports false when there is none,
+// when w is zero, or when the engines of the pool cannot migrate answers.
+func (p *Placer) MigrationTarget(now wasabiridge.Millis, r wasabiridge.Request, from wasabiridge.BackendServer, w wasabiridge.WeightsVersion, excluded []wasabiridge.BackendServerID) (wasabiridge.BackendServer, bool) {
 	pl := p.pools[r.Action.Pool]
 	if pl == nil || !pl.config.MigratesRequests || w == 0 {
 		return wasabiridge.BackendServer{}, false
 	}
 	pr := pl.promptOf(pl.normalizeRequest(r))
-	q := wasabiridge.PlaceQuery{Request: pl.normalizeRequest(r), Weights: w, Excluded: excluded}
+	q := wasabiridge.PlaceQuery{
+		Request: pl.normalizeRequest(r), Pool: pl.config, Weights: w, Excluded: append([]wasabiridge.BackendServerID{from.ID}, excluded...),
+		Origin: &wasabiridge.StreamOrigin{Pool: r.Action.Pool, Software: from.Software},
+	}
 	var best *replica
 	least := maxTargetLoad
 	_, brittle := pl.refusalsAllowed(now)
--- a/internal/wasabireplica/migration_test.go
+++ b/internal/wasabireplica/migration_test.go
@@ -21,6 +21,10 @@
 		"is no replica with other weights": {func(g *rig) {
 			g.observe(wasabiridge.WeightsReported{Backend: "e1", Model: model, Weights: 2})
 		}, "e2"},
+		"is no replica with other software": {func(g *rig) {
+			g.pool.Backends[1].Software = "v2"
+			g.adopt()
+		}, "e2"},
 		"is no replica in backoff": {func(g *rig) {
 			g.observe(wasabiridge.BackendInBackoff{Backend: "e1", Until: g.now + 100})
 		}, "e2"},
@@ -59,7 +63,7 @@
 			g.pool.MigratesRequests = true
 			g.adopt()
 			cases[name].change(g)
-			to, ok := g.placer.MigrationTarget(g.now, long(1), 1, []wasabiridge.BackendServerID{"e0"})
+			to, ok := g.placer.MigrationTarget(g.now, long(1), wasabiridge.BackendServer{ID: "e0"}, 1, nil)
 			Expect(to.ID).To(Equal(cases[name].to))
 			Expect(ok).To(Equal(cases[name].to != ""))
 		})
