wasabistream: callers resume a stream only at the software that began it

Cause: the version that began a stream was known only to the instance that had served it, and the next instance did not even ask.

When the first event of a stream is sent to its caller, the instance sends pool and version to three others, chosen by rendezvous hashing of account and request, with messages that go there anyway. An instance at which a stream is resumed looks in its own table, then asks. The request is placed only in that pool at that version; if it is not known it is refused as not run, so that no lost or late message can join two versions. Where all streams began at one version for longer than a stream lasts, an unknown one goes on there.

--- a/catalog.go
+++ b/catalog.go
@@ -196,6 +196,8 @@
 	// OwnersEpoch and OwnersDigest describe the set of instances that own the limits,
 	// as the sender knows it. See UsageReceived.
 	OwnersEpoch, OwnersDigest uint64
+	// Streams are streams that began at the sender.
+	Streams []StreamUpdate
 }
 
 // CatalogPeers queries and notifies other instances about the catalog. Implementations
--- a/effect.go
+++ b/effect.go
@@ -5,6 +5,8 @@
 	Request RequestID
 	Attempt AttemptID
 	Backend BackendServer
+	// Pool is the pool of the server.
+	Pool PoolID
 	// Weights is the version that must produce the response. Zero means any.
 	Weights WeightsVersion
 	// Incarnation is the incarnation of the engine whose cache content the placement
@@ -67,6 +69,9 @@
 	RefusedServerPause RefuseReason = "server_pause"
 	// RefusedNoBackend means that no backend server is eligible for the request.
 	RefusedNoBackend RefuseReason = "no_backend"
+	// RefusedSoftwareGone means that the request resumes a stream and that no backend
+	// server has the software that began it.
+	RefusedSoftwareGone RefuseReason = "software_gone"
 	// RefusedQuarantined means that backend servers ended while running the request. It
 	// is blocked and not sent to any server, nor when it is repeated soon.
 	RefusedQuarantined RefuseReason = "quarantined"
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -97,7 +97,7 @@
 // maxFullServers servers. It reports full if there are servers, but none with free
 // capacity.
 func (c *Core) choose(now wasabiridge.Millis, rs *requestState, pool wasabiridge.Pool) (p wasabiridge.Placement, found, full bool) {
-	q := wasabiridge.PlaceQuery{Request: rs.request, Pool: pool, Excluded: rs.excluded, IsolationKey: c.isolation(now, rs)}
+	q := wasabiridge.PlaceQuery{Request: rs.request, Pool: pool, Origin: rs.request.Origin, Excluded: rs.excluded, IsolationKey: c.isolation(now, rs)}
 	if rs.delivered > 0 {
 		q.Weights, q.Origin = rs.weights, rs.origin
 	}
@@ -139,6 +139,7 @@
 		Request:       rs.request.ID,
 		Attempt:       id,
 		Backend:       p.Backend,
+		Pool:          pool,
 		Weights:       max(c.requiredWeights(rs), p.Weights),
 		Incarnation:   p.Incarnation,
 		ClaimedTokens: p.ClaimedTokens,
--- a/internal/wasabinode/background.go
+++ b/internal/wasabinode/background.go
@@ -35,6 +35,7 @@
 	go n.publishPlacements(ctx)
 	go n.quarantine.Run(ctx)
 	go n.quota.Run(ctx)
+	go n.streams.Run(ctx)
 	go n.migrateRequests(ctx)
 	go n.restore(ctx)
 	go n.roster.register(ctx, n.incarnation)
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -22,7 +22,6 @@
 package wasabinode
 
 import (
-	"context"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -47,6 +46,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabirelay"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
+	"github.com/wasabiridge/wasabiridge/internal/wasabistream"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiupgrade"
 )
@@ -143,6 +143,7 @@
 	migrationQueue chan wasabiridge.BackendServerID
 	quarantine     *wasabiquarantine.Controller
 	quota          *wasabiquota.Controller
+	streams        *wasabistream.Controller
 	relay          *wasabirelay.Relay
 	catalog        *wasabicatalog.Controller
 	upgrade        *wasabiupgrade.Controller
@@ -214,16 +215,12 @@
 	n.quarantine = wasabiquarantine.NewController(wasabiquarantine.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Seed: seed, Log: wasabilog.Part(n.log, "quarantine"),
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries, Rows: o.Platform.Table,
-		Send: func(ctx context.Context, address string, update wasabiridge.StateUpdate) error {
-			return n.client.SendUpdate(ctx, address, update)
-		},
+		Send: n.sendUpdate,
 	})
 	n.quota = wasabiquota.NewController(wasabiquota.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Log: wasabilog.Part(n.log, "quota"), Rows: o.Platform.Table,
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries,
-		Send: func(ctx context.Context, address string, update wasabiridge.StateUpdate) error {
-			return n.client.SendUpdate(ctx, address, update)
-		},
+		Send: n.sendUpdate,
 	})
 	core := wasabicore.New(wasabicore.Options{
 		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine.Table(), Quota: n.quota.Table(), Instance: s.Instance,
@@ -251,7 +248,7 @@
 		Runner: n.reach, Protocol: o.Platform.Protocol, View: n.view,
 		MaxKeyAge:  func() wasabiridge.Millis { return n.terms.Load().RevokedKeyLifetime - keyMargin },
 		MaxDenyAge: func() wasabiridge.Millis { return n.terms.Load().ConfigPropagationTime * denyPercent / 100 },
-		Accepts:    n.accepts, Detour: &detour{Forwarder: n.forwards, node: n},
+		Accepts:    n.accepts, Streams: n.streams, Detour: &detour{Forwarder: n.forwards, node: n},
 		Leaving: n.leaving.Load, Mover: o.Platform.Migrator, Hasher: wasabifingerprint.New([]byte(openPeerKey)),
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
@@ -286,6 +283,10 @@
 	if n.forwards, err = wasabipeer.NewClient(o); err != nil {
 		return err
 	}
+	n.streams = wasabistream.New(wasabistream.Options{
+		Clock: n.options.Clock, Active: n.otherActive, Members: n.others, Listed: n.listed, Finder: n.client, Send: n.sendUpdate,
+		Log: wasabilog.Part(n.log, "stream"),
+	})
 	if n.server, err = wasabipeer.Listen(s.Listen, peerHandler{node: n}, o); err != nil {
 		return err
 	}
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -60,6 +60,7 @@
 	for _, l := range update.Leaving {
 		n.observeLeaving(wasabiridge.BackendLeaving{Backend: l.Backend, Incarnation: l.Incarnation}, update.From)
 	}
+	n.streams.Receive(update)
 	n.quarantine.Receive(update)
 	n.quota.Receive(update)
 	if len(update.Loads) > 0 || len(update.Segments) > 0 {
@@ -83,6 +84,7 @@
 var (
 	_ wasabiridge.PeerHandler    = peerHandler{}
 	_ wasabiridge.CatalogHandler = peerHandler{}
+	_ wasabiridge.StreamHandler  = peerHandler{}
 )
 
 var errNotServed = wasabiridge.ErrUnavailable.New("node: this instance does not serve the call")
--- /dev/null
+++ b/internal/wasabinode/stream.go
@@ -0,0 +1,53 @@
+package wasabinode
+
+import (
+	"context"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// sendUpdate sends a state update to an instance, with the streams that wait to be sent to it.
+func (n *Node) sendUpdate(ctx context.Context, address string, update wasabiridge.StateUpdate) error {
+	update.From = n.options.Settings.Instance
+	n.streams.Add(address, &update)
+	return n.client.SendUpdate(ctx, address, update)
+}
+
+// otherActive returns the other instances that callers are sent to.
+func (n *Node) otherActive() []wasabiridge.InstanceEntry {
+	var out []wasabiridge.InstanceEntry
+	for _, e := range n.activeEntries() {
+		if e.ID != n.options.Settings.Instance && e.PeerAddress != "" {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// others returns the other instances in the membership view.
+func (n *Node) others() []wasabiridge.InstanceEntry {
+	var out []wasabiridge.InstanceEntry
+	for _, m := range n.members.Members() {
+		if m.PeerAddress != "" {
+			out = append(out, m.InstanceEntry)
+		}
+	}
+	return out
+}
+
+// listed returns the platform's list of backend servers and when it was last read.
+func (n *Node) listed() ([]wasabiridge.BackendEntry, wasabiridge.Millis) {
+	if n.catalog == nil {
+		return nil, 0
+	}
+	v := n.catalog.View()
+	return v.Backends.Entries, v.BackendsConfirmedAt
+}
+
+// HandleFindStream implements wasabiridge.StreamHandler.
+func (h peerHandler) HandleFindStream(_ context.Context, q wasabiridge.StreamQuery) (wasabiridge.StreamAnswer, error) {
+	if h.node.streams == nil {
+		return wasabiridge.StreamAnswer{}, errNotServed
+	}
+	return h.node.streams.Answer(q), nil
+}
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -134,12 +134,13 @@
 	for _, c := range n.Crashes {
 		out.Crashes = append(out.Crashes, encodeCrash(c))
 	}
+	out.Streams = encodeStreams(n.Streams)
 	encodeUses(out, n)
 	return out
 }
 
 func decodeUpdate(in *pb.News) (wasabiridge.StateUpdate, error) {
-	if len(in.Rests) > maxUpdateEntries || len(in.Loads) > maxUpdateEntries || len(in.Parts) > maxUpdateEntries || len(in.Crashes) > maxUpdateEntries || len(in.Uses) > maxUpdateEntries || len(in.Leaving) > maxUpdateEntries {
+	if len(in.Rests) > maxUpdateEntries || len(in.Loads) > maxUpdateEntries || len(in.Parts) > maxUpdateEntries || len(in.Crashes) > maxUpdateEntries || len(in.Uses) > maxUpdateEntries || len(in.Leaving) > maxUpdateEntries || len(in.Streams) > maxUpdateEntries {
 		return wasabiridge.StateUpdate{}, wasabiridge.ErrInvalid.New("peer: a list of the state update has too many entries")
 	}
 	n := wasabiridge.StateUpdate{From: wasabiridge.InstanceID(in.From), Changed: in.Changed}
@@ -176,6 +177,10 @@
 		}
 		n.Crashes = append(n.Crashes, crash)
 	}
+	var err error
+	if n.Streams, err = decodeStreams(in.Streams); err != nil {
+		return wasabiridge.StateUpdate{}, err
+	}
 	decodeUses(&n, in)
 	return n, nil
 }
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -112,6 +112,10 @@
 	if x.forward() {
 		return
 	}
+	if refusal := x.findOrigin(); refusal != nil {
+		x.refuse(*refusal)
+		return
+	}
 	if err := o.Loop.Submit(x.request, x.box); err != nil {
 		x.refuse(*x.notRun("too many requests wait here"))
 		return
@@ -268,7 +272,7 @@
 		// An error response of a backend server tells the caller more than a
 		// refusal of the router.
 		x.finish()
-	case x.disposition == wasabiridge.NotRun && e.Reason == wasabiridge.RefusedQuarantined:
+	case x.disposition == wasabiridge.NotRun && (e.Reason == wasabiridge.RefusedQuarantined || e.Reason == wasabiridge.RefusedSoftwareGone):
 		// No Retry-After time: a repeat would be refused as well.
 		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Reason: string(e.Reason)})
 	case x.disposition == wasabiridge.NotRun && e.Reason == wasabiridge.RefusedQuota:
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -46,6 +46,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabikey"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
+	"github.com/wasabiridge/wasabiridge/internal/wasabistream"
 )
 
 const (
@@ -105,6 +106,9 @@
 	// as the server itself has stated. It must be safe for concurrent use. Nil means
 	// always.
 	Accepts func(b wasabiridge.BackendServer) bool
+	// Streams remembers where streams began. With nil, callers that resume a stream may be
+	// sent any server.
+	Streams *wasabistream.Controller
 	// Detour passes requests on to other instances. Nil disables that.
 	Detour Detour
 	// Leaving reports whether the instance is shutting down. Nil means never.
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -55,14 +55,17 @@
 		return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedNoBackend, RetryAfter: minRetryAfter}
 	}
 	pl.budget.AddRequest(now)
-	q := wasabiridge.PlaceQuery{Request: pl.normalizeRequest(r)}
+	q := wasabiridge.PlaceQuery{Request: pl.normalizeRequest(r), Pool: pl.config, Origin: r.Origin}
+	if r.Origin != nil && l.placer.isUnresumable(now, pl, q) {
+		return wasabiridge.Admission{Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedSoftwareGone}
+	}
 	leastExcess, limitedFor := math.Inf(1), wasabiridge.Millis(0)
 	pr := pl.promptOf(q.Request)
-	maxLoad, maxWait := pl.maxLoad(r.Action.Priority, &pr), pl.maxWait(q.Request, &pr)
+	maxLoad, maxWait := pl.maxLoad(r, &pr), pl.maxWait(q.Request, &pr)
 	remaining, full, pausedFor := 0, false, wasabiridge.Millis(0)
 	_, brittle := pl.refusalsAllowed(now)
 	for _, rep := range pl.replicas {
-		if rep.leaving {
+		if rep.leaving || !q.CanContinue(rep.server) {
 			continue
 		}
 		remaining++
@@ -120,11 +123,14 @@
 // and its memory longer. Running requests then evict cached segments, more prompts are
 // computed again, and short prompts are slow too. Heavy prompts need most of the memory
 // and computing time, so they are refused first, while some slots are still free.
-func (pl *pool) maxLoad(priority wasabiridge.Priority, pr *prompt) float64 {
-	if pr.engine && pl.isHeavy(pr) {
+//
+// A resumed stream can go on only where it began, so it is not refused before its replicas
+// are overloaded.
+func (pl *pool) maxLoad(r wasabiridge.Request, pr *prompt) float64 {
+	if pr.engine && pl.isHeavy(pr) && r.Origin == nil {
 		return heavyPromptLoad
 	}
-	return lowPriorityLoad + (highPriorityLoad-lowPriorityLoad)*float64(min(max(priority, 0), maxPriority))/maxPriority
+	return lowPriorityLoad + (highPriorityLoad-lowPriorityLoad)*float64(min(max(r.Action.Priority, 0), maxPriority))/maxPriority
 }
 
 // maxWait returns how long a request may wait at a replica, in milliseconds, for its
@@ -144,7 +150,7 @@
 	if target <= 0 {
 		target = float64(defaultTarget)
 	}
-	if pl.isLight(pr) {
+	if pl.isLight(pr) || r.Origin != nil {
 		return lightWaitFactor * target
 	}
 	own := pr.costs.FirstToken(wasabicost.Work{Tokens: pr.own, Preceding: pr.shared})
--- /dev/null
+++ b/internal/wasabistream/controller.go
@@ -0,0 +1,343 @@
+// Package wasabistream remembers at which software version the streams of callers began, so
+// that a caller whose connection broke can resume its stream at any instance.
+//
+// # Streams
+//
+// What two versions of a backend server's software write does not fit together, so a stream
+// continues only where it began. The caller names the request that began the stream; only
+// the instance that served it knows the version. When the first event of a stream is sent to
+// the caller, its instance sends the origin to three others, chosen by rendezvous hashing of
+// the stream. An instance at which a stream is resumed looks it up in its own table, then
+// asks the instances with the highest ranks, and then the others.
+//
+// A stream begins once, so the records of it are equal and may arrive late, twice or never:
+// a missing record makes a stream unresumable, and none makes it continue elsewhere.
+//
+// # Unknown streams
+//
+// If no instance knows the stream, it continues only if all streams of its pool began at the
+// same version. That is proven by an instance which has followed the platform's list of
+// backend servers for longer than a stream lasts and has read it within the last second, if
+// neither it nor any other instance that answers has seen a second version. Versions that
+// are new in a pool are not used for new streams before every such list contains them; see
+// SettleTime. An instance that has just started proves nothing.
+//
+// # Usage
+//
+//	streams := wasabistream.New(wasabistream.Options{Clock: clock, Active: active, Finder: client, Send: send})
+//	streams.Begin(account, request, origin, life)
+//	finding := streams.Find(ctx, account, resumes, pool, window)
+package wasabistream
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+const (
+	// flushDelay is how long a stream waits for other messages to the same instance.
+	flushDelay = 10 * time.Millisecond
+	// sendTimeout bounds sending streams to one instance.
+	sendTimeout = 500 * time.Millisecond
+	// firstAsked is the number of instances that are asked first, and maxAsked that of all.
+	firstAsked = 8
+	maxAsked   = 64
+	// askTimeout bounds the time to ask a group of instances.
+	askTimeout = 150 * time.Millisecond
+	// startTime is how long after its start an instance may not know any other one.
+	startTime = 2 * wasabiridge.Second
+	// watchInterval is how often the age of the list is noted.
+	watchInterval = 200 * time.Millisecond
+)
+
+// Options configure a Controller. Clock is required.
+type Options struct {
+	// Clock keeps running while the process is suspended.
+	Clock wasabiridge.Clock
+	// Active returns the other instances that callers are sent to, Members all others that
+	// run. Nil means that there are none.
+	Active  func() []wasabiridge.InstanceEntry
+	Members func() []wasabiridge.InstanceEntry
+	// Listed returns the platform's list of backend servers and when it was last read.
+	// Nil means that it is not known.
+	Listed func() (entries []wasabiridge.BackendEntry, readAt wasabiridge.Millis)
+	// Finder asks other instances, Send sends an update to one. Both are required with
+	// Active or Members.
+	Finder wasabiridge.StreamFinder
+	Send   func(ctx context.Context, address string, update wasabiridge.StateUpdate) error
+	Log    zerolog.Logger
+}
+
+// Controller connects a Table and a History to the other instances. It is safe for
+// concurrent use.
+type Controller struct {
+	options Options
+
+	mu      sync.Mutex
+	table   *Table
+	history *History
+	counts  Counts
+}
+
+// Counts holds counters since the start.
+type Counts struct {
+	// Remembered is the number of streams in the table, Dropped that of those for which
+	// there was no room.
+	Remembered int
+	Dropped    uint64
+	// Found counts the streams that callers resumed, by how they were found.
+	Found map[Result]uint64
+}
+
+// Result is how a stream was found.
+type Result string
+
+// Results.
+const (
+	// FoundHere means that this instance remembers the stream, and FoundElsewhere that
+	// another one does.
+	FoundHere      Result = "here"
+	FoundElsewhere Result = "elsewhere"
+	// FoundByHistory means that its pool has had only one version.
+	FoundByHistory Result = "only version"
+	// Unknown means that no instance knows it, Unanswered that some did not answer, and
+	// Conflicting that its identifier was used for several streams.
+	Unknown     Result = "unknown"
+	Unanswered  Result = "unanswered"
+	Conflicting Result = "conflicting"
+)
+
+// Finding is the result of a search.
+type Finding struct {
+	Result Result
+	// Origin is where the stream began, if Known.
+	Origin wasabiridge.StreamOrigin
+	// From is the instance that knew it. Asked and Answered are the numbers of instances.
+	From            wasabiridge.InstanceID
+	Asked, Answered int
+}
+
+// Known reports whether the origin was found.
+func (f Finding) Known() bool {
+	return f.Result == FoundHere || f.Result == FoundElsewhere || f.Result == FoundByHistory
+}
+
+// New returns a Controller that remembers no stream.
+func New(o Options) *Controller {
+	return &Controller{options: o, table: NewTable(), history: NewHistory(), counts: Counts{Found: map[Result]uint64{}}}
+}
+
+// Run follows the list of backend servers until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		c.Watch()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Watch takes the current list of backend servers.
+func (c *Controller) Watch() {
+	if c.options.Listed == nil {
+		return
+	}
+	entries, readAt := c.options.Listed()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.Read(readAt, entries)
+}
+
+// Begin records that the first event of a stream is being sent to its caller, who may resume
+// it within life. It does not block.
+func (c *Controller) Begin(account wasabiridge.ClientAccountID, request wasabiridge.RequestID, origin wasabiridge.StreamOrigin, life wasabiridge.Millis) {
+	peers := c.active()
+	if len(peers) < homes {
+		peers = append(peers, c.members(peers)...)
+	}
+	c.mu.Lock()
+	first := c.table.Begin(c.options.Clock.Now(), wasabiridge.StreamUpdate{Key: Key(account, request), Origin: origin, Life: life}, peers)
+	c.mu.Unlock()
+	for _, address := range first {
+		time.AfterFunc(flushDelay, func() { c.flush(address) })
+	}
+}
+
+// Add adds the streams that wait to be sent to an instance to an update for it.
+func (c *Controller) Add(address string, update *wasabiridge.StateUpdate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	update.Streams = append(update.Streams, c.table.Take(address)...)
+}
+
+// flush sends the streams that wait to be sent to an instance, unless another message has
+// carried them.
+func (c *Controller) flush(address string) {
+	var update wasabiridge.StateUpdate
+	c.Add(address, &update)
+	if len(update.Streams) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	if err := c.options.Send(ctx, address, update); err != nil {
+		c.options.Log.Debug().Err(err).Str("address", address).Int("streams", len(update.Streams)).Msg("Streams not sent.")
+	}
+}
+
+// Receive takes an update of another instance.
+func (c *Controller) Receive(update wasabiridge.StateUpdate) {
+	if len(update.Streams) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range update.Streams {
+		c.table.Receive(c.options.Clock.Now(), u)
+	}
+}
+
+// Answer answers the query of another instance.
+func (c *Controller) Answer(q wasabiridge.StreamQuery) wasabiridge.StreamAnswer {
+	c.Watch()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Clock.Now()
+	out := c.table.Find(now, q.Key)
+	out.History = c.history.Of(now, q.Pool, q.Window)
+	return out
+}
+
+// Find searches where the stream began that an account's request began. The stream is not
+// older than window, and would continue in pool if it is not known.
+func (c *Controller) Find(ctx context.Context, account wasabiridge.ClientAccountID, began wasabiridge.RequestID, pool wasabiridge.PoolID, window wasabiridge.Millis) Finding {
+	q := wasabiridge.StreamQuery{Key: Key(account, began), Pool: pool, Window: min(window, maxLife)}
+	f := c.find(ctx, q)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Found[f.Result]++
+	return f
+}
+
+func (c *Controller) find(ctx context.Context, q wasabiridge.StreamQuery) Finding {
+	own := c.Answer(q)
+	switch {
+	case own.Known:
+		return Finding{Result: FoundHere, Origin: own.Origin}
+	case own.Conflicting:
+		return Finding{Result: Conflicting}
+	}
+	s := search{histories: []wasabiridge.SoftwareHistory{own.History}}
+	first := Rank(q.Key, c.active())
+	first = first[:min(len(first), firstAsked)]
+	others := Rank(q.Key, c.members(first))
+	others = others[:min(len(others), maxAsked-len(first))]
+	if c.ask(ctx, q, first, &s) || c.ask(ctx, q, others, &s) {
+		return s.finding
+	}
+	return s.conclude(q)
+}
+
+// active returns the other instances that callers are sent to.
+func (c *Controller) active() []wasabiridge.InstanceEntry {
+	if c.options.Active == nil {
+		return nil
+	}
+	return c.options.Active()
+}
+
+// members returns the other instances that are not in a list.
+func (c *Controller) members(besides []wasabiridge.InstanceEntry) []wasabiridge.InstanceEntry {
+	if c.options.Members == nil {
+		return nil
+	}
+	return slices.DeleteFunc(c.options.Members(), func(e wasabiridge.InstanceEntry) bool {
+		return slices.ContainsFunc(besides, func(b wasabiridge.InstanceEntry) bool { return b.ID == e.ID })
+	})
+}
+
+// search is the state of one search.
+type search struct {
+	finding   Finding
+	histories []wasabiridge.SoftwareHistory
+}
+
+// conclude returns the finding when no instance that answered knows the stream.
+func (s *search) conclude(q wasabiridge.StreamQuery) Finding {
+	f := s.finding
+	f.Result = Unknown
+	// An instance that has just started does not know the others yet.
+	if f.Answered < f.Asked || f.Asked == 0 && s.histories[0].Watched < startTime {
+		f.Result = Unanswered
+	}
+	if v, ok := OnlyVersion(q.Window, s.histories); ok {
+		f.Result, f.Origin = FoundByHistory, wasabiridge.StreamOrigin{Pool: q.Pool, Software: v}
+	}
+	return f
+}
+
+// ask asks a group of instances at the same time. It reports whether the search is over.
+func (c *Controller) ask(ctx context.Context, q wasabiridge.StreamQuery, group []wasabiridge.InstanceEntry, s *search) bool {
+	if len(group) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	type reply struct {
+		from   wasabiridge.InstanceID
+		answer wasabiridge.StreamAnswer
+		err    error
+	}
+	replies := make(chan reply, len(group))
+	for _, e := range group {
+		go func() {
+			a, err := c.options.Finder.FindStream(ctx, e.PeerAddress, q)
+			replies <- reply{from: e.ID, answer: a, err: err}
+		}()
+	}
+	s.finding.Asked += len(group)
+	for range group {
+		var r reply
+		select {
+		case r = <-replies:
+		case <-ctx.Done():
+			return false
+		}
+		if r.err != nil {
+			continue
+		}
+		s.finding.Answered++
+		s.histories = append(s.histories, r.answer.History)
+		switch {
+		case r.answer.Conflicting:
+			s.finding.Result, s.finding.From = Conflicting, r.from
+			return true
+		case r.answer.Known:
+			s.finding.Result, s.finding.Origin, s.finding.From = FoundElsewhere, r.answer.Origin, r.from
+			return true
+		}
+	}
+	return false
+}
+
+// Counts returns the counters.
+func (c *Controller) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := Counts{Found: map[Result]uint64{}}
+	out.Remembered, out.Dropped = c.table.Len()
+	for r, n := range c.counts.Found {
+		out.Found[r] = n
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wasabistream/table.go
@@ -0,0 +1,177 @@
+package wasabistream
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+const (
+	// homes is the number of other instances that remember a stream.
+	homes = 3
+	// maxLife bounds how long a stream is remembered.
+	maxLife = 2 * wasabiridge.Minute
+	// maxRecords bounds the streams that are remembered. Further ones are not, so that they
+	// can be resumed only by instances that remember them.
+	maxRecords = 1 << 16
+	// sweepInterval is how often expired records are removed.
+	sweepInterval = wasabiridge.Second
+	// maxPending bounds the streams that wait to be sent to one instance.
+	maxPending = 1024
+)
+
+// Key returns the key of the stream that began with a caller's request. It contains the
+// account, so that no account can resume or affect the streams of another one.
+func Key(account wasabiridge.ClientAccountID, began wasabiridge.RequestID) wasabiridge.StreamKey {
+	data := binary.AppendUvarint(nil, uint64(len(account)))
+	data = append(append(data, account...), began...)
+	sum := sha256.Sum256(data)
+	return wasabiridge.StreamKey(binary.BigEndian.Uint64(sum[:]))
+}
+
+// Rank sorts instances by rendezvous hashing of a key, so that all instances that know the
+// same others choose the same ones. The instances that remember the stream come first.
+func Rank(key wasabiridge.StreamKey, peers []wasabiridge.InstanceEntry) []wasabiridge.InstanceEntry {
+	weights := make(map[wasabiridge.InstanceID]uint64, len(peers))
+	for _, e := range peers {
+		data := binary.BigEndian.AppendUint64(make([]byte, 0, 64), uint64(key))
+		weights[e.ID] = xxhash.Sum64(append(data, e.ID...))
+	}
+	return slices.SortedFunc(slices.Values(peers), func(a, b wasabiridge.InstanceEntry) int {
+		switch {
+		case weights[a.ID] != weights[b.ID] && weights[a.ID] > weights[b.ID]:
+			return -1
+		case weights[a.ID] != weights[b.ID]:
+			return 1
+		}
+		return 0
+	})
+}
+
+// record is what is known of a stream.
+type record struct {
+	origin *wasabiridge.StreamOrigin
+	// conflicting is set when different origins were received. A caller has used one
+	// identifier for several streams, so that the origin is not known.
+	conflicting bool
+	expires     wasabiridge.Millis
+}
+
+// Table remembers where streams began. It is deterministic and not safe for concurrent
+// use.
+type Table struct {
+	records map[wasabiridge.StreamKey]record
+	// origins holds one copy of each origin.
+	origins map[wasabiridge.StreamOrigin]*wasabiridge.StreamOrigin
+	sweepAt wasabiridge.Millis
+	// pending are the streams that other instances have yet to be told, by address.
+	pending map[string][]wasabiridge.StreamUpdate
+	dropped uint64
+}
+
+// NewTable returns a Table without streams.
+func NewTable() *Table {
+	return &Table{
+		records: map[wasabiridge.StreamKey]record{}, origins: map[wasabiridge.StreamOrigin]*wasabiridge.StreamOrigin{},
+		pending: map[string][]wasabiridge.StreamUpdate{},
+	}
+}
+
+// Begin records that a stream has begun at this instance, and queues it for the instances of
+// peers that are to remember it. It returns the addresses for which the first stream was
+// queued.
+//
+// It must be called when the first event is sent to the caller, not before: an attempt that
+// brings no event is followed by another one, perhaps at another version, and an instance
+// that did not receive that would report the wrong one.
+func (t *Table) Begin(now wasabiridge.Millis, u wasabiridge.StreamUpdate, peers []wasabiridge.InstanceEntry) []string {
+	u.Life = min(max(u.Life, 0), maxLife)
+	t.Receive(now, u)
+	var first []string
+	told := 0
+	for _, e := range Rank(u.Key, peers) {
+		if told == homes {
+			break
+		}
+		told++
+		waiting := t.pending[e.PeerAddress]
+		if len(waiting) >= maxPending {
+			t.dropped++
+			continue
+		}
+		if len(waiting) == 0 {
+			first = append(first, e.PeerAddress)
+		}
+		t.pending[e.PeerAddress] = append(waiting, u)
+	}
+	return first
+}
+
+// Take removes and returns the streams that wait to be sent to an instance.
+func (t *Table) Take(address string) []wasabiridge.StreamUpdate {
+	out := t.pending[address]
+	delete(t.pending, address)
+	return out
+}
+
+// Receive records where a stream began. A record that is repeated is kept for longer.
+func (t *Table) Receive(now wasabiridge.Millis, u wasabiridge.StreamUpdate) {
+	t.sweep(now)
+	r, known := t.records[u.Key]
+	known = known && now < r.expires
+	if !known && len(t.records) >= maxRecords {
+		t.dropped++
+		return
+	}
+	if !known {
+		r = record{origin: t.intern(u.Origin)}
+	}
+	r.conflicting = r.conflicting || *r.origin != u.Origin
+	r.expires = max(r.expires, now+min(max(u.Life, 0), maxLife))
+	t.records[u.Key] = r
+}
+
+func (t *Table) intern(o wasabiridge.StreamOrigin) *wasabiridge.StreamOrigin {
+	if t.origins[o] == nil {
+		t.origins[o] = &o
+	}
+	return t.origins[o]
+}
+
+// Find returns where a stream began, if that is known.
+func (t *Table) Find(now wasabiridge.Millis, key wasabiridge.StreamKey) wasabiridge.StreamAnswer {
+	r, ok := t.records[key]
+	switch {
+	case !ok || now >= r.expires:
+		return wasabiridge.StreamAnswer{}
+	case r.conflicting:
+		return wasabiridge.StreamAnswer{Conflicting: true}
+	}
+	return wasabiridge.StreamAnswer{Known: true, Origin: *r.origin}
+}
+
+// sweep removes expired records, and origins that no record has.
+func (t *Table) sweep(now wasabiridge.Millis) {
+	if now < t.sweepAt {
+		return
+	}
+	t.sweepAt = now + sweepInterval
+	used := map[*wasabiridge.StreamOrigin]bool{}
+	for key, r := range t.records {
+		if now >= r.expires {
+			delete(t.records, key)
+			continue
+		}
+		used[r.origin] = true
+	}
+	maps.DeleteFunc(t.origins, func(_ wasabiridge.StreamOrigin, o *wasabiridge.StreamOrigin) bool { return !used[o] })
+}
+
+// Len returns the number of streams that are remembered, and the number of those that were
+// not for want of room.
+func (t *Table) Len() (records int, dropped uint64) { return len(t.records), t.dropped }
--- a/request.go
+++ b/request.go
@@ -98,6 +98,9 @@
 	Host string
 	// Fingerprint identifies the content of the request.
 	Fingerprint Fingerprint
+	// Origin is where the stream began that the caller resumes. Nil means that the request
+	// resumes none.
+	Origin *StreamOrigin
 	// EndsWithCaller reports that the result of the request is of no use once its
 	// caller has closed the connection, so that it is cancelled then even when it must
 	// run at most once.
@@ -122,6 +125,13 @@
 	return r
 }
 
+// WithOrigin returns a copy of the request that resumes a stream which began at o.
+func (r Request) WithOrigin(o StreamOrigin) Request {
+	r.Origin = &o
+	r.Action.Pool = o.Pool
+	return r
+}
+
 // WithRule returns a copy of the request with the rule that matched it.
 func (r Request) WithRule(rule Rule) Request {
 	r.Rule = rule.ID
