wasabireplica: begin no stream at a version that others may not know yet

An instance that finds no record of a resumed stream continues it if its pool has had one version only. Another instance may have read a newer list a moment before it was killed, and have begun the stream at a version that nobody else has seen.

What the first list of a process contains is used at once. The three specs failed before: the new version was used at once.

--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -154,15 +154,27 @@
 	}
 	q.Request = pl.normalizeRequest(q.Request)
 	pr := pl.promptOf(q.Request)
-	var best candidate
-	found, count := false, 0
+	best, found := p.best(now, pl, q, &pr, pl.hasNewSoftware(now))
+	if !found && pl.hasNewSoftware(now) {
+		best, found = p.best(now, pl, q, &pr, false)
+	}
+	if !found {
+		return wasabiridge.Placement{Unplaceable: p.isUnresumable(now, pl, q)}, false
+	}
+	return p.placement(now, pl, best, q.Request, &pr), true
+}
+
+// best returns the replica with the lowest loss, at random among nearly equal ones. With
+// settled, streams begin only at versions that have been listed for some time.
+func (p *Placer) best(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery, pr *prompt, settled bool) (best candidate, found bool) {
+	count := 0
 	_, brittle := pl.refusalsAllowed(now)
 	for _, r := range pl.replicas {
-		if !p.eligible(now, r, q) || brittle && !p.hasBrittleRoom(r, &pr) {
+		if !p.eligible(now, r, q) || brittle && !p.hasBrittleRoom(r, pr) || settled && !pl.mayBegin(now, r, q) {
 			continue
 		}
-		c := p.evaluate(now, pl, r, &pr, q.Request.Action.FirstByteTarget)
-		if !p.startsBeforeDeadline(now, &pr, c) {
+		c := p.evaluate(now, pl, r, pr, q.Request.Action.FirstByteTarget)
+		if !p.startsBeforeDeadline(now, pr, c) {
 			continue
 		}
 		switch {
@@ -179,10 +191,7 @@
 			}
 		}
 	}
-	if !found {
-		return wasabiridge.Placement{Unplaceable: p.isUnresumable(now, pl, q)}, false
-	}
-	return p.placement(now, pl, best, q.Request, &pr), true
+	return best, found
 }
 
 // candidate is a replica with its score.
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -45,6 +45,8 @@
 	// meanDuration is the moving average of the time from sending a request to the end
 	// of its answer, in milliseconds.
 	meanDuration float64
+	// listedSince holds since when each software version of the replicas has been listed.
+	listedSince map[wasabiridge.SoftwareVersion]wasabiridge.Millis
 }
 
 // costsOf returns the cost estimator of the engines that serve a model.
@@ -148,6 +150,7 @@
 			pl.failures, pl.delay = before.failures, before.delay
 			pl.retries = before.retries
 			pl.overrun = before.overrun
+			pl.listedSince = before.listedSince
 			pl.costs, pl.meanWork, pl.meanOutput, pl.meanDuration = before.costs, before.meanWork, before.meanOutput, before.meanDuration
 		}
 		backends := slices.SortedFunc(slices.Values(cp.Backends), func(a, b wasabiridge.BackendServer) int {
@@ -167,6 +170,7 @@
 			r.cache.limit = int(cacheFraction * float64(cp.CacheTokens))
 			pl.replicas = append(pl.replicas, r)
 		}
+		pl.noteSoftware(now)
 		pools[cp.ID] = pl
 	}
 	p.pools = pools
