wasabistream: register the versions at which streams may begin

An instance that had just started refused callers that resumed a stream, because it could not know whether there had been other versions; so did all of them after all had been killed, also where there had only ever been one version.

The versions of each pool are registered in one row of the platform's table before the list that contains them is used, and new streams begin only at registered versions while any is usable. A resumption that nobody knows reads the row, once for all that wait: if it holds one version, the stream began there, whatever has been killed.

--- a/config.go
+++ b/config.go
@@ -42,6 +42,9 @@
 	// Software is the version of the server's software. Servers of several versions may
 	// serve in one pool.
 	Software SoftwareVersion `json:"software,omitempty"`
+	// SoftwareRegistered reports that Software is among the versions at which streams may
+	// begin, as registered at the platform.
+	SoftwareRegistered bool `json:"software_registered,omitempty"`
 	// ChecksFencing reports that the server refuses orders with an outdated fencing
 	// number.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -144,6 +144,7 @@
 	quarantine     *wasabiquarantine.Controller
 	quota          *wasabiquota.Controller
 	streams        *wasabistream.Controller
+	registry       *wasabistream.Registry
 	relay          *wasabirelay.Relay
 	catalog        *wasabicatalog.Controller
 	upgrade        *wasabiupgrade.Controller
@@ -212,6 +213,9 @@
 		poolOf: func(b wasabiridge.BackendServerID) (wasabiridge.Pool, bool) { return n.activeConfig.Load().poolOf(b) },
 	}
 	n.reach.prober, _ = o.Platform.Runner.(wasabiridge.BackendProber)
+	n.registry = wasabistream.NewRegistry(wasabistream.RegistryOptions{
+		Self: s.Instance, Source: o.Platform.Source, Rows: o.Platform.Table, Clock: o.Clock, Log: wasabilog.Part(n.log, "stream"),
+	})
 	n.quarantine = wasabiquarantine.NewController(wasabiquarantine.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Seed: seed, Log: wasabilog.Part(n.log, "quarantine"),
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries, Rows: o.Platform.Table,
@@ -235,7 +239,7 @@
 		return err
 	}
 	n.catalog = wasabicatalog.NewController(wasabicatalog.Options{
-		Self: n.self(), Clock: o.Clock, Source: o.Platform.Source, Peers: n.client, Members: n.members.Members, Active: n.activeEntries,
+		Self: n.self(), Clock: o.Clock, Source: n.registry, Peers: n.client, Members: n.members.Members, Active: n.activeEntries,
 		Log: wasabilog.Part(n.log, "catalog"), OnChange: n.adopt, OnUpdate: n.applyUpdate,
 	})
 	n.upgrade = wasabiupgrade.NewController(wasabiupgrade.Options{
@@ -284,7 +288,7 @@
 		return err
 	}
 	n.streams = wasabistream.New(wasabistream.Options{
-		Clock: n.options.Clock, Active: n.otherActive, Members: n.others, Listed: n.listed, Finder: n.client, Send: n.sendUpdate,
+		Clock: n.options.Clock, Active: n.otherActive, Members: n.others, Listed: n.listed, Registry: n.registry, Finder: n.client, Send: n.sendUpdate,
 		Log: wasabilog.Part(n.log, "stream"),
 	})
 	if n.server, err = wasabipeer.Listen(s.Listen, peerHandler{node: n}, o); err != nil {
--- a/internal/wasabirelay/origin.go
+++ b/internal/wasabirelay/origin.go
@@ -38,7 +38,7 @@
 	}
 	f := streams.Find(x.ctx, x.account.ID, x.parsed.Resumes, x.request.Action.Pool, window)
 	pools := x.pools()
-	if f.Result == wasabistream.FoundByHistory && len(pools) > 1 {
+	if f.ByVersion() && len(pools) > 1 {
 		f.Result = wasabistream.Unknown
 	}
 	refusal := &wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun}
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -154,8 +154,9 @@
 	}
 	q.Request = pl.normalizeRequest(q.Request)
 	pr := pl.promptOf(q.Request)
-	best, found := p.best(now, pl, q, &pr, pl.hasNewSoftware(now))
-	if !found && pl.hasNewSoftware(now) {
+	restricted := pl.restrictsBegins(now)
+	best, found := p.best(now, pl, q, &pr, restricted)
+	if !found && restricted {
 		best, found = p.best(now, pl, q, &pr, false)
 	}
 	if !found {
@@ -164,13 +165,13 @@
 	return p.placement(now, pl, best, q.Request, &pr), true
 }
 
-// best returns the replica with the lowest loss, at random among nearly equal ones. With
-// settled, streams begin only at versions that have been listed for some time.
-func (p *Placer) best(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery, pr *prompt, settled bool) (best candidate, found bool) {
+// best returns the replica with the lowest loss, at random among nearly equal ones. If
+// restricted, streams begin only at the versions at which they may.
+func (p *Placer) best(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery, pr *prompt, restricted bool) (best candidate, found bool) {
 	count := 0
 	_, brittle := pl.refusalsAllowed(now)
 	for _, r := range pl.replicas {
-		if !p.eligible(now, r, q) || brittle && !p.hasBrittleRoom(r, pr) || settled && !pl.mayBegin(now, r, q) {
+		if !p.eligible(now, r, q) || brittle && !p.hasBrittleRoom(r, pr) || restricted && !pl.mayBegin(now, r, q) {
 			continue
 		}
 		c := p.evaluate(now, pl, r, pr, q.Request.Action.FirstByteTarget)
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -45,8 +45,8 @@
 	// meanDuration is the moving average of the time from sending a request to the end
 	// of its answer, in milliseconds.
 	meanDuration float64
-	// listedSince holds since when each software version of the replicas has been listed.
-	listedSince map[wasabiridge.SoftwareVersion]wasabiridge.Millis
+	// software holds what is known of the software versions of the replicas.
+	software map[wasabiridge.SoftwareVersion]softwareState
 }
 
 // costsOf returns the cost estimator of the engines that serve a model.
@@ -150,7 +150,7 @@
 			pl.failures, pl.delay = before.failures, before.delay
 			pl.retries = before.retries
 			pl.overrun = before.overrun
-			pl.listedSince = before.listedSince
+			pl.software = before.software
 			pl.costs, pl.meanWork, pl.meanOutput, pl.meanDuration = before.costs, before.meanWork, before.meanOutput, before.meanDuration
 		}
 		backends := slices.SortedFunc(slices.Values(cp.Backends), func(a, b wasabiridge.BackendServer) int {
--- a/internal/wasabireplica/software_test.go
+++ b/internal/wasabireplica/software_test.go
@@ -13,7 +13,7 @@
 var _ = Describe("A software version that is new in a pool", func() {
 	add := func(g *rig, software wasabiridge.SoftwareVersion) {
 		g.pool.Backends = append(g.pool.Backends, wasabiridge.BackendServer{
-			ID: "new", Kind: wasabiridge.BackendEngine, URL: "http://new:1", Slots: 8, Zone: "z", Software: software,
+			ID: "new", Kind: wasabiridge.BackendEngine, URL: "http://new:1", Slots: 8, Zone: "z", Software: software, SoftwareRegistered: true,
 		})
 		g.adopt()
 		g.observe(wasabiridge.WeightsReported{Backend: "new", Model: model, Weights: 1})
@@ -31,23 +31,42 @@
 		return out
 	}
 
-	It("is used for streams only after some time, while others are listed", func() {
+	registeredRig := func() *rig {
 		g := newRig(1)
+		g.pool.Backends[0].SoftwareRegistered = true
+		g.adopt()
+		return g
+	}
+
+	It("is used for streams only after some time, while others are listed", func() {
+		g := registeredRig()
 		add(g, "v2")
 		Expect(begun(g)).NotTo(HaveKey(wasabiridge.BackendServerID("new")))
 		g.now += wasabistream.SettleTime
 		Expect(begun(g)).To(HaveKey(wasabiridge.BackendServerID("new")))
 	})
 
+	It("is not used for streams while it is not registered and others are", func() {
+		g := registeredRig()
+		add(g, "v2")
+		g.pool.Backends[1].SoftwareRegistered = false
+		g.adopt()
+		g.now += wasabistream.SettleTime
+		Expect(begun(g)).NotTo(HaveKey(wasabiridge.BackendServerID("new")))
+		g.pool.Backends[1].SoftwareRegistered = true
+		g.adopt()
+		Expect(begun(g)).To(HaveKey(wasabiridge.BackendServerID("new")))
+	})
+
 	It("is used at once if no other server is usable", func() {
-		g := newRig(1)
+		g := registeredRig()
 		add(g, "v2")
 		g.observe(wasabiridge.BackendInBackoff{Backend: "e0", Until: g.now + 1000})
 		Expect(begun(g)).To(HaveLen(1))
 	})
 
 	It("is used at once by an instance that has just started, and for servers of a known version", func() {
-		g := newRig(1)
+		g := registeredRig()
 		add(g, "")
 		Expect(begun(g)).To(HaveKey(wasabiridge.BackendServerID("new")))
 		started := newRigOf("other", 0)
--- a/internal/wasabistream/controller.go
+++ b/internal/wasabistream/controller.go
@@ -20,7 +20,8 @@
 // backend servers for longer than a stream lasts and has read it within the last second, if
 // neither it nor any other instance that answers has seen a second version. Versions that
 // are new in a pool are not used for new streams before every such list contains them; see
-// SettleTime. An instance that has just started proves nothing.
+// SettleTime. An instance that has just started proves nothing; it reads the versions from
+// the platform's table, in which each is registered before streams begin at it. See Registry.
 //
 // # Usage
 //
@@ -67,6 +68,9 @@
 	// Listed returns the platform's list of backend servers and when it was last read.
 	// Nil means that it is not known.
 	Listed func() (entries []wasabiridge.BackendEntry, readAt wasabiridge.Millis)
+	// Registry reads the versions at which streams may have begun. Nil means that they are
+	// not registered.
+	Registry *Registry
 	// Finder asks other instances, Send sends an update to one. Both are required with
 	// Active or Members.
 	Finder wasabiridge.StreamFinder
@@ -104,8 +108,10 @@
 	// another one does.
 	FoundHere      Result = "here"
 	FoundElsewhere Result = "elsewhere"
-	// FoundByHistory means that its pool has had only one version.
-	FoundByHistory Result = "only version"
+	// FoundByHistory means that its pool had only one version, as instances remember, and
+	// FoundByRegistry that it had, as registered at the platform.
+	FoundByHistory  Result = "only version"
+	FoundByRegistry Result = "only registered version"
 	// Unknown means that no instance knows it, Unanswered that some did not answer, and
 	// Conflicting that its identifier was used for several streams.
 	Unknown     Result = "unknown"
@@ -125,9 +131,12 @@
 
 // Known reports whether the origin was found.
 func (f Finding) Known() bool {
-	return f.Result == FoundHere || f.Result == FoundElsewhere || f.Result == FoundByHistory
+	return f.Result == FoundHere || f.Result == FoundElsewhere || f.ByVersion()
 }
 
+// ByVersion reports whether the origin was concluded from the versions of the pool.
+func (f Finding) ByVersion() bool { return f.Result == FoundByHistory || f.Result == FoundByRegistry }
+
 // New returns a Controller that remembers no stream.
 func New(o Options) *Controller {
 	return &Controller{options: o, table: NewTable(), history: NewHistory(), counts: Counts{Found: map[Result]uint64{}}}
@@ -245,7 +254,13 @@
 	if c.ask(ctx, q, first, &s) || c.ask(ctx, q, others, &s) {
 		return s.finding
 	}
-	return s.conclude(q)
+	f := s.conclude(q)
+	if !f.Known() && c.options.Registry != nil && s.maxOneVersion() {
+		if v, ok := c.options.Registry.OnlyVersion(ctx, q.Pool); ok {
+			f.Result, f.Origin = FoundByRegistry, wasabiridge.StreamOrigin{Pool: q.Pool, Software: v}
+		}
+	}
+	return f
 }
 
 // active returns the other instances that callers are sent to.
@@ -286,6 +301,17 @@
 	return f
 }
 
+// maxOneVersion reports whether no two versions were seen.
+func (s *search) maxOneVersion() bool {
+	seen := map[wasabiridge.SoftwareVersion]bool{}
+	for _, h := range s.histories {
+		for _, v := range h.Versions {
+			seen[v] = true
+		}
+	}
+	return len(seen) <= 1
+}
+
 // ask asks a group of instances at the same time. It reports whether the search is over.
 func (c *Controller) ask(ctx context.Context, q wasabiridge.StreamQuery, group []wasabiridge.InstanceEntry, s *search) bool {
 	if len(group) == 0 {
--- /dev/null
+++ b/internal/wasabistream/registry.go
@@ -0,0 +1,230 @@
+package wasabistream
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// RegistryKey is the key of the row that holds the software versions of each pool at which
+// streams may have begun.
+const RegistryKey = "software"
+
+const (
+	// registerTimeout bounds the time by which the registration of a version delays the
+	// list, and readTimeout that of a read of the row.
+	registerTimeout = 250 * time.Millisecond
+	readTimeout     = 150 * time.Millisecond
+	// registerTries bounds the writes of one registration, which other instances may
+	// precede.
+	registerTries = 3
+)
+
+// versions are the registered software versions of each pool, sorted.
+type versions map[wasabiridge.PoolID][]wasabiridge.SoftwareVersion
+
+func (v versions) has(pool wasabiridge.PoolID, version wasabiridge.SoftwareVersion) bool {
+	return slices.Contains(v[pool], version)
+}
+
+// RegistryOptions configure a Registry. Source, Rows and Clock are required.
+type RegistryOptions struct {
+	Self   wasabiridge.InstanceID
+	Source wasabiridge.CatalogSource
+	Rows   wasabiridge.Table
+	Clock  wasabiridge.Clock
+	Log    zerolog.Logger
+}
+
+// Registry is a catalog source that registers the software versions of the backend servers
+// in a row of the platform's table before it returns a list that contains them. Streams
+// begin only at registered versions, so that the row proves at which versions they may have
+// begun, whichever instances have ended since. It is safe for concurrent use.
+type Registry struct {
+	RegistryOptions
+	mu sync.Mutex
+	// registered are the versions that the row is known to contain.
+	registered versions
+	history    *History
+	// next is the read of the row that has not started yet. Nil means that none is wanted.
+	next    *rowRead
+	reading bool
+}
+
+// rowRead is a read of the row for several callers. Its result may be used after done is
+// closed.
+type rowRead struct {
+	done chan struct{}
+	row  versions
+	err  error
+}
+
+var _ wasabiridge.CatalogSource = (*Registry)(nil)
+
+// NewRegistry returns a Registry that has not read the row.
+func NewRegistry(o RegistryOptions) *Registry {
+	return &Registry{RegistryOptions: o, registered: versions{}, history: NewHistory()}
+}
+
+// ReadConfig implements wasabiridge.CatalogSource.
+func (r *Registry) ReadConfig(ctx context.Context) (wasabiridge.ConfigSnapshot, error) {
+	return r.Source.ReadConfig(ctx)
+}
+
+// ReadBackends implements wasabiridge.CatalogSource. The servers whose version is registered
+// are marked.
+func (r *Registry) ReadBackends(ctx context.Context) (wasabiridge.BackendSnapshot, error) {
+	sent := r.Clock.Now()
+	s, err := r.Source.ReadBackends(ctx)
+	if err != nil {
+		return s, err
+	}
+	r.register(ctx, sent, s.Entries)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, e := range s.Entries {
+		s.Entries[i].Server.SoftwareRegistered = r.registered.has(e.Pool, e.Server.Software)
+	}
+	return s, nil
+}
+
+// register adds the versions of a list to the row, and removes those that were not listed
+// for longer than a stream lasts. It does nothing if the row is known to be right.
+func (r *Registry) register(ctx context.Context, sent wasabiridge.Millis, entries []wasabiridge.BackendEntry) {
+	r.mu.Lock()
+	r.history.Read(sent, entries)
+	wanted, changes := r.wanted(sent, r.registered)
+	r.mu.Unlock()
+	if !changes {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	for range registerTries {
+		row, err := r.Rows.Get(ctx, RegistryKey)
+		var stored versions
+		if err == nil {
+			stored, err = decodeVersions(row)
+		}
+		if err != nil {
+			r.Log.Info().Err(err).Msg("Software versions not registered: the row cannot be read.")
+			return
+		}
+		r.mu.Lock()
+		r.registered = stored
+		wanted, changes = r.wanted(sent, stored)
+		r.mu.Unlock()
+		if !changes {
+			return
+		}
+		if err = r.write(ctx, row.Revision, wanted); err == nil {
+			r.mu.Lock()
+			r.registered = wanted
+			r.mu.Unlock()
+			r.Log.Info().Interface("software", wanted).Msg("Software versions registered.")
+			return
+		}
+		if !errorx.IsOfType(err, wasabiridge.ErrConflict) {
+			r.Log.Info().Err(err).Msg("Software versions not registered: the row was not written.")
+			return
+		}
+	}
+}
+
+// wanted returns what the row should contain, given what it contains, and whether that is a
+// change. A pool that no server was listed in keeps its versions. The mutex must be held.
+func (r *Registry) wanted(now wasabiridge.Millis, stored versions) (versions, bool) {
+	out, changes := maps.Clone(stored), false
+	for pool := range r.history.listedAt {
+		seen := r.history.Of(now, pool, maxLife)
+		next := slices.Clone(seen.Versions)
+		if seen.Watched < maxLife {
+			// Versions that were not listed lately may have been listed before.
+			next = append(next, stored[pool]...)
+		}
+		slices.Sort(next)
+		if next = slices.Compact(next); !slices.Equal(next, stored[pool]) {
+			out[pool], changes = next, true
+		}
+	}
+	return out, changes
+}
+
+func (r *Registry) write(ctx context.Context, revision uint64, v versions) error {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return wasabiridge.ErrInvalid.Wrap(err, "stream: encode the software versions")
+	}
+	id := string(r.Self) + "/" + RegistryKey + "/" + strconv.FormatInt(int64(r.Clock.Now()), 36)
+	return r.Rows.Commit(ctx, wasabiridge.Transaction{
+		ID:      wasabiridge.WriteID(id),
+		Changes: []wasabiridge.RowChange{{Key: RegistryKey, IfRevision: revision, Value: value}},
+	})
+}
+
+func decodeVersions(row wasabiridge.Row) (versions, error) {
+	out := versions{}
+	if row.Revision == 0 {
+		return out, nil
+	}
+	if err := json.Unmarshal(row.Value, &out); err != nil {
+		return nil, wasabiridge.ErrInvalid.Wrap(err, "stream: row %q does not hold software versions", RegistryKey)
+	}
+	return out, nil
+}
+
+// OnlyVersion returns the version at which all streams of a pool began, if there was only
+// one. It reads the row after the call, once for all calls that wait at the time.
+func (r *Registry) OnlyVersion(ctx context.Context, pool wasabiridge.PoolID) (wasabiridge.SoftwareVersion, bool) {
+	r.mu.Lock()
+	if r.next == nil {
+		r.next = &rowRead{done: make(chan struct{})}
+	}
+	read := r.next
+	if !r.reading {
+		r.reading = true
+		go r.readRows()
+	}
+	r.mu.Unlock()
+	select {
+	case <-read.done:
+	case <-ctx.Done():
+		return "", false
+	}
+	if read.err != nil || len(read.row[pool]) != 1 {
+		return "", false
+	}
+	return read.row[pool][0], true
+}
+
+// readRows reads the row as long as reads are wanted.
+func (r *Registry) readRows() {
+	for {
+		r.mu.Lock()
+		read := r.next
+		r.next, r.reading = nil, read != nil
+		r.mu.Unlock()
+		if read == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		var row wasabiridge.Row
+		if row, read.err = r.Rows.Get(ctx, RegistryKey); read.err == nil {
+			read.row, read.err = decodeVersions(row)
+		}
+		cancel()
+		if read.err != nil {
+			r.Log.Debug().Err(read.err).Msg("Registered software versions not read.")
+		}
+		close(read.done)
+	}
+}
