--- a/internal/wasabistream/controller.go
+++ b/internal/wasabistream/controller.go
@@ -76,6 +76,8 @@
 	Finder wasabiridge.StreamFinder
 	Send   func(ctx context.Context, address string, update wasabiridge.StateUpdate) error
 	Log    zerolog.Logger
+	// Schedule calls a function after a delay. Nil means time.AfterFunc.
+	Schedule func(delay time.Duration, run func())
 }
 
 // Controller connects a Table and a History to the other instances. It is safe for
@@ -139,6 +141,9 @@
 
 // New returns a Controller that remembers no stream.
 func New(o Options) *Controller {
+	if o.Schedule == nil {
+		o.Schedule = func(delay time.Duration, run func()) { time.AfterFunc(delay, run) }
+	}
 	return &Controller{options: o, table: NewTable(), history: NewHistory(), counts: Counts{Found: map[Result]uint64{}}}
 }
 
@@ -178,7 +183,7 @@
 	first := c.table.Begin(c.options.Clock.Now(), wasabiridge.StreamUpdate{Key: Key(account, request), Origin: origin, Life: life}, peers)
 	c.mu.Unlock()
 	for _, address := range first {
-		time.AfterFunc(flushDelay, func() { c.flush(address) })
+		c.options.Schedule(flushDelay, func() { c.flush(address) })
 	}
 }
 
--- /dev/null
+++ b/internal/wasabistream/history_test.go
@@ -0,0 +1,600 @@
+package wasabistream_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
+	"github.com/wasabiridge/wasabiridge/internal/wasabistream"
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
+)
+
+// plantedBug is a fault that a history gives to its instances, to show that it is found.
+type plantedBug uint8
+
+const (
+	noPlantedBug plantedBug = iota
+	// recordedAtPlacement records where the first attempt is placed, not where the first
+	// event comes from.
+	recordedAtPlacement
+	// notTold tells other instances nothing.
+	notTold
+	// foundByLastAttempt looks up the last request of the caller, not the one that began.
+	foundByLastAttempt
+	// unknownContinues continues an unknown stream at any version.
+	unknownContinues
+	// versionByAddress takes the version that the address of the first server has now.
+	versionByAddress
+	// restartedKnows lets an instance that has restarted count as having followed the list.
+	restartedKnows
+	// unsettledBegins begins streams at a version as soon as it is listed.
+	unsettledBegins
+	// unregisteredBegins begins streams at versions that are not registered.
+	unregisteredBegins
+)
+
+const (
+	pool       = "p"
+	streamLife = 6 * wasabiridge.Second
+	window     = 8 * wasabiridge.Second
+	eventPause = 60 * wasabiridge.Millis(1)
+	// span is the time that a history lasts.
+	span = 20 * wasabiridge.Second
+)
+
+// server is a replica of a history.
+type server struct {
+	id       wasabiridge.BackendServerID
+	address  int
+	software wasabiridge.SoftwareVersion
+	alive    bool
+}
+
+// instance is a process of the router in a history.
+type instance struct {
+	id       wasabiridge.InstanceID
+	run      int
+	alive    bool
+	frozen   wasabiridge.Millis
+	streams  *wasabistream.Controller
+	registry *wasabistream.Registry
+	entries  []wasabiridge.BackendEntry
+	readAt   wasabiridge.Millis
+	since    map[wasabiridge.SoftwareVersion]wasabiridge.Millis
+}
+
+// takenStream is a stream of a caller, over all its requests.
+type takenStream struct {
+	began, last wasabiridge.RequestID
+	at          *instance
+	run         int
+	server      *server
+	versions    []wasabiridge.SoftwareVersion
+	events      int
+	// birth is when the stream began. told is set once other instances have received
+	// where.
+	birth wasabiridge.Millis
+}
+
+// streamHistory simulates instances before servers of several software versions, whose
+// callers take up the streams that they lose.
+type streamHistory struct {
+	// mu is held while events are played, and for reading by the calls between instances,
+	// which may end after the search that they belong to.
+	mu        sync.RWMutex
+	random    *rand.Rand
+	queue     wasabitest.EventQueue
+	clock     *wasabiclock.Virtual
+	now, end  wasabiridge.Millis
+	bug       plantedBug
+	instances []*instance
+	servers   []*server
+	newest    int
+	// storeAway is set while the store answers nobody. cut holds pairs of instances, and
+	// instances with the store, that do not reach each other.
+	storeAway bool
+	// writesFail is set while the store refuses all writes.
+	writesFail bool
+	cut        map[[2]wasabiridge.InstanceID]bool
+	row        wasabiridge.Row
+	requests   int
+	// begun, continued and refused count streams and requests that resumed one.
+	begun, continued, refused int
+	violations                []string
+}
+
+const store = wasabiridge.InstanceID("store")
+
+func newStreamHistory(seed uint64, bug plantedBug) *streamHistory {
+	h := &streamHistory{
+		random: rand.New(rand.NewPCG(seed, 5)), clock: wasabiclock.NewVirtual(1e6), now: 1e6, bug: bug, newest: 1,
+		cut: map[[2]wasabiridge.InstanceID]bool{},
+	}
+	for range 4 + h.random.IntN(4) {
+		h.add(1)
+	}
+	for i := range 2 + int(seed%8) {
+		h.instances = append(h.instances, &instance{id: wasabiridge.InstanceID(fmt.Sprint("i", i))})
+		h.start(h.instances[i])
+	}
+	h.queue.Schedule(h.now+500, h.arrive)
+	if seed%2 == 0 {
+		h.queue.Schedule(h.now+1000, h.disturb)
+		return h
+	}
+	for at := window + wasabiridge.Second; at < span; at += 2500 {
+		h.queue.Schedule(h.now+at, h.flash)
+	}
+	return h
+}
+
+func (h *streamHistory) add(version int) {
+	n := len(h.servers)
+	h.servers = append(h.servers, &server{
+		id: wasabiridge.BackendServerID(fmt.Sprint("e", n)), address: n % 6, software: wasabiridge.SoftwareVersion(fmt.Sprint("v", version)), alive: true,
+	})
+}
+
+// start starts a process of an instance, which knows nothing.
+func (h *streamHistory) start(a *instance) {
+	a.run++
+	run := a.run
+	a.alive, a.entries, a.readAt, a.since, a.frozen = true, nil, 0, nil, 0
+	a.registry = wasabistream.NewRegistry(wasabistream.RegistryOptions{Self: a.id, Source: source{h, a}, Rows: rows{h, a}, Clock: h.clock})
+	a.streams = wasabistream.New(wasabistream.Options{
+		Clock: h.clock, Registry: a.registry, Finder: finder{h, a},
+		Listed: func() ([]wasabiridge.BackendEntry, wasabiridge.Millis) { return a.entries, a.readAt },
+		Members: func() []wasabiridge.InstanceEntry {
+			var out []wasabiridge.InstanceEntry
+			for _, b := range h.instances {
+				if b != a {
+					out = append(out, wasabiridge.InstanceEntry{ID: b.id, PeerAddress: string(b.id)})
+				}
+			}
+			return out
+		},
+		Send: func(_ context.Context, address string, update wasabiridge.StateUpdate) error {
+			h.deliver(a, address, update)
+			return nil
+		},
+		Schedule: func(delay time.Duration, flush func()) {
+			h.after(wasabiridge.Millis(delay.Milliseconds()), func() {
+				if a.alive && a.run == run && h.bug != notTold {
+					flush()
+				}
+			})
+		},
+	})
+	if h.bug == restartedKnows {
+		h.readFor(a)
+		for at := h.now - window; at <= h.now; at += wasabiridge.Second {
+			a.readAt = at
+			a.streams.Watch()
+		}
+	}
+	h.after(wasabiridge.Millis(h.random.IntN(300)), func() { h.read(a, run) })
+}
+
+func (h *streamHistory) after(d wasabiridge.Millis, run func()) { h.queue.Schedule(h.now+d, run) }
+
+// deliver delivers an update late, twice or not at all.
+func (h *streamHistory) deliver(from *instance, address string, update wasabiridge.StateUpdate) {
+	update.Streams = slices.Clone(update.Streams)
+	for range []int{0, 1, 1, 1, 1, 1, 1, 1, 1, 2}[h.random.IntN(10)] {
+		h.after(wasabiridge.Millis(1+h.random.IntN(40)), func() {
+			for _, b := range h.instances {
+				if string(b.id) == address && h.reaches(from.id, b) {
+					b.streams.Receive(update)
+				}
+			}
+		})
+	}
+}
+
+// reaches reports whether a message arrives at an instance that answers.
+func (h *streamHistory) reaches(from wasabiridge.InstanceID, b *instance) bool {
+	return b.alive && h.now >= b.frozen && !h.cut[[2]wasabiridge.InstanceID{from, b.id}] && !h.cut[[2]wasabiridge.InstanceID{b.id, from}]
+}
+
+func (h *streamHistory) storeReached(a *instance) bool {
+	return !h.storeAway && !h.cut[[2]wasabiridge.InstanceID{a.id, store}]
+}
+
+// read has a process read the list periodically, from the store or from another instance.
+func (h *streamHistory) read(a *instance, run int) {
+	if !a.alive || a.run != run {
+		return
+	}
+	if h.now >= a.frozen {
+		h.readFor(a)
+		a.streams.Watch()
+	}
+	h.after(200+wasabiridge.Millis(h.random.IntN(200)), func() { h.read(a, run) })
+}
+
+func (h *streamHistory) readFor(a *instance) {
+	entries, readAt := a.entries, a.readAt
+	if s, err := a.registry.ReadBackends(context.Background()); err == nil {
+		entries, readAt = s.Entries, h.now
+	} else if b := h.instances[h.random.IntN(len(h.instances))]; h.reaches(a.id, b) && b.readAt > readAt {
+		entries, readAt = b.entries, b.readAt
+	}
+	since := map[wasabiridge.SoftwareVersion]wasabiridge.Millis{}
+	for _, e := range entries {
+		at, known := a.since[e.Server.Software]
+		if !known && a.since != nil {
+			at = h.now
+		}
+		since[e.Server.Software] = at
+	}
+	if len(entries) > 0 {
+		a.entries, a.readAt, a.since = entries, readAt, since
+	}
+}
+
+// candidates returns the servers that an instance may send a request to: those of one
+// version, or, if version is empty, those at which a stream may begin.
+func (h *streamHistory) candidates(a *instance, version wasabiridge.SoftwareVersion) []*server {
+	var all, allowed []*server
+	for _, e := range a.entries {
+		for _, s := range h.servers {
+			if s.id != e.Server.ID || !s.alive || version != "" && s.software != version {
+				continue
+			}
+			all = append(all, s)
+			settled := a.since[s.software] == 0 || h.now-a.since[s.software] >= wasabistream.SettleTime || h.bug == unsettledBegins
+			if settled && (e.Server.SoftwareRegistered || h.bug == unregisteredBegins) {
+				allowed = append(allowed, s)
+			}
+		}
+	}
+	if version == "" && len(allowed) > 0 {
+		return allowed
+	}
+	return all
+}
+
+func (h *streamHistory) pick(servers []*server) *server {
+	if len(servers) == 0 {
+		return nil
+	}
+	return servers[h.random.IntN(len(servers))]
+}
+
+func (h *streamHistory) anyAlive() *instance {
+	a := h.instances[h.random.IntN(len(h.instances))]
+	if !a.alive || h.now < a.frozen {
+		return nil
+	}
+	return a
+}
+
+// arrive begins a stream.
+func (h *streamHistory) arrive() {
+	h.after(wasabiridge.Millis(5+h.random.IntN(60)), h.arrive)
+	a := h.anyAlive()
+	if a == nil {
+		return
+	}
+	s := &takenStream{began: h.request(), at: a, run: a.run, server: h.pick(h.candidates(a, ""))}
+	if s.server == nil {
+		return
+	}
+	s.last = s.began
+	if h.bug == recordedAtPlacement {
+		h.begin(s)
+	}
+	run := a.run
+	h.after(wasabiridge.Millis(20+h.random.IntN(200)), func() {
+		if !a.alive || a.run != run {
+			return
+		}
+		if !s.server.alive || h.random.IntN(4) == 0 {
+			// The first attempt brought no event.
+			if s.server = h.pick(h.candidates(a, "")); s.server == nil {
+				return
+			}
+		}
+		s.birth = h.now
+		h.begun++
+		if h.bug != recordedAtPlacement {
+			h.begin(s)
+		}
+		h.event(s)
+	})
+}
+
+func (h *streamHistory) request() wasabiridge.RequestID {
+	h.requests++
+	return wasabiridge.RequestID(fmt.Sprint("r", h.requests))
+}
+
+func (h *streamHistory) begin(s *takenStream) {
+	s.at.streams.Begin("acc", s.began, wasabiridge.StreamOrigin{Pool: pool, Software: s.server.software}, streamLife)
+}
+
+// event has the server of a stream send an event, and the next ones follow.
+func (h *streamHistory) event(s *takenStream) {
+	s.versions = append(s.versions, s.server.software)
+	if s.versions[0] != s.server.software {
+		h.violations = append(h.violations, fmt.Sprintf("%d: stream %s of %s goes on at %s", h.now, s.began, s.versions[0], s.server.software))
+	}
+	if s.events++; s.events < 30 {
+		h.after(eventPause, func() { h.next(s) })
+	}
+}
+
+// next continues a stream where it is, within the answer, or at another instance.
+func (h *streamHistory) next(s *takenStream) {
+	carried := s.at.alive && s.at.run == s.run && h.now >= s.at.frozen && h.random.IntN(40) > 0
+	if carried && s.server.alive && h.random.IntN(60) > 0 {
+		h.event(s)
+		return
+	}
+	if carried {
+		if s.server = h.pick(h.candidates(s.at, s.versions[0])); s.server != nil {
+			h.event(s)
+			return
+		}
+	}
+	h.after(wasabiridge.Millis(5+h.random.IntN(150)), func() { h.takeUp(s) })
+}
+
+// takeUp has the caller of a stream resume it at any instance.
+func (h *streamHistory) takeUp(s *takenStream) {
+	a := h.anyAlive()
+	if h.now-s.birth > streamLife-2*wasabiridge.Second {
+		return
+	}
+	if a == nil {
+		h.after(wasabiridge.Millis(50+h.random.IntN(200)), func() { h.takeUp(s) })
+		return
+	}
+	key := s.began
+	if h.bug == foundByLastAttempt {
+		key = s.last
+	}
+	s.last = h.request()
+	h.mu.Unlock()
+	f := a.streams.Find(context.Background(), "acc", key, pool, window)
+	h.mu.Lock()
+	version := f.Origin.Software
+	switch {
+	case h.bug == versionByAddress && f.Known():
+		for _, other := range h.servers {
+			if other.alive && s.server != nil && other.address == s.server.address {
+				version = other.software
+			}
+		}
+	case h.bug == unknownContinues && !f.Known():
+		version = ""
+	case !f.Known():
+		h.refused++
+		if knows := h.holder(a, s.began); knows != "" {
+			h.violations = append(h.violations, fmt.Sprintf("%d: stream %s is %s at %s, although %s knows it", h.now, s.began, f.Result, a.id, knows))
+		}
+		return
+	}
+	to := h.pick(h.candidates(a, version))
+	if to == nil {
+		return
+	}
+	h.continued++
+	s.at, s.run, s.server = a, a.run, to
+	h.begin(s)
+	h.event(s)
+}
+
+// holder returns an instance that remembers a stream and that a can ask.
+func (h *streamHistory) holder(a *instance, began wasabiridge.RequestID) wasabiridge.InstanceID {
+	for _, b := range h.instances {
+		q := wasabiridge.StreamQuery{Key: wasabistream.Key("acc", began), Pool: pool}
+		if (a == b || h.reaches(a.id, b)) && b.streams.Answer(q).Known {
+			return b.id
+		}
+	}
+	return ""
+}
+
+// disturb starts a fault, or a change of the servers.
+func (h *streamHistory) disturb() {
+	h.after(wasabiridge.Millis(50+h.random.IntN(900)), h.disturb)
+	a := h.instances[h.random.IntN(len(h.instances))]
+	switch h.random.IntN(12) {
+	case 0, 1:
+		h.kill(a)
+	case 2:
+		for _, b := range h.instances {
+			if h.random.IntN(10) < 6 {
+				h.kill(b)
+			}
+		}
+	case 3:
+		a.frozen = h.now + wasabiridge.Millis(h.random.IntN(4000))
+	case 4:
+		h.storeAway = true
+		h.after(wasabiridge.Millis(h.random.IntN(4000)), func() { h.storeAway = false })
+	case 5, 6:
+		to := store
+		if h.random.IntN(2) == 0 {
+			to = h.instances[h.random.IntN(len(h.instances))].id
+		}
+		pair := [2]wasabiridge.InstanceID{a.id, to}
+		h.cut[pair] = true
+		h.after(wasabiridge.Millis(h.random.IntN(5000)), func() { delete(h.cut, pair) })
+	case 7:
+		h.newest++
+		h.replace(h.newest)
+	case 8:
+		h.replace(1 + h.random.IntN(h.newest))
+	case 9:
+		for _, s := range h.servers {
+			s.alive = s.alive && h.random.IntN(3) > 0
+		}
+		h.after(200, func() { h.add(h.newest) })
+	default:
+		h.servers[h.random.IntN(len(h.servers))].alive = false
+		h.add(1 + h.random.IntN(h.newest))
+	}
+}
+
+// flash has a new version serve for a short time before one that has served alone. Then its
+// servers, or all others, end, and most instances are killed.
+func (h *streamHistory) flash() {
+	h.newest++
+	version := wasabiridge.SoftwareVersion(fmt.Sprint("v", h.newest))
+	h.add(h.newest)
+	h.add(h.newest)
+	delay := wasabiridge.Millis(100 + h.random.IntN(700))
+	var spared *instance
+	switch h.random.IntN(4) {
+	case 0:
+		delay += wasabistream.SettleTime
+	case 1:
+		// Nobody can register the version.
+		h.writesFail = true
+		delay += wasabistream.SettleTime + 300
+	default:
+		// One instance does not see the version, and is told nothing.
+		spared = h.instances[h.random.IntN(len(h.instances))]
+		h.isolate(spared, delay)
+	}
+	newEnds := h.random.IntN(3) > 0
+	h.after(delay, func() {
+		for _, s := range h.servers {
+			s.alive = s.alive && (s.software == version) != newEnds
+		}
+		for _, a := range h.instances {
+			if a != spared {
+				h.kill(a)
+			}
+		}
+		h.writesFail = false
+	})
+}
+
+// isolate cuts an instance off from the store and all others for a time.
+func (h *streamHistory) isolate(a *instance, span wasabiridge.Millis) {
+	pairs := [][2]wasabiridge.InstanceID{{a.id, store}}
+	for _, b := range h.instances {
+		pairs = append(pairs, [2]wasabiridge.InstanceID{a.id, b.id})
+	}
+	for _, p := range pairs {
+		h.cut[p] = true
+	}
+	h.after(span, func() {
+		for _, p := range pairs {
+			delete(h.cut, p)
+		}
+	})
+}
+
+// replace starts servers of a version and ends others, one after the other.
+func (h *streamHistory) replace(version int) {
+	for i := range 3 {
+		h.after(wasabiridge.Millis(400*i), func() {
+			h.add(version)
+			h.servers[h.random.IntN(len(h.servers))].alive = false
+		})
+	}
+}
+
+func (h *streamHistory) kill(a *instance) {
+	if !a.alive {
+		return
+	}
+	a.alive = false
+	h.after(wasabiridge.Millis(300+h.random.IntN(900)), func() { h.start(a) })
+}
+
+// source is the platform as one instance reads it.
+type source struct {
+	h *streamHistory
+	a *instance
+}
+
+func (s source) ReadConfig(context.Context) (wasabiridge.ConfigSnapshot, error) {
+	return wasabiridge.ConfigSnapshot{}, nil
+}
+
+func (s source) ReadBackends(context.Context) (wasabiridge.BackendSnapshot, error) {
+	if !s.h.storeReached(s.a) {
+		return wasabiridge.BackendSnapshot{}, wasabiridge.ErrUnavailable.New("away")
+	}
+	var out wasabiridge.BackendSnapshot
+	for _, b := range s.h.servers {
+		if b.alive {
+			out.Entries = append(out.Entries, wasabiridge.BackendEntry{Pool: pool, Server: wasabiridge.BackendServer{ID: b.id, Software: b.software}})
+		}
+	}
+	return out, nil
+}
+
+// rows is the platform's table as one instance reaches it. The outcome of some writes is
+// not known.
+type rows struct {
+	h *streamHistory
+	a *instance
+}
+
+func (r rows) Get(context.Context, string) (wasabiridge.Row, error) {
+	if !r.h.storeReached(r.a) {
+		return wasabiridge.Row{}, wasabiridge.ErrUnavailable.New("away")
+	}
+	return r.h.row, nil
+}
+
+func (r rows) List(context.Context, string, string, int) ([]wasabiridge.Row, error) { return nil, nil }
+
+func (r rows) Commit(_ context.Context, tx wasabiridge.Transaction) error {
+	change := tx.Changes[0]
+	switch {
+	case !r.h.storeReached(r.a) || r.h.writesFail || r.h.random.IntN(5) == 0:
+		return wasabiridge.ErrUnavailable.New("away")
+	case change.IfRevision != r.h.row.Revision:
+		return wasabiridge.ErrConflict.New("row changed")
+	}
+	r.h.row = wasabiridge.Row{Key: change.Key, Revision: r.h.row.Revision + 1, Value: change.Value}
+	if !json.Valid(change.Value) {
+		r.h.violations = append(r.h.violations, "the row is not JSON")
+	}
+	if r.h.random.IntN(5) == 0 {
+		return wasabiridge.ErrUnavailable.New("the answer is lost")
+	}
+	return nil
+}
+
+// finder asks other instances.
+type finder struct {
+	h *streamHistory
+	a *instance
+}
+
+func (f finder) FindStream(_ context.Context, address string, q wasabiridge.StreamQuery) (wasabiridge.StreamAnswer, error) {
+	f.h.mu.RLock()
+	defer f.h.mu.RUnlock()
+	for _, b := range f.h.instances {
+		if string(b.id) == address && f.h.reaches(f.a.id, b) {
+			return b.streams.Answer(q), nil
+		}
+	}
+	return wasabiridge.StreamAnswer{}, wasabiridge.ErrUnavailable.New("no answer")
+}
+
+// playStreams plays the history that follows from a seed.
+func playStreams(seed uint64, bug plantedBug) *streamHistory {
+	h := newStreamHistory(seed, bug)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.queue.Run(h.now+span, func(now wasabiridge.Millis) {
+		h.clock.Advance(now - h.now)
+		h.now = now
+	})
+	return h
+}
