wasabistream: tell where a stream begins when its request is sent

Callers whose router was killed within moments of the first event of their stream were refused at every other router: the record was sent with the first event, and waited 10 ms for other messages.

Now the record is sent when the request goes to a server, so that it arrives while the prompt is read. If that attempt brings no event and the next one goes to another version, that one is not sent before every instance that was told has acknowledged the change or has ended; else the attempt is refused as not sent. So an instance that missed the change cannot report the first version. Requests that are passed on to another instance withdraw what was told in the same way.

--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -36,6 +36,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicore"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiending"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
@@ -289,7 +290,7 @@
 	}
 	n.streams = wasabistream.New(wasabistream.Options{
 		Clock: n.options.Clock, Active: n.otherActive, Members: n.others, Listed: n.listed, Registry: n.registry, Finder: n.client, Send: n.sendUpdate,
-		Log: wasabilog.Part(n.log, "stream"),
+		Ended: new(wasabiending.Checker).HasEnded, Log: wasabilog.Part(n.log, "stream"),
 	})
 	if n.server, err = wasabipeer.Listen(s.Listen, peerHandler{node: n}, o); err != nil {
 		return err
--- a/internal/wasabipeer/stream.go
+++ b/internal/wasabipeer/stream.go
@@ -47,7 +47,7 @@
 		out.Software = append(out.Software, string(v))
 	}
 	if a.Known {
-		out.Stream = &pb.StreamNews{Pool: string(a.Origin.Pool), Software: string(a.Origin.Software), Keys: []uint64{in.GetKey()}}
+		out.Stream = &pb.StreamNews{Pool: string(a.Origin.Pool), Software: string(a.Origin.Software), Keys: []uint64{in.GetKey()}, Sequence: uint32(max(a.Sequence, 0))}
 	}
 	return out, nil
 }
@@ -68,20 +68,27 @@
 	if s.GetPool() == "" || len(s.GetKeys()) != 1 || s.GetKeys()[0] != uint64(key) {
 		return out, wasabiridge.ErrInvalid.New("peer: answer about another stream, or without a pool")
 	}
-	out.Known = true
+	out.Known, out.Sequence = true, int(s.GetSequence())
 	out.Origin = wasabiridge.StreamOrigin{Pool: wasabiridge.PoolID(s.GetPool()), Software: wasabiridge.SoftwareVersion(s.GetSoftware())}
 	return out, nil
 }
 
-// encodeStreams groups the updates by origin. The life of a group is the longest of it.
+// streamGroup are streams with the same origin and sequence.
+type streamGroup struct {
+	origin   wasabiridge.StreamOrigin
+	sequence int
+}
+
+// encodeStreams groups the updates. The life of a group is the longest of it.
 func encodeStreams(updates []wasabiridge.StreamUpdate) []*pb.StreamNews {
 	var out []*pb.StreamNews
-	groups := map[wasabiridge.StreamOrigin]*pb.StreamNews{}
+	groups := map[streamGroup]*pb.StreamNews{}
 	for _, u := range updates {
-		g := groups[u.Origin]
+		in := streamGroup{origin: u.Origin, sequence: u.Sequence}
+		g := groups[in]
 		if g == nil {
-			g = &pb.StreamNews{Pool: string(u.Origin.Pool), Software: string(u.Origin.Software)}
-			groups[u.Origin] = g
+			g = &pb.StreamNews{Pool: string(u.Origin.Pool), Software: string(u.Origin.Software), Sequence: uint32(max(u.Sequence, 0))}
+			groups[in] = g
 			out = append(out, g)
 		}
 		g.Keys = append(g.Keys, uint64(u.Key))
@@ -93,13 +100,13 @@
 func decodeStreams(in []*pb.StreamNews) ([]wasabiridge.StreamUpdate, error) {
 	var out []wasabiridge.StreamUpdate
 	for _, g := range in {
-		if g.GetPool() == "" || len(g.GetKeys()) > maxUpdateEntries {
-			return nil, wasabiridge.ErrInvalid.New("peer: streams without a pool, or %d in one group, at most %d are allowed", len(g.GetKeys()), maxUpdateEntries)
+		if len(g.GetKeys()) > maxUpdateEntries {
+			return nil, wasabiridge.ErrInvalid.New("peer: group of %d streams, at most %d are allowed", len(g.GetKeys()), maxUpdateEntries)
 		}
 		origin := wasabiridge.StreamOrigin{Pool: wasabiridge.PoolID(g.GetPool()), Software: wasabiridge.SoftwareVersion(g.GetSoftware())}
 		life := wasabiridge.Millis(min(g.GetLeftMs(), uint32(maxStreamLife)))
 		for _, key := range g.GetKeys() {
-			out = append(out, wasabiridge.StreamUpdate{Key: wasabiridge.StreamKey(key), Origin: origin, Life: life})
+			out = append(out, wasabiridge.StreamUpdate{Key: wasabiridge.StreamKey(key), Origin: origin, Sequence: int(g.GetSequence()), Life: life})
 		}
 	}
 	return out, nil
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -47,6 +47,8 @@
 	lastEvent string
 	// software is that of the server which sent the last of these events.
 	software wasabiridge.SoftwareVersion
+	// begun is what other instances were told of where the stream begins.
+	begun    begun
 	backend  wasabiridge.BackendServerID
 	attempts int
 	// possibleRuns counts the attempts after which the request may have run.
@@ -172,7 +174,7 @@
 	}
 	before, started := x.disposition, x.relay.options.Clock.Now()
 	end := wasabiridge.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Backend: d.Backend.ID, Result: wasabiridge.AttemptNotRun}
-	if !x.request.Action.NonIdempotent || before == wasabiridge.NotRun {
+	if (!x.request.Action.NonIdempotent || before == wasabiridge.NotRun) && x.announceOrigin(d) {
 		end = x.relay.options.Runner.Run(ctx, x.attempt(d), s)
 	}
 	end.Unsent = !s.sent
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -39,7 +39,7 @@
 // to no further one, so that a request reaches no more servers than its rule allows.
 func (x *exchange) forward() bool {
 	d := x.relay.options.Detour
-	if d == nil || x.received != nil || x.headSent {
+	if d == nil || x.received != nil || x.headSent || len(d.Instances(x.request.Action.Pool)) == 0 || !x.withdrawOrigin() {
 		return false
 	}
 	left := 0
--- a/internal/wasabirelay/origin.go
+++ b/internal/wasabirelay/origin.go
@@ -52,7 +52,7 @@
 		refusal.Reason = causeStreamPool
 	default:
 		refusal = nil
-		x.request = x.request.WithOrigin(f.Origin)
+		x.request, x.begun.sequence = x.request.WithOrigin(f.Origin), f.Sequence
 	}
 	x.logOrigin(f, refusal == nil)
 	return refusal
@@ -72,22 +72,76 @@
 	return slices.Compact(pools)
 }
 
-// rememberOrigin records where the stream of the request begins, before the first event is
-// sent to the caller. If the caller resumes a stream, that one is remembered for longer.
-func (x *exchange) rememberOrigin(d wasabiridge.Dispatch) {
-	streams := x.relay.options.Streams
-	if streams == nil || !x.request.Action.Resume {
-		return
+// begun is what other instances were told of where the stream of a request begins.
+type begun struct {
+	announced bool
+	origin    wasabiridge.StreamOrigin
+	sequence int
+	told     []string
+}
+
+// forwardedSequence is added to the sequences of a request that another instance passed on,
+// so that they are higher than those of the other one.
+const forwardedSequence = 1000
+
+// announceOrigin tells other instances where the stream of the request begins, before an
+// attempt is sent. It reports false if the attempt must not be sent, because another instance
+// could report the origin of an earlier attempt.
+func (x *exchange) announceOrigin(d wasabiridge.Dispatch) bool {
+	if x.relay.options.Streams == nil || !x.request.Action.Resume || x.events > 0 {
+		return true
 	}
-	began := x.request.ID
-	if x.parsed.LastEvent != "" {
-		began = x.parsed.Resumes
+	origin := wasabiridge.StreamOrigin{Pool: d.Pool, Software: d.Backend.Software}
+	u := wasabiridge.StreamUpdate{
+		Key: wasabistream.Key(x.account.ID, x.request.ID), Origin: origin, Sequence: 1,
+		Life: x.arrived + x.parsed.Timeout - x.relay.options.Clock.Now() + originMargin,
+	}
+	if x.received != nil {
+		u.Sequence += forwardedSequence
+	}
+	if x.request.Origin != nil {
+		// The stream has begun, and is only remembered for longer.
+		if x.parsed.Resumes == "" || x.begun.announced {
+			return true
+		}
+		u.Key, u.Sequence = wasabistream.Key(x.account.ID, x.parsed.Resumes), x.begun.sequence
+	}
+	switch {
+	case !x.begun.announced:
+		x.begun = begun{announced: true, origin: origin, sequence: u.Sequence, told: x.relay.options.Streams.Begin(u)}
+		return true
+	case x.begun.origin == origin:
+		return true
 	}
-	if began == "" {
-		return
+	return x.replaceOrigin(u)
+}
+
+// withdrawOrigin tells the instances that were told where the stream begins that it is not
+// known, because another instance will serve the request. It reports false if one of them
+// may not have received that.
+func (x *exchange) withdrawOrigin() bool {
+	if !x.begun.announced || x.request.Origin != nil {
+		return true
+	}
+	return x.replaceOrigin(wasabiridge.StreamUpdate{Key: wasabistream.Key(x.account.ID, x.request.ID), Life: x.parsed.Timeout + originMargin})
+}
+
+func (x *exchange) replaceOrigin(u wasabiridge.StreamUpdate) bool {
+	u.Sequence = x.begun.sequence + 1
+	ok := x.relay.options.Streams.Replace(x.ctx, u, x.begun.told)
+	x.relay.options.Log.Info().
+		Str(wasabilog.RequestField, string(x.request.ID)).
+		Str("software_before", string(x.begun.origin.Software)).
+		Str("software", string(u.Origin.Software)).
+		Int("told", len(x.begun.told)).
+		Bool("acknowledged", ok).
+		Msg("Origin of a stream replaced.")
+	x.begun.origin, x.begun.sequence = u.Origin, u.Sequence
+	if !ok {
+		// The next attempt has to be acknowledged again, also at the same version.
+		x.begun.origin = wasabiridge.StreamOrigin{}
 	}
-	life := x.arrived + x.parsed.Timeout - x.relay.options.Clock.Now() + originMargin
-	streams.Begin(x.account.ID, began, wasabiridge.StreamOrigin{Pool: d.Pool, Software: d.Backend.Software}, life)
+	return ok
 }
 
 func (x *exchange) logOrigin(f wasabistream.Finding, resumed bool) {
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -76,9 +76,6 @@
 		}
 		x.relay.options.Loop.Post(wasabiridge.AttemptFirstToken{Request: s.dispatch.Request, Attempt: s.dispatch.Attempt})
 	}
-	if s.stream && events > 0 && x.events == 0 {
-		x.rememberOrigin(s.dispatch)
-	}
 	if err := x.deliver(s.stream, data); err != nil {
 		return err
 	}
--- a/internal/wasabistream/controller.go
+++ b/internal/wasabistream/controller.go
@@ -5,13 +5,16 @@
 //
 // What two versions of a backend server's software write does not fit together, so a stream
 // continues only where it began. The caller names the request that began the stream; only
-// the instance that served it knows the version. When the first event of a stream is sent to
-// the caller, its instance sends the origin to three others, chosen by rendezvous hashing of
-// the stream. An instance at which a stream is resumed looks it up in its own table, then
-// asks the instances with the highest ranks, and then the others.
+// the instance that served it knows the version. When it sends a request that begins a
+// stream to a server, it notifies three others, chosen by rendezvous hashing of the stream,
+// so that they know before the first event comes. An instance at which a stream is resumed
+// looks it up in its own table, then asks the instances with the highest ranks, and then the
+// others.
 //
-// A stream begins once, so the records of it are equal and may arrive late, twice or never:
-// a missing record makes a stream unresumable, and none makes it continue elsewhere.
+// An attempt without any event may be followed by one at another version. That one is not
+// sent before all instances that were notified of the first have acknowledged the second, or
+// have ended. So a record may arrive late, twice or never: a missing one makes a stream
+// unresumable, and none makes it continue elsewhere.
 //
 // # Unknown streams
 //
@@ -26,7 +29,7 @@
 // # Usage
 //
 //	streams := wasabistream.New(wasabistream.Options{Clock: clock, Active: active, Finder: client, Send: send})
-//	streams.Begin(account, request, origin, life)
+//	streams.Begin(wasabiridge.StreamUpdate{Key: wasabistream.Key(account, request), Origin: origin, Sequence: 1, Life: life})
 //	finding := streams.Find(ctx, account, resumes, pool, window)
 package wasabistream
 
@@ -75,7 +78,10 @@
 	// Active or Members.
 	Finder wasabiridge.StreamFinder
 	Send   func(ctx context.Context, address string, update wasabiridge.StateUpdate) error
-	Log    zerolog.Logger
+	// Ended reports whether no process listens at an address any more. Nil means that it is
+	// not known.
+	Ended func(ctx context.Context, address string) bool
+	Log   zerolog.Logger
 	// Schedule calls a function after a delay. Nil means time.AfterFunc.
 	Schedule func(delay time.Duration, run func())
 }
@@ -124,8 +130,10 @@
 // Finding is the result of a search.
 type Finding struct {
 	Result Result
-	// Origin is where the stream began, if Known.
-	Origin wasabiridge.StreamOrigin
+	// Origin is where the stream began, if Known, and Sequence that of the update which said
+	// so.
+	Origin   wasabiridge.StreamOrigin
+	Sequence int
 	// From is the instance that knew it. Asked and Answered are the numbers of instances.
 	From            wasabiridge.InstanceID
 	Asked, Answered int
@@ -172,19 +180,45 @@
 	c.history.Read(readAt, entries)
 }
 
-// Begin records that the first event of a stream is being sent to its caller, who may resume
-// it within life. It does not block.
-func (c *Controller) Begin(account wasabiridge.ClientAccountID, request wasabiridge.RequestID, origin wasabiridge.StreamOrigin, life wasabiridge.Millis) {
+// Begin records that a request is sent to a server at which a stream may begin, and notifies
+// other instances. The caller may resume the stream within the life of the update. Begin does
+// not block. It returns the addresses of the instances that it notifies.
+func (c *Controller) Begin(u wasabiridge.StreamUpdate) []string {
 	peers := c.active()
 	if len(peers) < homes {
 		peers = append(peers, c.members(peers)...)
 	}
 	c.mu.Lock()
-	first := c.table.Begin(c.options.Clock.Now(), wasabiridge.StreamUpdate{Key: Key(account, request), Origin: origin, Life: life}, peers)
+	told, idle := c.table.Begin(c.options.Clock.Now(), u, peers)
 	c.mu.Unlock()
-	for _, address := range first {
+	for _, address := range idle {
 		c.options.Schedule(flushDelay, func() { c.flush(address) })
 	}
+	return told
+}
+
+// Replace replaces what instances were told by Begin, by an update with a higher sequence.
+// It reports false if one of them may not have received it, so that it could still report
+// what it was told first.
+func (c *Controller) Replace(ctx context.Context, u wasabiridge.StreamUpdate, told []string) bool {
+	c.mu.Lock()
+	c.table.Withdraw(u.Key, told)
+	c.table.Receive(c.options.Clock.Now(), u)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	acknowledged := make(chan bool, len(told))
+	for _, address := range told {
+		go func() {
+			err := c.options.Send(ctx, address, wasabiridge.StateUpdate{Streams: []wasabiridge.StreamUpdate{u}})
+			acknowledged <- err == nil || c.options.Ended != nil && c.options.Ended(ctx, address)
+		}()
+	}
+	all := true
+	for range told {
+		all = <-acknowledged && all
+	}
+	return all
 }
 
 // Add adds the streams that wait to be sent to an instance to an update for it.
@@ -247,7 +281,7 @@
 	own := c.Answer(q)
 	switch {
 	case own.Known:
-		return Finding{Result: FoundHere, Origin: own.Origin}
+		return Finding{Result: FoundHere, Origin: own.Origin, Sequence: own.Sequence}
 	case own.Conflicting:
 		return Finding{Result: Conflicting}
 	}
@@ -354,7 +388,7 @@
 			s.finding.Result, s.finding.From = Conflicting, r.from
 			return true
 		case r.answer.Known:
-			s.finding.Result, s.finding.Origin, s.finding.From = FoundElsewhere, r.answer.Origin, r.from
+			s.finding.Result, s.finding.Origin, s.finding.Sequence, s.finding.From = FoundElsewhere, r.answer.Origin, r.answer.Sequence, r.from
 			return true
 		}
 	}
--- a/internal/wasabistream/table.go
+++ b/internal/wasabistream/table.go
@@ -55,9 +55,10 @@
 
 // record is what is known of a stream.
 type record struct {
-	origin *wasabiridge.StreamOrigin
-	// conflicting is set when different origins were received. A caller has used one
-	// identifier for several streams, so that the origin is not known.
+	origin   *wasabiridge.StreamOrigin
+	sequence int
+	// conflicting is set when different origins were received with one sequence. A caller
+	// has used one identifier for several streams, so that the origin is not known.
 	conflicting bool
 	expires     wasabiridge.Millis
 }
@@ -82,34 +83,27 @@
 	}
 }
 
-// Begin records that a stream has begun at this instance, and queues it for the instances of
-// peers that are to remember it. It returns the addresses for which the first stream was
-// queued.
-//
-// It must be called when the first event is sent to the caller, not before: an attempt that
-// brings no event is followed by another one, perhaps at another version, and an instance
-// that did not receive that would report the wrong one.
-func (t *Table) Begin(now wasabiridge.Millis, u wasabiridge.StreamUpdate, peers []wasabiridge.InstanceEntry) []string {
-	u.Life = min(max(u.Life, 0), maxLife)
+// Begin records that a request which begins a stream is sent to a server, and queues that for
+// the instances of peers that are to remember it. It returns their addresses, and those for
+// which nothing else was queued.
+func (t *Table) Begin(now wasabiridge.Millis, u wasabiridge.StreamUpdate, peers []wasabiridge.InstanceEntry) (told, idle []string) {
 	t.Receive(now, u)
-	var first []string
-	told := 0
 	for _, e := range Rank(u.Key, peers) {
-		if told == homes {
+		if len(told) == homes {
 			break
 		}
-		told++
+		told = append(told, e.PeerAddress)
 		waiting := t.pending[e.PeerAddress]
 		if len(waiting) >= maxPending {
 			t.dropped++
 			continue
 		}
 		if len(waiting) == 0 {
-			first = append(first, e.PeerAddress)
+			idle = append(idle, e.PeerAddress)
 		}
 		t.pending[e.PeerAddress] = append(waiting, u)
 	}
-	return first
+	return told, idle
 }
 
 // Take removes and returns the streams that wait to be sent to an instance.
@@ -119,7 +113,17 @@
 	return out
 }
 
-// Receive records where a stream began. A record that is repeated is kept for longer.
+// Withdraw removes a stream from what waits to be sent.
+func (t *Table) Withdraw(key wasabiridge.StreamKey, addresses []string) {
+	for _, address := range addresses {
+		t.pending[address] = slices.DeleteFunc(t.pending[address], func(u wasabiridge.StreamUpdate) bool { return u.Key == key })
+		if len(t.pending[address]) == 0 {
+			delete(t.pending, address)
+		}
+	}
+}
+
+// Receive records where a stream begins. A record that is repeated is kept for longer.
 func (t *Table) Receive(now wasabiridge.Millis, u wasabiridge.StreamUpdate) {
 	t.sweep(now)
 	r, known := t.records[u.Key]
@@ -128,10 +132,14 @@
 		t.dropped++
 		return
 	}
-	if !known {
-		r = record{origin: t.intern(u.Origin)}
+	switch {
+	case !known:
+		r = record{origin: t.intern(u.Origin), sequence: u.Sequence}
+	case u.Sequence > r.sequence:
+		r.origin, r.sequence, r.conflicting = t.intern(u.Origin), u.Sequence, false
+	case u.Sequence == r.sequence:
+		r.conflicting = r.conflicting || *r.origin != u.Origin
 	}
-	r.conflicting = r.conflicting || *r.origin != u.Origin
 	r.expires = max(r.expires, now+min(max(u.Life, 0), maxLife))
 	t.records[u.Key] = r
 }
@@ -147,12 +155,12 @@
 func (t *Table) Find(now wasabiridge.Millis, key wasabiridge.StreamKey) wasabiridge.StreamAnswer {
 	r, ok := t.records[key]
 	switch {
-	case !ok || now >= r.expires:
+	case !ok || now >= r.expires || r.origin.Pool == "":
 		return wasabiridge.StreamAnswer{}
 	case r.conflicting:
 		return wasabiridge.StreamAnswer{Conflicting: true}
 	}
-	return wasabiridge.StreamAnswer{Known: true, Origin: *r.origin}
+	return wasabiridge.StreamAnswer{Known: true, Origin: *r.origin, Sequence: r.sequence}
 }
 
 // sweep removes expired records, and origins that no record has.
--- a/stream.go
+++ b/stream.go
@@ -17,11 +17,14 @@
 // StreamKey identifies a stream of a client account by the caller's request that began it.
 type StreamKey uint64
 
-// StreamUpdate notifies another instance where a stream began. A stream begins once, so all
-// updates about it are equal.
+// StreamUpdate notifies another instance where a stream begins.
 type StreamUpdate struct {
-	Key    StreamKey
+	Key StreamKey
+	// Origin is where the stream begins. An empty pool means that it is not known.
 	Origin StreamOrigin
+	// Sequence increases when the request is sent to a server with another origin before the
+	// first event. The update with the highest one counts.
+	Sequence int
 	// Life is how long the caller may still resume the stream.
 	Life Millis
 }
@@ -41,7 +44,9 @@
 	// received different origins for it.
 	Known, Conflicting bool
 	Origin             StreamOrigin
-	History            SoftwareHistory
+	// Sequence is that of the update that said so.
+	Sequence int
+	History  SoftwareHistory
 }
 
 // SoftwareHistory holds the software versions that an instance has seen in a pool.
