wasabistream, wasabinode: choose the instances to tell in one pass; metrics

The list of instances that callers are sent to is computed at most every 100 ms for it.

Metrics: streams that are remembered, resumed ones by how they were found, and the servers of each pool by software version.

--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -55,6 +55,7 @@
 	lines = append(lines, n.reach.lines(now)...)
 	lines = append(lines, n.quarantineLines()...)
 	lines = append(lines, n.quotaLines()...)
+	lines = append(lines, n.streamLines()...)
 	slices.Sort(lines)
 	for _, l := range lines {
 		_, _ = io.WriteString(w, l)
--- a/internal/wasabinode/stream.go
+++ b/internal/wasabinode/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -44,6 +45,26 @@
 	return v.Backends.Entries, v.BackendsConfirmedAt
 }
 
+// streamLines returns metrics lines: the streams that this instance remembers, those that
+// callers resumed by how they were found, and the servers of each pool by software version.
+func (n *Node) streamLines() []string {
+	counts := n.streams.Counts()
+	lines := []string{line("streams_remembered", int64(counts.Remembered)), line("streams_not_remembered_total", int64(counts.Dropped))}
+	for result, count := range counts.Found {
+		lines = append(lines, line("streams_resumed_total{found=\""+string(result)+"\"}", int64(count)))
+	}
+	for _, pool := range n.activeConfig.Load().config.Pools {
+		servers := map[wasabiridge.SoftwareVersion]int{}
+		for _, b := range pool.Backends {
+			servers[b.Software]++
+		}
+		for software, count := range servers {
+			lines = append(lines, line(fmt.Sprintf("servers{pool=%q,software=%q}", pool.ID, software), int64(count)))
+		}
+	}
+	return lines
+}
+
 // HandleFindStream implements wasabiridge.StreamHandler.
 func (h peerHandler) HandleFindStream(_ context.Context, q wasabiridge.StreamQuery) (wasabiridge.StreamAnswer, error) {
 	if h.node.streams == nil {
--- a/internal/wasabirelay/origin.go
+++ b/internal/wasabirelay/origin.go
@@ -76,8 +76,8 @@
 type begun struct {
 	announced bool
 	origin    wasabiridge.StreamOrigin
-	sequence int
-	told     []string
+	sequence  int
+	told      []string
 }
 
 // forwardedSequence is added to the sequences of a request that another instance passed on,
--- a/internal/wasabistream/controller.go
+++ b/internal/wasabistream/controller.go
@@ -56,6 +56,8 @@
 	askTimeout = 150 * time.Millisecond
 	// startTime is how long after its start an instance may not know any other one.
 	startTime = 2 * wasabiridge.Second
+	// peersLife is how long the instances that may be told of streams are not computed anew.
+	peersLife = 100 * wasabiridge.Millis(1)
 	// watchInterval is how often the age of the list is noted.
 	watchInterval = 200 * time.Millisecond
 )
@@ -95,6 +97,9 @@
 	table   *Table
 	history *History
 	counts  Counts
+	// peers is the last result of homesAt, computed at peersAt.
+	peers   []wasabiridge.InstanceEntry
+	peersAt wasabiridge.Millis
 }
 
 // Counts holds counters since the start.
@@ -184,12 +189,10 @@
 // other instances. The caller may resume the stream within the life of the update. Begin does
 // not block. It returns the addresses of the instances that it notifies.
 func (c *Controller) Begin(u wasabiridge.StreamUpdate) []string {
-	peers := c.active()
-	if len(peers) < homes {
-		peers = append(peers, c.members(peers)...)
-	}
+	now := c.options.Clock.Now()
+	peers := c.homesAt(now)
 	c.mu.Lock()
-	told, idle := c.table.Begin(c.options.Clock.Now(), u, peers)
+	told, idle := c.table.Begin(now, u, peers)
 	c.mu.Unlock()
 	for _, address := range idle {
 		c.options.Schedule(flushDelay, func() { c.flush(address) })
@@ -197,6 +200,25 @@
 	return told
 }
 
+// homesAt returns the instances that may be told of a stream. They are computed at most once
+// per peersLife.
+func (c *Controller) homesAt(now wasabiridge.Millis) []wasabiridge.InstanceEntry {
+	c.mu.Lock()
+	peers, fresh := c.peers, c.peersAt > 0 && now-c.peersAt < peersLife
+	c.mu.Unlock()
+	if fresh {
+		return peers
+	}
+	peers = c.active()
+	if len(peers) < homes {
+		peers = append(peers, c.members(peers)...)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers, c.peersAt = peers, now
+	return peers
+}
+
 // Replace replaces what instances were told by Begin, by an update with a higher sequence.
 // It reports false if one of them may not have received it, so that it could still report
 // what it was told first.
@@ -286,10 +308,8 @@
 		return Finding{Result: Conflicting}
 	}
 	s := search{histories: []wasabiridge.SoftwareHistory{own.History}}
-	first := Rank(q.Key, c.active())
-	first = first[:min(len(first), firstAsked)]
-	others := Rank(q.Key, c.members(first))
-	others = others[:min(len(others), maxAsked-len(first))]
+	first := First(q.Key, c.active(), firstAsked)
+	others := First(q.Key, c.members(first), maxAsked-len(first))
 	if c.ask(ctx, q, first, &s) || c.ask(ctx, q, others, &s) {
 		return s.finding
 	}
--- a/internal/wasabistream/table.go
+++ b/internal/wasabistream/table.go
@@ -34,23 +34,39 @@
 	return wasabiridge.StreamKey(binary.BigEndian.Uint64(sum[:]))
 }
 
-// Rank sorts instances by rendezvous hashing of a key, so that all instances that know the
-// same others choose the same ones. The instances that remember the stream come first.
-func Rank(key wasabiridge.StreamKey, peers []wasabiridge.InstanceEntry) []wasabiridge.InstanceEntry {
-	weights := make(map[wasabiridge.InstanceID]uint64, len(peers))
-	for _, e := range peers {
-		data := binary.BigEndian.AppendUint64(make([]byte, 0, 64), uint64(key))
-		weights[e.ID] = xxhash.Sum64(append(data, e.ID...))
+// First returns the n instances with the highest weights for a key, in order (rendezvous
+// hashing), so that all instances that know the same others choose the same ones. The
+// instances that remember a stream are the first of those that callers are sent to.
+func First(key wasabiridge.StreamKey, peers []wasabiridge.InstanceEntry, n int) []wasabiridge.InstanceEntry {
+	type weighted struct {
+		weight uint64
+		peer   int
 	}
-	return slices.SortedFunc(slices.Values(peers), func(a, b wasabiridge.InstanceEntry) int {
-		switch {
-		case weights[a.ID] != weights[b.ID] && weights[a.ID] > weights[b.ID]:
-			return -1
-		case weights[a.ID] != weights[b.ID]:
-			return 1
+	best := make([]weighted, 0, n+1)
+	for i := range peers {
+		w := weighted{weight: mix(uint64(key) ^ xxhash.Sum64String(string(peers[i].ID))), peer: i}
+		at := len(best)
+		for at > 0 && best[at-1].weight < w.weight {
+			at--
 		}
-		return 0
-	})
+		if at < n {
+			best = slices.Insert(best, at, w)
+			best = best[:min(len(best), n)]
+		}
+	}
+	out := make([]wasabiridge.InstanceEntry, len(best))
+	for i, b := range best {
+		out[i] = peers[b.peer]
+	}
+	return out
+}
+
+// mix is the finalizer of SplitMix64. Without it, one instance would have the highest weight
+// for keys that differ in few bits.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // record is what is known of a stream.
@@ -88,10 +104,7 @@
 // which nothing else was queued.
 func (t *Table) Begin(now wasabiridge.Millis, u wasabiridge.StreamUpdate, peers []wasabiridge.InstanceEntry) (told, idle []string) {
 	t.Receive(now, u)
-	for _, e := range Rank(u.Key, peers) {
-		if len(told) == homes {
-			break
-		}
+	for _, e := range First(u.Key, peers, homes) {
 		told = append(told, e.PeerAddress)
 		waiting := t.pending[e.PeerAddress]
 		if len(waiting) >= maxPending {
