wasabistream: bound the messages that are sent for streams alone

Each stream may need three messages of its own when no other is due to the same instances. Where callers are sent to few of many instances, each of those begins hundreds of streams a second (the target has 9,300 requests a second; about 60 of 370 instances are active). Beyond 200 messages a second streams wait for the update that active instances send each other every 100 ms; the first event usually comes later, and a stream that is not told is refused, never mixed.

A record takes 35 bytes in an update and 8 more for each further one of the same version; a message of its own has 58.

--- a/internal/wasabistream/controller.go
+++ b/internal/wasabistream/controller.go
@@ -45,8 +45,12 @@
 )
 
 const (
-	// flushDelay is how long a stream waits for other messages to the same instance.
-	flushDelay = 10 * time.Millisecond
+	// flushDelay is how long a stream waits for other messages to the same instance, before
+	// one is sent for it. Beyond maxMessages such messages in a second, it waits for
+	// slowFlushDelay, within which instances that serve callers send each other an update.
+	flushDelay     = 10 * time.Millisecond
+	slowFlushDelay = 110 * time.Millisecond
+	maxMessages    = 200
 	// sendTimeout bounds sending streams to one instance.
 	sendTimeout = 500 * time.Millisecond
 	// firstAsked is the number of instances that are asked first, and maxAsked that of all.
@@ -100,6 +104,9 @@
 	// peers is the last result of homesAt, computed at peersAt.
 	peers   []wasabiridge.InstanceEntry
 	peersAt wasabiridge.Millis
+	// messages counts the messages for streams since secondBegan.
+	messages    int
+	secondBegan wasabiridge.Millis
 }
 
 // Counts holds counters since the start.
@@ -194,12 +201,27 @@
 	c.mu.Lock()
 	told, idle := c.table.Begin(now, u, peers)
 	c.mu.Unlock()
+	delay := c.flushDelay(now, len(idle))
 	for _, address := range idle {
-		c.options.Schedule(flushDelay, func() { c.flush(address) })
+		c.options.Schedule(delay, func() { c.flush(address) })
 	}
 	return told
 }
 
+// flushDelay returns how long a number of messages wait for others to the same instances.
+func (c *Controller) flushDelay(now wasabiridge.Millis, messages int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now-c.secondBegan >= wasabiridge.Second {
+		c.secondBegan, c.messages = now, 0
+	}
+	if c.messages+messages > maxMessages {
+		return slowFlushDelay
+	}
+	c.messages += messages
+	return flushDelay
+}
+
 // homesAt returns the instances that may be told of a stream. They are computed at most once
 // per peersLife.
 func (c *Controller) homesAt(now wasabiridge.Millis) []wasabiridge.InstanceEntry {
--- a/internal/wasabistream/history_test.go
+++ b/internal/wasabistream/history_test.go
@@ -105,7 +105,7 @@
 	random    *rand.Rand
 	queue     wasabitest.EventQueue
 	clock     *wasabiclock.Virtual
-	now, end  wasabiridge.Millis
+	now       wasabiridge.Millis
 	bug       plantedBug
 	instances []*instance
 	servers   []*server
--- a/internal/wasabistream/registry.go
+++ b/internal/wasabistream/registry.go
@@ -102,7 +102,7 @@
 func (r *Registry) register(ctx context.Context, sent wasabiridge.Millis, entries []wasabiridge.BackendEntry) {
 	r.mu.Lock()
 	r.history.Read(sent, entries)
-	wanted, changes := r.wanted(sent, r.registered)
+	_, changes := r.wanted(sent, r.registered)
 	r.mu.Unlock()
 	if !changes {
 		return
@@ -121,7 +121,7 @@
 		}
 		r.mu.Lock()
 		r.registered = stored
-		wanted, changes = r.wanted(sent, stored)
+		wanted, changes := r.wanted(sent, stored)
 		r.mu.Unlock()
 		if !changes {
 			return
