wasabistream: in drawn histories a continuation brings its first event later

Its trace: the instance that continued it told others when it was placed, sent the first event at the same moment, and was killed 4 ms later, before its message had left.

That is no order of events of the product: the record is sent when a request goes to a server, and the first event of a continuation comes after the server has read the prompt, as that of a new stream, for which the history waited already. Now it waits 20 to 220 ms in both cases; what was told counts from the first event on.

--- a/internal/wasabistream/history_test.go
+++ b/internal/wasabistream/history_test.go
@@ -456,12 +456,22 @@
 	if to == nil {
 		return
 	}
-	h.continued++
 	s.at, s.run, s.server = a, a.run, to
+	told := s.toldRuns
 	if !f.ByVersion() {
 		h.begin(s, s.began, f.Sequence)
 	}
-	h.event(s)
+	now := s.toldRuns
+	s.toldRuns = told
+	h.after(20+wasabiridge.Millis(h.random.IntN(200)), func() {
+		if !a.alive || a.run != s.run || h.now < a.frozen || !to.alive {
+			h.takeUp(s)
+			return
+		}
+		h.continued++
+		s.toldRuns = now
+		h.event(s)
+	})
 }
 
 // remembers reports whether an instance that was told of a stream has run ever since.
