--- a/internal/wasabipeer/stream.go
+++ b/internal/wasabipeer/stream.go
@@ -9,7 +9,7 @@
 	pb "github.com/wasabiridge/wasabiridge/internal/wasabipeer/wasabipeerpb"
 )
 
-// maxStreamLife bounds how long an instance may be told to remember a stream.
+// maxStreamLife bounds how long an instance remembers a stream.
 const maxStreamLife = 10 * wasabiridge.Minute
 
 var _ wasabiridge.StreamFinder = (*Client)(nil)
--- a/internal/wasabirelay/origin.go
+++ b/internal/wasabirelay/origin.go
@@ -72,19 +72,19 @@
 	return slices.Compact(pools)
 }
 
-// begun is what other instances were told of where the stream of a request begins.
+// begun holds where other instances were notified that the stream of a request begins.
 type begun struct {
 	announced bool
 	origin    wasabiridge.StreamOrigin
 	sequence  int
-	told      []string
+	notified  []string
 }
 
 // forwardedSequence is added to the sequences of a request that another instance passed on,
 // so that they are higher than those of the other one.
 const forwardedSequence = 1000
 
-// announceOrigin tells other instances where the stream of the request begins, before an
+// announceOrigin notifies other instances where the stream of the request begins, before an
 // attempt is sent. It reports false if the attempt must not be sent, because another instance
 // could report the origin of an earlier attempt.
 func (x *exchange) announceOrigin(d wasabiridge.Dispatch) bool {
@@ -108,7 +108,7 @@
 	}
 	switch {
 	case !x.begun.announced:
-		x.begun = begun{announced: true, origin: origin, sequence: u.Sequence, told: x.relay.options.Streams.Begin(u)}
+		x.begun = begun{announced: true, origin: origin, sequence: u.Sequence, notified: x.relay.options.Streams.Begin(u)}
 		return true
 	case x.begun.origin == origin:
 		return true
@@ -116,8 +116,8 @@
 	return x.replaceOrigin(u)
 }
 
-// withdrawOrigin tells the instances that were told where the stream begins that it is not
-// known, because another instance will serve the request. It reports false if one of them
+// withdrawOrigin withdraws what other instances were notified of, because another instance
+// will serve the request. It reports false if one of them
 // may not have received that.
 func (x *exchange) withdrawOrigin() bool {
 	if !x.begun.announced || x.request.Origin != nil {
@@ -128,12 +128,12 @@
 
 func (x *exchange) replaceOrigin(u wasabiridge.StreamUpdate) bool {
 	u.Sequence = x.begun.sequence + 1
-	ok := x.relay.options.Streams.Replace(x.ctx, u, x.begun.told)
+	ok := x.relay.options.Streams.Replace(x.ctx, u, x.begun.notified)
 	x.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(x.request.ID)).
 		Str("software_before", string(x.begun.origin.Software)).
 		Str("software", string(u.Origin.Software)).
-		Int("told", len(x.begun.told)).
+		Int("notified", len(x.begun.notified)).
 		Bool("acknowledged", ok).
 		Msg("Origin of a stream replaced.")
 	x.begun.origin, x.begun.sequence = u.Origin, u.Sequence
--- a/internal/wasabistream/controller.go
+++ b/internal/wasabistream/controller.go
@@ -35,7 +35,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +59,7 @@
 	askTimeout = 150 * time.Millisecond
 	// startTime is how long after its start an instance may not know any other one.
 	startTime = 2 * wasabiridge.Second
-	// peersLife is how long the instances that may be told of streams are not computed anew.
+	// peersLife is how long the instances that may be notified of streams are not computed again.
 	peersLife = 100 * wasabiridge.Millis(1)
 	// watchInterval is how often the age of the list is noted.
 	watchInterval = 200 * time.Millisecond
@@ -119,46 +118,6 @@
 	Found map[Result]uint64
 }
 
-// Result is how a stream was found.
-type Result string
-
-// Results.
-const (
-	// FoundHere means that this instance remembers the stream, and FoundElsewhere that
-	// another one does.
-	FoundHere      Result = "here"
-	FoundElsewhere Result = "elsewhere"
-	// FoundByHistory means that its pool had only one version, as instances remember, and
-	// FoundByRegistry that it had, as registered at the platform.
-	FoundByHistory  Result = "only version"
-	FoundByRegistry Result = "only registered version"
-	// Unknown means that no instance knows it, Unanswered that some did not answer, and
-	// Conflicting that its identifier was used for several streams.
-	Unknown     Result = "unknown"
-	Unanswered  Result = "unanswered"
-	Conflicting Result = "conflicting"
-)
-
-// Finding is the result of a search.
-type Finding struct {
-	Result Result
-	// Origin is where the stream began, if Known, and Sequence that of the update which said
-	// so.
-	Origin   wasabiridge.StreamOrigin
-	Sequence int
-	// From is the instance that knew it. Asked and Answered are the numbers of instances.
-	From            wasabiridge.InstanceID
-	Asked, Answered int
-}
-
-// Known reports whether the origin was found.
-func (f Finding) Known() bool {
-	return f.Result == FoundHere || f.Result == FoundElsewhere || f.ByVersion()
-}
-
-// ByVersion reports whether the origin was concluded from the versions of the pool.
-func (f Finding) ByVersion() bool { return f.Result == FoundByHistory || f.Result == FoundByRegistry }
-
 // New returns a Controller that remembers no stream.
 func New(o Options) *Controller {
 	if o.Schedule == nil {
@@ -199,13 +158,13 @@
 	now := c.options.Clock.Now()
 	peers := c.homesAt(now)
 	c.mu.Lock()
-	told, idle := c.table.Begin(now, u, peers)
+	notified, idle := c.table.Begin(now, u, peers)
 	c.mu.Unlock()
 	delay := c.flushDelay(now, len(idle))
 	for _, address := range idle {
 		c.options.Schedule(delay, func() { c.flush(address) })
 	}
-	return told
+	return notified
 }
 
 // flushDelay returns how long a number of messages wait for others to the same instances.
@@ -222,7 +181,7 @@
 	return flushDelay
 }
 
-// homesAt returns the instances that may be told of a stream. They are computed at most once
+// homesAt returns the instances that may be notified of a stream. They are computed at most once
 // per peersLife.
 func (c *Controller) homesAt(now wasabiridge.Millis) []wasabiridge.InstanceEntry {
 	c.mu.Lock()
@@ -241,25 +200,25 @@
 	return peers
 }
 
-// Replace replaces what instances were told by Begin, by an update with a higher sequence.
+// Replace replaces what Begin sent to instances, by an update with a higher sequence.
 // It reports false if one of them may not have received it, so that it could still report
-// what it was told first.
-func (c *Controller) Replace(ctx context.Context, u wasabiridge.StreamUpdate, told []string) bool {
+// what it was notified of first.
+func (c *Controller) Replace(ctx context.Context, u wasabiridge.StreamUpdate, notified []string) bool {
 	c.mu.Lock()
-	c.table.Withdraw(u.Key, told)
+	c.table.Withdraw(u.Key, notified)
 	c.table.Receive(c.options.Clock.Now(), u)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	acknowledged := make(chan bool, len(told))
-	for _, address := range told {
+	acknowledged := make(chan bool, len(notified))
+	for _, address := range notified {
 		go func() {
 			err := c.options.Send(ctx, address, wasabiridge.StateUpdate{Streams: []wasabiridge.StreamUpdate{u}})
 			acknowledged <- err == nil || c.options.Ended != nil && c.options.Ended(ctx, address)
 		}()
 	}
 	all := true
-	for range told {
+	for range notified {
 		all = <-acknowledged && all
 	}
 	return all
@@ -310,133 +269,6 @@
 	return out
 }
 
-// Find searches where the stream began that an account's request began. The stream is not
-// older than window, and would continue in pool if it is not known.
-func (c *Controller) Find(ctx context.Context, account wasabiridge.ClientAccountID, began wasabiridge.RequestID, pool wasabiridge.PoolID, window wasabiridge.Millis) Finding {
-	q := wasabiridge.StreamQuery{Key: Key(account, began), Pool: pool, Window: min(window, maxLife)}
-	f := c.find(ctx, q)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts.Found[f.Result]++
-	return f
-}
-
-func (c *Controller) find(ctx context.Context, q wasabiridge.StreamQuery) Finding {
-	own := c.Answer(q)
-	switch {
-	case own.Known:
-		return Finding{Result: FoundHere, Origin: own.Origin, Sequence: own.Sequence}
-	case own.Conflicting:
-		return Finding{Result: Conflicting}
-	}
-	s := search{histories: []wasabiridge.SoftwareHistory{own.History}}
-	first := First(q.Key, c.active(), firstAsked)
-	others := First(q.Key, c.members(first), maxAsked-len(first))
-	if c.ask(ctx, q, first, &s) || c.ask(ctx, q, others, &s) {
-		return s.finding
-	}
-	f := s.conclude(q)
-	if !f.Known() && c.options.Registry != nil && s.maxOneVersion() {
-		if v, ok := c.options.Registry.OnlyVersion(ctx, q.Pool); ok {
-			f.Result, f.Origin = FoundByRegistry, wasabiridge.StreamOrigin{Pool: q.Pool, Software: v}
-		}
-	}
-	return f
-}
-
-// active returns the other instances that callers are sent to.
-func (c *Controller) active() []wasabiridge.InstanceEntry {
-	if c.options.Active == nil {
-		return nil
-	}
-	return c.options.Active()
-}
-
-// members returns the other instances that are not in a list.
-func (c *Controller) members(besides []wasabiridge.InstanceEntry) []wasabiridge.InstanceEntry {
-	if c.options.Members == nil {
-		return nil
-	}
-	return slices.DeleteFunc(c.options.Members(), func(e wasabiridge.InstanceEntry) bool {
-		return slices.ContainsFunc(besides, func(b wasabiridge.InstanceEntry) bool { return b.ID == e.ID })
-	})
-}
-
-// search is the state of one search.
-type search struct {
-	finding   Finding
-	histories []wasabiridge.SoftwareHistory
-}
-
-// conclude returns the finding when no instance that answered knows the stream.
-func (s *search) conclude(q wasabiridge.StreamQuery) Finding {
-	f := s.finding
-	f.Result = Unknown
-	// An instance that has just started does not know the others yet.
-	if f.Answered < f.Asked || f.Asked == 0 && s.histories[0].Watched < startTime {
-		f.Result = Unanswered
-	}
-	if v, ok := OnlyVersion(q.Window, s.histories); ok {
-		f.Result, f.Origin = FoundByHistory, wasabiridge.StreamOrigin{Pool: q.Pool, Software: v}
-	}
-	return f
-}
-
-// maxOneVersion reports whether no two versions were seen.
-func (s *search) maxOneVersion() bool {
-	seen := map[wasabiridge.SoftwareVersion]bool{}
-	for _, h := range s.histories {
-		for _, v := range h.Versions {
-			seen[v] = true
-		}
-	}
-	return len(seen) <= 1
-}
-
-// ask asks a group of instances at the same time. It reports whether the search is over.
-func (c *Controller) ask(ctx context.Context, q wasabiridge.StreamQuery, group []wasabiridge.InstanceEntry, s *search) bool {
-	if len(group) == 0 {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	type reply struct {
-		from   wasabiridge.InstanceID
-		answer wasabiridge.StreamAnswer
-		err    error
-	}
-	replies := make(chan reply, len(group))
-	for _, e := range group {
-		go func() {
-			a, err := c.options.Finder.FindStream(ctx, e.PeerAddress, q)
-			replies <- reply{from: e.ID, answer: a, err: err}
-		}()
-	}
-	s.finding.Asked += len(group)
-	for range group {
-		var r reply
-		select {
-		case r = <-replies:
-		case <-ctx.Done():
-			return false
-		}
-		if r.err != nil {
-			continue
-		}
-		s.finding.Answered++
-		s.histories = append(s.histories, r.answer.History)
-		switch {
-		case r.answer.Conflicting:
-			s.finding.Result, s.finding.From = Conflicting, r.from
-			return true
-		case r.answer.Known:
-			s.finding.Result, s.finding.Origin, s.finding.Sequence, s.finding.From = FoundElsewhere, r.answer.Origin, r.answer.Sequence, r.from
-			return true
-		}
-	}
-	return false
-}
-
 // Counts returns the counters.
 func (c *Controller) Counts() Counts {
 	c.mu.Lock()
--- a/internal/wasabistream/table.go
+++ b/internal/wasabistream/table.go
@@ -86,7 +86,7 @@
 	// origins holds one copy of each origin.
 	origins map[wasabiridge.StreamOrigin]*wasabiridge.StreamOrigin
 	sweepAt wasabiridge.Millis
-	// pending are the streams that other instances have yet to be told, by address.
+	// pending are the streams that other instances have yet to be sent, by address.
 	pending map[string][]wasabiridge.StreamUpdate
 	dropped uint64
 }
@@ -102,10 +102,10 @@
 // Begin records that a request which begins a stream is sent to a server, and queues that for
 // the instances of peers that are to remember it. It returns their addresses, and those for
 // which nothing else was queued.
-func (t *Table) Begin(now wasabiridge.Millis, u wasabiridge.StreamUpdate, peers []wasabiridge.InstanceEntry) (told, idle []string) {
+func (t *Table) Begin(now wasabiridge.Millis, u wasabiridge.StreamUpdate, peers []wasabiridge.InstanceEntry) (notified, idle []string) {
 	t.Receive(now, u)
 	for _, e := range First(u.Key, peers, homes) {
-		told = append(told, e.PeerAddress)
+		notified = append(notified, e.PeerAddress)
 		waiting := t.pending[e.PeerAddress]
 		if len(waiting) >= maxPending {
 			t.dropped++
@@ -116,7 +116,7 @@
 		}
 		t.pending[e.PeerAddress] = append(waiting, u)
 	}
-	return told, idle
+	return notified, idle
 }
 
 // Take removes and returns the streams that wait to be sent to an instance.
