--- a/internal/wasabiplace/place_test.go
+++ b/internal/wasabiplace/place_test.go
@@ -1,6 +1,8 @@
 package wasabiplace_test
 
 import (
+	"slices"
+
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -185,6 +187,23 @@
 		Expect(ok).To(BeTrue(), "a time of a day counts as a minute")
 	})
 
+	// Guards against a stream that is continued by a server whose output does not fit.
+	It("continues a stream only at the software that began it", func() {
+		pool.Backends = slices.Clone(pool.Backends)
+		for i := range pool.Backends {
+			pool.Backends[i].Software = [...]wasabiridge.SoftwareVersion{"v1", "v2"}[i%2]
+		}
+		placer.Observe(now, wasabiridge.ConfigAdopted{Config: wasabiridge.Config{Pools: []wasabiridge.Pool{pool}}})
+		reportAll()
+		for _, v := range [...]wasabiridge.SoftwareVersion{"v1", "v2", "v3"} {
+			p, ok := placer.Place(now, wasabiridge.PlaceQuery{Request: manual, Pool: pool, Origin: &wasabiridge.StreamOrigin{Pool: pool.ID, Software: v}})
+			Expect(ok).To(Equal(v != "v3"))
+			if ok {
+				Expect(p.Backend.Software).To(Equal(v))
+			}
+		}
+	})
+
 	It("adds the attempts sent after a delayed report was taken", func() {
 		now += 200
 		for i := range 9 {
