--- a/internal/wasabiplace/place_test.go
+++ b/internal/wasabiplace/place_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
