wasabirelay: log the framing of responses and the event within which a stream ended

No line told a stream that ended inside an event from a whole one, nor how the response stated its end, so the hypotheses of the incident could not be told apart. Nothing is decided by it.

--- a/attempt.go
+++ b/attempt.go
@@ -59,6 +59,35 @@
 	Deadline Millis
 }
 
+// Framing is how a response states where its body ends.
+type Framing uint8
+
+// Framings of a response. FramingNone means that no response arrived.
+const (
+	FramingNone Framing = iota
+	FramingLength
+	FramingChunked
+	// FramingClose means that the body ends when the connection is closed. A body that was
+	// cut off cannot be told from a complete one by its framing.
+	FramingClose
+)
+
+var framingNames = [...]string{FramingNone: "", FramingLength: "length", FramingChunked: "chunked", FramingClose: "close"}
+
+// String returns the name of the framing for logs.
+func (f Framing) String() string { return framingNames[f] }
+
+// FramingOf returns the framing of a response.
+func FramingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramingChunked
+	case response.ContentLength >= 0:
+		return FramingLength
+	}
+	return FramingClose
+}
+
 // AttemptSink receives the response to an attempt. Its methods are called by one
 // goroutine. An error returned by a method ends the attempt.
 type AttemptSink interface {
--- a/event.go
+++ b/event.go
@@ -89,7 +89,11 @@
 	OtherWeights bool
 	// Delivered is the number of output tokens that already reached the caller.
 	Delivered int
-	Usage     Usage
+	// Framing is how the response stated where its body ends.
+	Framing Framing
+	// PartialEvent is the number of bytes of the event within which a stream ended.
+	PartialEvent int
+	Usage        Usage
 	// Moved is where the response continues when its KV cache was moved. The end is
 	// then not a failure of the server, and the next attempt does not count as another
 	// run.
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -33,6 +33,7 @@
 		end = x.relay.options.Runner.Run(ctx, x.attempt(d), s)
 	}
 	end.Unsent = !s.sent
+	x.framing, x.partialEvent = end.Framing, end.PartialEvent
 	x.logFailed(end, started)
 	if end.Result == wasabiridge.AttemptNotRun {
 		x.disposition = before
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -53,6 +53,9 @@
 	// possibleRuns counts the attempts after which the request may have run.
 	possibleRuns int
 	firstByte    wasabiridge.Millis
+	// framing and partialEvent are those of the last attempt's response.
+	framing      wasabiridge.Framing
+	partialEvent int
 }
 
 func newExchange(c *call) *exchange {
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -95,6 +95,8 @@
 		Bool("other_server", end.Misdirected).
 		Bool("other_weights", end.OtherWeights).
 		Bool("server_ended", end.ServerCrashed).
+		Stringer("framing", end.Framing).
+		Int("partial_event_bytes", end.PartialEvent).
 		Int("events", end.Delivered).
 		Int64("took_ms", int64(x.relay.options.Clock.Now()-started)).
 		Msg("Attempt failed.")
@@ -115,6 +117,8 @@
 		Str(wasabilog.BackendField, string(x.backend)).
 		Int("status", x.status).
 		Int("attempts", x.attempts).
+		Stringer("framing", x.framing).
+		Int("partial_event_bytes", x.partialEvent).
 		Int("events", x.events).
 		Int64("first_byte_ms", int64(first)).
 		Int64("took_ms", int64(now-x.arrived)).
