platform: a stream that ends within an event is broken

Cause: at a regular end of file the bytes behind the last whole event were forwarded and the attempt completed. A stream without a length and without chunks ends with its connection, and a replica that breaks off there closes it regularly. Only LF LF ended an event, so a stream with CRLF was held back to its end and then passed on with its part.

Now internal/wasabievent splits a stream for all three line ends of the format, and a stream that ends within an event is broken whatever its framing: nothing of the part is passed on, and the stream is continued elsewhere or cut off.

--- a/attempt.go
+++ b/attempt.go
@@ -68,7 +68,7 @@
 	FramingLength
 	FramingChunked
 	// FramingClose means that the body ends when the connection is closed. A body that was
-	// cut off cannot be told from a complete one by its framing.
+	// cut off cannot be distinguished from a complete one by its framing.
 	FramingClose
 )
 
@@ -82,7 +82,7 @@
 	switch {
 	case len(response.TransferEncoding) > 0:
 		return FramingChunked
-	case response.ContentLength >= 0:
+	case response.ContentLength >= 0 || response.Request != nil && response.Request.Method == http.MethodHead:
 		return FramingLength
 	}
 	return FramingClose
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -28,6 +28,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -156,16 +157,39 @@
 	if c != nil || err != nil {
 		return c, err
 	}
+	if c, err = p.dial(ctx, address); err != nil {
+		return nil, wasabiridge.ErrUnavailable.Wrap(err, "conn: connect to %s", address)
+	}
+	return c, nil
+}
+
+// dial opens a connection that take has counted.
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout.Duration())
 	defer cancel()
-	var raw net.Conn
-	if raw, err = p.options.Dial(ctx, "tcp", address); err != nil {
+	raw, err := p.options.Dial(ctx, "tcp", address)
+	if err != nil {
 		p.uncount(address)
-		return nil, wasabiridge.ErrUnavailable.Wrap(err, "conn: connect to %s", address)
+		return nil, err
 	}
 	return newConn(p, address, raw), nil
 }
 
+// Refuses reports whether an address refuses connections, because nothing listens there.
+// A connection that it opens is kept for the next request. It sends nothing.
+func (p *Pool) Refuses(ctx context.Context, address string, w Requirements) bool {
+	w.NewConnection = true
+	if c, err := p.take(address, w); c != nil || err != nil {
+		return false
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c, unusedIdle)
+	return false
+}
+
 // Probe reports whether an address can be reached. It checks an idle connection if
 // the pool has an open one, and otherwise opens a connection and keeps it. It sends
 // nothing.
--- /dev/null
+++ b/internal/wasabievent/event.go
@@ -0,0 +1,116 @@
+// Package wasabievent splits streams of server-sent events into whole events and keeps
+// their bytes as they are.
+//
+// An event ends with an empty line. A line ends with LF, CRLF or CR, and a line that begins
+// with a colon is a comment, which belongs to no event. A stream that ends within an event
+// was cut off, however its response was framed.
+//
+// # Usage
+//
+//	var splitter wasabievent.Splitter
+//	for {
+//		n, err := body.Read(buffer)
+//		events, count := splitter.Add(buffer[:n])
+//		...
+//		if err == io.EOF && splitter.Partial() > 0 {
+//			return errCutOff
+//		}
+//	}
+package wasabievent
+
+import "bytes"
+
+// byteOrderMark may stand before the first line of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// Splitter splits one stream. The zero value is ready to use. It is not safe for
+// concurrent use.
+type Splitter struct {
+	// pending holds the bytes since the last whole event, behind the first returned bytes,
+	// which Add has returned.
+	pending  []byte
+	returned int
+	// scanned and line are the offsets of the first byte that was not scanned and of the
+	// current line.
+	scanned, line int
+	// inEvent is set when the current event has a line that is no comment.
+	inEvent bool
+	// afterCR is set when the last byte was a CR, whose line end may include an LF, and
+	// afterEvent when that line end completed an event.
+	afterCR, afterEvent bool
+	// begun is set after the first line of the stream.
+	begun bool
+}
+
+// Add appends received bytes. It returns the bytes up to the end of the last whole event,
+// which are valid until the next call, and the number of whole events in them.
+func (s *Splitter) Add(data []byte) (events []byte, count int) {
+	s.pending = append(s.pending[:copy(s.pending, s.pending[s.returned:])], data...)
+	s.scanned -= s.returned
+	s.line -= s.returned
+	s.returned = 0
+	for ; s.scanned < len(s.pending); s.scanned++ {
+		b := s.pending[s.scanned]
+		switch {
+		case b == '\n' && s.afterCR:
+			s.afterCR, s.line = false, s.scanned+1
+			if s.afterEvent {
+				s.returned = s.line
+			}
+		case b == '\n' || b == '\r':
+			if s.endLine() {
+				count++
+			}
+			s.afterCR = b == '\r'
+		default:
+			s.afterCR = false
+		}
+	}
+	return s.pending[:s.returned], count
+}
+
+// endLine ends the current line before the byte at scanned. It reports whether the line
+// completed an event.
+func (s *Splitter) endLine() bool {
+	line := s.pending[s.line:s.scanned]
+	if !s.begun {
+		line = bytes.TrimPrefix(line, byteOrderMark)
+		s.begun = true
+	}
+	s.line = s.scanned + 1
+	s.afterEvent = len(line) == 0
+	switch {
+	case !s.afterEvent:
+		s.inEvent = s.inEvent || line[0] != ':'
+		return false
+	case !s.inEvent:
+		s.returned = s.line
+		return false
+	}
+	s.returned, s.inEvent = s.line, false
+	return true
+}
+
+// Rest returns the bytes behind the last whole event.
+func (s *Splitter) Rest() []byte { return s.pending[s.returned:] }
+
+// Partial returns the number of bytes of an event that has begun and is not whole. Whole
+// comment lines behind the last event count as none.
+func (s *Splitter) Partial() int {
+	if !s.inEvent && s.line == len(s.pending) {
+		return 0
+	}
+	return len(s.Rest())
+}
+
+// LastID returns the identifier that is stated last in whole events, or "".
+func LastID(events []byte) string {
+	id := ""
+	events = bytes.TrimPrefix(events, byteOrderMark)
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
