wasabirelay: a moved answer goes on when its old stream ends with its connection

An engine that hands a running answer over closes the stream without its end. Where the response has neither a length nor chunks, that is a regular end of file: the attempt counted as completed, the moved KV cache was released, and the caller got the first part as the whole answer.

The result of a successful move now decides: the engine has stopped the run, so an answer of that framing goes on at the target. The new spec failed before (body of two events of three).

--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -34,6 +34,9 @@
 	}
 	end.Unsent = !s.sent
 	x.framing, x.partialEvent = end.Framing, end.PartialEvent
+	if end.Moved = x.takeMove(d, end); end.Moved.Handle != "" {
+		end.Result = wasabiridge.AttemptBroken
+	}
 	x.logFailed(end, started)
 	if end.Result == wasabiridge.AttemptNotRun {
 		x.disposition = before
@@ -52,7 +55,6 @@
 		// Discard the buffered part of an incomplete answer.
 		x.status, x.head, x.buffered = 0, nil, nil
 	}
-	end.Moved = x.takeMove(d, end)
 	x.relay.options.Loop.Post(end)
 	switch {
 	case completed:
--- a/internal/wasabirelay/move.go
+++ b/internal/wasabirelay/move.go
@@ -213,8 +213,9 @@
 }
 
 // takeMove waits for the move of an attempt that has ended, if there is one. It returns
-// where a broken answer continues. If the answer is not broken or the request has ended,
-// the moved KV cache is released.
+// where the answer continues. If the answer is complete or the request has ended, the moved
+// KV cache is released. The engine closes the stream of an answer that it has stopped, which
+// proves no end of a response that ends with its connection.
 func (x *exchange) takeMove(d wasabiridge.Dispatch, end wasabiridge.AttemptEnded) wasabiridge.MigrationResult {
 	m := x.relay.running.remove(d.Attempt)
 	if m == nil {
@@ -228,7 +229,8 @@
 	if m.moved.Handle == "" {
 		return wasabiridge.MigrationResult{}
 	}
-	if end.Result != wasabiridge.AttemptBroken || x.ctx.Err() != nil {
+	stopped := end.Result == wasabiridge.AttemptBroken || end.Result == wasabiridge.AttemptCompleted && end.Framing == wasabiridge.FramingClose
+	if !stopped || x.ctx.Err() != nil {
 		go x.relay.dropCache(d.Backend, m.moved.Handle)
 		return wasabiridge.MigrationResult{}
 	}
--- a/internal/wasabirelay/move_test.go
+++ b/internal/wasabirelay/move_test.go
@@ -168,6 +168,19 @@
 		Expect(g.attempts()).To(Equal(1))
 	})
 
+	// Guards against a stopped stream that is taken for complete, because it has no length
+	// and ends with its connection.
+	It("continues at another engine if its old stream ends with its connection", func() {
+		m := &mover{}
+		g, done, ends := startStream(m, streams(wasabiridge.AttemptCompleted, "3"))
+		g.runner.framing = wasabiridge.FramingClose
+		m.stops = func() { ends <- wasabiridge.AttemptCompleted }
+		migrateAnswers(g, true)
+		Expect((<-done).body).To(Equal("id:1 \n\nid:2 \n\nid:3 \n\n"))
+		Expect(g.runner.attempts[1].CacheHandle).To(Equal("s:1/h1"))
+		Expect(m.drops()).To(BeEmpty())
+	})
+
 	// An answer that cannot be moved keeps running. If its engine breaks it off
 	// nevertheless, it is resumed like any stream, without the KV cache.
 	failures := map[string]struct {
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -37,6 +37,8 @@
 	mu       sync.Mutex
 	script   []scriptedAttempt
 	attempts []wasabiridge.Attempt
+	// framing is that of all responses.
+	framing wasabiridge.Framing
 }
 
 func (r *runner) Run(ctx context.Context, a wasabiridge.Attempt, sink wasabiridge.AttemptSink) wasabiridge.AttemptEnded {
@@ -49,7 +51,7 @@
 	if result == wasabiridge.AttemptBroken && ctx.Err() != nil {
 		result = wasabiridge.AttemptCancelled
 	}
-	return wasabiridge.AttemptEnded{Request: a.Request, Attempt: a.ID, Backend: a.Backend.ID, Result: result, Delivered: counted.delivered}
+	return wasabiridge.AttemptEnded{Request: a.Request, Attempt: a.ID, Backend: a.Backend.ID, Result: result, Framing: r.framing, Delivered: counted.delivered}
 }
 
 type countingSink struct {
