wasabilistener: reset an HTTP/1.0 connection whose response is cut off

A caller that sends HTTP/1.0 gets a response without a length that ends with its connection. net/http closes an aborted connection regularly, so a stream or long answer that the router cut off looked complete there.

Abort resets such a connection; both ways of calling use it.

--- a/internal/wasabigateway/relay.go
+++ b/internal/wasabigateway/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 )
 
@@ -75,7 +76,7 @@
 		}
 	}
 	if l.truncated && !l.outputDiscarded {
-		panic(http.ErrAbortHandler)
+		wasabilistener.Abort(l.w, l.r)
 	}
 }
 
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 )
 
@@ -222,5 +223,5 @@
 // abort cuts off an answer of which a part was already sent to the caller.
 func (x *exchange) abort(cause string) {
 	x.log("Answer cut off before its end.", OutcomeCut, cause)
-	panic(http.ErrAbortHandler)
+	wasabilistener.Abort(x.w, x.r)
 }
