wasabirelay: log the parts of a prompt under which a server ended

Only the last shared part was named, at the placement, so the lines did not tell a part that ends servers from one that is frequent. Nothing is decided by it.

--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -37,7 +37,7 @@
 	if end.Moved = x.takeMove(d, end); end.Moved.Handle != "" {
 		end.Result = wasabiridge.AttemptBroken
 	}
-	x.logFailed(end, started)
+	x.logFailed(end, started, s.gotChunk)
 	if end.Result == wasabiridge.AttemptNotRun {
 		x.disposition = before
 	} else {
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -77,12 +77,30 @@
 		Msg("Stream continued.")
 }
 
-// logFailed logs the result of an attempt that did not complete.
-func (x *exchange) logFailed(end wasabiridge.AttemptEnded, started wasabiridge.Millis) {
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// sharedParts returns the identifiers of the parts of a prompt that others may share: all
+// but the last one.
+func sharedParts(c wasabiridge.Chain) []string {
+	parts := make([]string, 0, maxLoggedParts)
+	for _, block := range c.Blocks[:min(max(0, len(c.Blocks)-1), maxLoggedParts)] {
+		parts = append(parts, strconv.FormatUint(uint64(block), 16))
+	}
+	return parts
+}
+
+// logFailed logs the result of an attempt that did not complete. Began says that the server
+// had begun to answer.
+func (x *exchange) logFailed(end wasabiridge.AttemptEnded, started wasabiridge.Millis, began bool) {
 	if end.Result == wasabiridge.AttemptCompleted {
 		return
 	}
-	x.relay.options.Log.Info().
+	line := x.relay.options.Log.Info()
+	if end.ServerCrashed {
+		line = line.Strs("parts", sharedParts(x.request.Chain)).Bool("began", began)
+	}
+	line.
 		Str(wasabilog.RequestField, string(end.Request)).
 		Uint64("attempt", uint64(end.Attempt)).
 		Stringer("fingerprint", x.request.Fingerprint).
