--- a/internal/wasabiquarantine/fleet_test.go
+++ b/internal/wasabiquarantine/fleet_test.go
@@ -270,7 +270,13 @@
 		})
 		return
 	}
-	f.agenda.Schedule(f.now+wasabiridge.Millis(1+f.random.IntN(int(maxDuration))), func() {
+	duration := wasabiridge.Millis(1 + f.random.IntN(int(maxDuration)))
+	f.agenda.Schedule(f.now+duration/2, func() {
+		if s.running[id] != nil && !n.killed {
+			n.table.Observe(f.now, wasabiridge.AttemptFirstToken{Attempt: id})
+		}
+	})
+	f.agenda.Schedule(f.now+duration, func() {
 		if s.running[id] != nil {
 			f.served[r.Fingerprint]++
 			end(answered)
@@ -324,15 +330,15 @@
 	f.agenda.Schedule(f.now+restartTime, func() { s.down = false })
 }
 
-// furtherSends counts how often the fatal request reached a server later than propagation
-// after it had ended the third one.
-func (f *fleet) furtherSends() int {
-	if len(f.ends) < 3 {
+// furtherSends counts how often a fatal request reached a server later than propagation
+// after the given number of servers had ended.
+func (f *fleet) furtherSends(ends int) int {
+	if len(f.ends) < ends {
 		return 0
 	}
 	n := 0
 	for _, at := range f.arrivals {
-		if at > f.ends[2]+propagation {
+		if at > f.ends[ends-1]+propagation {
 			n++
 		}
 	}
