wasabiquarantine: block parts of prompts that end servers

Cause: evidence was kept by the fingerprint of the whole request. No two of these requests are alike, so each was new to the quarantine.

Now each part of a prompt but the last one has a record in the same table, with the same merging, messages, rows and release. A server that ended before it began to answer counts against all parts of the request; a whole answer clears them, so that popular parts never stay suspect. Ends at four moments block a part, unless a part with more ends explains them; parts with the same ends are blocked only together, and an explained end does not count against a whole request either. After 5 s, a minute and an hour one instance tries one request.

--- a/internal/wasabipeer/codec_crash.go
+++ b/internal/wasabipeer/codec_crash.go
@@ -13,7 +13,7 @@
 )
 
 func encodeCrash(c wasabiridge.CrashUpdate) *pb.CrashNews {
-	out := &pb.CrashNews{Fingerprint: uint64(c.Fingerprint), Account: string(c.Account), Model: string(c.Model), Epoch: c.Epoch}
+	out := &pb.CrashNews{Fingerprint: uint64(c.Fingerprint), Part: c.Part, Account: string(c.Account), Model: string(c.Model), Epoch: c.Epoch}
 	for _, e := range c.Crashes {
 		out.Ends = append(out.Ends, &pb.ServerEnd{
 			Backend: string(e.Backend), Incarnation: uint64(e.Incarnation), RanMs: uint64(max(e.RunTime, 0)),
@@ -28,7 +28,7 @@
 // epoch is rejected: no instance could ever clear it.
 func decodeCrash(in *pb.CrashNews) (wasabiridge.CrashUpdate, error) {
 	out := wasabiridge.CrashUpdate{
-		Fingerprint: wasabiridge.Fingerprint(in.GetFingerprint()), Account: wasabiridge.ClientAccountID(in.GetAccount()),
+		Fingerprint: wasabiridge.Fingerprint(in.GetFingerprint()), Part: in.GetPart(), Account: wasabiridge.ClientAccountID(in.GetAccount()),
 		Model: wasabiridge.ModelID(in.GetModel()), Epoch: in.GetEpoch(),
 	}
 	if out.Fingerprint == 0 || len(in.GetEnds()) > maxEnds || out.Epoch > maxEpoch {
--- a/internal/wasabipeer/crash_test.go
+++ b/internal/wasabipeer/crash_test.go
@@ -57,6 +57,7 @@
 		accepted bool
 	}{
 		"arrive complete":       {wasabiridge.CrashUpdate{Fingerprint: 9, Account: "a", Model: "m", Epoch: 2, Crashes: []wasabiridge.ServerCrash{end}}, true},
+		"on a part of prompts":  {wasabiridge.CrashUpdate{Fingerprint: 9, Part: true, Model: "m", Epoch: 2, Crashes: []wasabiridge.ServerCrash{end}}, true},
 		"without crashes clear": {wasabiridge.CrashUpdate{Fingerprint: 9, Account: "a", Epoch: 3}, true},
 		"must name a request":   {wasabiridge.CrashUpdate{Account: "a", Crashes: []wasabiridge.ServerCrash{end}}, false},
 		"must name a server":    {wasabiridge.CrashUpdate{Fingerprint: 9, Crashes: []wasabiridge.ServerCrash{{RunTime: 1}}}, false},
--- a/internal/wasabiquarantine/blocks.go
+++ b/internal/wasabiquarantine/blocks.go
@@ -36,7 +36,11 @@
 // writes a block, and a few others check that it did. A lifted block is deleted by the
 // instance that lifted it.
 func (k *Controller) queueBlock(note LogEvent) {
-	written := note.Kind == LogEventBlocked || note.Kind == LogEventLifted && len(note.Record.Crashes) >= maxEnds
+	proof := maxEnds
+	if note.Record.Part {
+		proof = partMoments
+	}
+	written := note.Kind == LogEventBlocked || note.Kind == LogEventLifted && len(note.Record.Crashes) >= proof
 	if k.options.Rows == nil || !written || note.From == storeID {
 		return
 	}
--- a/internal/wasabiquarantine/check.go
+++ b/internal/wasabiquarantine/check.go
@@ -6,11 +6,19 @@
 
 // Check implements wasabiridge.Quarantine.
 func (t *Table) Check(now wasabiridge.Millis, r wasabiridge.Request) wasabiridge.QuarantineVerdict {
+	byParts := t.checkParts(now, r)
+	if byParts == wasabiridge.QuarantineBlocked {
+		t.counts.Refused++
+		return byParts
+	}
 	m := t.records[r.Fingerprint]
-	if m == nil || len(m.ends) == 0 {
-		return wasabiridge.QuarantineFree
+	if m == nil {
+		return byParts
 	}
+	m = t.unexplained(m)
 	switch {
+	case m.count() == 0:
+		return byParts
 	case m.count() < maxEnds:
 		return wasabiridge.QuarantineSuspect
 	case t.isBlocked(now, m):
@@ -26,7 +34,11 @@
 
 // isBlocked reports whether a request must not be sent to any server now.
 func (t *Table) isBlocked(now wasabiridge.Millis, m *record) bool {
-	return t.isProven(m) && now < m.newest()+t.blockDuration(m) && !t.hasNewWeights(m)
+	if m.part && t.groupOf[m.fingerprint] == nil {
+		return false
+	}
+	m = t.unexplained(m)
+	return (m.part || t.isProven(m)) && now < m.newest()+t.blockDuration(m) && !t.hasNewWeights(m)
 }
 
 // isProven reports whether the ends of servers are sufficient proof against the request:
@@ -57,9 +69,11 @@
 	return false
 }
 
-// SetMembers takes the names of the other running instances. The choice of the
-// instances that may try a request depends on them.
-func (t *Table) SetMembers(others []wasabiridge.InstanceID) { t.others = others }
+// SetMembers takes the names of the other running instances, and of those that callers are
+// routed to. The choice of the instances that may try a request depends on them.
+func (t *Table) SetMembers(others, active []wasabiridge.InstanceID) {
+	t.others, t.active = others, active
+}
 
 // mayTry reports whether this is one of the instances that may send an unproven request, or
 // one whose block has expired, as a trial. All instances that know the same members choose
@@ -79,6 +93,9 @@
 
 // blockDuration returns how long a block lasts from the newest end of a server on.
 func (t *Table) blockDuration(m *record) wasabiridge.Millis {
+	if m.part {
+		return partBlockDuration(m)
+	}
 	trials := m.count() - maxEnds
 	if trials >= maxTrials {
 		return wasabiridge.Millis(t.jitter * float64(longestBlock))
@@ -89,5 +106,8 @@
 // hasNewWeights reports whether the model has newer weights than those with which servers
 // ended. The trials that this permits are bounded like those after an expiry.
 func (t *Table) hasNewWeights(m *record) bool {
-	return m.count() < maxEnds+maxTrials && m.weights() > 0 && t.latestWeights[m.model] > m.weights()
+	if m.part && m.trials() >= maxPartTrials || !m.part && m.count() >= maxEnds+maxTrials {
+		return false
+	}
+	return m.weights() > 0 && t.latestWeights[m.model] > m.weights()
 }
--- a/internal/wasabiquarantine/controller.go
+++ b/internal/wasabiquarantine/controller.go
@@ -131,10 +131,15 @@
 	for _, m := range members {
 		others = append(others, m.ID)
 	}
-	one, all := spread.Targets(members, k.active())
+	active := k.active()
+	var activeIDs []wasabiridge.InstanceID
+	for _, e := range active {
+		activeIDs = append(activeIDs, e.ID)
+	}
+	one, all := spread.Targets(members, active)
 	var updates Updates
 	k.loop.Inspect(func() {
-		k.table.SetMembers(others)
+		k.table.SetMembers(others, activeIDs)
 		updates = k.table.RepeatedUpdates(k.options.Clock.Now())
 	})
 	k.send(ctx, one, updates.Narrow)
@@ -211,7 +216,7 @@
 // log logs a suspicion or a block, or that it was lifted.
 func (k *Controller) log(note LogEvent) {
 	m := note.Record
-	line := k.options.Log.Info().Stringer("fingerprint", m.Fingerprint).Str("account", string(m.Account)).Int("ends", len(m.Crashes)).
+	line := k.options.Log.Info().Stringer("fingerprint", m.Fingerprint).Bool("prompt_part", m.Part).Str("account", string(m.Account)).Int("ends", len(m.Crashes)).
 		Uint64("epoch", uint64(m.Epoch)).Str("from", string(note.From))
 	if len(m.Crashes) > 0 {
 		last := m.Crashes[len(m.Crashes)-1]
@@ -226,6 +231,8 @@
 			ended = append(ended, string(e.Backend))
 		}
 		line.Strs("ended", ended).Int64("for_ms", int64(note.For)).Msg("Request blocked.")
+	case LogEventTrial:
+		line.Msg("Request with a blocked part is tried.")
 	case LogEventLifted:
 		line.Str("why", string(note.Why)).Msg("Suspicion or block of a request lifted.")
 	}
--- a/internal/wasabiquarantine/handler.go
+++ b/internal/wasabiquarantine/handler.go
@@ -10,9 +10,10 @@
 	"github.com/wasabiridge/wasabiridge"
 )
 
-// entryJSON is a suspect or blocked request, as operators see it.
+// entryJSON is a suspect or blocked request or part of prompts, as operators see it.
 type entryJSON struct {
 	Fingerprint string   `json:"fingerprint"`
+	Part        bool     `json:"prompt_part"`
 	Account     string   `json:"account"`
 	Model       string   `json:"model,omitempty"`
 	Barred      bool     `json:"barred"`
@@ -35,7 +36,7 @@
 	out := make([]entryJSON, 0, len(entries))
 	for _, e := range entries {
 		s := entryJSON{
-			Fingerprint: e.Fingerprint.String(), Account: string(e.Account), Model: string(e.Model), Barred: e.Blocked, LeftMillis: int64(e.Left),
+			Fingerprint: e.Fingerprint.String(), Part: e.Part, Account: string(e.Account), Model: string(e.Model), Barred: e.Blocked, LeftMillis: int64(e.Left),
 		}
 		for _, end := range e.Crashes {
 			s.Ended = append(s.Ended, string(end.Backend))
--- a/internal/wasabiquarantine/merge.go
+++ b/internal/wasabiquarantine/merge.go
@@ -25,6 +25,9 @@
 	if m == nil {
 		m = t.newRecord(now, c)
 	}
+	if m.part != c.Part {
+		return
+	}
 	if c.Epoch < m.epoch {
 		t.queueCorrection(from, m)
 		return
@@ -51,6 +54,9 @@
 		t.queueUpdate(m)
 	}
 	t.noteEnds(now, m, from, before, blocked)
+	if m.part && (m.count() >= partMoments || t.groupOf[m.fingerprint] != nil) {
+		t.updateGroups(now, from)
+	}
 }
 
 // queueCorrection queues a reply to an instance that has sent a record of an earlier epoch.
@@ -72,19 +78,26 @@
 // newRecord adds a record, and evicts another one if there is no room. An account that has
 // used up its share gives up one of its own.
 func (t *Table) newRecord(now wasabiridge.Millis, c wasabiridge.CrashUpdate) *record {
-	if t.recordsPerAccount[c.Account] >= maxAccountRecords {
-		t.evict(func(m *record) bool { return m.account == c.Account })
+	switch {
+	case c.Part && len(t.parts) >= maxPartRecords:
+		t.evict(func(m *record) bool { return m.part })
+	case !c.Part && t.recordsPerAccount[c.Account] >= maxAccountRecords:
+		t.evict(func(m *record) bool { return !m.part && m.account == c.Account })
 	}
 	if len(t.records) >= maxRecords {
 		t.evict(func(*record) bool { return true })
 	}
-	m := &record{fingerprint: c.Fingerprint, account: c.Account, model: c.Model, changed: now}
+	m := &record{fingerprint: c.Fingerprint, part: c.Part, account: c.Account, model: c.Model, changed: now}
 	for _, s := range t.inFlight {
 		if s.fingerprint == c.Fingerprint {
 			m.running++
 		}
 	}
 	t.records[c.Fingerprint] = m
+	if c.Part {
+		t.parts[c.Fingerprint] = true
+		return m
+	}
 	t.recordsPerAccount[c.Account]++
 	return m
 }
@@ -106,6 +119,10 @@
 func (t *Table) remove(m *record) {
 	delete(t.records, m.fingerprint)
 	delete(t.updated, m.fingerprint)
+	if m.part {
+		delete(t.parts, m.fingerprint)
+		return
+	}
 	if t.recordsPerAccount[m.account]--; t.recordsPerAccount[m.account] <= 0 {
 		delete(t.recordsPerAccount, m.account)
 	}
--- a/internal/wasabiquarantine/note.go
+++ b/internal/wasabiquarantine/note.go
@@ -30,6 +30,8 @@
 	LogEventBlocked
 	// LogEventLifted reports that the suspicion or block of a request was lifted.
 	LogEventLifted
+	// LogEventTrial reports that a request with a part whose block has expired is sent.
+	LogEventTrial
 )
 
 // LogEvent is an event for the log.
@@ -72,10 +74,14 @@
 // noteEnds records events about server ends. First ends that other instances report are
 // left out, because each end makes all requests suspects that ran at the server.
 func (t *Table) noteEnds(now wasabiridge.Millis, m *record, from wasabiridge.InstanceID, before int, blocked bool) {
+	if m.part && m.count() < wideThreshold {
+		// Each end of a server counts against all parts that were inside.
+		return
+	}
 	if from == "" || m.count() > max(before, 1) {
 		t.addLogEvent(now, LogEvent{Kind: LogEventCrash, Record: m.snapshot(now), From: from})
 	}
-	if !blocked && t.isBlocked(now, m) {
+	if !m.part && !blocked && t.isBlocked(now, m) {
 		t.counts.Blocked++
 		t.addLogEvent(now, LogEvent{Kind: LogEventBlocked, Record: m.snapshot(now), From: from, For: t.blockDuration(m)})
 	}
--- a/internal/wasabiquarantine/quarantine.go
+++ b/internal/wasabiquarantine/quarantine.go
@@ -22,6 +22,16 @@
 // then trialInstances instances may each try it, one attempt at a time, and the others
 // tell its callers to retry soon.
 //
+// # Parts of prompts
+//
+// Requests that no two are alike may have a part of their prompts in common that ends
+// servers, whatever else they hold. The parts of a prompt but the last one, which belongs to
+// the request, have records of their own. A server that ended before it began to answer a
+// request counts against each of its parts, and a complete answer clears them. A part is
+// blocked after ends at partMoments moments, unless another part explains them.
+//
+// # Blocks
+//
 // A block expires after a time that grows with the number of ends and differs between
 // instances, and when newer weights are announced. Then the request is tried again. After
 // maxTrials trials that ended a server too, only time or an operator lifts the block.
@@ -45,6 +55,7 @@
 	"math/rand/v2"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 )
 
 const (
@@ -105,12 +116,19 @@
 
 // Table implements wasabiridge.Quarantine. See the package documentation.
 type Table struct {
-	self    wasabiridge.InstanceID
-	others  []wasabiridge.InstanceID
+	self   wasabiridge.InstanceID
+	others []wasabiridge.InstanceID
+	// active are the instances that callers are routed to.
+	active  []wasabiridge.InstanceID
 	changed func()
 	jitter  float64
 	records map[wasabiridge.Fingerprint]*record
-	// recordsPerAccount counts the records of each account.
+	// parts holds the fingerprints of the records of parts.
+	parts map[wasabiridge.Fingerprint]bool
+	// groups are the blocked parts, and groupOf the group of each.
+	groups  []*partGroup
+	groupOf map[wasabiridge.Fingerprint]*partGroup
+	// recordsPerAccount counts the records of the requests of each account.
 	recordsPerAccount map[wasabiridge.ClientAccountID]int
 	inFlight          map[wasabiridge.AttemptID]flight
 	latestWeights     map[wasabiridge.ModelID]wasabiridge.WeightsVersion
@@ -138,6 +156,11 @@
 	epoch       uint32
 	at          wasabiridge.Millis
 	weights     wasabiridge.WeightsVersion
+	// parts are the parts of the prompt, partEpochs the epochs of their records.
+	parts      []wasabiridge.Fingerprint
+	partEpochs []uint32
+	// begun is set when the server has begun to answer.
+	begun bool
 }
 
 // New returns an empty table.
@@ -149,6 +172,7 @@
 		self: o.Self, changed: o.Changed,
 		jitter:            1 + blockJitter*rand.New(rand.NewPCG(o.Seed, 1)).Float64(),
 		records:           map[wasabiridge.Fingerprint]*record{},
+		parts:             map[wasabiridge.Fingerprint]bool{},
 		recordsPerAccount: map[wasabiridge.ClientAccountID]int{},
 		inFlight:          map[wasabiridge.AttemptID]flight{},
 		latestWeights:     map[wasabiridge.ModelID]wasabiridge.WeightsVersion{},
@@ -169,12 +193,28 @@
 		s.epoch = m.epoch
 		m.running++
 	}
+	s.parts = wasabifingerprint.Parts(r.Chain)
+	s.partEpochs = make([]uint32, len(s.parts))
+	for i, part := range s.parts {
+		if m := t.records[part]; m != nil {
+			s.partEpochs[i] = m.epoch
+		}
+	}
+	for _, g := range t.groupsOf(r) {
+		g.record.triedAt = now
+		t.addLogEvent(now, LogEvent{Kind: LogEventTrial, Record: g.record.snapshot(now)})
+	}
 	t.inFlight[id] = s
 }
 
 // Observe implements wasabiridge.Quarantine.
 func (t *Table) Observe(now wasabiridge.Millis, e wasabiridge.Event) {
 	switch e := e.(type) {
+	case wasabiridge.AttemptFirstToken:
+		if s, ok := t.inFlight[e.Attempt]; ok {
+			s.begun = true
+			t.inFlight[e.Attempt] = s
+		}
 	case wasabiridge.AttemptEnded:
 		t.ended(now, e)
 	case wasabiridge.CrashesReceived:
@@ -204,15 +244,17 @@
 	if m != nil && m.running > 0 {
 		m.running--
 	}
+	if e.Result == wasabiridge.AttemptCompleted && s.begun {
+		t.clearParts(now, s)
+	}
 	switch {
 	case e.ServerCrashed:
 		t.counts.Ends++
+		crash := wasabiridge.ServerCrash{Backend: s.backend.ID, Incarnation: s.backend.Incarnation, RunTime: now - s.at, Weights: s.weights}
 		t.merge(now, "", wasabiridge.CrashUpdate{
-			Fingerprint: s.fingerprint, Account: s.account, Model: s.model, Epoch: s.epoch,
-			Crashes: []wasabiridge.ServerCrash{{
-				Backend: s.backend.ID, Incarnation: s.backend.Incarnation, RunTime: now - s.at, Weights: s.weights,
-			}},
+			Fingerprint: s.fingerprint, Account: s.account, Model: s.model, Epoch: s.epoch, Crashes: []wasabiridge.ServerCrash{crash},
 		})
+		t.partEnded(now, s, crash)
 	case m != nil && len(m.ends) > 0 && (e.Result == wasabiridge.AttemptCompleted || e.Failed):
 		t.clear(now, m, LiftedByAnswer)
 	}
@@ -226,6 +268,9 @@
 	m.ends = nil
 	m.changed = now
 	t.queueUpdate(m)
+	if t.groupOf[m.fingerprint] != nil {
+		t.updateGroups(now, "")
+	}
 }
 
 // queueUpdate queues an update of a record for the other instances.
--- a/internal/wasabiquarantine/record.go
+++ b/internal/wasabiquarantine/record.go
@@ -6,13 +6,15 @@
 	"github.com/wasabiridge/wasabiridge"
 )
 
-// record holds the evidence against one request. Without ends it records that the request
+// record holds the evidence against one request, or one part of prompts. Without ends it records that the request
 // was cleared.
 type record struct {
 	fingerprint wasabiridge.Fingerprint
-	account     wasabiridge.ClientAccountID
-	model       wasabiridge.ModelID
-	epoch       uint32
+	// part says that the fingerprint is that of a part.
+	part    bool
+	account wasabiridge.ClientAccountID
+	model   wasabiridge.ModelID
+	epoch   uint32
 	// ends are the server ends of the present epoch, the oldest first. One end of a server
 	// is listed once.
 	ends []wasabiridge.ServerCrash
@@ -24,6 +26,8 @@
 	wasWide bool
 	// running counts the attempts of this instance in flight.
 	running int
+	// triedAt is when this instance last sent a request with a blocked part.
+	triedAt wasabiridge.Millis
 }
 
 // isWide reports whether the record is sent to all instances, and not only to those that
@@ -109,6 +113,24 @@
 	return slices.ContainsFunc(m.ends, func(e wasabiridge.ServerCrash) bool { return e.Backend == b })
 }
 
+// contains reports whether an end of a server is in the record.
+func (m *record) contains(e wasabiridge.ServerCrash) bool {
+	return slices.ContainsFunc(m.ends, func(known wasabiridge.ServerCrash) bool {
+		return known.Backend == e.Backend && isSameEnd(known, e)
+	})
+}
+
+// without returns a copy of the record without the ends for which drop returns true. It
+// returns the record itself if there are none.
+func (m *record) without(drop func(e wasabiridge.ServerCrash) bool) *record {
+	if !slices.ContainsFunc(m.ends, drop) {
+		return m
+	}
+	rest := *m
+	rest.ends = slices.DeleteFunc(slices.Clone(m.ends), drop)
+	return &rest
+}
+
 // weights returns the newest weights version that was announced when a server ended.
 func (m *record) weights() wasabiridge.WeightsVersion {
 	newest := wasabiridge.WeightsVersion(0)
@@ -131,7 +153,7 @@
 
 // snapshot returns the record in the form that is sent to other instances.
 func (m *record) snapshot(now wasabiridge.Millis) wasabiridge.CrashUpdate {
-	out := wasabiridge.CrashUpdate{Fingerprint: m.fingerprint, Account: m.account, Model: m.model, Epoch: m.epoch, Crashes: slices.Clone(m.ends)}
+	out := wasabiridge.CrashUpdate{Fingerprint: m.fingerprint, Part: m.part, Account: m.account, Model: m.model, Epoch: m.epoch, Crashes: slices.Clone(m.ends)}
 	for i := range out.Crashes {
 		out.Crashes[i].Age = max(0, now-out.Crashes[i].At)
 	}
--- a/internal/wasabiquarantine/row.go
+++ b/internal/wasabiquarantine/row.go
@@ -18,6 +18,7 @@
 // share up to a clock skew of some seconds.
 type row struct {
 	Account string   `json:"account"`
+	Part    bool     `json:"part,omitempty"`
 	Model   string   `json:"model,omitempty"`
 	Epoch   uint32   `json:"epoch"`
 	Ends    []rowEnd `json:"ends"`
@@ -36,7 +37,7 @@
 
 // EncodeRow encodes a block as it is stored, at a time of day.
 func EncodeRow(now wasabiridge.Millis, c wasabiridge.CrashUpdate) ([]byte, error) {
-	out := row{Account: string(c.Account), Model: string(c.Model), Epoch: c.Epoch}
+	out := row{Account: string(c.Account), Part: c.Part, Model: string(c.Model), Epoch: c.Epoch}
 	for _, e := range c.Crashes {
 		out.Ends = append(out.Ends, rowEnd{
 			Backend: string(e.Backend), Incarnation: uint64(e.Incarnation), RanMillis: int64(e.RunTime), Weights: uint64(e.Weights), AtMillis: int64(now - e.Age),
@@ -57,7 +58,7 @@
 		return wasabiridge.CrashUpdate{}, wasabiridge.ErrInvalid.Wrap(err, "quarantine: decoding row %q", r.Key)
 	}
 	out := wasabiridge.CrashUpdate{
-		Fingerprint: wasabiridge.Fingerprint(id), Account: wasabiridge.ClientAccountID(in.Account), Model: wasabiridge.ModelID(in.Model), Epoch: in.Epoch,
+		Fingerprint: wasabiridge.Fingerprint(id), Part: in.Part, Account: wasabiridge.ClientAccountID(in.Account), Model: wasabiridge.ModelID(in.Model), Epoch: in.Epoch,
 	}
 	ends := in.Ends[:min(len(in.Ends), maxKeptEnds)]
 	for _, e := range ends {
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
 )
@@ -77,17 +78,13 @@
 		Msg("Stream continued.")
 }
 
-// maxLoggedParts bounds the parts of a prompt in a log line.
-const maxLoggedParts = 16
-
-// sharedParts returns the identifiers of the parts of a prompt that others may share: all
-// but the last one.
-func sharedParts(c wasabiridge.Chain) []string {
-	parts := make([]string, 0, maxLoggedParts)
-	for _, block := range c.Blocks[:min(max(0, len(c.Blocks)-1), maxLoggedParts)] {
-		parts = append(parts, strconv.FormatUint(uint64(block), 16))
+// partNames returns the fingerprints of the parts of a prompt.
+func partNames(c wasabiridge.Chain) []string {
+	var names []string
+	for _, part := range wasabifingerprint.Parts(c) {
+		names = append(names, part.String())
 	}
-	return parts
+	return names
 }
 
 // logFailed logs the result of an attempt that did not complete. Began says that the server
@@ -98,7 +95,7 @@
 	}
 	line := x.relay.options.Log.Info()
 	if end.ServerCrashed {
-		line = line.Strs("parts", sharedParts(x.request.Chain)).Bool("began", began)
+		line = line.Strs("parts", partNames(x.request.Chain)).Bool("began", began)
 	}
 	line.
 		Str(wasabilog.RequestField, string(end.Request)).
--- a/internal/wasabirelay/refusal.go
+++ b/internal/wasabirelay/refusal.go
@@ -57,7 +57,11 @@
 		outcome = OutcomeRefused
 	}
 	c.relay.counts.add(outcome, f.Reason, c.relay.options.Clock.Now()-c.arrived)
-	c.relay.options.Log.Info().
+	line := c.relay.options.Log.Info()
+	if f.Reason == string(wasabiridge.RefusedQuarantined) {
+		line = line.Strs("parts", partNames(c.request().Chain))
+	}
+	line.
 		Str(wasabilog.RequestField, string(c.parsed.ID)).
 		Str("account", string(c.account.ID)).
 		Str("rule", string(c.rule.ID)).
--- a/quarantine.go
+++ b/quarantine.go
@@ -19,11 +19,14 @@
 }
 
 // CrashUpdate is what an instance knows of the servers that ended while they had a
-// request. Merging such updates gives the same result in any order and with any number
+// request, or requests with a part of their prompts in common. Merging such updates gives the same result in any order and with any number
 // of repetitions.
 type CrashUpdate struct {
 	Fingerprint Fingerprint
-	Account     ClientAccountID
+	// Part says that the record is on a part of prompts, which the fingerprint
+	// identifies, and not on a request.
+	Part    bool
+	Account ClientAccountID
 	Model       ModelID
 	// Epoch counts the complete responses to the request after servers had ended while
 	// they had it. Ends of an earlier epoch no longer count.
