--- a/internal/wasabibackend/relay.go
+++ b/internal/wasabibackend/relay.go
@@ -93,7 +93,7 @@
 // answer must be a JSON object: an engine whose handler ends before it wrote a
 // byte leaves an empty 200 response that net/http considers complete.
 func (x *exchange) relayBuffered(resp *http.Response) wasabiridge.AttemptResult {
-	if closeDelimited(resp) {
+	if wasabiridge.FramingOf(resp) == wasabiridge.FramingClose {
 		return wasabiridge.AttemptBroken
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, int64(x.opts.MaxAnswerBytes)+1))
@@ -116,7 +116,8 @@
 }
 
 // relayUnparsed passes the answer of a server that is not an engine to the sink
-// as its bytes arrive.
+// as its bytes arrive. An answer that ends with its connection looks complete wherever the
+// server ended, so it is never accepted as complete.
 func (x *exchange) relayUnparsed(resp *http.Response) wasabiridge.AttemptResult {
 	if !x.head(resp, true) {
 		return wasabiridge.AttemptBroken
@@ -128,7 +129,7 @@
 		if n > 0 && !x.chunk(0, buffer[:n]) {
 			return wasabiridge.AttemptBroken
 		}
-		if err == io.EOF && !closeDelimited(resp) {
+		if err == io.EOF && wasabiridge.FramingOf(resp) != wasabiridge.FramingClose {
 			return wasabiridge.AttemptCompleted
 		}
 		if err != nil {
@@ -137,13 +138,6 @@
 	}
 }
 
-// closeDelimited reports whether the body has neither a length nor chunked
-// encoding and ends where the connection is closed. Such a body looks complete
-// wherever the server died, so it is never accepted as complete.
-func closeDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // drain reads up to drainBytes after the end of an answer. If the server has not
 // ended the response within drainTime, the request is cancelled, which closes
 // the connection.
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -37,6 +37,9 @@
 	if end.Moved = x.takeMove(d, end); end.Moved.Handle != "" {
 		end.Result = wasabiridge.AttemptBroken
 	}
+	if end.Framing != wasabiridge.FramingNone {
+		x.relay.counts.addEnd(end.Framing.String(), end.Result.String())
+	}
 	x.logFailed(end, started, s.gotChunk)
 	if end.Result == wasabiridge.AttemptNotRun {
 		x.disposition = before
--- a/internal/wasabirelay/counts.go
+++ b/internal/wasabirelay/counts.go
@@ -88,6 +88,14 @@
 	c.causes["continued/"+kind]++
 }
 
+// addEnd counts the end of an attempt whose server had begun to respond, by the framing of
+// the response and the result.
+func (c *Counts) addEnd(framing, result string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.causes["end/"+framing+" "+result]++
+}
+
 func (c *Counts) observe(name string, took wasabiridge.Millis) {
 	h := c.byName[name]
 	if h == nil {
@@ -110,8 +118,8 @@
 }
 
 // Causes returns the number of requests by "outcome/cause", of moves by "move/outcome", of
-// requests that were passed on to another instance by "forward/outcome", and of streams that
-// were continued by "continued/kind".
+// requests that were passed on to another instance by "forward/outcome", of streams that
+// were continued by "continued/kind", and of responses of servers by "end/framing result".
 func (c *Counts) Causes() map[string]uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
