wasabireach: connections that open and carry nothing are no path

Cause: checks open a connection, and an opened connection counted as a path.

When attempts at two servers have brought nothing although connections open, one request at a time is passed on to another instance. An answer there, while nothing has arrived here, shows that the path is lost and not the servers. Until servers answer again, checks ask them for an answer.

--- a/attempt.go
+++ b/attempt.go
@@ -103,12 +103,15 @@
 	Chunk(tokens int, data []byte) error
 }
 
-// BackendProber checks whether backend servers can be reached. Implementations are safe
+// BackendProber checks whether backend servers can be reached, and whether they answer. Implementations are safe
 // for concurrent use.
 type BackendProber interface {
 	// Probe opens a connection to a backend server and sends nothing. It reports whether
 	// the connection could be opened.
 	Probe(ctx context.Context, b BackendServer) bool
+	// Ask asks a backend server for an answer that needs none of its capacity, over a new
+	// connection. It reports whether any answer arrived.
+	Ask(ctx context.Context, b BackendServer) bool
 }
 
 // AttemptRunner sends attempts to backend servers. Implementations are safe
--- a/internal/wasabinode/detour.go
+++ b/internal/wasabinode/detour.go
@@ -37,7 +37,7 @@
 // Instances implements wasabirelay.Detour. The instances that callers are sent to are
 // returned in random order, so that the requests spread over all of them.
 func (d *detour) Instances(pool wasabiridge.PoolID) []wasabiridge.InstanceEntry {
-	if !d.Detached(pool) {
+	if !d.Detached(pool) && !d.node.reach.inDoubt(pool) {
 		return nil
 	}
 	var out []wasabiridge.InstanceEntry
@@ -50,6 +50,11 @@
 	return out
 }
 
+// Answered implements wasabirelay.Detour.
+func (d *detour) Answered(pool wasabiridge.PoolID, answered bool) {
+	d.node.reach.servedElsewhere(pool, answered)
+}
+
 // Declined implements wasabirelay.Detour.
 func (d *detour) Declined(pool wasabiridge.PoolID, by wasabiridge.InstanceID) {
 	d.mu.Lock()
--- a/internal/wasabinode/partition_test.go
+++ b/internal/wasabinode/partition_test.go
@@ -102,5 +102,7 @@
 		Entry("whose established connections hang", standin.LinksHang),
 		Entry("whose established connections are reset", standin.LinksReset),
 		Entry("whose new connections are refused", standin.LinksRefuse),
+		Entry("whose connections carry nothing", standin.LinksMute),
+		Entry("whose connections are reset when anything is sent", standin.LinksDrop),
 	)
 })
--- a/internal/wasabinode/pathcheck.go
+++ b/internal/wasabinode/pathcheck.go
@@ -81,13 +81,20 @@
 	return false
 }
 
-// probe opens a connection to each of some servers of a pool.
+// probe opens a connection to each of some servers of a pool. Where connections carry
+// nothing, it asks for an answer.
 func (r *reach) probe(ctx context.Context, p *path, sample []wasabiridge.BackendServer) wasabireach.Result {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	r.mu.Lock()
+	probe := r.prober.Probe
+	if p.tracker.Mute() {
+		probe = r.prober.Ask
+	}
+	r.mu.Unlock()
 	connected := make(chan bool, len(sample))
 	for _, b := range sample {
-		go func() { connected <- r.prober.Probe(ctx, b) }()
+		go func() { connected <- probe(ctx, b) }()
 	}
 	var result wasabireach.Result
 	for range sample {
@@ -114,26 +121,41 @@
 	changed := p.tracker.Checked(now, result)
 	_, lost := p.tracker.Detached()
 	if changed && lost {
-		for id, cancel := range p.unanswered {
-			cancel(errPathLost)
-			delete(p.unanswered, id)
-		}
-		// The paths to the other pools may be lost unnoticed if nothing is sent there.
-		for _, other := range r.pools() {
-			r.path(other.ID).tracker.Suspect()
-		}
+		r.giveUp(p)
 	}
 	r.mu.Unlock()
-	if !changed {
-		return
+	if changed {
+		r.report(pool, lost, now-before, result)
+	}
+}
+
+// giveUp ends the idempotent attempts that wait for an answer over a lost path. The paths to
+// the other pools may be lost unnoticed if nothing is sent there, so they are checked. The
+// mutex must be held.
+func (r *reach) giveUp(p *path) {
+	for id, cancel := range p.unanswered {
+		cancel(errPathLost)
+		delete(p.unanswered, id)
 	}
+	now := r.clock.Now()
+	for _, other := range r.pools() {
+		r.path(other.ID).tracker.Suspect()
+		if p.tracker.Mute() {
+			r.path(other.ID).tracker.Doubt(now)
+		}
+	}
+}
+
+// report logs and reports that a path was lost or restored, with the time for which the
+// state before lasted and the result of the check.
+func (r *reach) report(pool wasabiridge.PoolID, lost bool, lasted wasabiridge.Millis, result wasabireach.Result) {
 	// Checks of several pools may end at the same time. The one that reports last must
 	// report the latest state.
 	r.reporting.Lock()
 	defer r.reporting.Unlock()
 	detached := r.detached()
 	r.log.Warn().Str("pool", string(pool)).Bool("lost", lost).Bool("detached", detached).Int("connected", result.Connected).
-		Int("failed", result.Failed).Int64("lasted_ms", int64(now-before)).Msg("Path to the backend servers changed.")
+		Int("failed", result.Failed).Int64("lasted_ms", int64(lasted)).Msg("Path to the backend servers changed.")
 	r.changed(pool, lost, detached)
 }
 
--- a/internal/wasabinode/reach.go
+++ b/internal/wasabinode/reach.go
@@ -98,7 +98,7 @@
 // Sent implements wasabiridge.AttemptSink.
 func (s *reachSink) Sent() {
 	s.reach.mu.Lock()
-	s.path.tracker.Sent(s.reach.clock.Now(), s.attempt.ID)
+	s.path.tracker.Sent(s.reach.clock.Now(), s.attempt.ID, s.attempt.Backend.ID)
 	if !s.attempt.NonIdempotent {
 		s.path.unanswered[s.attempt.ID] = s.cancel
 	}
@@ -125,6 +125,40 @@
 	s.path.tracker.Received(s.reach.clock.Now(), s.attempt.ID)
 }
 
+// inDoubt reports whether another instance should be asked to serve a request for a pool,
+// although this instance counts as having a path to it.
+func (r *reach) inDoubt(pool wasabiridge.PoolID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.byPool[pool]
+	return p != nil && p.tracker.InDoubt(r.clock.Now())
+}
+
+// servedElsewhere records whether another instance brought an answer of a server of a pool.
+func (r *reach) servedElsewhere(pool wasabiridge.PoolID, served bool) {
+	r.mu.Lock()
+	p := r.byPool[pool]
+	if p == nil {
+		r.mu.Unlock()
+		return
+	}
+	if !served {
+		p.tracker.NotServedElsewhere()
+		r.mu.Unlock()
+		return
+	}
+	before, _ := p.tracker.Detached()
+	now := r.clock.Now()
+	changed := p.tracker.ServedElsewhere(now)
+	if changed {
+		r.giveUp(p)
+	}
+	r.mu.Unlock()
+	if changed {
+		r.report(pool, true, now-before, wasabireach.Result{})
+	}
+}
+
 // allLost reports whether the paths to all pools with servers are lost. The mutex must be
 // held.
 func (r *reach) allLost() bool {
--- a/internal/wasabireach/tracker.go
+++ b/internal/wasabireach/tracker.go
@@ -12,6 +12,15 @@
 // New connections are the evidence, because in a partition established ones may hang or,
 // where a firewall drops only the opening packets, go on working.
 //
+// # Connections that open and carry nothing
+//
+// A device on the path, such as a firewall or a load balancer, may accept connections and
+// forward nothing, or reset them. If attempts at several servers bring nothing although
+// connections can be opened, the path is in doubt, and another instance is asked to serve
+// a request. If it is served there while nothing has arrived here, the servers are not to
+// blame, and the instance is detached. Checks then ask servers for an answer, until most
+// of a sample give one.
+//
 // # Usage
 //
 //	tracker := wasabireach.New(seed)
@@ -47,10 +56,19 @@
 	firstSample   = 1
 	secondSample  = 5
 	restoreSample = 3
+	// doubtTimeout is how long attempts at minDoubtServers servers must have brought
+	// nothing, although connections can be opened, before the path is in doubt, and
+	// doubtInterval the time between two requests that another instance is asked to serve
+	// meanwhile.
+	doubtTimeout    = 700 * wasabiridge.Millis(1)
+	minDoubtServers = 2
+	doubtInterval   = 200 * wasabiridge.Millis(1)
+	// doubtSpan is how long a path is in doubt after Doubt if nothing arrives.
+	doubtSpan = 5 * wasabiridge.Second
 )
 
 // Result is the outcome of one sample: the number of servers to which a connection could
-// be opened, and to which none could.
+// be opened, and to which none could. See Mute.
 type Result struct {
 	Connected, Failed int
 }
@@ -58,8 +76,11 @@
 // Tracker decides whether an instance is detached from the backend servers.
 type Tracker struct {
 	random *rand.Rand
-	// unanswered holds when the attempts that have no byte of an answer yet were sent.
-	unanswered map[wasabiridge.AttemptID]wasabiridge.Millis
+	// unanswered holds the attempts that have no byte of an answer yet.
+	unanswered map[wasabiridge.AttemptID]sentAttempt
+	// fruitless holds when a connection to a server last broke before any byte of an
+	// answer, since anything was received.
+	fruitless map[wasabiridge.BackendServerID]wasabiridge.Millis
 	// suspected is set by Suspect until the next check.
 	suspected bool
 	// received is when anything was last received from a server.
@@ -75,38 +96,115 @@
 	nextCheck wasabiridge.Millis
 	detached  bool
 	since     wasabiridge.Millis
+	// mute is set while the instance is detached because connections carry nothing.
+	mute bool
+	// doubtedAt is when the connections to other servers were found to carry nothing.
+	doubtedAt wasabiridge.Millis
+	// nextDoubt is when the next request may be passed on in doubt.
+	nextDoubt wasabiridge.Millis
+}
+
+// sentAttempt is an attempt without an answer.
+type sentAttempt struct {
+	server wasabiridge.BackendServerID
+	at     wasabiridge.Millis
 }
 
 // New returns the Tracker of an instance that counts as connected.
 func New(seed uint64) *Tracker {
 	return &Tracker{
 		random:     rand.New(rand.NewPCG(seed, 0)),
-		unanswered: map[wasabiridge.AttemptID]wasabiridge.Millis{},
+		unanswered: map[wasabiridge.AttemptID]sentAttempt{},
+		fruitless:  map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 		failures:   map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 		sampled:    map[wasabiridge.BackendServerID]bool{},
 	}
 }
 
 // Sent records that an attempt was sent to a server.
-func (t *Tracker) Sent(now wasabiridge.Millis, a wasabiridge.AttemptID) { t.unanswered[a] = now }
+func (t *Tracker) Sent(now wasabiridge.Millis, a wasabiridge.AttemptID, server wasabiridge.BackendServerID) {
+	t.unanswered[a] = sentAttempt{server: server, at: now}
+}
 
 // Received records that a part of the answer to an attempt arrived.
 func (t *Tracker) Received(now wasabiridge.Millis, a wasabiridge.AttemptID) {
 	t.received = now
 	delete(t.unanswered, a)
+	clear(t.fruitless)
 }
 
 // Ended records the end of an attempt.
 func (t *Tracker) Ended(now wasabiridge.Millis, e wasabiridge.AttemptEnded) {
+	if _, unanswered := t.unanswered[e.Attempt]; unanswered && e.Result == wasabiridge.AttemptBroken {
+		t.fruitless[e.Backend] = now
+	}
 	delete(t.unanswered, e.Attempt)
 	if e.Unreachable {
 		t.failures[e.Backend] = now
 	}
 }
 
+// InDoubt reports whether another instance should be asked to serve the next request, and
+// records that it is. See the package documentation.
+func (t *Tracker) InDoubt(now wasabiridge.Millis) bool {
+	if now < t.nextDoubt || !t.isDoubtful(now) {
+		return false
+	}
+	t.nextDoubt = now + doubtInterval
+	return true
+}
+
+// ServedElsewhere records that another instance brought an answer of a server. It reports
+// whether that changed whether the instance is detached.
+func (t *Tracker) ServedElsewhere(now wasabiridge.Millis) bool {
+	if !t.isDoubtful(now) {
+		return false
+	}
+	t.setDetached(now, true)
+	t.mute = true
+	return true
+}
+
+// NotServedElsewhere records that another instance brought no answer of a server, for example
+// because it refused the request. The next request may be passed on at once.
+func (t *Tracker) NotServedElsewhere() { t.nextDoubt = 0 }
+
+// isDoubtful reports whether attempts at several servers have brought nothing, and nothing
+// else has arrived since.
+func (t *Tracker) isDoubtful(now wasabiridge.Millis) bool {
+	switch {
+	case t.detached:
+		return false
+	case t.doubtedAt > t.received && now-t.doubtedAt <= doubtSpan && now-t.received >= silenceTimeout:
+		return true
+	case now-t.received < doubtTimeout:
+		return false
+	}
+	servers := map[wasabiridge.BackendServerID]bool{}
+	for _, sent := range t.unanswered {
+		if sent.at >= t.received && now-sent.at >= doubtTimeout {
+			servers[sent.server] = true
+		}
+	}
+	for server, at := range t.fruitless {
+		if now-at <= failureWindow {
+			servers[server] = true
+		}
+	}
+	return len(servers) >= minDoubtServers
+}
+
+// Mute reports whether the instance is detached because connections carry nothing. A check
+// then has to ask for an answer, and Result counts the servers that gave one as connected.
+func (t *Tracker) Mute() bool { return t.mute }
+
 // Suspect requests a check.
 func (t *Tracker) Suspect() { t.suspected = true }
 
+// Doubt records that connections to other servers carry nothing. The path is in doubt then
+// until something arrives.
+func (t *Tracker) Doubt(now wasabiridge.Millis) { t.doubtedAt = now }
+
 // Detached reports whether the instance has no path to any backend server, and since when.
 func (t *Tracker) Detached() (since wasabiridge.Millis, detached bool) { return t.since, t.detached }
 
@@ -121,7 +219,7 @@
 		return true
 	}
 	for _, sent := range t.unanswered {
-		if now-max(sent, t.received) >= silenceTimeout {
+		if now-max(sent.at, t.received) >= silenceTimeout {
 			return true
 		}
 	}
@@ -191,7 +289,12 @@
 	if t.detached != detached {
 		t.since = now
 	}
-	t.detached = detached
+	if t.mute && !detached {
+		// Servers have answered.
+		t.received, t.doubtedAt = now, 0
+		clear(t.fruitless)
+	}
+	t.detached, t.mute = detached, false
 	t.nextCheck = now + connectedInterval
 	if detached {
 		t.nextCheck = now + checkInterval
--- a/internal/wasabireach/tracker_test.go
+++ b/internal/wasabireach/tracker_test.go
@@ -77,7 +77,7 @@
 		n.run(5 * wasabiridge.Second)
 		for i := range 20 {
 			id := wasabiridge.AttemptID(i + 1)
-			n.tracker.Sent(n.now, id)
+			n.tracker.Sent(n.now, id, "s0")
 			n.run(200)
 			n.tracker.Received(n.now, id)
 		}
@@ -87,7 +87,7 @@
 	It("detects within a second and a half that established connections hang", func() {
 		n := newNetwork(9)
 		n.setDown(9)
-		n.tracker.Sent(n.now, 1)
+		n.tracker.Sent(n.now, 1, "s0")
 		n.run(1500)
 		Expect(n.detached()).To(BeTrue())
 	})
@@ -96,7 +96,7 @@
 		n := newNetwork(9)
 		n.setDown(9)
 		for i := range 10 {
-			n.tracker.Sent(n.now, wasabiridge.AttemptID(i+1))
+			n.tracker.Sent(n.now, wasabiridge.AttemptID(i+1), "s0")
 			n.failConnection(i % 3)
 			n.run(100)
 			n.tracker.Received(n.now, wasabiridge.AttemptID(i+1))
@@ -108,7 +108,7 @@
 	It("detects that the path is back", func() {
 		n := newNetwork(9)
 		n.setDown(9)
-		n.tracker.Sent(n.now, 1)
+		n.tracker.Sent(n.now, 1, "s0")
 		n.run(3 * wasabiridge.Second)
 		n.setDown(0)
 		n.run(700)
@@ -125,7 +125,7 @@
 		func(down int) {
 			n := newNetwork(12)
 			n.setDown(down)
-			n.tracker.Sent(n.now, 1)
+			n.tracker.Sent(n.now, 1, "s0")
 			for range 40 {
 				for i := range down {
 					n.failConnection(i)
@@ -138,10 +138,91 @@
 		Entry("one silent server", 0), Entry("two crashed servers", 2), Entry("a third of the servers crashed", 4),
 	)
 
+	// Guards against an instance that takes connections which a device on the path accepts
+	// for a path, while they hang or are reset.
+	DescribeTable("detects that connections carry nothing, if another instance is answered",
+		func(bring func(n *network, a wasabiridge.AttemptID, server wasabiridge.BackendServerID)) {
+			n := newNetwork(9)
+			for i := range 12 {
+				bring(n, wasabiridge.AttemptID(i+1), n.servers[i%3].ID)
+				n.run(100)
+			}
+			Expect(n.detached()).To(BeFalse(), "nothing is known of the servers")
+			Expect(n.tracker.InDoubt(n.now)).To(BeTrue())
+			Expect(n.tracker.InDoubt(n.now)).To(BeFalse(), "one request at a time")
+			n.tracker.NotServedElsewhere()
+			Expect(n.tracker.InDoubt(n.now)).To(BeTrue(), "the other one refused the request")
+			Expect(n.tracker.ServedElsewhere(n.now)).To(BeTrue())
+			Expect(n.tracker.Mute()).To(BeTrue())
+			n.setDown(9) // No server answers.
+			n.run(3 * wasabiridge.Second)
+			Expect(n.detached()).To(BeTrue())
+			n.setDown(0)
+			n.run(700)
+			Expect(n.detached()).To(BeFalse())
+			Expect(n.tracker.Mute()).To(BeFalse())
+			n.run(5 * wasabiridge.Second)
+			Expect(n.tracker.InDoubt(n.now)).To(BeFalse(), "nothing was sent since")
+		},
+		Entry("hang", func(n *network, a wasabiridge.AttemptID, server wasabiridge.BackendServerID) {
+			n.tracker.Sent(n.now, a, server)
+		}),
+		Entry("are reset", func(n *network, a wasabiridge.AttemptID, server wasabiridge.BackendServerID) {
+			n.tracker.Sent(n.now, a, server)
+			n.tracker.Ended(n.now, wasabiridge.AttemptEnded{Attempt: a, Backend: server, Result: wasabiridge.AttemptBroken})
+		}),
+	)
+
+	It("is in no doubt while one of the servers answers, or only one is silent", func() {
+		n := newNetwork(9)
+		for i := range 20 {
+			n.tracker.Sent(n.now, wasabiridge.AttemptID(2*i+1), n.servers[i%3].ID)
+			n.tracker.Sent(n.now, wasabiridge.AttemptID(2*i+2), n.servers[5].ID)
+			n.run(200)
+			n.tracker.Received(n.now, wasabiridge.AttemptID(2*i+2))
+			Expect(n.tracker.InDoubt(n.now)).To(BeFalse())
+		}
+		n = newNetwork(9)
+		for i := range 20 {
+			n.tracker.Sent(n.now, wasabiridge.AttemptID(i+1), n.servers[3].ID)
+			n.run(100)
+			Expect(n.tracker.InDoubt(n.now)).To(BeFalse())
+			Expect(n.tracker.ServedElsewhere(n.now)).To(BeFalse())
+		}
+	})
+
+	It("is in doubt where connections to other servers carry nothing, until one is answered", func() {
+		n := newNetwork(2)
+		n.tracker.Sent(n.now, 1, n.servers[0].ID)
+		n.tracker.Received(n.now, 1)
+		n.run(100)
+		n.tracker.Doubt(n.now)
+		Expect(n.tracker.InDoubt(n.now)).To(BeFalse())
+		n.run(300)
+		Expect(n.tracker.InDoubt(n.now)).To(BeTrue())
+		n.tracker.Received(n.now, 1)
+		n.tracker.Sent(n.now, 2, n.servers[0].ID)
+		n.run(500)
+		Expect(n.tracker.InDoubt(n.now)).To(BeFalse())
+	})
+
+	// Guards against an answer that was on the way when the path was lost, and is taken for
+	// the end of that.
+	It("stays detached when an earlier attempt is answered", func() {
+		n := newNetwork(9)
+		for i := range 10 {
+			n.tracker.Sent(n.now, wasabiridge.AttemptID(i+1), n.servers[i%3].ID)
+			n.run(100)
+		}
+		Expect(n.tracker.ServedElsewhere(n.now)).To(BeTrue())
+		n.tracker.Received(n.now, 1)
+		Expect(n.detached()).To(BeTrue())
+	})
+
 	It("needs a single sample where there are few servers", func() {
 		n := newNetwork(2)
 		n.setDown(2)
-		n.tracker.Sent(n.now, 1)
+		n.tracker.Sent(n.now, 1, "s0")
 		n.run(700)
 		Expect(n.detached()).To(BeTrue())
 		n.servers = nil
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -24,9 +24,12 @@
 	wasabiridge.Forwarder
 	// Detached reports whether this instance has no path to the servers of a pool.
 	Detached(pool wasabiridge.PoolID) bool
-	// Instances returns other instances that may serve requests for a pool, in the order
-	// in which to try them. It returns none while this instance has a path to the pool.
+	// Instances returns other instances that may serve a request for a pool, in the order
+	// in which to try them. It returns none while this instance has a path to the pool, and
+	// it is not in doubt.
 	Instances(pool wasabiridge.PoolID) []wasabiridge.InstanceEntry
+	// Answered records whether another instance brought an answer of a server of a pool.
+	Answered(pool wasabiridge.PoolID, answered bool)
 	// Declined records that an instance cannot serve requests for a pool either.
 	Declined(pool wasabiridge.PoolID, by wasabiridge.InstanceID)
 }
@@ -39,7 +42,12 @@
 // to no further one, so that a request reaches no more servers than its rule allows.
 func (x *exchange) forward() bool {
 	d := x.relay.options.Detour
-	if d == nil || x.received != nil || x.headSent || len(d.Instances(x.request.Action.Pool)) == 0 || !x.withdrawOrigin() {
+	if d == nil || x.received != nil || x.headSent {
+		return false
+	}
+	pool := x.request.Action.Pool
+	instances := d.Instances(pool)
+	if len(instances) == 0 || !x.withdrawOrigin() {
 		return false
 	}
 	left := 0
@@ -48,8 +56,7 @@
 			return false
 		}
 	}
-	pool := x.request.Action.Pool
-	for i, to := range d.Instances(pool) {
+	for i, to := range instances {
 		timeout := x.until - forwardMargin - x.relay.options.Clock.Now()
 		if i >= maxForwards || timeout <= 0 || x.account.ID != "" && !x.keyInForce() {
 			return false
@@ -61,6 +68,9 @@
 			Target: x.r.URL.RequestURI(), Header: x.r.Header, Body: x.body, Timeout: timeout,
 		}, &forwardSink{exchange: x})
 		x.logForwarded(to, result, started)
+		if result.Result == wasabiridge.AttemptNotRun {
+			d.Answered(pool, false)
+		}
 		if result.Declined {
 			x.disposition = before
 			d.Declined(pool, to.ID)
@@ -141,6 +151,7 @@
 func (s *forwardSink) Head(status int, h http.Header) error {
 	s.stream = isEventStream(h)
 	s.exchange.status, s.exchange.head, s.exchange.buffered = status, h, nil
+	s.exchange.relay.options.Detour.Answered(s.exchange.request.Action.Pool, true)
 	return nil
 }
 
--- a/internal/wasabirelay/forward_test.go
+++ b/internal/wasabirelay/forward_test.go
@@ -40,6 +40,8 @@
 	d.lost = lost
 }
 
+func (d *detour) Answered(wasabiridge.PoolID, bool) {}
+
 func (d *detour) Instances(wasabiridge.PoolID) []wasabiridge.InstanceEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/quarantine.go
+++ b/quarantine.go
@@ -27,7 +27,7 @@
 	// identifies, and not on a request.
 	Part    bool
 	Account ClientAccountID
-	Model       ModelID
+	Model   ModelID
 	// Epoch counts the complete responses to the request after servers had ended while
 	// they had it. Ends of an earlier epoch no longer count.
 	Epoch   uint32
