--- a/internal/wasabilistener/abort.go
+++ b/internal/wasabilistener/abort.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	if secure, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = secure.NetConn()
 	}
