wasabiquarantine: a part is refused no longer than its record is kept

A record that expires or is evicted stayed in the group of blocked parts, so every instance but the one that may try the part went on refusing it (503, not run) until another part changed. Found by reading; the new case of the table failed before. A record that is removed leaves its group now.

--- a/internal/wasabiquarantine/merge.go
+++ b/internal/wasabiquarantine/merge.go
@@ -121,6 +121,7 @@
 	delete(t.updated, m.fingerprint)
 	if m.part {
 		delete(t.parts, m.fingerprint)
+		t.leaveGroup(m)
 		return
 	}
 	if t.recordsPerAccount[m.account]--; t.recordsPerAccount[m.account] <= 0 {
--- a/internal/wasabiquarantine/part.go
+++ b/internal/wasabiquarantine/part.go
@@ -126,6 +126,21 @@
 	}
 }
 
+// leaveGroup removes a part from its group, if it has one.
+func (t *Table) leaveGroup(m *record) {
+	g := t.groupOf[m.fingerprint]
+	if g == nil {
+		return
+	}
+	delete(t.groupOf, m.fingerprint)
+	g.parts = slices.DeleteFunc(g.parts, func(part wasabiridge.Fingerprint) bool { return part == m.fingerprint })
+	if len(g.parts) == 0 {
+		t.groups = slices.DeleteFunc(t.groups, func(other *partGroup) bool { return other == g })
+		return
+	}
+	g.record = t.records[g.parts[0]]
+}
+
 // suspectParts returns the records of parts that may be blocked, those with the most ends
 // first.
 func (t *Table) suspectParts() []*record {
--- a/internal/wasabiquarantine/partverdict_test.go
+++ b/internal/wasabiquarantine/partverdict_test.go
@@ -139,6 +139,11 @@
 			d.crash(4, 7)
 			d.wait(6 * wasabiridge.Second)
 		}, part(7), blocked},
+		"forgotten, at an instance that is not to try it": {func(d *promptDriver) {
+			d.table.SetMembers(nil, manyInstances())
+			d.crash(4, 7)
+			d.wait(11 * wasabiridge.Minute)
+		}, part(7), free},
 		"known from another instance": {func(d *promptDriver) {
 			other := &promptDriver{tableDriver: newTableDriver()}
 			other.crash(4, 7)
