wasabireach and others: plainer words in comments

Comments only: the field's terms for connections that forward no data. The usage example of the tracker names the server, as its signature does.

--- a/internal/wasabinode/pathcheck.go
+++ b/internal/wasabinode/pathcheck.go
@@ -81,8 +81,8 @@
 	return false
 }
 
-// probe opens a connection to each of some servers of a pool. Where connections carry
-// nothing, it asks for an answer.
+// probe opens a connection to each of some servers of a pool. Where connections forward
+// no data, it asks for an answer.
 func (r *reach) probe(ctx context.Context, p *path, sample []wasabiridge.BackendServer) wasabireach.Result {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/wasabinode/reach.go
+++ b/internal/wasabinode/reach.go
@@ -134,7 +134,7 @@
 	return p != nil && p.tracker.InDoubt(r.clock.Now())
 }
 
-// servedElsewhere records whether another instance brought an answer of a server of a pool.
+// servedElsewhere records whether another instance relayed the response of a server of a pool.
 func (r *reach) servedElsewhere(pool wasabiridge.PoolID, served bool) {
 	r.mu.Lock()
 	p := r.byPool[pool]
--- a/internal/wasabireach/tracker.go
+++ b/internal/wasabireach/tracker.go
@@ -12,19 +12,19 @@
 // New connections are the evidence, because in a partition established ones may hang or,
 // where a firewall drops only the opening packets, go on working.
 //
-// # Connections that open and carry nothing
+// # Connections that open and forward no data
 //
 // A device on the path, such as a firewall or a load balancer, may accept connections and
-// forward nothing, or reset them. If attempts at several servers bring nothing although
+// forward nothing, or reset them. If attempts at several servers receive no data although
 // connections can be opened, the path is in doubt, and another instance is asked to serve
-// a request. If it is served there while nothing has arrived here, the servers are not to
-// blame, and the instance is detached. Checks then ask servers for an answer, until most
+// a request. If it is served there while nothing has arrived here, the servers are not the
+// cause, and the instance is detached. Checks then ask servers for an answer, until most
 // of a sample give one.
 //
 // # Usage
 //
 //	tracker := wasabireach.New(seed)
-//	tracker.Sent(now, attempt)
+//	tracker.Sent(now, attempt, server)
 //	if tracker.Due(now) {
 //		changed := tracker.Checked(now, connect(tracker.Check(servers)))
 //	}
@@ -56,7 +56,7 @@
 	firstSample   = 1
 	secondSample  = 5
 	restoreSample = 3
-	// doubtTimeout is how long attempts at minDoubtServers servers must have brought
+	// doubtTimeout is how long attempts at minDoubtServers servers must have received
 	// nothing, although connections can be opened, before the path is in doubt, and
 	// doubtInterval the time between two requests that another instance is asked to serve
 	// meanwhile.
@@ -96,9 +96,9 @@
 	nextCheck wasabiridge.Millis
 	detached  bool
 	since     wasabiridge.Millis
-	// mute is set while the instance is detached because connections carry nothing.
+	// mute is set while the instance is detached because connections forward no data.
 	mute bool
-	// doubtedAt is when the connections to other servers were found to carry nothing.
+	// doubtedAt is when the connections to other servers were found to forward no data.
 	doubtedAt wasabiridge.Millis
 	// nextDoubt is when the next request may be passed on in doubt.
 	nextDoubt wasabiridge.Millis
@@ -154,7 +154,7 @@
 	return true
 }
 
-// ServedElsewhere records that another instance brought an answer of a server. It reports
+// ServedElsewhere records that another instance relayed the response of a server. It reports
 // whether that changed whether the instance is detached.
 func (t *Tracker) ServedElsewhere(now wasabiridge.Millis) bool {
 	if !t.isDoubtful(now) {
@@ -165,11 +165,11 @@
 	return true
 }
 
-// NotServedElsewhere records that another instance brought no answer of a server, for example
+// NotServedElsewhere records that another instance relayed no response of a server, for example
 // because it refused the request. The next request may be passed on at once.
 func (t *Tracker) NotServedElsewhere() { t.nextDoubt = 0 }
 
-// isDoubtful reports whether attempts at several servers have brought nothing, and nothing
+// isDoubtful reports whether attempts at several servers have received no data, and nothing
 // else has arrived since.
 func (t *Tracker) isDoubtful(now wasabiridge.Millis) bool {
 	switch {
@@ -194,14 +194,14 @@
 	return len(servers) >= minDoubtServers
 }
 
-// Mute reports whether the instance is detached because connections carry nothing. A check
+// Mute reports whether the instance is detached because connections forward no data. A check
 // then has to ask for an answer, and Result counts the servers that gave one as connected.
 func (t *Tracker) Mute() bool { return t.mute }
 
 // Suspect requests a check.
 func (t *Tracker) Suspect() { t.suspected = true }
 
-// Doubt records that connections to other servers carry nothing. The path is in doubt then
+// Doubt records that connections to other servers forward no data. The path is in doubt then
 // until something arrives.
 func (t *Tracker) Doubt(now wasabiridge.Millis) { t.doubtedAt = now }
 
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -28,7 +28,7 @@
 	// in which to try them. It returns none while this instance has a path to the pool, and
 	// it is not in doubt.
 	Instances(pool wasabiridge.PoolID) []wasabiridge.InstanceEntry
-	// Answered records whether another instance brought an answer of a server of a pool.
+	// Answered records whether another instance relayed the response of a server of a pool.
 	Answered(pool wasabiridge.PoolID, answered bool)
 	// Declined records that an instance cannot serve requests for a pool either.
 	Declined(pool wasabiridge.PoolID, by wasabiridge.InstanceID)
