wasabicatalog, platform: log reads that are ignored as older, and the store's epoch

What the incident's log could not tell: whether reads were ignored, were not understood, or returned old content. Nothing is decided by the epoch yet.

--- a/catalog.go
+++ b/catalog.go
@@ -8,7 +8,9 @@
 type ConfigSnapshot struct {
 	// Revision orders snapshots: a higher revision is a later state.
 	Revision uint64 `json:"revision"`
-	Config   Config `json:"config"`
+	// Epoch is the epoch of the store that returned the snapshot.
+	Epoch  StoreEpoch `json:"-"`
+	Config Config     `json:"config"`
 	// Weights are the versions that the operators want served, by model.
 	Weights map[ModelID]WeightsVersion `json:"weights,omitempty"`
 }
@@ -28,8 +30,10 @@
 // BackendSnapshot is the platform's list of backend servers as of one moment.
 // It is an immutable value.
 type BackendSnapshot struct {
-	Revision uint64         `json:"revision"`
-	Entries  []BackendEntry `json:"entries"`
+	Revision uint64 `json:"revision"`
+	// Epoch is the epoch of the store that returned the snapshot.
+	Epoch   StoreEpoch     `json:"-"`
+	Entries []BackendEntry `json:"entries"`
 	// Unusable are the entries that do not describe a usable backend server.
 	Unusable []UnusableEntry `json:"-"`
 }
--- a/internal/wasabicatalog/controller.go
+++ b/internal/wasabicatalog/controller.go
@@ -23,6 +23,9 @@
 	queryTimeout = 400 * time.Millisecond
 	// sendTimeout limits the sending of a state update.
 	sendTimeout = 500 * time.Millisecond
+	// ignoredLogInterval is the shortest time between two log lines about ignored reads of
+	// the same part.
+	ignoredLogInterval = wasabiridge.Second
 )
 
 // Options configure a Controller. Log, OnChange and OnUpdate are optional.
@@ -66,6 +69,8 @@
 	reads   atomic.Uint64
 	failed  atomic.Uint64
 	queries atomic.Uint64
+	ignored atomic.Uint64
+	epoch   atomic.Uint64
 
 	// members is the list from which peers, sources and tree were computed. These
 	// fields belong to the goroutine of Run.
@@ -76,13 +81,18 @@
 	mu           sync.Mutex
 	machine      *Machine
 	platformLost bool
+	// ignoredAt is when an ignored read of each part was last logged. It belongs to the
+	// goroutine of Run.
+	ignoredAt map[string]wasabiridge.Millis
 	// unusable holds the unusable entries of the last read with their causes.
 	unusable map[wasabiridge.BackendServerID]string
 }
 
 // NewController returns a Controller with an empty view. Run starts it.
 func NewController(o Options) *Controller {
-	k := &Controller{options: o, inbox: make(chan Event, inboxSize), machine: NewMachine(o.Self)}
+	k := &Controller{
+		options: o, inbox: make(chan Event, inboxSize), machine: NewMachine(o.Self), ignoredAt: map[string]wasabiridge.Millis{},
+	}
 	k.view.Store(&View{})
 	return k
 }
@@ -96,6 +106,13 @@
 	return k.reads.Load(), k.failed.Load(), k.queries.Load()
 }
 
+// Ignored returns the number of platform reads since the start that returned an older state
+// than the known one.
+func (k *Controller) Ignored() uint64 { return k.ignored.Load() }
+
+// Epoch returns the epoch of the platform's store that was last read.
+func (k *Controller) Epoch() wasabiridge.StoreEpoch { return wasabiridge.StoreEpoch(k.epoch.Load()) }
+
 // Run drives the machine until the context ends. It is called once.
 func (k *Controller) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
@@ -149,18 +166,50 @@
 			k.SendUpdate(ctx, k.tree.Recipients(f), wasabiridge.StateUpdate{Changed: true})
 		case Confirmed:
 			k.publish()
+		case ReadIgnored:
+			k.logIgnored(f)
 		}
 	}
 }
 
+// logIgnored counts an ignored read, and logs it at most once in ignoredLogInterval.
+func (k *Controller) logIgnored(e ReadIgnored) {
+	total := k.ignored.Add(1)
+	now := k.options.Clock.Now()
+	if at, logged := k.ignoredAt[e.Part]; logged && now-at < ignoredLogInterval {
+		return
+	}
+	k.ignoredAt[e.Part] = now
+	v := k.View()
+	k.options.Log.Warn().Str("part", e.Part).Uint64("epoch", k.epoch.Load()).Uint64("revision_read", e.Revision).Uint64("revision", e.Known).
+		Uint64("config_version", uint64(v.Snapshot.Config.Version)).Int64("config_age_ms", int64(now-v.ConfigConfirmedAt)).
+		Int64("backends_age_ms", int64(now-v.BackendsConfirmedAt)).Uint64("ignored_total", total).
+		Msg("Read ignored: it returned an older state than the known one.")
+}
+
+// logEpoch logs a change of the store's epoch.
+func (k *Controller) logEpoch(e wasabiridge.StoreEpoch, revision uint64) {
+	before := k.epoch.Load()
+	if uint64(e) <= before {
+		return
+	}
+	k.epoch.Store(uint64(e))
+	v := k.View()
+	k.options.Log.Warn().Uint64("epoch", uint64(e)).Uint64("epoch_before", before).Uint64("revision", revision).
+		Uint64("config_version", uint64(v.Snapshot.Config.Version)).
+		Int64("config_age_ms", int64(k.options.Clock.Now()-v.ConfigConfirmedAt)).Msg("Epoch of the store has changed.")
+}
+
 // logPlatformState logs when the platform becomes unreachable or reachable again.
 func (k *Controller) logPlatformState(e Event) {
 	var err error
 	switch e := e.(type) {
 	case ConfigRead:
 		err = e.Err
+		k.logEpoch(e.Snapshot.Epoch, e.Snapshot.Revision)
 	case BackendsRead:
 		err = e.Err
+		k.logEpoch(e.Snapshot.Epoch, e.Snapshot.Revision)
 	default:
 		return
 	}
--- a/internal/wasabicatalog/event.go
+++ b/internal/wasabicatalog/event.go
@@ -72,6 +72,16 @@
 // Confirmed reports that confirmation times have changed.
 type Confirmed struct{}
 
+// ReadIgnored reports that a read returned an older state than the known one, so that it
+// neither changes nor confirms anything.
+type ReadIgnored struct {
+	// Part is the name of the part that was read.
+	Part string
+	// Revision and Known are the revisions that were read and that is known.
+	Revision, Known uint64
+}
+
+func (ReadIgnored) isEffect()  {}
 func (ReadConfig) isEffect()   {}
 func (ReadBackends) isEffect() {}
 func (QueryPeer) isEffect()    {}
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -222,6 +222,7 @@
 	s := e.Snapshot
 	if s.Config.Version < m.snapshot.Config.Version || s.Revision < m.config.revision {
 		// A read of an older state confirms nothing.
+		m.emit(ReadIgnored{Part: configPart, Revision: s.Revision, Known: m.config.revision})
 		return
 	}
 	content, err := json.Marshal(withoutRevision(s))
@@ -255,7 +256,11 @@
 	age := m.backends.age(now)
 	known, failures := m.backends.known, m.backends.failures
 	m.backends.readEnded(now, e.Err)
-	if e.Err != nil || e.Snapshot.Revision < m.backends.revision {
+	if e.Err != nil {
+		return
+	}
+	if e.Snapshot.Revision < m.backends.revision {
+		m.emit(ReadIgnored{Part: backendsPart, Revision: e.Snapshot.Revision, Known: m.backends.revision})
 		return
 	}
 	if known && age > outageAge && failures >= outageFailures {
--- a/internal/wasabicatalog/part.go
+++ b/internal/wasabicatalog/part.go
@@ -2,6 +2,12 @@
 
 import "github.com/wasabiridge/wasabiridge"
 
+// The names of the parts in logs and metrics.
+const (
+	configPart   = "config"
+	backendsPart = "backends"
+)
+
 // part is the configuration or the list of backend servers, with its confirmation time.
 type part struct {
 	revision uint64
--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -71,6 +71,8 @@
 	results chan Event
 	// stalledSince is the time since which the outstanding upgrades make no progress.
 	stalledSince wasabiridge.Millis
+	// loggedFencing is the fencing number of the lease that was last logged.
+	loggedFencing wasabiridge.FencingNumber
 	// lastOutstanding is the number of outstanding upgrades at the last check.
 	lastOutstanding int
 }
@@ -125,10 +127,22 @@
 			}
 		}
 		k.notify(updates)
+		k.logLease(m.Outstanding())
 		k.lease.Contend(k.wantsLease(now, m.Outstanding()))
 	}
 }
 
+// logLease logs when this instance gets or loses the lease.
+func (k *Controller) logLease(outstanding int) {
+	fencing := k.lease.Grant().Fencing
+	if fencing == k.loggedFencing {
+		return
+	}
+	k.options.Log.Info().Uint64("fencing", uint64(fencing)).Uint64("fencing_before", uint64(k.loggedFencing)).
+		Int("outstanding", outstanding).Msg("Lease for orders has changed.")
+	k.loggedFencing = fencing
+}
+
 // wantsLease reports whether this instance should hold or contend for the lease. While
 // upgrades are outstanding, the instance of the lowest rank contends immediately, and the
 // others only if the upgrades make no progress for their rank's delay.
--- a/platform.go
+++ b/platform.go
@@ -2,6 +2,11 @@
 
 import "context"
 
+// StoreEpoch counts how often the platform's store was restored from an earlier copy of
+// its data. A restore loses all writes since the copy was made, also acknowledged ones, and
+// begins a new epoch. Zero means that the store states no epoch.
+type StoreEpoch uint64
+
 // Row is one row of the platform's table. Rows are immutable values.
 type Row struct {
 	Key string
