--- a/internal/wasabitable/memory.go
+++ b/internal/wasabitable/memory.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -149,6 +150,26 @@
 	return m.apply(tx)
 }
 
+// MemoryCopy is a copy of the content of a Memory.
+type MemoryCopy struct {
+	rows     map[string]wasabiridge.Row
+	revision uint64
+}
+
+// Copy returns a copy of the content.
+func (m *Memory) Copy() MemoryCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return MemoryCopy{rows: maps.Clone(m.rows), revision: m.revision}
+}
+
+// Restore replaces the content by a copy. Later writes are lost.
+func (m *Memory) Restore(c MemoryCopy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows, m.revision = maps.Clone(c.rows), c.revision
+}
+
 // peek reads a row without injected faults.
 func (m *Memory) peek(key string) wasabiridge.Row {
 	m.mu.Lock()
