wasabicatalog: order revisions by the store's epoch (CONFIG, VERSION)

Cause: a revision of the store was taken as the order of time. The target versions of weights are in the same read, so both have one cause. Revisions now hold the epoch above the store's version. A configuration and weights are ordered by their own versions, so the copy takes nothing back. A read confirms the configuration only if it was written after the restore, or 2 s later (10 s if the copy lacks a known one): a revoked key that was lost is written again meanwhile. Servers that had left stay out, servers that the copy lacks are kept for 2 s. Transactions are bound to the epoch of their preconditions. Known limit: an instance that has read nothing before a restore cannot know what was lost.

--- a/catalog.go
+++ b/catalog.go
@@ -6,11 +6,12 @@
 // configuration without its backend servers, and the wanted versions of the weights. It
 // is an immutable value.
 type ConfigSnapshot struct {
-	// Revision orders snapshots: a higher revision is a later state.
+	// Revision orders snapshots: a higher revision is a later state of the store; see
+	// NewRevision.
 	Revision uint64 `json:"revision"`
-	// Epoch is the epoch of the store that returned the snapshot.
-	Epoch  StoreEpoch `json:"-"`
-	Config Config     `json:"config"`
+	// Written is the revision at which Config was written.
+	Written uint64 `json:"written,omitempty"`
+	Config  Config `json:"config"`
 	// Weights are the versions that the operators want served, by model.
 	Weights map[ModelID]WeightsVersion `json:"weights,omitempty"`
 }
@@ -25,15 +26,16 @@
 	// Lapsed reports that the entry vanished from the list during or right after an
 	// outage of the platform, and that its server may soon be listed again.
 	Lapsed bool `json:"lapsed,omitempty"`
+	// Returned reports that the server is listed again only because the store was restored
+	// from a copy that was made before the server left. It is set beside Leaving.
+	Returned bool `json:"returned,omitempty"`
 }
 
 // BackendSnapshot is the platform's list of backend servers as of one moment.
 // It is an immutable value.
 type BackendSnapshot struct {
-	Revision uint64 `json:"revision"`
-	// Epoch is the epoch of the store that returned the snapshot.
-	Epoch   StoreEpoch     `json:"-"`
-	Entries []BackendEntry `json:"entries"`
+	Revision uint64         `json:"revision"`
+	Entries  []BackendEntry `json:"entries"`
 	// Unusable are the entries that do not describe a usable backend server.
 	Unusable []UnusableEntry `json:"-"`
 }
--- a/internal/wasabicatalog/apply.go
+++ b/internal/wasabicatalog/apply.go
@@ -32,13 +32,9 @@
 	return true
 }
 
-// applyAnswer applies the response of another instance. It returns new content, or nil.
-func (m *Machine) applyAnswer(p *part, a wasabiridge.CatalogPart, sent wasabiridge.Millis) []byte {
-	if !p.improves(a, sent) {
-		return nil
-	}
-	if p.known && a.Digest == p.digest {
-		m.confirm(p, a.Revision, sent-a.Age)
+// newContent returns the content of a response that differs from the known one, or nil.
+func (p *part) newContent(a wasabiridge.CatalogPart) []byte {
+	if a.Age < 0 || len(a.Content) == 0 || p.known && a.Digest == p.digest {
 		return nil
 	}
 	content, err := p.decompress(a.Content)
@@ -48,36 +44,118 @@
 	return content
 }
 
-// partOf returns the part for new content from a response.
-func partOf(a wasabiridge.CatalogPart, sent wasabiridge.Millis, content []byte) part {
-	return part{revision: a.Revision, digest: a.Digest, confirmedAt: sent - a.Age, content: content}
-}
-
-func (m *Machine) applyPeerConfig(e PeerResponded) {
-	a := e.Answer.Config
-	content := m.applyAnswer(&m.config, a, e.Sent)
+// applyPeerConfig applies the configuration in the response of another instance.
+func (m *Machine) applyPeerConfig(now wasabiridge.Millis, e PeerResponded) {
+	a, p := e.Answer.Config, &m.config
+	confirmedAt := e.Sent - a.Age
+	older := p.known && a.Revision < p.revision
+	if p.known && a.Digest == p.digest {
+		if !older && a.Age >= 0 && confirmedAt > p.confirmedAt && m.peerConfirms(a, confirmedAt, m.snapshot) {
+			m.confirm(p, a.Revision, confirmedAt)
+		}
+		return
+	}
+	if older && wasabiridge.EpochOf(a.Revision) == wasabiridge.EpochOf(p.revision) {
+		return
+	}
+	content := p.newContent(a)
 	if content == nil {
 		return
 	}
 	var s wasabiridge.ConfigSnapshot
-	if err := json.Unmarshal(content, &s); err != nil || s.Config.Version < m.snapshot.Config.Version {
+	if json.Unmarshal(content, &s) != nil {
 		return
 	}
 	s.Revision = a.Revision
+	if older {
+		m.applyEarlierEpoch(now, s, confirmedAt)
+		return
+	}
+	if m.isRegression(s) {
+		return
+	}
+	if !m.peerConfirms(a, confirmedAt, s) {
+		confirmedAt = p.confirmedAt
+	}
+	merged, kept := withNewer(s, m.snapshot)
+	if !kept {
+		m.snapshot = s
+		m.replace(p, part{revision: a.Revision, digest: a.Digest, confirmedAt: confirmedAt, content: content}, false)
+		return
+	}
+	m.applyMerged(merged, confirmedAt)
+}
+
+// peerConfirms reports whether the confirmation of a snapshot by another instance counts
+// here. One from an earlier epoch was made before the store was restored.
+func (m *Machine) peerConfirms(a wasabiridge.CatalogPart, confirmedAt wasabiridge.Millis, s wasabiridge.ConfigSnapshot) bool {
+	return wasabiridge.EpochOf(a.Revision) < m.epoch || m.confirmsConfig(confirmedAt, s)
+}
+
+// applyEarlierEpoch takes what an instance that has not read since the store was restored
+// knows to be newer than the copy. The copy has then confirmed nothing.
+func (m *Machine) applyEarlierEpoch(now wasabiridge.Millis, s wasabiridge.ConfigSnapshot, confirmedAt wasabiridge.Millis) {
+	merged, newer := withNewer(m.snapshot, s)
+	if !newer {
+		return
+	}
+	if merged.Config.Version > m.snapshot.Config.Version {
+		m.restored, m.epochSince = true, now
+		m.config.confirmedAt = min(m.config.confirmedAt, confirmedAt)
+	}
+	merged.Revision = m.snapshot.Revision
+	m.applyMerged(merged, m.config.confirmedAt)
+}
+
+// applyMerged applies a snapshot that no store or instance has as a whole.
+func (m *Machine) applyMerged(s wasabiridge.ConfigSnapshot, confirmedAt wasabiridge.Millis) {
+	content, err := encodeConfig(s)
+	if err != nil {
+		return
+	}
+	p, digest := &m.config, xxhash.Sum64(content)
+	if digest == p.digest {
+		m.confirm(p, s.Revision, confirmedAt)
+		return
+	}
 	m.snapshot = s
-	m.replace(&m.config, partOf(a, e.Sent, content), false)
+	m.replace(p, part{revision: s.Revision, digest: digest, confirmedAt: confirmedAt, content: content}, false)
 }
 
-func (m *Machine) applyPeerBackends(e PeerResponded) {
-	a := e.Answer.Backends
-	content := m.applyAnswer(&m.backends, a, e.Sent)
+// applyPeerBackends applies the list of backend servers in the response of another
+// instance.
+func (m *Machine) applyPeerBackends(now wasabiridge.Millis, e PeerResponded) {
+	a, p := e.Answer.Backends, &m.backends
+	confirmedAt := e.Sent - a.Age
+	if a.Age < 0 || p.known && a.Revision < p.revision {
+		return
+	}
+	if p.known && a.Digest == p.digest {
+		if confirmedAt > p.confirmedAt {
+			m.confirm(p, a.Revision, confirmedAt)
+		}
+		return
+	}
+	content := p.newContent(a)
 	if content == nil {
 		return
 	}
 	s := wasabiridge.BackendSnapshot{Revision: a.Revision}
-	if err := json.Unmarshal(content, &s.Entries); err != nil {
+	if json.Unmarshal(content, &s.Entries) != nil {
+		return
+	}
+	digest := a.Digest
+	if entries, marked := m.withDepartures(now, s.Entries); marked {
+		var err error
+		if content, err = json.Marshal(entries); err != nil {
+			return
+		}
+		s.Entries, digest = entries, xxhash.Sum64(content)
+	}
+	if p.known && digest == p.digest {
+		m.confirm(p, a.Revision, confirmedAt)
 		return
 	}
 	m.list = s
-	m.replace(&m.backends, partOf(a, e.Sent, content), false)
+	m.replace(p, part{revision: a.Revision, digest: digest, confirmedAt: confirmedAt, content: content}, false)
 }
--- a/internal/wasabicatalog/catalog_test.go
+++ b/internal/wasabicatalog/catalog_test.go
@@ -35,6 +35,10 @@
 	fault string
 	// lossy reports that messages between instances can be lost.
 	lossy bool
+	// snapshot returns what the platform stores. Nil means the last version of changed.
+	snapshot func() wasabiridge.ConfigSnapshot
+	// alter changes an event before it is delivered. Nil means that none is changed.
+	alter func(e wasabicatalog.Event) wasabicatalog.Event
 	// violation describes the first confirmation time that was later than the truth
 	// allows.
 	violation string
@@ -53,6 +57,11 @@
 	offset      wasabiridge.Millis
 	version     int
 	confirmedAt wasabiridge.Millis
+	// unchecked is set while the confirmation times are not compared with the truth, until
+	// the instance has the newest version.
+	unchecked bool
+	// incarnation counts the restarts. Responses to earlier incarnations are lost.
+	incarnation int
 }
 
 func newFleet(seed uint64, n int) *fleet {
@@ -104,15 +113,26 @@
 		return
 	}
 	if f.now < n.pausedUntil {
-		f.at(n.pausedUntil-f.now, func() { f.deliver(n, e) })
+		incarnation := n.incarnation
+		f.at(n.pausedUntil-f.now, func() { f.deliverTo(n, incarnation, e) })
 		return
 	}
+	if f.alter != nil {
+		e = f.alter(e)
+	}
 	for _, effect := range slices.Clone(n.machine.Handle(f.clock(n), e)) {
 		f.carryOut(n, effect)
 	}
 	f.check(n)
 }
 
+// deliverTo passes a response to the incarnation of an instance that asked for it.
+func (f *fleet) deliverTo(n *instance, incarnation int, e wasabicatalog.Event) {
+	if n.incarnation == incarnation {
+		f.deliver(n, e)
+	}
+}
+
 func (f *fleet) carryOut(n *instance, effect wasabicatalog.Effect) {
 	sent := f.clock(n)
 	switch e := effect.(type) {
@@ -122,6 +142,9 @@
 			event := wasabicatalog.ConfigRead{Sent: sent, Snapshot: wasabiridge.ConfigSnapshot{
 				Revision: uint64(version + 1), Config: wasabiridge.Config{Version: wasabiridge.ConfigVersion(version + 1)},
 			}}
+			if f.snapshot != nil {
+				event.Snapshot = f.snapshot()
+			}
 			if !ok {
 				event.Err = errDown
 			}
@@ -130,6 +153,9 @@
 	case wasabicatalog.ReadBackends:
 		f.read(n, func(ok bool) wasabicatalog.Event {
 			event := wasabicatalog.BackendsRead{Sent: sent, Snapshot: wasabiridge.BackendSnapshot{Revision: 1}}
+			if f.snapshot != nil {
+				event.Snapshot.Revision = f.snapshot().Revision
+			}
 			if !ok {
 				event.Err = errDown
 			}
@@ -149,14 +175,16 @@
 // read sends a read to the platform, which reads its state at some moment in between.
 func (f *fleet) read(n *instance, answer func(ok bool) wasabicatalog.Event) {
 	f.reads++
+	incarnation := n.incarnation
 	f.at(f.delay(20), func() {
 		event := answer(!f.platformDown && !n.partitioned)
-		f.at(f.delay(200), func() { f.deliver(n, event) })
+		f.at(f.delay(200), func() { f.deliverTo(n, incarnation, event) })
 	})
 }
 
 func (f *fleet) query(n *instance, e wasabicatalog.QueryPeer, sent wasabiridge.Millis) {
 	lost := f.lossy && f.random.IntN(20) == 0
+	incarnation := n.incarnation
 	f.at(f.delay(10), func() {
 		var to *instance
 		for _, other := range f.instances {
@@ -167,7 +195,7 @@
 		event := wasabicatalog.PeerResponded{Sent: sent, Peer: e.Peer.ID}
 		if lost || to.dead || f.now < to.pausedUntil {
 			event.Err = errDown
-			f.at(400, func() { f.deliver(n, event) })
+			f.at(400, func() { f.deliverTo(n, incarnation, event) })
 			return
 		}
 		event.Answer = to.machine.Answer(f.clock(to), e.Query)
@@ -178,7 +206,7 @@
 				// been pushed.
 				event.Sent = f.clock(n)
 			}
-			f.deliver(n, event)
+			f.deliverTo(n, incarnation, event)
 		})
 	})
 }
@@ -194,6 +222,10 @@
 	n.version, n.confirmedAt = int(version), confirmedAt
 	next := int(version)
 	if next >= len(f.changed) {
+		n.unchecked = false
+		return
+	}
+	if n.unchecked {
 		return
 	}
 	// Uses the age as computed by the instance, because it decides by that age.
--- a/internal/wasabicatalog/controller.go
+++ b/internal/wasabicatalog/controller.go
@@ -70,7 +70,9 @@
 	failed  atomic.Uint64
 	queries atomic.Uint64
 	ignored atomic.Uint64
-	epoch   atomic.Uint64
+	// restores counts the restores of the store that were seen.
+	restores atomic.Uint64
+	epoch    atomic.Uint64
 
 	// members is the list from which peers, sources and tree were computed. These
 	// fields belong to the goroutine of Run.
@@ -110,7 +112,10 @@
 // than the known one.
 func (k *Controller) Ignored() uint64 { return k.ignored.Load() }
 
-// Epoch returns the epoch of the platform's store that was last read.
+// Restores returns the number of restores of the platform's store that were seen.
+func (k *Controller) Restores() uint64 { return k.restores.Load() }
+
+// Epoch returns the newest known epoch of the platform's store.
 func (k *Controller) Epoch() wasabiridge.StoreEpoch { return wasabiridge.StoreEpoch(k.epoch.Load()) }
 
 // Run drives the machine until the context ends. It is called once.
@@ -148,6 +153,7 @@
 func (k *Controller) handle(ctx context.Context, e Event) {
 	k.mu.Lock()
 	effects := slices.Clone(k.machine.Handle(k.options.Clock.Now(), e))
+	k.epoch.Store(uint64(k.machine.Epoch()))
 	k.mu.Unlock()
 	k.logPlatformState(e)
 	for _, effect := range effects {
@@ -166,6 +172,8 @@
 			k.SendUpdate(ctx, k.tree.Recipients(f), wasabiridge.StateUpdate{Changed: true})
 		case Confirmed:
 			k.publish()
+		case Restored:
+			k.logRestored(f)
 		case ReadIgnored:
 			k.logIgnored(f)
 		}
@@ -181,23 +189,20 @@
 	}
 	k.ignoredAt[e.Part] = now
 	v := k.View()
-	k.options.Log.Warn().Str("part", e.Part).Uint64("epoch", k.epoch.Load()).Uint64("revision_read", e.Revision).Uint64("revision", e.Known).
+	k.options.Log.Warn().Str("part", e.Part).Uint64("epoch_read", uint64(wasabiridge.EpochOf(e.Revision))).Uint64("revision_read", wasabiridge.VersionOf(e.Revision)).
+		Uint64("epoch", uint64(wasabiridge.EpochOf(e.Known))).Uint64("revision", wasabiridge.VersionOf(e.Known)).
 		Uint64("config_version", uint64(v.Snapshot.Config.Version)).Int64("config_age_ms", int64(now-v.ConfigConfirmedAt)).
 		Int64("backends_age_ms", int64(now-v.BackendsConfirmedAt)).Uint64("ignored_total", total).
 		Msg("Read ignored: it returned an older state than the known one.")
 }
 
-// logEpoch logs a change of the store's epoch.
-func (k *Controller) logEpoch(e wasabiridge.StoreEpoch, revision uint64) {
-	before := k.epoch.Load()
-	if uint64(e) <= before {
-		return
-	}
-	k.epoch.Store(uint64(e))
+// logRestored logs that the store was restored.
+func (k *Controller) logRestored(e Restored) {
+	k.restores.Add(1)
 	v := k.View()
-	k.options.Log.Warn().Uint64("epoch", uint64(e)).Uint64("epoch_before", before).Uint64("revision", revision).
-		Uint64("config_version", uint64(v.Snapshot.Config.Version)).
-		Int64("config_age_ms", int64(k.options.Clock.Now()-v.ConfigConfirmedAt)).Msg("Epoch of the store has changed.")
+	k.options.Log.Warn().Uint64("epoch", uint64(e.Epoch)).Uint64("epoch_before", uint64(e.Before)).Uint64("revision", wasabiridge.VersionOf(e.Revision)).
+		Uint64("revision_before", wasabiridge.VersionOf(v.Snapshot.Revision)).Uint64("config_version", uint64(v.Snapshot.Config.Version)).
+		Int64("config_age_ms", int64(k.options.Clock.Now()-v.ConfigConfirmedAt)).Msg("Store was restored from a copy.")
 }
 
 // logPlatformState logs when the platform becomes unreachable or reachable again.
@@ -206,10 +211,8 @@
 	switch e := e.(type) {
 	case ConfigRead:
 		err = e.Err
-		k.logEpoch(e.Snapshot.Epoch, e.Snapshot.Revision)
 	case BackendsRead:
 		err = e.Err
-		k.logEpoch(e.Snapshot.Epoch, e.Snapshot.Revision)
 	default:
 		return
 	}
--- a/internal/wasabicatalog/event.go
+++ b/internal/wasabicatalog/event.go
@@ -72,6 +72,15 @@
 // Confirmed reports that confirmation times have changed.
 type Confirmed struct{}
 
+// Restored reports that the store was restored from an earlier copy. Revision is the first
+// revision that was seen of the new epoch.
+type Restored struct {
+	Epoch, Before wasabiridge.StoreEpoch
+	Revision      uint64
+}
+
+func (Restored) isEffect() {}
+
 // ReadIgnored reports that a read returned an older state than the known one, so that it
 // neither changes nor confirms anything.
 type ReadIgnored struct {
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -101,6 +101,15 @@
 	list             wasabiridge.BackendSnapshot
 	// keepExpiredUntil is the time until which entries that vanish are kept.
 	keepExpiredUntil wasabiridge.Millis
+	// epoch is the newest known epoch of the store, and epochRevision the first revision
+	// that was seen of it. restored reports that this instance knew an earlier epoch, and
+	// epochSince when it first saw the new one.
+	epoch         wasabiridge.StoreEpoch
+	epochRevision uint64
+	restored      bool
+	epochSince    wasabiridge.Millis
+	// departures are the backend servers whose entries have ended.
+	departures map[wasabiridge.BackendServerID]departure
 	// targetVersions are the wanted versions of weights, in the order in which they
 	// were first seen.
 	targetVersions []TargetVersion
@@ -119,7 +128,7 @@
 
 // NewMachine returns a Machine without content.
 func NewMachine(self wasabiridge.InstanceEntry) *Machine {
-	return &Machine{self: PeerOf(self)}
+	return &Machine{self: PeerOf(self), departures: map[wasabiridge.BackendServerID]departure{}}
 }
 
 // Handle processes one event and returns the requested actions. The returned slice is
@@ -168,15 +177,27 @@
 // The failure it guards against: hundreds of instances start before the operators have
 // written a configuration, and all of them retry together until they have.
 func (m *Machine) isDue(now wasabiridge.Millis, p *part) bool {
-	steps := wasabiridge.Millis(min(m.rank, maxRankDelays)) * rankDelay
+	if !p.known {
+		return p.failures == 0 || now >= p.nextRead+m.readDelay()
+	}
+	return p.age(now) >= readAge+m.readDelay()
+}
+
+// readDelay returns how much older than readAge the content has to be for this instance to
+// read it.
+func (m *Machine) readDelay() wasabiridge.Millis {
+	delay := wasabiridge.Millis(min(m.rank, maxRankDelays)) * rankDelay
 	if m.isStandby() {
 		// The content of a standby instance is normally older by this much.
-		steps += standbyQueryAge + standbyQueryInterval
+		delay += standbyQueryAge + standbyQueryInterval
 	}
-	if !p.known {
-		return p.failures == 0 || now >= p.nextRead+steps
-	}
-	return p.age(now) >= readAge+steps
+	return delay
+}
+
+// delayNextRead delays the next read after one that confirmed nothing. The content stays
+// old, so that all instances would read again at once, over and over.
+func (m *Machine) delayNextRead(now wasabiridge.Millis, p *part) {
+	p.nextRead = now + readAge + m.readDelay()
 }
 
 // isStandby reports whether the instance queries its sources instead of the pollers. An
@@ -219,18 +240,25 @@
 	if e.Err != nil {
 		return
 	}
-	s := e.Snapshot
-	if s.Config.Version < m.snapshot.Config.Version || s.Revision < m.config.revision {
+	m.observeRevision(now, e.Snapshot.Revision)
+	if e.Snapshot.Revision < m.config.revision || m.isRegression(e.Snapshot) {
 		// A read of an older state confirms nothing.
-		m.emit(ReadIgnored{Part: configPart, Revision: s.Revision, Known: m.config.revision})
+		m.emit(ReadIgnored{Part: configPart, Revision: e.Snapshot.Revision, Known: m.config.revision})
+		m.delayNextRead(now, &m.config)
 		return
 	}
-	content, err := json.Marshal(withoutRevision(s))
+	s, _ := withNewer(e.Snapshot, m.snapshot)
+	content, err := encodeConfig(s)
 	if err != nil {
 		return
 	}
 	first, confirmedAt := !m.config.known, m.config.confirmedAt
-	if m.applyRead(&m.config, s.Revision, e.Sent, content) {
+	sent := e.Sent
+	if !m.confirmsConfig(sent, e.Snapshot) {
+		sent = confirmedAt
+		m.delayNextRead(now, &m.config)
+	}
+	if m.applyRead(&m.config, s.Revision, sent, content) {
 		m.snapshot = s
 	}
 	m.recordConfigTargets(now, first, confirmedAt)
@@ -246,12 +274,6 @@
 	m.recordTargetVersions(estimateSetTime(now, confirmedAt), true)
 }
 
-// withoutRevision clears the revision, which increases with every write by anyone.
-func withoutRevision(s wasabiridge.ConfigSnapshot) wasabiridge.ConfigSnapshot {
-	s.Revision = 0
-	return s
-}
-
 func (m *Machine) backendsRead(now wasabiridge.Millis, e BackendsRead) {
 	age := m.backends.age(now)
 	known, failures := m.backends.known, m.backends.failures
@@ -259,14 +281,17 @@
 	if e.Err != nil {
 		return
 	}
+	m.observeRevision(now, e.Snapshot.Revision)
 	if e.Snapshot.Revision < m.backends.revision {
 		m.emit(ReadIgnored{Part: backendsPart, Revision: e.Snapshot.Revision, Known: m.backends.revision})
+		m.delayNextRead(now, &m.backends)
 		return
 	}
 	if known && age > outageAge && failures >= outageFailures {
 		m.keepExpiredUntil = now + expiredRetention
 	}
 	list := m.withExpired(now, e.Snapshot)
+	list.Entries, _ = m.withDepartures(now, list.Entries)
 	content, err := json.Marshal(list.Entries)
 	if err != nil {
 		return
@@ -309,10 +334,15 @@
 	m.responses++
 	before := m.config.confirmedAt + m.backends.confirmedAt
 	first, confirmedAt := !m.config.known, m.config.confirmedAt
-	m.applyPeerConfig(e)
+	for _, a := range [...]wasabiridge.CatalogPart{e.Answer.Config, e.Answer.Backends} {
+		if a.Age >= 0 {
+			m.observeRevision(now, a.Revision)
+		}
+	}
+	m.applyPeerConfig(now, e)
 	m.mergeTargetVersions(e)
 	m.recordConfigTargets(now, first, confirmedAt)
-	m.applyPeerBackends(e)
+	m.applyPeerBackends(now, e)
 	if m.config.confirmedAt+m.backends.confirmedAt == before && max(m.config.age(now), m.backends.age(now)) > readAge+rankDelay {
 		// The queried instance has no newer content; try another one.
 		m.queryIndex++
@@ -325,6 +355,9 @@
 	return m.snapshot.Config.Version, m.config.confirmedAt, m.config.known
 }
 
+// Epoch returns the newest known epoch of the store.
+func (m *Machine) Epoch() wasabiridge.StoreEpoch { return m.epoch }
+
 // Backends returns the known list of backend servers.
 func (m *Machine) Backends() wasabiridge.BackendSnapshot { return m.list }
 
--- a/internal/wasabicatalog/part.go
+++ b/internal/wasabicatalog/part.go
@@ -49,18 +49,6 @@
 	p.nextRead = now + min(maxRetryDelay, retryDelay*wasabiridge.Millis(p.failures))
 }
 
-// improves reports whether a received part is newer or more recently confirmed than the
-// known one.
-func (p *part) improves(a wasabiridge.CatalogPart, sent wasabiridge.Millis) bool {
-	switch {
-	case a.Age < 0, a.Revision < p.revision && p.known:
-		return false
-	case a.Digest == p.digest && p.known:
-		return sent-a.Age > p.confirmedAt
-	}
-	return len(a.Content) > 0
-}
-
 func (p *part) answer(now wasabiridge.Millis, has uint64) wasabiridge.CatalogPart {
 	if !p.known {
 		return wasabiridge.CatalogPart{Age: -1}
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 
+	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 )
 
@@ -28,8 +29,9 @@
 		line("platform_reads_failed_total", int64(failed)),
 		line("platform_reads_ignored_total", int64(n.catalog.Ignored())),
 		line("platform_epoch", int64(n.catalog.Epoch())),
-		line("config_revision", int64(v.Snapshot.Revision)),
-		line("backends_revision", int64(v.Backends.Revision)),
+		line("platform_restores_total", int64(n.catalog.Restores())),
+		line("config_revision", int64(wasabiridge.VersionOf(v.Snapshot.Revision))),
+		line("backends_revision", int64(wasabiridge.VersionOf(v.Backends.Revision))),
 		line("peers_asked_total", int64(queries)),
 		line("events_dropped_total", int64(n.loop.Dropped())),
 		line("log_lines_dropped_total", int64(dropped)),
--- a/platform.go
+++ b/platform.go
@@ -2,20 +2,18 @@
 
 import "context"
 
-// StoreEpoch counts how often the platform's store was restored from an earlier copy of
-// its data. A restore loses all writes since the copy was made, also acknowledged ones, and
-// begins a new epoch. Zero means that the store states no epoch.
-type StoreEpoch uint64
-
 // Row is one row of the platform's table. Rows are immutable values.
 type Row struct {
 	Key string
-	// Revision increases with every write of the row. Zero means that the row does not
-	// exist.
+	// Revision increases with every write of the row, also across restores of the store;
+	// see NewRevision. Zero means that the row does not exist.
 	Revision uint64
 	Value    []byte
 	// LastWrite is the ID of the write that created this revision.
 	LastWrite WriteID
+	// Epoch is the epoch of the store that returned the row. A row that does not exist has
+	// one, too.
+	Epoch StoreEpoch
 }
 
 // RowChange is one write of a transaction, with a precondition for the whole
@@ -34,6 +32,10 @@
 type Transaction struct {
 	ID      WriteID
 	Changes []RowChange
+	// Epoch is the epoch in which the preconditions were read. In another epoch the
+	// transaction is a conflict or has an unknown outcome. Zero means that only the
+	// revisions of the preconditions are checked.
+	Epoch StoreEpoch
 }
 
 // Table is the platform's transactional table service. Implementations are safe for
