wasabilease: fencing numbers hold the store's epoch, earlier terms are waited out

After a restore of the store the row of a lease named an earlier holder or none: the next holder got a number that another one had had, engines that had seen a higher one rejected its orders, and it could act beside a holder whose takeover was lost. The upper bits of a fencing number are the epoch now, so the first one of an epoch is above all before it. A row of an earlier epoch is taken over only when every term of that epoch has ended; the holder itself takes its lease again under a new number. A lost write counts only in its own epoch. Instances that learn of the epoch from the catalog have waited before they want the lease. Without epochs the numbers are as before.

--- a/internal/wasabilease/doc.go
+++ b/internal/wasabilease/doc.go
@@ -8,6 +8,13 @@
 // that term by its own clock. So the old holder's term has ended before a new
 // holder's begins, as long as both clocks run at nearly the same rate.
 //
+// # Restores of the store
+//
+// The store may be restored from an earlier copy. The row then names an earlier holder, or
+// none, and fencing numbers go back. The upper bits of a fencing number therefore hold the
+// epoch of the store, and a row of an earlier epoch is taken over only once every term of
+// that epoch has ended. The holder itself takes its lease again under a new number.
+//
 // # What a lease does not guarantee
 //
 // A process can be paused between its check of the lease and its send, and a
--- a/internal/wasabilease/events.go
+++ b/internal/wasabilease/events.go
@@ -5,8 +5,12 @@
 // Event is an input of a Machine.
 type Event interface{ isEvent() }
 
-// Contended reports whether this instance wants the lease.
-type Contended struct{ Wanted bool }
+// Contended reports whether this instance wants the lease, and the newest known epoch of
+// the store. Zero means that none is known.
+type Contended struct {
+	Wanted bool
+	Epoch  wasabiridge.StoreEpoch
+}
 
 // RowRead is the result of a ReadRow.
 type RowRead struct {
--- a/internal/wasabilease/lease.go
+++ b/internal/wasabilease/lease.go
@@ -27,6 +27,7 @@
 type Lease struct {
 	options Options
 	wanted  atomic.Bool
+	epoch   atomic.Uint64
 	grant   atomic.Pointer[Grant]
 }
 
@@ -45,6 +46,13 @@
 	l.wanted.Store(wanted)
 }
 
+// ObserveEpoch passes on the newest known epoch of the store. An instance that learns it
+// early does not have to wait for the end of an unknown holder's term when it wants the
+// lease.
+func (l *Lease) ObserveEpoch(epoch wasabiridge.StoreEpoch) {
+	l.epoch.Store(uint64(epoch))
+}
+
 // Grant returns the current grant. It may have ended, so callers compare it
 // with the clock.
 func (l *Lease) Grant() Grant {
@@ -65,7 +73,7 @@
 		case <-ctx.Done():
 			return
 		}
-		l.handle(ctx, m, Contended{Wanted: l.wanted.Load()})
+		l.handle(ctx, m, Contended{Wanted: l.wanted.Load(), Epoch: wasabiridge.StoreEpoch(l.epoch.Load())})
 	}
 }
 
--- a/internal/wasabilease/lease_test.go
+++ b/internal/wasabilease/lease_test.go
@@ -29,6 +29,8 @@
 	clock   wasabiridge.Clock
 	grant   wasabilease.Grant
 	reads   int
+	// alter changes the rows that are read. Nil means that none is changed.
+	alter func(wasabiridge.Row) wasabiridge.Row
 }
 
 func (c *contender) feed(e wasabilease.Event) {
@@ -41,6 +43,9 @@
 			case wasabilease.ReadRow:
 				c.reads++
 				row, err := c.table.Get(context.Background(), e.Key)
+				if c.alter != nil {
+					row = c.alter(row)
+				}
 				queue = append(queue, wasabilease.RowRead{Row: row, Err: err})
 			case wasabilease.CommitRow:
 				err := c.table.Commit(context.Background(), e.Transaction)
--- a/internal/wasabilease/machine.go
+++ b/internal/wasabilease/machine.go
@@ -76,6 +76,9 @@
 	seen      uint64
 	seenAt    wasabiridge.Millis
 	unchanged wasabiridge.Millis
+	// epoch is the newest known epoch of the store, and epochSince when it was first seen.
+	epoch      wasabiridge.StoreEpoch
+	epochSince wasabiridge.Millis
 	// sent is the last write, until its outcome is known.
 	sent   sentWrite
 	writes uint64
@@ -87,6 +90,7 @@
 type sentWrite struct {
 	id      wasabiridge.WriteID
 	fencing wasabiridge.FencingNumber
+	epoch   wasabiridge.StoreEpoch
 	at      wasabiridge.Millis
 	kind    writeKind
 }
@@ -114,6 +118,7 @@
 	}
 	switch e := e.(type) {
 	case Contended:
+		m.observeEpoch(now, e.Epoch)
 		m.contend(now, e.Wanted)
 	case RowRead:
 		m.read(now, e)
@@ -161,6 +166,11 @@
 		m.nextAt = now + m.timing.Renew/4
 		return
 	}
+	if rr.Row.Epoch < m.epoch {
+		// The response was sent before the store was restored.
+		m.nextAt = now + m.timing.Renew/8
+		return
+	}
 	var r record
 	if rr.Row.Revision != 0 {
 		var err error
@@ -171,15 +181,36 @@
 			return
 		}
 	}
+	m.observeEpoch(now, rr.Row.Epoch)
 	m.matchLostWrite(now, rr.Row, r)
 	m.act(now, rr.Row.Revision, r)
 }
 
+// observeEpoch records when the store was first seen after a restore.
+func (m *Machine) observeEpoch(now wasabiridge.Millis, epoch wasabiridge.StoreEpoch) {
+	if epoch > m.epoch {
+		m.epoch, m.epochSince = epoch, now
+	}
+}
+
+// isUnsettled reports whether the holder of an earlier epoch may still act. The restore may
+// have lost the write by which it became the holder, so that the row says nothing about it.
+// It had sent that write before the restore, and its term counts from then.
+func (m *Machine) isUnsettled(now wasabiridge.Millis, r record) bool {
+	return r.epoch() < m.epoch && now < m.epochSince+m.timing.TTL+m.timing.Drift
+}
+
+// holdsFromEarlierEpoch reports whether this instance holds the lease by a write of an
+// earlier epoch. No other instance can take the lease before its grant has ended.
+func (m *Machine) holdsFromEarlierEpoch(now wasabiridge.Millis, r record) bool {
+	return r.epoch() < m.epoch && m.grant.Covers(now, 0) && record{Fencing: m.grant.Fencing}.epoch() < m.epoch
+}
+
 // matchLostWrite looks for a write of this instance whose response was lost.
 // The holder's term counts from before that write was sent, however late it
 // took effect.
 func (m *Machine) matchLostWrite(now wasabiridge.Millis, row wasabiridge.Row, r record) {
-	if m.sent.id != "" && row.LastWrite == m.sent.id {
+	if m.sent.id != "" && row.LastWrite == m.sent.id && row.Epoch == m.sent.epoch {
 		m.hold(now, m.sent)
 	}
 	m.sent = sentWrite{}
@@ -208,6 +239,11 @@
 	case own && !m.wanted:
 		m.write(now, revision, record{Fencing: r.Fencing}, release)
 	case !m.wanted:
+	case m.holdsFromEarlierEpoch(now, r):
+		m.take(now, revision, r)
+	case m.isUnsettled(now, r):
+		m.drop()
+		m.nextAt = min(now+m.timing.Poll, m.epochSince+m.timing.TTL+m.timing.Drift)
 	case own && m.grant.Fencing == r.Fencing:
 		m.renew(now, revision, r)
 	case own || r.isFree() || m.timing.Reclaim && r.Holder == m.self:
@@ -252,7 +288,7 @@
 }
 
 func (m *Machine) take(now wasabiridge.Millis, revision uint64, r record) {
-	m.write(now, revision, record{Holder: m.self, Incarnation: m.incarnation, Fencing: r.Fencing + 1}, takeover)
+	m.write(now, revision, record{Holder: m.self, Incarnation: m.incarnation, Fencing: r.next(m.epoch)}, takeover)
 }
 
 func (m *Machine) write(now wasabiridge.Millis, revision uint64, r record, kind writeKind) {
@@ -260,10 +296,10 @@
 	id := wasabiridge.WriteID(string(m.self) + "/" + strconv.FormatUint(uint64(m.incarnation), 36) +
 		"/lease/" + m.name + "/" + strconv.FormatUint(m.writes, 36))
 	m.busy = true
-	m.sent = sentWrite{id: id, fencing: r.Fencing, at: now, kind: kind}
+	m.sent = sentWrite{id: id, fencing: r.Fencing, epoch: m.epoch, at: now, kind: kind}
 	change := wasabiridge.RowChange{Key: rowPrefix + m.name, IfRevision: revision, Value: encodeRecord(r)}
 	m.effects = append(m.effects, CommitRow{Transaction: wasabiridge.Transaction{
-		ID: id, Changes: []wasabiridge.RowChange{change},
+		ID: id, Changes: []wasabiridge.RowChange{change}, Epoch: m.epoch,
 	}})
 }
 
--- a/internal/wasabilease/record.go
+++ b/internal/wasabilease/record.go
@@ -18,6 +18,21 @@
 
 func (r record) isFree() bool { return r.Holder == "" }
 
+// epochBits is the number of low bits of a fencing number that count the holders within
+// one epoch of the store. Fencing numbers stay below 2^53, so that JSON numbers hold them.
+const epochBits = 32
+
+// epoch returns the epoch of the store in which the number was given.
+func (r record) epoch() wasabiridge.StoreEpoch {
+	return wasabiridge.StoreEpoch(r.Fencing >> epochBits)
+}
+
+// next returns the number of the next holder. The first one of an epoch is higher than all
+// of the epochs before it, also those of holders whose rows a restore has lost.
+func (r record) next(epoch wasabiridge.StoreEpoch) wasabiridge.FencingNumber {
+	return max(r.Fencing+1, wasabiridge.FencingNumber(epoch)<<epochBits)
+}
+
 func encodeRecord(r record) []byte { return wasabirecord.Encode(r) }
 
 // decodeRecord decodes the value of a lease row. It reports ErrInvalid for a
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -245,7 +245,7 @@
 	})
 	n.upgrade = wasabiupgrade.NewController(wasabiupgrade.Options{
 		Self: s.Instance, Address: s.Peer.Address, Incarnation: n.incarnation, Clock: o.Clock, Table: o.Platform.Table, Engines: o.Platform.Engines,
-		Recorder: n.timeline, Catalog: n.wantedWeights, Rank: n.rank, Unfit: n.isUnfit, Send: n.sendBackoffs, Log: wasabilog.Part(n.log, "upgrade"),
+		Recorder: n.timeline, Catalog: n.wantedWeights, Epoch: n.catalog.Epoch, Rank: n.rank, Unfit: n.isUnfit, Send: n.sendBackoffs, Log: wasabilog.Part(n.log, "upgrade"),
 		Timing: wasabiupgrade.Timing{LeaseTerm: n.bounds.LeaseTerm},
 	})
 	n.relay = wasabirelay.New(wasabirelay.Options{
--- a/internal/wasabitable/memory.go
+++ b/internal/wasabitable/memory.go
@@ -53,9 +53,11 @@
 	clock  wasabiridge.Clock
 	faults *wasabifault.Injector
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// rows have the revisions of the epoch in which they were written.
 	rows     map[string]wasabiridge.Row
 	revision uint64
+	epoch    wasabiridge.StoreEpoch
 	late     []lateTransaction
 	stats    Stats
 }
@@ -97,9 +99,9 @@
 	m.applyLate()
 	row, ok := m.rows[key]
 	if !ok {
-		return wasabiridge.Row{Key: key}, nil
+		return wasabiridge.Row{Key: key, Epoch: m.epoch}, nil
 	}
-	return copyRow(row), nil
+	return m.inEpoch(row), nil
 }
 
 // List reads rows in the order of their keys.
@@ -113,7 +115,7 @@
 	var rows []wasabiridge.Row
 	for key, row := range m.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
-			rows = append(rows, copyRow(row))
+			rows = append(rows, m.inEpoch(row))
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
@@ -168,6 +170,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rows, m.revision = maps.Clone(c.rows), c.revision
+	m.epoch++
+}
+
+// inEpoch returns a row as it is read in the current epoch. The mutex must be held.
+func (m *Memory) inEpoch(row wasabiridge.Row) wasabiridge.Row {
+	row = copyRow(row)
+	row.Epoch = m.epoch
+	if row.Revision != 0 {
+		// The numbers of restores and writes in a test are small.
+		row.Revision, _ = wasabiridge.NewRevision(m.epoch, wasabiridge.VersionOf(row.Revision))
+	}
+	return row
 }
 
 // peek reads a row without injected faults.
@@ -175,7 +189,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyLate()
-	return copyRow(m.rows[key])
+	return m.inEpoch(m.rows[key])
 }
 
 // applyLate applies late transactions that are due. Their conditions are
@@ -209,8 +223,11 @@
 }
 
 func (m *Memory) apply(tx wasabiridge.Transaction) error {
+	if tx.Epoch != 0 && tx.Epoch != m.epoch {
+		return wasabiridge.ErrConflict.New("transaction %q is of epoch %d, the table is at %d", tx.ID, tx.Epoch, m.epoch)
+	}
 	for _, c := range tx.Changes {
-		if found := m.rows[c.Key].Revision; found != c.IfRevision {
+		if found := m.inEpoch(m.rows[c.Key]).Revision; found != c.IfRevision {
 			return wasabiridge.ErrConflict.New("row %q has revision %d, want %d", c.Key, found, c.IfRevision)
 		}
 	}
--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -34,7 +34,7 @@
 // instances until the old lease has expired.
 var LeaseTiming = wasabilease.Timing{TTL: 2400, Drift: 600, Renew: 1100, Poll: 600, Reclaim: true}
 
-// Options configures a Controller. Recorder, Unfit, Log and Timing are optional.
+// Options configures a Controller. Recorder, Epoch, Unfit, Log and Timing are optional.
 type Options struct {
 	Self wasabiridge.InstanceID
 	// Address is the listen address of the instance. Together with Self it
@@ -48,6 +48,8 @@
 	// Catalog returns the replicas that the platform lists and the target version of
 	// each model.
 	Catalog func() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion)
+	// Epoch returns the newest known epoch of the store. Nil means that it has none.
+	Epoch func() wasabiridge.StoreEpoch
 	// Rank returns the position of this instance among the live instances, from 0.
 	Rank func() int
 	// Unfit reports whether the instance should not give orders, because it is shutting
@@ -128,6 +130,9 @@
 		}
 		k.notify(updates)
 		k.logLease(m.Outstanding())
+		if k.options.Epoch != nil {
+			k.lease.ObserveEpoch(k.options.Epoch())
+		}
 		k.lease.Contend(k.wantsLease(now, m.Outstanding()))
 	}
 }
