Rows that instances wrote are written again after a restore of the store

All instances that start together then find no other one, serve streams of unknown versions, or crash servers again. Cause: a row that was written and acknowledged was taken as there for good.

--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -220,12 +220,12 @@
 	n.quarantine = wasabiquarantine.NewController(wasabiquarantine.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Seed: seed, Log: wasabilog.Part(n.log, "quarantine"),
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries, Rows: o.Platform.Table,
-		Send: n.sendUpdate,
+		Send: n.sendUpdate, Epoch: n.storeEpoch,
 	})
 	n.quota = wasabiquota.NewController(wasabiquota.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Log: wasabilog.Part(n.log, "quota"), Rows: o.Platform.Table,
 		Members: func() []wasabiridge.Member { return n.members.Members() }, Active: n.activeEntries,
-		Send: n.sendUpdate,
+		Send: n.sendUpdate, Epoch: n.storeEpoch,
 	})
 	core := wasabicore.New(wasabicore.Options{
 		Placer: n.placer, Limiter: wasabireplica.NewLimiter(n.placer), Quarantine: n.quarantine.Table(), Quota: n.quota.Table(), Instance: s.Instance,
@@ -245,7 +245,7 @@
 	})
 	n.upgrade = wasabiupgrade.NewController(wasabiupgrade.Options{
 		Self: s.Instance, Address: s.Peer.Address, Incarnation: n.incarnation, Clock: o.Clock, Table: o.Platform.Table, Engines: o.Platform.Engines,
-		Recorder: n.timeline, Catalog: n.wantedWeights, Epoch: n.catalog.Epoch, Rank: n.rank, Unfit: n.isUnfit, Send: n.sendBackoffs, Log: wasabilog.Part(n.log, "upgrade"),
+		Recorder: n.timeline, Catalog: n.wantedWeights, Epoch: n.storeEpoch, Rank: n.rank, Unfit: n.isUnfit, Send: n.sendBackoffs, Log: wasabilog.Part(n.log, "upgrade"),
 		Timing: wasabiupgrade.Timing{LeaseTerm: n.bounds.LeaseTerm},
 	})
 	n.relay = wasabirelay.New(wasabirelay.Options{
@@ -266,6 +266,9 @@
 // instances receive them.
 func (n *Node) Entry() wasabiridge.InstanceEntry { return n.self() }
 
+// storeEpoch returns the newest known epoch of the store.
+func (n *Node) storeEpoch() wasabiridge.StoreEpoch { return n.catalog.Epoch() }
+
 // self returns the entry of this instance in the membership and in the directory.
 func (n *Node) self() wasabiridge.InstanceEntry {
 	s := n.options.Settings
@@ -295,7 +298,7 @@
 	if n.server, err = wasabipeer.Listen(s.Listen, peerHandler{node: n}, o); err != nil {
 		return err
 	}
-	n.roster = &roster{seeds: s.Seeds, table: n.options.Platform.Table, self: n.self(), alone: n.isAlone, rank: n.rank}
+	n.roster = &roster{seeds: s.Seeds, table: n.options.Platform.Table, self: n.self(), alone: n.isAlone, rank: n.rank, epoch: n.storeEpoch}
 	n.members = wasabimember.NewController(wasabimember.ControllerOptions{
 		Self: n.self(), Incarnation: n.incarnation, Seed: seed, Clock: n.options.Clock,
 		List: n.roster, Peers: n.client, Log: wasabilog.Part(n.log, "member"), Recorder: n.timeline,
--- a/internal/wasabinode/roster.go
+++ b/internal/wasabinode/roster.go
@@ -46,6 +46,8 @@
 	// returns this instance's place in the view.
 	alone func() bool
 	rank  func() int
+	// epoch returns the newest known epoch of the store.
+	epoch func() wasabiridge.StoreEpoch
 	// queried is set by the first call of Instances.
 	queried bool
 }
@@ -100,8 +102,9 @@
 	return rows[:min(len(rows), rosterRows)], nil
 }
 
-// register writes this instance's row once its rank is below registeredRanks. It
-// retries until the write succeeds or the context ends.
+// register writes this instance's row once its rank is below registeredRanks, and again
+// after each restore of the store, which may have lost the row. It retries until the write
+// succeeds, and ends with the context.
 func (r *roster) register(ctx context.Context, incarnation wasabiridge.Incarnation) {
 	value, err := json.Marshal(r.self)
 	if err != nil {
@@ -109,6 +112,7 @@
 	}
 	key, writer := rosterPrefix+string(r.self.ID), string(r.self.ID)+"/"+strconv.FormatUint(uint64(incarnation), 36)
 	wait := registerDelay
+	written, writtenIn := false, wasabiridge.StoreEpoch(0)
 	for try := 0; ; try++ {
 		select {
 		case <-ctx.Done():
@@ -116,8 +120,12 @@
 		case <-time.After(wait):
 		}
 		wait = registerInterval
-		if r.rank() < registeredRanks && r.write(ctx, key, value, writer+"/"+strconv.Itoa(try)) == nil {
-			return
+		epoch := r.epoch()
+		if written && epoch == writtenIn || r.rank() >= registeredRanks {
+			continue
+		}
+		if r.write(ctx, key, value, writer+"/"+strconv.Itoa(try)) == nil {
+			written, writtenIn = true, epoch
 		}
 	}
 }
@@ -131,7 +139,7 @@
 		return err
 	}
 	return r.table.Commit(ctx, wasabiridge.Transaction{
-		ID: wasabiridge.WriteID(id), Changes: []wasabiridge.RowChange{{Key: key, IfRevision: row.Revision, Value: value}},
+		ID: wasabiridge.WriteID(id), Changes: []wasabiridge.RowChange{{Key: key, IfRevision: row.Revision, Value: value}}, Epoch: row.Epoch,
 	})
 }
 
--- a/internal/wasabiquarantine/blocks.go
+++ b/internal/wasabiquarantine/blocks.go
@@ -53,6 +53,39 @@
 	}
 }
 
+// restoreBlocks queues the blocks to be written again after the store was restored, which
+// may have lost them. One instance writes each block.
+func (k *Controller) restoreBlocks() {
+	if k.options.Rows == nil || k.options.Epoch == nil || k.options.Epoch() <= k.blocksEpoch {
+		return
+	}
+	k.blocksEpoch = k.options.Epoch()
+	var entries []Entry
+	k.loop.Inspect(func() { entries = k.table.Entries(k.options.Clock.Now()) })
+	queued := 0
+	for _, e := range entries {
+		if !e.Blocked || !k.isFirstWriter(e.Fingerprint) {
+			continue
+		}
+		queued++
+		k.queueBlock(LogEvent{Kind: LogEventBlocked, Record: e.CrashUpdate})
+	}
+	if queued > 0 {
+		k.options.Log.Info().Uint64("epoch", uint64(k.blocksEpoch)).Int("blocks", queued).Msg("Store was restored; writing blocks again.")
+	}
+}
+
+// isFirstWriter reports whether this is the instance that writes a block which all know.
+func (k *Controller) isFirstWriter(f wasabiridge.Fingerprint) bool {
+	own := rank(f, string(k.options.Self))
+	for _, m := range k.options.Members() {
+		if !m.Leaving && rank(f, string(m.ID)) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // isBackupWriter reports whether this is one of the instances that check whether a block
 // was written. All instances that know the same members choose the same ones.
 func (k *Controller) isBackupWriter(note LogEvent) bool {
@@ -165,6 +198,7 @@
 	err := k.options.Rows.Commit(ctx, wasabiridge.Transaction{
 		ID:      wasabiridge.WriteID(id),
 		Changes: []wasabiridge.RowChange{{Key: row.Key, IfRevision: row.Revision, Value: value, Delete: value == nil}},
+		Epoch:   row.Epoch,
 	})
 	if err != nil {
 		k.options.Log.Debug().Err(err).Str("row", row.Key).Msg("Block not written.")
--- a/internal/wasabiquarantine/controller.go
+++ b/internal/wasabiquarantine/controller.go
@@ -43,6 +43,8 @@
 	// Rows stores blocks so that they survive a restart of all instances. Nil means that
 	// they are not stored.
 	Rows wasabiridge.Table
+	// Epoch returns the newest known epoch of the store. Nil means that it has none.
+	Epoch func() wasabiridge.StoreEpoch
 }
 
 // Controller connects a Table to the other instances, to the rows in which blocks are
@@ -53,6 +55,9 @@
 	loop    *wasabiloop.Loop
 	changed chan struct{}
 	blocks  chan LogEvent
+	// blocksEpoch is the epoch of the store in which the known blocks were last written.
+	// Only Run uses it.
+	blocksEpoch wasabiridge.StoreEpoch
 }
 
 // NewController returns a controller with an empty table.
@@ -98,6 +103,7 @@
 			k.sendChanges(ctx)
 		case <-ticker.C:
 			k.sendRepeats(ctx, spread)
+			k.restoreBlocks()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/wasabiquota/controller.go
+++ b/internal/wasabiquota/controller.go
@@ -43,6 +43,8 @@
 	// Rows stores which instances own a share of the limits. Nil means that this is not
 	// stored.
 	Rows wasabiridge.Table
+	// Epoch returns the newest known epoch of the store. Nil means that it has none.
+	Epoch func() wasabiridge.StoreEpoch
 }
 
 // Controller connects a Table to the other instances, to the platform's table and to
@@ -63,9 +65,10 @@
 	active     []wasabiridge.InstanceID
 	knownCount int
 	// ownersRead says that the stored owners have been requested. ownersWritten is the last
-	// list written, at ownersWrittenAt. Only Run uses these fields.
+	// list written, at ownersWrittenAt in ownersEpoch. Only Run uses these fields.
 	ownersRead      bool
 	ownersWritten   []wasabiridge.InstanceID
+	ownersEpoch     wasabiridge.StoreEpoch
 	ownersWrittenAt wasabiridge.Millis
 	// ownersWriteFailed is set by a write that failed.
 	ownersWriteFailed atomic.Bool
--- a/internal/wasabiquota/owners.go
+++ b/internal/wasabiquota/owners.go
@@ -42,6 +42,10 @@
 	if k.ownersWriteFailed.Swap(false) {
 		k.ownersWritten = nil
 	}
+	if k.options.Epoch != nil && k.options.Epoch() > k.ownersEpoch {
+		// The store was restored and may have lost the row.
+		k.ownersEpoch, k.ownersWritten = k.options.Epoch(), nil
+	}
 	now := k.options.Clock.Now()
 	if len(owners) < 2 || owners[0] != k.options.Self || slices.Equal(owners, k.ownersWritten) || now-k.ownersWrittenAt < ownersWriteInterval {
 		return
@@ -97,6 +101,7 @@
 		err = k.options.Rows.Commit(ctx, wasabiridge.Transaction{
 			ID:      wasabiridge.WriteID(id),
 			Changes: []wasabiridge.RowChange{{Key: OwnersKey, IfRevision: row.Revision, Value: value}},
+			Epoch:   row.Epoch,
 		})
 	}
 	if err != nil {
--- a/internal/wasabistream/registry.go
+++ b/internal/wasabistream/registry.go
@@ -55,6 +55,11 @@
 	// registered are the versions that the row is known to contain.
 	registered versions
 	history    *History
+	// epoch is the epoch of the store, lost are the versions that were registered before
+	// the restore that began it, and restoredAt is when it was seen.
+	epoch      wasabiridge.StoreEpoch
+	lost       versions
+	restoredAt wasabiridge.Millis
 	// next is the read of the row that has not started yet. Nil means that none is wanted.
 	next    *rowRead
 	reading bool
@@ -88,6 +93,7 @@
 	if err != nil {
 		return s, err
 	}
+	r.observeEpoch(sent, wasabiridge.EpochOf(s.Revision))
 	r.register(ctx, sent, s.Entries)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -97,6 +103,29 @@
 	return s, nil
 }
 
+// epochPool is the entry of the row that holds the epoch of the store in which the row was
+// last checked. A restore may have lost versions of an earlier epoch.
+const epochPool = wasabiridge.PoolID("")
+
+// observeEpoch makes the row be checked again after a restore of the store.
+func (r *Registry) observeEpoch(now wasabiridge.Millis, epoch wasabiridge.StoreEpoch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if epoch <= r.epoch {
+		return
+	}
+	r.epoch, r.lost, r.restoredAt, r.registered = epoch, r.registered, now, versions{}
+}
+
+// isChecked reports whether the row was checked in an epoch.
+func (v versions) isChecked(epoch wasabiridge.StoreEpoch) bool {
+	return epoch == 0 || slices.Equal(v[epochPool], []wasabiridge.SoftwareVersion{epochVersion(epoch)})
+}
+
+func epochVersion(epoch wasabiridge.StoreEpoch) wasabiridge.SoftwareVersion {
+	return wasabiridge.SoftwareVersion(strconv.FormatUint(uint64(epoch), 10))
+}
+
 // register adds the versions of a list to the row, and removes those that were not listed
 // for longer than a stream lasts. It does nothing if the row is known to be right.
 func (r *Registry) register(ctx context.Context, sent wasabiridge.Millis, entries []wasabiridge.BackendEntry) {
@@ -126,7 +155,7 @@
 		if !changes {
 			return
 		}
-		if err = r.write(ctx, row.Revision, wanted); err == nil {
+		if err = r.write(ctx, row, wanted); err == nil {
 			r.mu.Lock()
 			r.registered = wanted
 			r.mu.Unlock()
@@ -147,6 +176,9 @@
 	for pool := range r.history.listedAt {
 		seen := r.history.Of(now, pool, maxLife)
 		next := slices.Clone(seen.Versions)
+		if now-r.restoredAt < maxLife {
+			next = append(next, r.lost[pool]...)
+		}
 		if seen.Watched < maxLife {
 			// Versions that were not listed lately may have been listed before.
 			next = append(next, stored[pool]...)
@@ -156,10 +188,13 @@
 			out[pool], changes = next, true
 		}
 	}
+	if !stored.isChecked(r.epoch) {
+		out[epochPool], changes = []wasabiridge.SoftwareVersion{epochVersion(r.epoch)}, true
+	}
 	return out, changes
 }
 
-func (r *Registry) write(ctx context.Context, revision uint64, v versions) error {
+func (r *Registry) write(ctx context.Context, row wasabiridge.Row, v versions) error {
 	value, err := json.Marshal(v)
 	if err != nil {
 		return wasabiridge.ErrInvalid.Wrap(err, "stream: encode the software versions")
@@ -167,7 +202,8 @@
 	id := string(r.Self) + "/" + RegistryKey + "/" + strconv.FormatInt(int64(r.Clock.Now()), 36)
 	return r.Rows.Commit(ctx, wasabiridge.Transaction{
 		ID:      wasabiridge.WriteID(id),
-		Changes: []wasabiridge.RowChange{{Key: RegistryKey, IfRevision: revision, Value: value}},
+		Changes: []wasabiridge.RowChange{{Key: RegistryKey, IfRevision: row.Revision, Value: value}},
+		Epoch:   row.Epoch,
 	})
 }
 
@@ -221,6 +257,9 @@
 		if row, read.err = r.Rows.Get(ctx, RegistryKey); read.err == nil {
 			read.row, read.err = decodeVersions(row)
 		}
+		if read.err == nil && !read.row.isChecked(row.Epoch) {
+			read.err = wasabiridge.ErrUnavailable.New("stream: row %q was not checked since the store was restored, epoch %d", RegistryKey, row.Epoch)
+		}
 		cancel()
 		if read.err != nil {
 			r.Log.Debug().Err(read.err).Msg("Registered software versions not read.")
