--- a/internal/wasabiquota/controller_test.go
+++ b/internal/wasabiquota/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -54,6 +55,12 @@
 	return string(r.rows[key].Value)
 }
 
+func (r *memoryTable) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.rows)
+}
+
 // tableDecider passes the loop's events to a table.
 type tableDecider struct{ table *wasabiquota.Table }
 
@@ -65,8 +72,13 @@
 // startController starts the controller of an instance that has one peer, which answers
 // if answers is set.
 func startController(id wasabiridge.InstanceID, table wasabiridge.Table, answers bool) *wasabiquota.Controller {
+	return startControllerInEpoch(id, table, answers, nil)
+}
+
+// startControllerInEpoch does the same with a store that has an epoch.
+func startControllerInEpoch(id wasabiridge.InstanceID, table wasabiridge.Table, answers bool, epoch func() wasabiridge.StoreEpoch) *wasabiquota.Controller {
 	k := wasabiquota.NewController(wasabiquota.ControllerOptions{
-		Self: id, Incarnation: 1, Clock: wasabiclock.System(), Rows: table,
+		Self: id, Incarnation: 1, Clock: wasabiclock.System(), Rows: table, Epoch: epoch,
 		Members: func() []wasabiridge.Member {
 			return []wasabiridge.Member{{InstanceEntry: wasabiridge.InstanceEntry{ID: "z", PeerAddress: "127.0.0.1:1"}}}
 		},
@@ -116,6 +128,18 @@
 		Eventually(func() string { return table.value(wasabiquota.OwnersKey) }, "20s").Should(Equal(`["a","z"]`))
 	})
 
+	// Guards against a list that is missing for good after a restore of the store has lost
+	// it, because the owners have not changed.
+	It("is stored again after the store was restored", func() {
+		table := &memoryTable{rows: map[string]wasabiridge.Row{}}
+		var epoch atomic.Uint64
+		startControllerInEpoch("a", table, true, func() wasabiridge.StoreEpoch { return wasabiridge.StoreEpoch(epoch.Load()) })
+		Eventually(func() string { return table.value(wasabiquota.OwnersKey) }, "10s").Should(Equal(`["a","z"]`))
+		table.clear()
+		epoch.Add(1)
+		Eventually(func() string { return table.value(wasabiquota.OwnersKey) }, "20s").Should(Equal(`["a","z"]`))
+	})
+
 	It("is not waited for when the platform is unavailable, and not taken from an invalid row", func() {
 		for _, table := range []*memoryTable{{unavailable: true}, {rows: map[string]wasabiridge.Row{wasabiquota.OwnersKey: {Revision: 1, Value: []byte("{")}}}} {
 			k := startController("a", table, false)
