--- a/revision.go
+++ b/revision.go
@@ -9,9 +9,10 @@
 const (
 	// versionBits is the number of low bits of a revision that hold the store's version.
 	versionBits = 44
-	// MaxStoreVersion and MaxStoreEpoch are the largest values that a revision holds.
+	// MaxStoreVersion is the largest version that a revision holds.
 	MaxStoreVersion = 1<<versionBits - 1
-	MaxStoreEpoch   = 1<<(64-versionBits) - 1
+	// MaxStoreEpoch is the largest epoch that a revision holds.
+	MaxStoreEpoch = 1<<(64-versionBits) - 1
 )
 
 // NewRevision returns the revision of a version that the store assigned in an epoch.
