--- a/internal/wasabievent/event.go
+++ b/internal/wasabievent/event.go
@@ -3,7 +3,8 @@
 //
 // An event ends with an empty line. A line ends with LF, CRLF or CR, and a line that begins
 // with a colon is a comment, which belongs to no event. A stream that ends within an event
-// was cut off, however its response was framed.
+// was cut off, however its response was framed. So was one that ends with a CR although all
+// its lines before ended in CRLF.
 //
 // # Usage
 //
@@ -38,6 +39,9 @@
 	// afterCR is set when the last byte was a CR, whose line end may include an LF, and
 	// afterEvent when that line end completed an event.
 	afterCR, afterEvent bool
+	// held is set when that line is not ended before the next byte, because all lines
+	// before ended in CRLF. mixed is set when one did not.
+	held, mixed bool
 	// begun is set after the first line of the stream.
 	begun bool
 }
@@ -50,34 +54,65 @@
 	s.line -= s.returned
 	s.returned = 0
 	for ; s.scanned < len(s.pending); s.scanned++ {
-		b := s.pending[s.scanned]
-		switch {
-		case b == '\n' && s.afterCR:
-			s.afterCR, s.line = false, s.scanned+1
-			if s.afterEvent {
-				s.returned = s.line
-			}
-		case b == '\n' || b == '\r':
-			if s.endLine() {
-				count++
-			}
-			s.afterCR = b == '\r'
-		default:
-			s.afterCR = false
+		if s.add(s.pending[s.scanned]) {
+			count++
 		}
 	}
 	return s.pending[:s.returned], count
 }
 
-// endLine ends the current line before the byte at scanned. It reports whether the line
-// completed an event.
-func (s *Splitter) endLine() bool {
-	line := s.pending[s.line:s.scanned]
+// add scans the byte at scanned. It reports whether an event is whole with it.
+func (s *Splitter) add(b byte) bool {
+	whole := false
+	if s.afterCR {
+		whole = s.endCR(b == '\n')
+		if b == '\n' {
+			return whole
+		}
+	}
+	switch {
+	case b == '\n':
+		s.mixed = true
+		return s.endLine(s.scanned, s.scanned+1) || whole
+	case b == '\r':
+		s.afterCR, s.held = true, s.begun && !s.mixed
+		if !s.held {
+			return s.endLine(s.scanned, s.scanned+1) || whole
+		}
+	}
+	return whole
+}
+
+// endCR completes the line end that began with the CR before scanned. It reports whether
+// an event is whole with it.
+func (s *Splitter) endCR(lf bool) bool {
+	held := s.held
+	s.afterCR, s.held = false, false
+	end, next := s.scanned-1, s.scanned
+	if lf {
+		next++
+	} else {
+		s.mixed = true
+	}
+	if held {
+		return s.endLine(end, next)
+	}
+	s.line = next
+	if s.afterEvent {
+		s.returned = s.line
+	}
+	return false
+}
+
+// endLine ends the current line at an offset, with a line end up to next. It reports whether
+// the line completed an event.
+func (s *Splitter) endLine(end, next int) bool {
+	line := s.pending[s.line:end]
 	if !s.begun {
 		line = bytes.TrimPrefix(line, byteOrderMark)
 		s.begun = true
 	}
-	s.line = s.scanned + 1
+	s.line = next
 	s.afterEvent = len(line) == 0
 	switch {
 	case !s.afterEvent:
--- a/internal/wasabievent/event_test.go
+++ b/internal/wasabievent/event_test.go
@@ -47,7 +47,8 @@
 		"cut off before its empty line":  {stream: "data: a\n", rest: "data: a\n", partial: true},
 		"cut off in a comment":           {stream: "data: a\n\n: e", rest: ": e", count: 1, partial: true},
 		"cut off in CRLF behind a field": {stream: "data: a\r", rest: "data: a\r", partial: true},
-		"cut off in the last CRLF":       {stream: "data: a\r\n\r", count: 1},
+		"cut off in the last CRLF":       {stream: "data: a\r\n\r", rest: "data: a\r\n\r", partial: true},
+		"of CRLF and then CR":            {stream: "data: a\r\n\rdata: b\r\r", count: 2},
 		"of mixed line ends":             {stream: "data: a\r\n\ndata: b\r\rdata: c\n\r\n", count: 3},
 	}
 	for _, name := range slices.Sorted(maps.Keys(cases)) {
@@ -73,8 +74,7 @@
 			for cut := range len(stream) + 1 {
 				whole, count, s := split(stream[:cut], func() int { return 1 + draw.IntN(9) })
 				Expect(whole + string(s.Rest())).To(Equal(stream[:cut]))
-				// The first byte of the last line end completes the event.
-				complete := (cut + len(end) - 1) / len(event)
+				complete := cut / len(event)
 				Expect(count).To(Equal(complete), "cut at %d", cut)
 				Expect(s.Partial() > 0).To(Equal(cut > complete*len(event)), "cut at %d", cut)
 			}
