--- a/cmd/wasabirouter/rig_test.go
+++ b/cmd/wasabirouter/rig_test.go
@@ -242,7 +242,11 @@
 
 func (p *router) signal(s os.Signal) {
 	GinkgoHelper()
-	Expect(p.process().Command.Process.Signal(s)).To(Succeed())
+	session := p.process()
+	Expect(session.Command.Process.Signal(s)).To(Succeed(), func() string {
+		output := session.Err.Contents()
+		return fmt.Sprintf("exit code %d, last output: %s", session.ExitCode(), output[max(0, len(output)-4096):])
+	})
 }
 
 // kill sends SIGKILL to the process and waits for its exit.
