wasabireach, wasabirelay: refuse at once if no instance has a path to the servers

Cause: instances in doubt asked each other and learned nothing, and a request that no other one took was always tried here. A path in doubt for 1.2 s is checked by asking servers for an answer. A request is refused as not run if this instance and all its members are detached, checks get no response and nothing has arrived for 0.9 s; one a second is tried.

--- a/internal/wasabinode/detour.go
+++ b/internal/wasabinode/detour.go
@@ -34,6 +34,23 @@
 // Detached implements wasabirelay.Detour.
 func (d *detour) Detached(pool wasabiridge.PoolID) bool { return d.node.reach.isLost(pool) }
 
+// Isolated implements wasabirelay.Detour. Where no other instance is known, none can say
+// whether the path or the servers are the cause, and requests are tried here. So they are
+// where that costs no time, because connections are refused at once, and while open ones
+// still work.
+func (d *detour) Isolated(pool wasabiridge.PoolID) bool {
+	if !d.Detached(pool) || !d.node.reach.detached() {
+		return false
+	}
+	members := d.node.members.Members()
+	for _, m := range members {
+		if !m.Detached && !m.Leaving {
+			return false
+		}
+	}
+	return len(members) > 0 && d.node.reach.isSilent(pool)
+}
+
 // Instances implements wasabirelay.Detour. The instances that callers are sent to are
 // returned in random order, so that the requests spread over all of them.
 func (d *detour) Instances(pool wasabiridge.PoolID) []wasabiridge.InstanceEntry {
--- a/internal/wasabinode/partition_test.go
+++ b/internal/wasabinode/partition_test.go
@@ -105,4 +105,38 @@
 		Entry("whose connections carry nothing", standin.LinksMute),
 		Entry("whose connections are reset when anything is sent", standin.LinksDrop),
 	)
+
+	// Guards against callers that wait for their time-outs although no node can serve them.
+	DescribeTable("refuses requests at once if no other node has one either",
+		func(state standin.LinkState) {
+			g, l := newRig(), &standin.Links{}
+			for i := range 3 {
+				g.replica(standin.ReplicaOptions{ID: fmt.Sprint("s", i), Service: "app", ProcessingTime: 5 * time.Millisecond})
+			}
+			g.configure(1, "k")
+			g.links = l
+			for range 2 {
+				g.start()
+			}
+			for _, n := range g.nodes {
+				Eventually(status(n.caller, "/book/x", "k"), "5s").Should(Equal(http.StatusOK))
+				Eventually(func() string { return listed(n) }, "10s").Should(ContainSubstring(g.nodes[0].caller))
+			}
+			l.Set(state)
+			for _, n := range g.nodes {
+				Eventually(func() string {
+					for range 4 {
+						go status(n.caller, "/book/x", "k")()
+					}
+					return n.lastLines("no path to the backend servers")
+				}, "15s", "200ms").Should(ContainSubstring(`"kind":"not_run"`))
+			}
+			l.Set(standin.LinksWork)
+			for _, n := range g.nodes {
+				Eventually(status(n.caller, "/book/x", "k"), "10s").Should(Equal(http.StatusOK))
+			}
+		},
+		Entry("and connections hang", standin.LinksHang),
+		Entry("and connections carry nothing", standin.LinksMute),
+	)
 })
--- a/internal/wasabinode/pathcheck.go
+++ b/internal/wasabinode/pathcheck.go
@@ -15,6 +15,9 @@
 	reachInterval = 100 * time.Millisecond
 	// probeTimeout bounds opening a connection for a check.
 	probeTimeout = 300 * time.Millisecond
+	// hangTime is the time from which a failed check counts as one that got no response,
+	// and not as one that was refused.
+	hangTime = 200 * wasabiridge.Millis(1)
 	// confirmedTime is how long a connection that was opened for a check proves that
 	// this instance has a path to the servers of the pool.
 	confirmedTime = 300 * wasabiridge.Millis(1)
@@ -92,6 +95,7 @@
 		probe = r.prober.Ask
 	}
 	r.mu.Unlock()
+	began := r.clock.Now()
 	connected := make(chan bool, len(sample))
 	for _, b := range sample {
 		go func() { connected <- probe(ctx, b) }()
@@ -104,10 +108,12 @@
 			result.Failed++
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if result.Connected > 0 {
-		r.mu.Lock()
 		p.confirmedAt = r.clock.Now()
-		r.mu.Unlock()
+	} else {
+		p.hangs = r.clock.Now()-began >= hangTime
 	}
 	return result
 }
--- a/internal/wasabinode/reach.go
+++ b/internal/wasabinode/reach.go
@@ -40,6 +40,8 @@
 	tracker *wasabireach.Tracker
 	// confirmedAt is when a connection was last opened for a check.
 	confirmedAt wasabiridge.Millis
+	// hangs is set if the last failed check got no response.
+	hangs bool
 	// unanswered holds how to cancel the idempotent attempts that have no byte of an
 	// answer yet.
 	unanswered map[wasabiridge.AttemptID]context.CancelCauseFunc
@@ -211,6 +213,15 @@
 	return r.lost(pool)
 }
 
+// isSilent reports whether attempts at the servers of a pool would wait in vain: checks get no
+// response, and nothing has arrived lately.
+func (r *reach) isSilent(pool wasabiridge.PoolID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.byPool[pool]
+	return p != nil && p.hangs && p.tracker.Silent(r.clock.Now())
+}
+
 // lines returns metrics lines: for how long each path has been lost.
 func (r *reach) lines(now wasabiridge.Millis) []string {
 	r.mu.Lock()
--- a/internal/wasabireach/tracker.go
+++ b/internal/wasabireach/tracker.go
@@ -18,8 +18,9 @@
 // forward nothing, or reset them. If attempts at several servers receive no data although
 // connections can be opened, the path is in doubt, and another instance is asked to serve
 // a request. If it is served there while nothing has arrived here, the servers are not the
-// cause, and the instance is detached. Checks then ask servers for an answer, until most
-// of a sample give one.
+// cause, and the instance is detached. It is detached, too, if the doubt lasts and no server
+// of a sample answers a status check: then other instances may have no path either. Checks
+// ask servers for an answer from then on, until most of a sample give one.
 //
 // # Usage
 //
@@ -63,6 +64,14 @@
 	doubtTimeout    = 700 * wasabiridge.Millis(1)
 	minDoubtServers = 2
 	doubtInterval   = 200 * wasabiridge.Millis(1)
+	// doubtLimit is how long the path may be in doubt before servers are asked for an answer,
+	// and askInterval the time between two such checks.
+	doubtLimit  = 1200 * wasabiridge.Millis(1)
+	askInterval = wasabiridge.Second
+	// quietTimeout is the time without any data from which a path counts as silent.
+	quietTimeout = 900 * wasabiridge.Millis(1)
+	// trialInterval is the time between two requests that are tried over a silent path.
+	trialInterval = wasabiridge.Second
 	// doubtSpan is how long a path is in doubt after Doubt if nothing arrives.
 	doubtSpan = 5 * wasabiridge.Second
 )
@@ -96,8 +105,14 @@
 	nextCheck wasabiridge.Millis
 	detached  bool
 	since     wasabiridge.Millis
-	// mute is set while the instance is detached because connections forward no data.
-	mute bool
+	// mute is set while the instance is detached because connections forward no data, and
+	// asking while the current check asks servers for an answer although it is not.
+	mute, asking bool
+	// doubtfulSince is when the path was first found to be in doubt, and nextAsk when servers
+	// may be asked for an answer again.
+	doubtfulSince, nextAsk wasabiridge.Millis
+	// nextTrial is when a request may be tried although the path is silent.
+	nextTrial wasabiridge.Millis
 	// doubtedAt is when the connections to other servers were found to forward no data.
 	doubtedAt wasabiridge.Millis
 	// nextDoubt is when the next request may be passed on in doubt.
@@ -194,9 +209,24 @@
 	return len(servers) >= minDoubtServers
 }
 
-// Mute reports whether the instance is detached because connections forward no data. A check
-// then has to ask for an answer, and Result counts the servers that gave one as connected.
-func (t *Tracker) Mute() bool { return t.mute }
+// Mute reports whether the instance is detached because connections forward no data, or in
+// doubt for long. A check then has to ask for an answer, and Result counts the servers that
+// gave one as connected.
+func (t *Tracker) Mute() bool { return t.mute || t.asking }
+
+// Silent reports whether nothing has arrived from any server lately. Connections that were
+// open before may go on working although no new one can be opened, so it reports false for
+// one request in each trialInterval.
+func (t *Tracker) Silent(now wasabiridge.Millis) bool {
+	if now-t.received < quietTimeout {
+		return false
+	}
+	if now >= t.nextTrial {
+		t.nextTrial = now + trialInterval
+		return false
+	}
+	return true
+}
 
 // Suspect requests a check.
 func (t *Tracker) Suspect() { t.suspected = true }
@@ -234,9 +264,25 @@
 	case t.confirming:
 		return true
 	}
+	if t.asking = t.mustAsk(now); t.asking {
+		t.nextAsk = now + askInterval
+		return true
+	}
 	return now >= t.nextCheck && (t.detached || t.suspected || t.suspicious(now))
 }
 
+// mustAsk reports whether the path has been in doubt for so long that servers have to be
+// asked for an answer. A doubt lasts until something arrives.
+func (t *Tracker) mustAsk(now wasabiridge.Millis) bool {
+	if t.detached || t.received >= t.doubtfulSince {
+		t.doubtfulSince = 0
+	}
+	if t.doubtfulSince == 0 && t.isDoubtful(now) {
+		t.doubtfulSince = now
+	}
+	return t.doubtfulSince > 0 && now-t.doubtfulSince >= doubtLimit && now >= t.nextAsk
+}
+
 // Check returns the servers, of all given, to which a connection has to be opened for the
 // check that is due. The result must be passed to Checked.
 func (t *Tracker) Check(servers []wasabiridge.BackendServer) []wasabiridge.BackendServer {
@@ -268,17 +314,22 @@
 // Checked records the result of a sample. It reports whether that changed whether the
 // instance is detached.
 func (t *Tracker) Checked(now wasabiridge.Millis, r Result) bool {
-	before := t.detached
+	before, asking := t.detached, t.asking
 	t.checking = false
 	switch {
 	case t.detached && r.Connected > r.Failed, !t.detached && r.Connected > 0:
 		t.confirming = false
+		t.mute = t.Mute()
 		t.setDetached(now, false)
 	case t.detached:
 		t.nextCheck = now + checkInterval
+	case asking && t.received >= t.doubtfulSince:
+		// Data has arrived since the check began.
+		t.confirming = false
 	case t.conclusive:
 		t.confirming = false
 		t.setDetached(now, true)
+		t.mute = asking
 	default:
 		t.confirming = true
 	}
@@ -294,7 +345,7 @@
 		t.received, t.doubtedAt = now, 0
 		clear(t.fruitless)
 	}
-	t.detached, t.mute = detached, false
+	t.detached, t.mute, t.asking = detached, false, false
 	t.nextCheck = now + connectedInterval
 	if detached {
 		t.nextCheck = now + checkInterval
--- a/internal/wasabireach/tracker_test.go
+++ b/internal/wasabireach/tracker_test.go
@@ -21,6 +21,8 @@
 	servers []wasabiridge.BackendServer
 	down    map[wasabiridge.BackendServerID]bool
 	dials   int
+	// mute makes servers accept connections and give no answer.
+	mute bool
 }
 
 func newNetwork(servers int) *network {
@@ -52,7 +54,7 @@
 		var r wasabireach.Result
 		for _, s := range sample {
 			n.dials++
-			if n.down[s.ID] {
+			if n.down[s.ID] || n.mute && n.tracker.Mute() {
 				r.Failed++
 			} else {
 				r.Connected++
@@ -173,6 +175,44 @@
 		}),
 	)
 
+	// Guards against callers that wait for answers which no instance can get.
+	It("detects that connections carry nothing if no server answers a status check either", func() {
+		n := newNetwork(10)
+		n.mute = true
+		n.tracker.Sent(n.now, 1, "s0")
+		n.tracker.Sent(n.now, 2, "s1")
+		n.run(1500)
+		Expect(n.detached()).To(BeFalse(), "servers may be silent for a moment")
+		n.run(900)
+		Expect(n.detached()).To(BeTrue())
+		n.mute = false
+		n.run(1200)
+		Expect(n.detached()).To(BeFalse())
+	})
+
+	// Guards against refusing all requests while a connection that was open before would
+	// still serve them.
+	It("is silent when nothing arrives, but for one request a second", func() {
+		n := newNetwork(3)
+		n.tracker.Sent(n.now, 1, "s0")
+		n.tracker.Received(n.now, 1)
+		Expect(n.tracker.Silent(n.now)).To(BeFalse())
+		n.now += 1000
+		Expect(n.tracker.Silent(n.now)).To(BeFalse(), "the first one is tried")
+		Expect(n.tracker.Silent(n.now)).To(BeTrue())
+		n.now += 1000
+		Expect(n.tracker.Silent(n.now)).To(BeFalse())
+	})
+
+	It("does not count as detached if a server answers a status check", func() {
+		n := newNetwork(10)
+		n.tracker.Sent(n.now, 1, "s0")
+		n.tracker.Sent(n.now, 2, "s1")
+		n.run(4000)
+		Expect(n.detached()).To(BeFalse())
+		Expect(n.dials).To(BeNumerically("<=", 10))
+	})
+
 	It("is in no doubt while one of the servers answers, or only one is silent", func() {
 		n := newNetwork(9)
 		for i := range 20 {
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -12,7 +12,7 @@
 // runAttempt runs an attempt and passes its result to the decider. It reports whether
 // the request has ended.
 func (x *exchange) runAttempt(d wasabiridge.Dispatch) bool {
-	if x.mayForward(d) && x.forward() {
+	if x.mayForward(d) && (x.forward() || x.refuseIsolated()) {
 		x.relay.options.Loop.Post(wasabiridge.RequestForwarded{Request: d.Request})
 		x.relay.options.Loop.Post(wasabiridge.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Backend: d.Backend.ID, Result: wasabiridge.AttemptNotRun, Unsent: true})
 		return true
@@ -70,6 +70,19 @@
 	return false
 }
 
+// refuseIsolated refuses a request that no instance has a path for. It reports whether it did.
+func (x *exchange) refuseIsolated() bool {
+	switch {
+	case !x.isIsolated():
+		return false
+	case x.disposition == wasabiridge.NotRun:
+		x.refuse(*x.notRun(reasonNoPath))
+	default:
+		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalBroken, Reason: reasonNoPath})
+	}
+	return true
+}
+
 // mayImprove reports whether the buffered answer is a server error (status 500 or
 // above) and the rule allows another attempt, which may succeed.
 func (x *exchange) mayImprove(d wasabiridge.Dispatch) bool {
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -117,6 +117,10 @@
 	if x.forward() {
 		return
 	}
+	if x.isIsolated() {
+		x.refuse(*x.notRun(reasonNoPath))
+		return
+	}
 	if refusal := x.findOrigin(); refusal != nil {
 		x.refuse(*refusal)
 		return
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -16,6 +16,8 @@
 	// forwardMargin is how much earlier than this instance the other one gives up, so
 	// that its answer arrives in time.
 	forwardMargin = 25 * wasabiridge.Millis(1)
+	// reasonNoPath is the reason of refusals while there is no path to the servers.
+	reasonNoPath = "no path to the backend servers"
 )
 
 // Detour passes requests on to other instances while this one has no path to the backend
@@ -24,6 +26,9 @@
 	wasabiridge.Forwarder
 	// Detached reports whether this instance has no path to the servers of a pool.
 	Detached(pool wasabiridge.PoolID) bool
+	// Isolated reports whether neither this instance nor any other one that it knows of has
+	// a path to the servers of a pool.
+	Isolated(pool wasabiridge.PoolID) bool
 	// Instances returns other instances that may serve a request for a pool, in the order
 	// in which to try them. It returns none while this instance has a path to the pool, and
 	// it is not in doubt.
@@ -82,6 +87,13 @@
 	return false
 }
 
+// isIsolated reports whether no instance has a path to the servers of the request. It is
+// refused at once then.
+func (x *exchange) isIsolated() bool {
+	d := x.relay.options.Detour
+	return d != nil && x.received == nil && d.Isolated(x.request.Action.Pool)
+}
+
 // mayForwardRefused reports whether another instance may serve a request that the decider
 // refused for the given reason.
 func (x *exchange) mayForwardRefused(reason wasabiridge.RefuseReason) bool {
@@ -220,7 +232,7 @@
 // checkPath refuses a forwarded request if this instance has no path to its pool either.
 func (c *call) checkPath() *wasabiridge.Refusal {
 	if d := c.relay.options.Detour; d != nil && d.Detached(c.request().Action.Pool) {
-		return c.notRun("no path to the backend servers")
+		return c.notRun(reasonNoPath)
 	}
 	return nil
 }
--- a/internal/wasabirelay/forward_test.go
+++ b/internal/wasabirelay/forward_test.go
@@ -18,9 +18,11 @@
 
 // detour passes requests on to other rigs, in order. Their indexes are the peer addresses.
 type detour struct {
-	mu     sync.Mutex
-	lost   bool
-	others []*rig
+	mu   sync.Mutex
+	lost bool
+	// isolated is set if the other instances have lost their paths, too.
+	isolated bool
+	others   []*rig
 	// breaks makes the answers of other instances be lost after they have served.
 	breaks   bool
 	asked    []string
@@ -42,6 +44,12 @@
 
 func (d *detour) Answered(wasabiridge.PoolID, bool) {}
 
+func (d *detour) Isolated(wasabiridge.PoolID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lost && d.isolated
+}
+
 func (d *detour) Instances(wasabiridge.PoolID) []wasabiridge.InstanceEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -141,6 +149,24 @@
 				}}
 			}, status: 200, body: "ok", asked: "0", ran: 2,
 		},
+		// Guards against callers that wait for seconds although nobody can serve them.
+		"is refused at once if no instance has a path": {
+			then: once, prepare: func(g, _, _ *rig) {
+				g.detour.isolated = true
+				g.detour.others = nil
+			}, kind: wasabiridge.RefusalNotRun,
+		},
+		"is refused at once if all paths are lost while it is tried": {
+			then: wasabiridge.Action{Retry: true, Attempts: 2}, prepare: func(g, _, _ *rig) {
+				g.detour.setLost(false)
+				g.detour.isolated, g.detour.others = true, nil
+				g.runner.script = []scriptedAttempt{func(_ context.Context, _ wasabiridge.Attempt, s wasabiridge.AttemptSink) wasabiridge.AttemptResult {
+					s.Sent()
+					g.detour.setLost(true)
+					return wasabiridge.AttemptBroken
+				}}
+			}, kind: wasabiridge.RefusalBroken, ran: 1,
+		},
 		"is not passed on if it may have run and is not idempotent": {
 			then: once, prepare: func(g, _, _ *rig) {
 				g.detour.setLost(false)
