wasabipeer: the store's epoch has a field of its own between instances

Found by reading the diff: instances of the build before compare the revision that they are sent with the one that they read. With the epoch in its upper bits they would ignore their own reads for good, also after the newer build was rolled back. The wire has the version and the epoch apart now, and the revision of a configuration's row is part of its content only if the store states an epoch, so that both builds have the same content otherwise.

--- a/catalog.go
+++ b/catalog.go
@@ -9,7 +9,8 @@
 	// Revision orders snapshots: a higher revision is a later state of the store; see
 	// NewRevision.
 	Revision uint64 `json:"revision"`
-	// Written is the revision at which Config was written.
+	// Written is the revision at which Config was written, or zero if the store states no
+	// epoch.
 	Written uint64 `json:"written,omitempty"`
 	Config  Config `json:"config"`
 	// Weights are the versions that the operators want served, by model.
--- a/internal/wasabicatalog/apply.go
+++ b/internal/wasabicatalog/apply.go
@@ -107,7 +107,7 @@
 	m.applyMerged(merged, m.config.confirmedAt)
 }
 
-// applyMerged applies a snapshot that no store or instance has as a whole.
+// applyMerged applies a snapshot with parts from two sources.
 func (m *Machine) applyMerged(s wasabiridge.ConfigSnapshot, confirmedAt wasabiridge.Millis) {
 	content, err := encodeConfig(s)
 	if err != nil {
--- a/internal/wasabicatalog/restore_test.go
+++ b/internal/wasabicatalog/restore_test.go
@@ -163,7 +163,7 @@
 	return ""
 }
 
-// alterRevisions changes the revisions in what an instance reads or is told.
+// alterRevisions changes the revisions in reads of the store and in responses of instances.
 func alterRevisions(ofReads, ofPeers func(uint64) uint64) func(wasabicatalog.Event) wasabicatalog.Event {
 	return func(e wasabicatalog.Event) wasabicatalog.Event {
 		switch e := e.(type) {
--- a/internal/wasabievent/event.go
+++ b/internal/wasabievent/event.go
@@ -61,30 +61,30 @@
 	return s.pending[:s.returned], count
 }
 
-// add scans the byte at scanned. It reports whether an event is whole with it.
+// add scans the byte at scanned. It reports whether the byte completes an event.
 func (s *Splitter) add(b byte) bool {
-	whole := false
+	complete := false
 	if s.afterCR {
-		whole = s.endCR(b == '\n')
+		complete = s.endCR(b == '\n')
 		if b == '\n' {
-			return whole
+			return complete
 		}
 	}
 	switch {
 	case b == '\n':
 		s.mixed = true
-		return s.endLine(s.scanned, s.scanned+1) || whole
+		return s.endLine(s.scanned, s.scanned+1) || complete
 	case b == '\r':
 		s.afterCR, s.held = true, s.begun && !s.mixed
 		if !s.held {
-			return s.endLine(s.scanned, s.scanned+1) || whole
+			return s.endLine(s.scanned, s.scanned+1) || complete
 		}
 	}
-	return whole
+	return complete
 }
 
 // endCR completes the line end that began with the CR before scanned. It reports whether
-// an event is whole with it.
+// that completes an event.
 func (s *Splitter) endCR(lf bool) bool {
 	held := s.held
 	s.afterCR, s.held = false, false
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -93,14 +93,19 @@
 
 func encodePart(p wasabiridge.CatalogPart) *pb.CatalogPart {
 	return &pb.CatalogPart{
-		Revision: p.Revision, Digest: p.Digest, Known: p.Age >= 0, AgeMs: uint64(max(p.Age, 0)), Content: p.Content,
+		Revision: wasabiridge.VersionOf(p.Revision), Epoch: uint64(wasabiridge.EpochOf(p.Revision)), Digest: p.Digest,
+		Known: p.Age >= 0, AgeMs: uint64(max(p.Age, 0)), Content: p.Content,
 	}
 }
 
-// decodePart treats a catalog part without an age, or with an age of a day or
-// more, as unknown.
+// decodePart treats a catalog part without an age, with an age of a day or more,
+// or with an invalid revision as unknown.
 func decodePart(p *pb.CatalogPart) wasabiridge.CatalogPart {
-	out := wasabiridge.CatalogPart{Revision: p.GetRevision(), Digest: p.GetDigest(), Age: -1, Content: p.GetContent()}
+	out := wasabiridge.CatalogPart{Digest: p.GetDigest(), Age: -1, Content: p.GetContent()}
+	var err error
+	if out.Revision, err = wasabiridge.NewRevision(wasabiridge.StoreEpoch(p.GetEpoch()), p.GetRevision()); err != nil {
+		return out
+	}
 	if p.GetKnown() && p.GetAgeMs() < uint64(wasabiridge.Day) {
 		out.Age = wasabiridge.Millis(p.GetAgeMs())
 	}
--- a/internal/wasabipeer/crash_test.go
+++ b/internal/wasabipeer/crash_test.go
@@ -17,11 +17,12 @@
 // updateHandler records the last state update that it received.
 type updateHandler struct {
 	handler
-	got wasabiridge.StateUpdate
+	got     wasabiridge.StateUpdate
+	catalog wasabiridge.CatalogResponse
 }
 
 func (h *updateHandler) HandleQueryCatalog(context.Context, wasabiridge.CatalogQuery) (wasabiridge.CatalogResponse, error) {
-	return wasabiridge.CatalogResponse{}, h.err
+	return h.catalog, h.err
 }
 
 func (h *updateHandler) HandleSendUpdate(_ context.Context, n wasabiridge.StateUpdate) error {
@@ -44,6 +45,24 @@
 	})
 })
 
+// Guards against revisions that lose the epoch of the store on the wire, so that what was
+// read after a restore seems older.
+var _ = Describe("Parts of the catalog", func() {
+	It("arrive complete, with the epoch of their revision", func() {
+		revision, err := wasabiridge.NewRevision(3, 1<<40)
+		Expect(err).NotTo(HaveOccurred())
+		h := &updateHandler{catalog: wasabiridge.CatalogResponse{
+			Config:   wasabiridge.CatalogPart{Revision: revision, Digest: 7, Age: 5, Content: []byte("c")},
+			Backends: wasabiridge.CatalogPart{Revision: 9, Digest: 8, Age: -1},
+		}}
+		o := wasabipeer.Options{Clock: wasabiclock.System(), Key: key}
+		server := serve(h, o)
+		got, err := connect(o).QueryCatalog(context.Background(), server.Address(), wasabiridge.CatalogQuery{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(h.catalog))
+	})
+})
+
 // A faulty instance sends implausible crash records. Accepted, they would
 // supersede the records of all other instances for ever, or fill their memory.
 var _ = Describe("Crash records of requests", func() {
