--- a/internal/wasabievent/event.go
+++ b/internal/wasabievent/event.go
@@ -70,11 +70,11 @@
 			return complete
 		}
 	}
-	switch {
-	case b == '\n':
+	switch b {
+	case '\n':
 		s.mixed = true
 		return s.endLine(s.scanned, s.scanned+1) || complete
-	case b == '\r':
+	case '\r':
 		s.afterCR, s.held = true, s.begun && !s.mixed
 		if !s.held {
 			return s.endLine(s.scanned, s.scanned+1) || complete
