Large lists of servers: changes only between instances and from the store, in little memory

Cause, by reading: each instance held the list as JSON and four earlier ones as zstd dictionaries (2.6 MB each), compared all entries and the engines of all pools every 50 ms, and copied and sorted 985 members several times a second; every reader read 20 pages, 4 MB, three times a second, and at a start each instance did.

The list now travels as the entries that changed (a digest that is the sum of its entries' proves the result), is read from the store's changes where it has several pages (completely every 10 s and when the history is gone), and the first page serves until another instance or the first rank has the rest. Only the eight lowest ranks observe engines for upgrades, without loops within loops. The active instances are computed once for each list of members, which is published at most every 40 ms.

--- a/catalog.go
+++ b/catalog.go
@@ -15,6 +15,9 @@
 	Config  Config `json:"config"`
 	// Weights are the versions that the operators want served, by model.
 	Weights map[ModelID]WeightsVersion `json:"weights,omitempty"`
+	// Rollouts are the rollouts of software versions that the operators have ordered, sorted
+	// by pool.
+	Rollouts []SoftwareRollout `json:"rollouts,omitempty"`
 }
 
 // BackendEntry is a backend server as the platform lists it.
@@ -39,6 +42,8 @@
 	Entries  []BackendEntry `json:"entries"`
 	// Unusable are the entries that do not describe a usable backend server.
 	Unusable []UnusableEntry `json:"-"`
+	// Partial reports that the list has further entries, which were not read.
+	Partial bool `json:"-"`
 }
 
 // UnusableEntry is an entry of the list that cannot be decoded or has impossible
@@ -60,6 +65,14 @@
 	ReadBackends(ctx context.Context) (BackendSnapshot, error)
 }
 
+// CatalogPages is implemented by a CatalogSource that can read the first page of a large list
+// of backend servers.
+type CatalogPages interface {
+	// ReadFirstBackends is like ReadBackends, but of a list of several pages it returns only
+	// the first one, marked as partial.
+	ReadFirstBackends(ctx context.Context) (BackendSnapshot, error)
+}
+
 // CatalogQuery queries another instance for its copy of the configuration and of the
 // list of backend servers. Content whose digest the querying instance already has is
 // not sent again.
@@ -211,6 +224,8 @@
 	Streams []StreamUpdate
 	// Demands are the demands for pools that are short of capacity. See DemandReceived.
 	Demands []DemandUpdate
+	// Answers are what the sender has counted under rollouts of software versions.
+	Answers []SoftwareAnswers
 	// PassOn asks the receiver to pass what concerns placements and demand on to the other
 	// instances of its zone. PassedOn reports that it was, so that the message says nothing
 	// about the path to the sender.
--- a/internal/wasabiaddress/selector.go
+++ b/internal/wasabiaddress/selector.go
@@ -59,6 +59,9 @@
 	// Members returns the instances in the membership view. Nil means that there
 	// are no other instances.
 	Members func() []wasabiridge.Member
+	// SnapshotMembers states that Members returns a list that is never modified, so that the
+	// result for the same list can be used again.
+	SnapshotMembers bool
 	// Detached reports whether this instance has no path to any backend server. Nil
 	// means never.
 	Detached func() bool
@@ -93,6 +96,24 @@
 type Selector struct {
 	options Options
 	leaving atomic.Bool
+	// last holds the last result of active, which is asked for many times a second while the
+	// members rarely change. Its slices must not be modified.
+	last atomic.Pointer[activeResult]
+}
+
+// activeResult is the result of active for its inputs.
+type activeResult struct {
+	members                     []wasabiridge.Member
+	leaving, detached, strained bool
+	active                      []candidate
+	entries                     []wasabiridge.InstanceEntry
+}
+
+// isFor reports whether the result holds for other inputs, if lists of members are not
+// modified.
+func (r *activeResult) isFor(o *activeResult) bool {
+	return r != nil && r.leaving == o.leaving && r.detached == o.detached && r.strained == o.strained &&
+		len(r.members) == len(o.members) && (len(r.members) == 0 || &r.members[0] == &o.members[0])
 }
 
 // New returns a Selector.
@@ -131,10 +152,37 @@
 // The failure it guards against: an instance with a fifth of a core and a slow
 // link gets as many requests as one four times its size, and its responses are
 // late.
-func (b *Selector) Active() []wasabiridge.InstanceEntry { return entriesOf(b.active()) }
+//
+// The result must not be modified.
+func (b *Selector) Active() []wasabiridge.InstanceEntry { return b.current().entries }
 
-func (b *Selector) active() []candidate {
-	all := b.candidates("")
+func (b *Selector) active() []candidate { return b.current().active }
+
+// current returns the active instances for the current members.
+func (b *Selector) current() *activeResult {
+	in := b.inputs()
+	if last := b.last.Load(); b.options.SnapshotMembers && last.isFor(in) {
+		return last
+	}
+	in.active = chooseActive(b.candidatesOf("", in))
+	in.entries = entriesOf(in.active)
+	b.last.Store(in)
+	return in
+}
+
+// inputs returns what the candidates depend on.
+func (b *Selector) inputs() *activeResult {
+	in := &activeResult{leaving: b.leaving.Load()}
+	in.detached = b.options.Detached != nil && b.options.Detached()
+	in.strained = b.options.Strained != nil && b.options.Strained()
+	if b.options.Members != nil {
+		in.members = b.options.Members()
+	}
+	return in
+}
+
+// chooseActive returns the active ones of the instances that serve.
+func chooseActive(all []candidate) []candidate {
 	if len(all) <= minActive {
 		return all
 	}
@@ -255,23 +303,25 @@
 
 // candidates returns the instances that serve, highest hash first.
 func (b *Selector) candidates(account wasabiridge.ClientAccountID) []candidate {
+	return b.candidatesOf(account, b.inputs())
+}
+
+func (b *Selector) candidatesOf(account wasabiridge.ClientAccountID, in *activeResult) []candidate {
 	var list, detached []candidate
-	if !b.leaving.Load() {
-		if b.options.Detached != nil && b.options.Detached() {
-			detached = append(detached, newCandidate(account, b.options.Self, false))
-		} else {
-			list = append(list, newCandidate(account, b.options.Self, b.options.Strained != nil && b.options.Strained()))
-		}
+	switch {
+	case in.leaving:
+	case in.detached:
+		detached = append(detached, newCandidate(account, b.options.Self, false))
+	default:
+		list = append(list, newCandidate(account, b.options.Self, in.strained))
 	}
-	if b.options.Members != nil {
-		for _, m := range b.options.Members() {
-			switch {
-			case m.ID == b.options.Self.ID || m.Leaving || m.Suspect || m.CallerURL == "":
-			case m.Detached:
-				detached = append(detached, newCandidate(account, m.InstanceEntry, false))
-			default:
-				list = append(list, newCandidate(account, m.InstanceEntry, m.Strained))
-			}
+	for _, m := range in.members {
+		switch {
+		case m.ID == b.options.Self.ID || m.Leaving || m.Suspect || m.CallerURL == "":
+		case m.Detached:
+			detached = append(detached, newCandidate(account, m.InstanceEntry, false))
+		default:
+			list = append(list, newCandidate(account, m.InstanceEntry, m.Strained))
 		}
 	}
 	if len(list) == 0 {
--- a/internal/wasabicatalog/apply.go
+++ b/internal/wasabicatalog/apply.go
@@ -136,26 +136,24 @@
 		}
 		return
 	}
-	content := p.newContent(a)
-	if content == nil {
+	if len(a.Content) == 0 {
 		return
 	}
-	s := wasabiridge.BackendSnapshot{Revision: a.Revision}
-	if json.Unmarshal(content, &s.Entries) != nil {
+	known := m.list.Entries
+	if m.partial {
+		known = nil
+	}
+	entries, digest, err := decodeBackends(a.Content, p.digest, known)
+	if err != nil || digest != a.Digest {
 		return
 	}
-	digest := a.Digest
-	if entries, marked := m.withDepartures(now, s.Entries); marked {
-		var err error
-		if content, err = json.Marshal(entries); err != nil {
-			return
-		}
-		s.Entries, digest = entries, xxhash.Sum64(content)
+	entries = sorted(entries)
+	if marked, changed := m.withDepartures(now, entries); changed {
+		entries, digest = marked, digestOf(marked)
 	}
 	if p.known && digest == p.digest {
 		m.confirm(p, a.Revision, confirmedAt)
 		return
 	}
-	m.list = s
-	m.replace(p, part{revision: a.Revision, digest: digest, confirmedAt: confirmedAt, content: content}, false)
+	m.replaceList(wasabiridge.BackendSnapshot{Revision: a.Revision, Entries: entries}, digest, confirmedAt, false)
 }
--- a/internal/wasabicatalog/controller.go
+++ b/internal/wasabicatalog/controller.go
@@ -169,7 +169,7 @@
 		case ReadConfig:
 			go k.readConfig(ctx)
 		case ReadBackends:
-			go k.readBackends(ctx)
+			go k.readBackends(ctx, f.FirstPage)
 		case QueryPeer:
 			go k.query(ctx, f)
 		case Changed:
@@ -281,10 +281,14 @@
 	k.post(ctx, ConfigRead{Sent: sent, Snapshot: s, Err: err})
 }
 
-func (k *Controller) readBackends(ctx context.Context) {
+func (k *Controller) readBackends(ctx context.Context, firstPage bool) {
 	k.reads.Add(1)
 	sent := k.options.Clock.Now()
-	s, err := k.options.Source.ReadBackends(ctx)
+	read := k.options.Source.ReadBackends
+	if pages, ok := k.options.Source.(wasabiridge.CatalogPages); ok && firstPage {
+		read = pages.ReadFirstBackends
+	}
+	s, err := read(ctx)
 	if err == nil {
 		k.logEntries(s)
 	}
--- a/internal/wasabicatalog/event.go
+++ b/internal/wasabicatalog/event.go
@@ -54,8 +54,9 @@
 // ReadConfig requests a read of the configuration from the platform.
 type ReadConfig struct{}
 
-// ReadBackends requests a read of the list of backend servers from the platform.
-type ReadBackends struct{}
+// ReadBackends requests a read of the list of backend servers from the platform. With
+// FirstPage the first page of a large list is enough.
+type ReadBackends struct{ FirstPage bool }
 
 // QueryPeer requests a catalog query to another instance.
 type QueryPeer struct {
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -40,7 +40,6 @@
 package wasabicatalog
 
 import (
-	"encoding/json"
 	"sort"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -76,6 +75,9 @@
 	// number of failures up to maxRetryDelay.
 	retryDelay    = 400 * wasabiridge.Millis(1)
 	maxRetryDelay = wasabiridge.Second
+	// completionWait is how long after the first page of a large list the first instance reads
+	// all pages. The membership has the other instances by then.
+	completionWait = 400 * wasabiridge.Millis(1)
 	// outageAge is the age of the list from which entries that vanished from it are
 	// kept for expiredRetention.
 	outageAge        = 2500 * wasabiridge.Millis(1)
@@ -99,6 +101,11 @@
 	config, backends part
 	snapshot         wasabiridge.ConfigSnapshot
 	list             wasabiridge.BackendSnapshot
+	history          history
+	// partial reports that list is only the first page of a large list, which serves until the
+	// complete one is known. partialSince is when it was read.
+	partial      bool
+	partialSince wasabiridge.Millis
 	// keepExpiredUntil is the time until which entries that vanish are kept.
 	keepExpiredUntil wasabiridge.Millis
 	// epoch is the newest known epoch of the store, and epochRevision the first revision
@@ -164,7 +171,7 @@
 		if p == &m.config {
 			m.emit(ReadConfig{})
 		} else {
-			m.emit(ReadBackends{})
+			m.emit(ReadBackends{FirstPage: !p.known && !m.partial})
 		}
 	}
 	m.query(now)
@@ -177,6 +184,9 @@
 // The failure it guards against: hundreds of instances start before the operators have
 // written a configuration, and all of them retry together until they have.
 func (m *Machine) isDue(now wasabiridge.Millis, p *part) bool {
+	if p == &m.backends && m.partial {
+		return now >= m.partialSince+m.completionDelay()
+	}
 	if !p.known {
 		return p.failures == 0 || now >= p.nextRead+m.readDelay()
 	}
@@ -194,6 +204,15 @@
 	return delay
 }
 
+// completionDelay returns how long after the first page of a large list this instance reads
+// all pages, unless another instance answers with the complete list before.
+//
+// The failure it guards against: hundreds of instances start together and each reads thousands
+// of entries from the platform, which takes seconds and most of their memory.
+func (m *Machine) completionDelay() wasabiridge.Millis {
+	return completionWait + wasabiridge.Millis(m.rank)*rankDelay
+}
+
 // delayNextRead delays the next read after one that confirmed nothing. The content stays
 // old, so that all instances would read again at once, over and over.
 func (m *Machine) delayNextRead(now wasabiridge.Millis, p *part) {
@@ -290,15 +309,29 @@
 	if known && age > outageAge && failures >= outageFailures {
 		m.keepExpiredUntil = now + expiredRetention
 	}
+	if e.Snapshot.Partial {
+		m.takePartial(now, e.Snapshot)
+		return
+	}
 	list := m.withExpired(now, e.Snapshot)
+	list.Entries = sorted(list.Entries)
 	list.Entries, _ = m.withDepartures(now, list.Entries)
-	content, err := json.Marshal(list.Entries)
-	if err != nil {
+	digest := digestOf(list.Entries)
+	if known && digest == m.backends.digest {
+		m.confirm(&m.backends, e.Snapshot.Revision, e.Sent)
 		return
 	}
-	if m.applyRead(&m.backends, e.Snapshot.Revision, e.Sent, content) {
-		m.list = list
+	m.replaceList(list, digest, e.Sent, true)
+}
+
+// takePartial takes the first page of a large list. It confirms nothing, and other instances
+// are not told of it.
+func (m *Machine) takePartial(now wasabiridge.Millis, s wasabiridge.BackendSnapshot) {
+	if m.backends.known {
+		return
 	}
+	m.list, m.partial, m.partialSince = s, true, now
+	m.emit(Changed{})
 }
 
 // withExpired adds the entries that vanished during an outage while they may still be
@@ -375,6 +408,6 @@
 	return wasabiridge.CatalogResponse{
 		TargetVersions: targetVersions,
 		Config:         m.config.answer(now, q.ConfigDigest),
-		Backends:       m.backends.answer(now, q.BackendDigest),
+		Backends:       m.answerBackends(now, q.BackendDigest),
 	}
 }
--- a/internal/wasabicatalog/restore.go
+++ b/internal/wasabicatalog/restore.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -101,29 +102,42 @@
 // The failure it guards against: a server has announced that it leaves, the copy lists it as
 // ready, and it gets requests until it ends.
 func (m *Machine) withDepartures(now wasabiridge.Millis, entries []wasabiridge.BackendEntry) ([]wasabiridge.BackendEntry, bool) {
-	marked := false
-	out := append([]wasabiridge.BackendEntry(nil), entries...)
-	listed := map[wasabiridge.BackendServerID]bool{}
-	for i, e := range out {
-		id := e.Server.ID
-		listed[id] = true
-		d, departed := m.departures[id]
+	out, marked := entries, false
+	for i, e := range entries {
+		d, departed := m.departures[e.Server.ID]
 		switch {
 		case e.Returned:
 		case e.Leaving:
-			m.depart(id, departure{at: now, epoch: m.epoch, announced: true})
+			m.depart(e.Server.ID, departure{at: now, epoch: m.epoch, announced: true})
 		case departed && d.epoch < m.epoch && (d.announced || now < m.epochSince+returnTime):
+			if !marked {
+				out = slices.Clone(entries)
+			}
 			out[i].Leaving, out[i].Returned, marked = true, true, true
 		case departed:
-			delete(m.departures, id)
+			delete(m.departures, e.Server.ID)
 		}
 	}
+	m.departVanished(now, entries)
+	return out, marked
+}
+
+// departVanished records the departure of the servers that are in the known list and not in
+// another one. Both are sorted.
+func (m *Machine) departVanished(now wasabiridge.Millis, entries []wasabiridge.BackendEntry) {
+	if m.partial {
+		return
+	}
+	i := 0
 	for _, e := range m.list.Entries {
-		if id := e.Server.ID; !listed[id] {
+		id := e.Server.ID
+		for i < len(entries) && entries[i].Server.ID < id {
+			i++
+		}
+		if i == len(entries) || entries[i].Server.ID != id {
 			m.depart(id, departure{at: now, epoch: m.epoch, announced: e.Leaving && !e.Returned || m.departures[id].announced})
 		}
 	}
-	return out, marked
 }
 
 // depart records a departure.
--- a/internal/wasabimember/controller.go
+++ b/internal/wasabimember/controller.go
@@ -31,6 +31,10 @@
 	// refreshInterval bounds the age of the published members in fields whose
 	// changes emit no Changed, such as their configuration.
 	refreshInterval = wasabiridge.Second
+	// publishInterval is the shortest time between two publications of the members. Each
+	// copies all of them, so that one for each change would take the square of the members
+	// when hundreds start, or go, together.
+	publishInterval = 40 * wasabiridge.Millis(1)
 )
 
 // ControllerOptions configures a Controller.
@@ -73,8 +77,11 @@
 	// done is closed when Run ends, so that no sender blocks on a full inbox.
 	done     chan struct{}
 	snapshot atomic.Pointer[snapshot]
-	refused  atomic.Uint64
-	dropped  atomic.Uint64
+	// unpublished is set while a change has not been published. It belongs to the goroutine
+	// of Run.
+	unpublished bool
+	refused     atomic.Uint64
+	dropped     atomic.Uint64
 }
 
 // snapshot is the published snapshot of the members.
@@ -127,7 +134,8 @@
 
 func (k *Controller) handle(ctx context.Context, d delivery) {
 	now := k.options.Clock.Now()
-	changed := now-k.snapshot.Load().at >= refreshInterval
+	sincePublished := now - k.snapshot.Load().at
+	changed := sincePublished >= refreshInterval || k.unpublished
 	for _, e := range k.machine.Handle(now, d.event) {
 		switch e := e.(type) {
 		case Exchange:
@@ -147,7 +155,7 @@
 			}
 		}
 	}
-	if changed {
+	if k.unpublished = changed && sincePublished < publishInterval; changed && !k.unpublished {
 		k.publish(now)
 	}
 	k.summary.Write(now, k.options.Log, len(k.snapshot.Load().members))
--- a/internal/wasabistream/registry.go
+++ b/internal/wasabistream/registry.go
@@ -73,7 +73,10 @@
 	err  error
 }
 
-var _ wasabiridge.CatalogSource = (*Registry)(nil)
+var (
+	_ wasabiridge.CatalogSource = (*Registry)(nil)
+	_ wasabiridge.CatalogPages  = (*Registry)(nil)
+)
 
 // NewRegistry returns a Registry that has not read the row.
 func NewRegistry(o RegistryOptions) *Registry {
@@ -88,9 +91,15 @@
 // ReadBackends implements wasabiridge.CatalogSource. The servers whose version is registered
 // are marked.
 func (r *Registry) ReadBackends(ctx context.Context) (wasabiridge.BackendSnapshot, error) {
+	return r.readMarked(ctx, r.Source.ReadBackends)
+}
+
+// readMarked reads a list, registers the versions of a complete one and marks the servers whose
+// version is registered.
+func (r *Registry) readMarked(ctx context.Context, read func(context.Context) (wasabiridge.BackendSnapshot, error)) (wasabiridge.BackendSnapshot, error) {
 	sent := r.Clock.Now()
-	s, err := r.Source.ReadBackends(ctx)
-	if err != nil {
+	s, err := read(ctx)
+	if err != nil || s.Partial {
 		return s, err
 	}
 	r.observeEpoch(sent, wasabiridge.EpochOf(s.Revision))
@@ -103,6 +112,16 @@
 	return s, nil
 }
 
+// ReadFirstBackends implements wasabiridge.CatalogPages. A partial list is not registered: it
+// serves only until the complete one is known.
+func (r *Registry) ReadFirstBackends(ctx context.Context) (wasabiridge.BackendSnapshot, error) {
+	pages, ok := r.Source.(wasabiridge.CatalogPages)
+	if !ok {
+		return r.ReadBackends(ctx)
+	}
+	return r.readMarked(ctx, pages.ReadFirstBackends)
+}
+
 // epochPool is the entry of the row that holds the epoch of the store in which the row was
 // last checked. A restore may have lost versions of an earlier epoch.
 const epochPool = wasabiridge.PoolID("")
--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -25,6 +25,13 @@
 	// instance contends for the lease because the outstanding upgrades make no
 	// progress.
 	rankDelay = 900 * wasabiridge.Millis(1)
+	// observingRanks is how many instances of the lowest ranks observe the replicas, so that
+	// they can hold the lease. The others neither keep a state for each replica nor look at
+	// them many times a second.
+	observingRanks = 8
+	// updateInterval is how often the replicas are compared with the list although it has not
+	// changed: an earlier incarnation is accepted when it was reported for long enough.
+	updateInterval = 500 * wasabiridge.Millis(1)
 )
 
 // LeaseTiming is the timing of the lease. The holder considers it valid for less time than
@@ -46,7 +53,7 @@
 	Engines     wasabiridge.EngineOperator
 	Recorder    wasabiridge.Recorder
 	// Catalog returns the replicas that the platform lists and the target version of
-	// each model.
+	// each model. While nothing changes it returns the same list, which is not modified.
 	Catalog func() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion)
 	// Epoch returns the newest known epoch of the store. Nil means that it has none.
 	Epoch func() wasabiridge.StoreEpoch
@@ -77,6 +84,9 @@
 	loggedFencing wasabiridge.FencingNumber
 	// lastOutstanding is the number of outstanding upgrades at the last check.
 	lastOutstanding int
+	// entries are the replicas of the last tick, and updatedAt is when they were last compared.
+	entries   []wasabiridge.BackendEntry
+	updatedAt wasabiridge.Millis
 }
 
 // NewController returns a Controller that is not running yet. Run runs it.
@@ -116,8 +126,7 @@
 			return
 		case e = <-k.results:
 		case <-ticker.C:
-			entries, wanted := k.options.Catalog()
-			e = Ticked{Entries: entries, Targets: wanted, Grant: k.lease.Grant()}
+			e = k.tick()
 		}
 		now := k.options.Clock.Now()
 		var updates []wasabiridge.BackoffUpdate
@@ -137,6 +146,23 @@
 	}
 }
 
+// tick returns the event of a tick. An instance that need not observe the replicas passes none
+// on.
+func (k *Controller) tick() Ticked {
+	out := Ticked{Grant: k.lease.Grant()}
+	var entries []wasabiridge.BackendEntry
+	if out.Grant.Fencing != 0 || k.options.Rank() < observingRanks {
+		entries, out.Targets = k.options.Catalog()
+	}
+	now := k.options.Clock.Now()
+	same := len(entries) == len(k.entries) && (len(entries) == 0 || &entries[0] == &k.entries[0])
+	if out.Unchanged = same && now-k.updatedAt < updateInterval; out.Unchanged {
+		return out
+	}
+	out.Entries, k.entries, k.updatedAt = entries, entries, now
+	return out
+}
+
 // logLease logs when this instance gets or loses the lease.
 func (k *Controller) logLease(outstanding int) {
 	fencing := k.lease.Grant().Fencing
--- a/internal/wasabiupgrade/event.go
+++ b/internal/wasabiupgrade/event.go
@@ -12,8 +12,10 @@
 // lists, the target version of each model, and the state of the lease.
 type Ticked struct {
 	Entries []wasabiridge.BackendEntry
-	Targets map[wasabiridge.ModelID]wasabiridge.WeightsVersion
-	Grant   wasabilease.Grant
+	// Unchanged reports that Entries are those of the tick before. They may then be left out.
+	Unchanged bool
+	Targets   map[wasabiridge.ModelID]wasabiridge.WeightsVersion
+	Grant     wasabilease.Grant
 }
 
 // OrderResult is the result of a SendOrder effect. If no flag is set, the replica
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -48,6 +48,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -96,15 +97,18 @@
 type Machine struct {
 	timing   Timing
 	replicas map[unit]*replica
-	order    []unit
-	wanted   map[wasabiridge.ModelID]wasabiridge.WeightsVersion
-	grant    wasabilease.Grant
+	// order holds the replicas in the order of their units.
+	order  []*replica
+	wanted map[wasabiridge.ModelID]wasabiridge.WeightsVersion
+	grant  wasabilease.Grant
 	// reported is the time of the last update about a replica from another instance.
 	reported map[wasabiridge.BackendServerID]wasabiridge.Millis
 	// rejectedFencing is the highest fencing number that a replica rejected as outdated.
 	rejectedFencing wasabiridge.FencingNumber
-	pauses          wasabilife.PauseDetector
-	effects         []Effect
+	// outstanding is the result of Outstanding as of the last tick.
+	outstanding int
+	pauses      wasabilife.PauseDetector
+	effects     []Effect
 }
 
 // NewMachine returns a Machine without replicas.
@@ -128,9 +132,13 @@
 	}
 	switch e := e.(type) {
 	case Ticked:
-		m.updateReplicas(now, e)
-		m.grant = e.Grant
+		m.wanted, m.grant = e.Targets, e.Grant
+		if !e.Unchanged {
+			m.updateReplicas(now, e)
+		}
+		m.countOutstanding()
 		m.step(now)
+		m.countOutstanding()
 	case OrderResult:
 		m.handleOrderResult(now, e)
 	case StateResult:
@@ -141,25 +149,25 @@
 	return m.effects
 }
 
-// Outstanding returns the number of replicas that do not serve the target version, with
-// each model of a replica counted separately.
-func (m *Machine) Outstanding() int {
-	n := 0
-	for _, id := range m.order {
-		if r := m.replicas[id]; r.serves < m.wanted[r.model] {
-			n++
+// Outstanding returns the number of replicas that did not serve the target version at the
+// last tick, with each model of a replica counted separately.
+func (m *Machine) Outstanding() int { return m.outstanding }
+
+func (m *Machine) countOutstanding() {
+	m.outstanding = 0
+	for _, r := range m.order {
+		if r.serves < m.wanted[r.model] {
+			m.outstanding++
 		}
 	}
-	return n
 }
 
 // updateReplicas updates the replicas from the platform's list.
 func (m *Machine) updateReplicas(now wasabiridge.Millis, e Ticked) {
-	m.wanted = e.Targets
 	for _, r := range m.replicas {
 		r.present = false
 	}
-	m.order = m.order[:0]
+	before := len(m.replicas)
 	for _, entry := range e.Entries {
 		if entry.Leaving || entry.Lapsed {
 			continue
@@ -183,16 +191,24 @@
 			r.serves = max(r.serves, version)
 		}
 	}
+	changed := len(m.replicas) != before
 	for id, r := range m.replicas {
 		if !r.present {
+			changed = true
 			delete(m.replicas, id)
-			delete(m.reported, id.backend)
-			continue
 		}
-		m.order = append(m.order, id)
 	}
-	slices.SortFunc(m.order, func(a, b unit) int {
-		return cmp.Or(cmp.Compare(a.backend, b.backend), cmp.Compare(a.model, b.model))
+	maps.DeleteFunc(m.reported, func(_ wasabiridge.BackendServerID, at wasabiridge.Millis) bool { return now-at >= m.timing.LeaseTerm })
+	if changed {
+		m.sortReplicas()
+	}
+}
+
+// sortReplicas brings order up to date.
+func (m *Machine) sortReplicas() {
+	m.order = slices.AppendSeq(m.order[:0], maps.Values(m.replicas))
+	slices.SortFunc(m.order, func(a, b *replica) int {
+		return cmp.Or(cmp.Compare(a.server.ID, b.server.ID), cmp.Compare(a.model, b.model))
 	})
 }
 
@@ -204,14 +220,13 @@
 
 // step advances all replicas, sends the orders that are due, and starts further upgrades.
 func (m *Machine) step(now wasabiridge.Millis) {
-	for _, id := range m.order {
-		m.advance(now, m.replicas[id])
+	for _, r := range m.order {
+		m.advance(now, r)
 	}
 	if !m.mayOrder(now) {
 		return
 	}
-	for _, id := range m.order {
-		r := m.replicas[id]
+	for _, r := range m.order {
 		if r.phase == inBackoff && now-r.since >= m.timing.Backoff && r.readInBackoff && !r.busy {
 			m.send(now, r)
 		}
@@ -237,18 +252,22 @@
 // startNext puts the next replicas into backoff while slots are free, and starts to drain
 // as many more.
 func (m *Machine) startNext(now wasabiridge.Millis) {
+	if m.outstanding == 0 {
+		return
+	}
 	away, drained, serving := m.count(now)
-	unsure := m.countUnanswered()
-	for _, id := range m.upgradeOrder() {
-		r := m.replicas[id]
-		if r.busy || r.serves >= m.wanted[r.model] {
+	unsure, inProgress := m.countUnanswered(), m.inProgress()
+	for _, r := range m.upgradeOrder() {
+		if r.busy {
 			continue
 		}
+		id := r.server.ID
 		switch {
 		case r.phase == draining && away < m.maxLoads() && away+unsure < 2*m.maxLoads() && m.maySpare(serving):
 			m.startBackoff(now, r)
 			away, drained, serving = away+1, drained-1, serving-1
-		case r.phase == idle && away+drained < 2*m.maxLoads() && now >= r.notBefore && !m.mayBeOrderedByOther(now, id.backend) && !m.isBusy(id.backend):
+		case r.phase == idle && away+drained < 2*m.maxLoads() && now >= r.notBefore && !m.mayBeOrderedByOther(now, id) && !inProgress[id]:
+			inProgress[id] = true
 			r.phase, r.since, r.target = draining, now, m.wanted[r.model]
 			r.drainAnnounced, r.busy = false, true
 			drained++
@@ -277,27 +296,33 @@
 	return ok && now-at < m.timing.LeaseTerm
 }
 
-// isBusy reports whether an upgrade of any model of the replica is in progress. A
-// replica carries out one order at a time.
-func (m *Machine) isBusy(id wasabiridge.BackendServerID) bool {
-	for _, u := range m.order {
-		if u.backend == id && m.replicas[u].phase != idle {
-			return true
+// inProgress returns the backend servers at which an upgrade of any model is in progress. A
+// server carries out one order at a time.
+func (m *Machine) inProgress() map[wasabiridge.BackendServerID]bool {
+	out := map[wasabiridge.BackendServerID]bool{}
+	for _, r := range m.order {
+		if r.phase != idle {
+			out[r.server.ID] = true
 		}
 	}
-	return false
+	return out
 }
 
-// upgradeOrder returns the replicas in the order of their upgrades. Draining replicas
-// come first, then those with the oldest weights. With a fixed order, the replicas at the
-// end would never be upgraded if target versions follow each other quickly.
-func (m *Machine) upgradeOrder() []unit {
-	ids := slices.Clone(m.order)
-	slices.SortStableFunc(ids, func(a, b unit) int {
-		ra, rb := m.replicas[a], m.replicas[b]
-		return cmp.Or(cmp.Compare(drainRank(ra), drainRank(rb)), cmp.Compare(ra.serves, rb.serves))
+// upgradeOrder returns the replicas without the target version in the order of their
+// upgrades. Draining replicas come first, then those with the oldest weights. With a fixed
+// order, the replicas at the end would never be upgraded if target versions follow each other
+// quickly.
+func (m *Machine) upgradeOrder() []*replica {
+	out := make([]*replica, 0, m.outstanding)
+	for _, r := range m.order {
+		if r.serves < m.wanted[r.model] {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *replica) int {
+		return cmp.Or(cmp.Compare(drainRank(a), drainRank(b)), cmp.Compare(a.serves, b.serves))
 	})
-	return ids
+	return out
 }
 
 // drainRank returns the sort key of a replica: 0 if it is draining, and 1 otherwise.
@@ -312,7 +337,7 @@
 // may start to load at any time.
 func (m *Machine) countUnanswered() int {
 	n := 0
-	for _, r := range m.replicas {
+	for _, r := range m.order {
 		if r.phase == unanswered {
 			n++
 		}
@@ -323,8 +348,8 @@
 // count returns the number of replicas that are away (in backoff or loading), draining, and
 // serving. Draining replicas also count as serving.
 func (m *Machine) count(now wasabiridge.Millis) (away, drained, serving int) {
-	for _, id := range m.order {
-		switch r := m.replicas[id]; {
+	for _, r := range m.order {
+		switch {
 		case r.phase == inBackoff, r.phase == ordered && !r.isUnresponsive(now):
 			away++
 		case r.phase == ordered:
--- a/platform.go
+++ b/platform.go
@@ -36,6 +36,9 @@
 	// transaction is a conflict or has an unknown outcome. Zero means that only the
 	// revisions of the preconditions are checked.
 	Epoch StoreEpoch
+	// Rollouts are rollouts whose states the operators are shown with the changes. A table
+	// that operators do not read ignores them.
+	Rollouts []SoftwareRollout
 }
 
 // Table is the platform's transactional table service. Implementations are safe for
