Instances use a bounded part of large pools; rollouts of software versions on the users' platform

Cells: an instance uses at most 128 servers of a pool, those of its zone that come first in an order by hash, so that decisions, memory, connections and updates follow its requests and not the fleet; the number doubles while they are short of capacity. Smaller pools are used whole, as before. Placements at such pools are sent within a zone only.

Rollouts: op/rollout was not read and nothing wrote its status: a bad version would have got its full share of the requests, a good one would never have been completed. Orders are read with the configuration; each instance gives the new version 0.03 of what it sends (0.3 of the allowed part), so the sum holds with any number of instances, cut off or not; all requests move over shortly before the deadline; answers are compared by rule with those of the old versions at the same time (Fisher's exact test at 1e-5, without the worst server).

--- a/event.go
+++ b/event.go
@@ -76,6 +76,9 @@
 	Unreachable bool
 	// Failed reports that the backend server responded with an error of its own.
 	Failed bool
+	// ServerError reports that the response is an error of the backend server, also where it
+	// is the answer to the caller.
+	ServerError bool
 	// FirstByteTimeout reports that no byte arrived before the first-byte time-out.
 	FirstByteTimeout bool
 	// ServerCrashed reports that the connection broke and that nothing listens at the
--- a/features.go
+++ b/features.go
@@ -6,4 +6,6 @@
 	// Sharing reports that callers are ranked, and pools shared among client accounts,
 	// while a pool is short of capacity.
 	Sharing bool
+	// Rollouts reports that operators order rollouts of software versions.
+	Rollouts bool
 }
--- a/internal/wasabinode/background.go
+++ b/internal/wasabinode/background.go
@@ -30,6 +30,8 @@
 	go n.catalog.Run(ctx)
 	go n.upgrade.Run(ctx)
 	go n.countInstances(ctx)
+	go n.watchCells(ctx)
+	go n.rollouts.run(ctx)
 	go n.watchCacheStores(ctx)
 	go n.reach.watch(ctx)
 	go n.publishPlacements(ctx)
@@ -143,6 +145,7 @@
 	router.Mount("/quarantine", n.quarantine.Handler())
 	router.Mount("/quotas", n.quota.Handler())
 	router.Get("/shares", n.shares.serve)
+	router.Get("/rollouts", n.rollouts.serve)
 	router.Get("/v1/shares", n.shares.serve)
 	router.NotFound(n.serveMetrics)
 	return router
--- /dev/null
+++ b/internal/wasabinode/cells.go
@@ -0,0 +1,119 @@
+package wasabinode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabicell"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+)
+
+// cellInterval is how often it is checked whether the servers that this instance uses of a
+// large pool are enough.
+const cellInterval = 100 * time.Millisecond
+
+// cells holds which servers of large pools this instance uses. It is safe for concurrent use.
+type cells struct {
+	zone wasabiridge.AvailabilityZone
+
+	mu    sync.Mutex
+	sizes map[wasabiridge.PoolID]wasabicell.Size
+	// listed is the number of servers of each pool that is larger than a cell.
+	listed map[wasabiridge.PoolID]int
+}
+
+func newCells(zone wasabiridge.AvailabilityZone) *cells {
+	return &cells{zone: zone, sizes: map[wasabiridge.PoolID]wasabicell.Size{}}
+}
+
+// apply returns the configuration with the backend servers that this instance uses of each
+// pool, without those that are leaving, and the pools of which it uses a part only.
+func (c *cells) apply(cfg wasabiridge.Config, entries []wasabiridge.BackendEntry) (wasabiridge.Config, map[wasabiridge.PoolID]bool) {
+	count := make(map[wasabiridge.PoolID]int, len(cfg.Pools))
+	for _, e := range entries {
+		if !e.Leaving {
+			count[e.Pool]++
+		}
+	}
+	byPool := make(map[wasabiridge.PoolID][]wasabiridge.BackendServer, len(cfg.Pools))
+	for _, p := range cfg.Pools {
+		if n := count[p.ID]; n > 0 {
+			byPool[p.ID] = make([]wasabiridge.BackendServer, 0, n)
+		}
+	}
+	for _, e := range entries {
+		if list, used := byPool[e.Pool]; used && !e.Leaving {
+			byPool[e.Pool] = append(list, e.Server)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = map[wasabiridge.PoolID]int{}
+	parted := map[wasabiridge.PoolID]bool{}
+	pools := make([]wasabiridge.Pool, len(cfg.Pools))
+	for i, pool := range cfg.Pools {
+		size, known := c.sizes[pool.ID]
+		if !known {
+			size = wasabicell.NewSize()
+			c.sizes[pool.ID] = size
+		}
+		if n := len(byPool[pool.ID]); n > wasabicell.MinServers {
+			c.listed[pool.ID] = n
+			parted[pool.ID] = n > size.Servers()
+		}
+		pool.Backends = wasabicell.Select(c.zone, size.Servers(), byPool[pool.ID])
+		pools[i] = pool
+	}
+	cfg.Pools = pools
+	return cfg, parted
+}
+
+// observe takes how the servers of the pools are used. It returns the pools of which the cell
+// has to change.
+func (c *cells) observe(now wasabiridge.Millis, uses map[wasabiridge.PoolID]wasabicell.Use) map[wasabiridge.PoolID]wasabicell.Size {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := map[wasabiridge.PoolID]wasabicell.Size{}
+	for id, use := range uses {
+		before := c.sizes[id]
+		if c.listed[id] == 0 || use.Refused > 0 && before.Servers() >= c.listed[id] {
+			continue
+		}
+		after := before.Observe(now, use)
+		c.sizes[id] = after
+		if after.Servers() != before.Servers() {
+			changed[id] = after
+		}
+	}
+	return changed
+}
+
+// watchCells changes how many servers of large pools this instance uses, as its requests need.
+func (n *Node) watchCells(ctx context.Context) {
+	ticker := time.NewTicker(cellInterval)
+	defer ticker.Stop()
+	log := wasabilog.Part(n.log, "cell")
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if len(n.activeConfig.Load().parted) == 0 {
+			continue
+		}
+		now := n.options.Clock.Now()
+		var uses map[wasabiridge.PoolID]wasabicell.Use
+		n.loop.Inspect(func() { uses = n.placer.TakeUses(now) })
+		changed := n.cells.observe(now, uses)
+		for id, size := range changed {
+			log.Info().Str("pool", string(id)).Int("servers", size.Servers()).Float64("load", uses[id].Load).Int("refused", uses[id].Refused).
+				Msg("Number of backend servers in use changed.")
+		}
+		if len(changed) > 0 {
+			n.adopt(n.catalog.View())
+		}
+	}
+}
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -1,6 +1,7 @@
 package wasabinode
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -21,6 +22,8 @@
 	sharing string
 	// pools holds the index of the pool of each backend server.
 	pools map[wasabiridge.BackendServerID]int
+	// parted are the pools of which this instance uses a part of the servers.
+	parted map[wasabiridge.PoolID]bool
 }
 
 // poolOf returns the pool of a backend server.
@@ -32,6 +35,22 @@
 	return c.config.Pools[i], true
 }
 
+// isParted reports whether there is a pool of which this instance uses a part of the servers.
+func (c *activeConfig) isParted() bool {
+	for _, parted := range c.parted {
+		if parted {
+			return true
+		}
+	}
+	return false
+}
+
+// isPart reports whether a backend server is in such a pool, or is not used here at all.
+func (c *activeConfig) isPart(b wasabiridge.BackendServerID) bool {
+	pool, used := c.poolOf(b)
+	return !used || c.parted[pool.ID]
+}
+
 func newActiveConfig(cfg *wasabiridge.Config) *activeConfig {
 	out := &activeConfig{config: cfg, sharing: sharingScope(cfg.Accounts), pools: map[wasabiridge.BackendServerID]int{}}
 	for i, pool := range cfg.Pools {
@@ -48,18 +67,27 @@
 	if !v.ConfigKnown {
 		return
 	}
-	cfg := withBackends(v.Snapshot.Config, v.Backends.Entries)
+	n.adopting.Lock()
+	defer n.adopting.Unlock()
+	cfg, parted := n.cells.apply(v.Snapshot.Config, v.Backends.Entries)
 	before := n.activeConfig.Load()
-	n.activeConfig.Store(newActiveConfig(&cfg))
+	weights := weightsOf(&cfg, v.Backends.Entries)
+	if len(parted) > 0 && n.adopted.covers(&cfg, weights, v) {
+		// The change concerns servers that this instance does not use.
+		return
+	}
+	n.adopted = adoption{config: &cfg, weights: weights, targets: v.TargetVersions, rollouts: v.Snapshot.Rollouts}
+	active := newActiveConfig(&cfg)
+	active.parted = parted
+	n.activeConfig.Store(active)
 	n.loop.Post(wasabiridge.ConfigAdopted{Config: cfg})
 	for _, target := range v.TargetVersions {
 		n.loop.Post(wasabiridge.TargetWeightsSet{Model: target.Model, Weights: target.Weights, At: n.targetSetAt(target)})
 	}
-	for _, e := range v.Usable() {
-		for _, model := range sortedModels(e.Weights) {
-			n.loop.Post(wasabiridge.WeightsReported{Backend: e.Server.ID, Model: model, Weights: e.Weights[model], Incarnation: e.Server.Incarnation})
-		}
+	for _, w := range weights {
+		n.loop.Post(w)
 	}
+	n.loop.Post(wasabiridge.SoftwareRolloutsSet{Rollouts: v.Snapshot.Rollouts})
 	n.logRestarts(before.config, &cfg)
 	if before.config.Version != cfg.Version {
 		n.members.SetConfig(cfg.Version)
@@ -68,6 +96,49 @@
 	}
 }
 
+// adoption is what was last made active.
+type adoption struct {
+	config   *wasabiridge.Config
+	weights  []wasabiridge.WeightsReported
+	targets  []wasabicatalog.TargetVersion
+	rollouts []wasabiridge.SoftwareRollout
+}
+
+// covers reports whether a view that leads to the given configuration and weights differs from
+// what is active in nothing that matters here. A read without a change of the configuration
+// has the same version, since operators raise it with every change.
+func (a adoption) covers(cfg *wasabiridge.Config, weights []wasabiridge.WeightsReported, v wasabicatalog.View) bool {
+	if a.config == nil || a.config.Version != cfg.Version || !slices.Equal(a.weights, weights) || !slices.Equal(a.targets, v.TargetVersions) ||
+		!slices.Equal(a.rollouts, v.Snapshot.Rollouts) {
+		return false
+	}
+	return slices.EqualFunc(a.config.Pools, cfg.Pools, func(x, y wasabiridge.Pool) bool {
+		return x.ID == y.ID && slices.Equal(x.Backends, y.Backends)
+	})
+}
+
+// weightsOf returns which weights the servers of a configuration serve, as far as they are
+// listed.
+func weightsOf(cfg *wasabiridge.Config, entries []wasabiridge.BackendEntry) []wasabiridge.WeightsReported {
+	used, pools := map[wasabiridge.BackendServerID]bool{}, map[wasabiridge.PoolID]bool{}
+	for _, pool := range cfg.Pools {
+		pools[pool.ID] = true
+		for _, b := range pool.Backends {
+			used[b.ID] = true
+		}
+	}
+	var out []wasabiridge.WeightsReported
+	for _, e := range entries {
+		if !pools[e.Pool] || !used[e.Server.ID] && !e.Leaving {
+			continue
+		}
+		for _, model := range sortedModels(e.Weights) {
+			out = append(out, wasabiridge.WeightsReported{Backend: e.Server.ID, Model: model, Weights: e.Weights[model], Incarnation: e.Server.Incarnation})
+		}
+	}
+	return out
+}
+
 // logRestarts logs the backend servers whose incarnation rose between two
 // configurations.
 func (n *Node) logRestarts(before, now *wasabiridge.Config) {
@@ -103,24 +174,6 @@
 	return v.At - (n.bounds.OldWeightsLifetime - weightsMargin) + unknownAgeGrace
 }
 
-// withBackends returns the configuration with each pool's backend servers,
-// without those that are leaving.
-func withBackends(cfg wasabiridge.Config, entries []wasabiridge.BackendEntry) wasabiridge.Config {
-	byPool := map[wasabiridge.PoolID][]wasabiridge.BackendServer{}
-	for _, e := range entries {
-		if !e.Leaving {
-			byPool[e.Pool] = append(byPool[e.Pool], e.Server)
-		}
-	}
-	pools := make([]wasabiridge.Pool, len(cfg.Pools))
-	for i, pool := range cfg.Pools {
-		pool.Backends = byPool[pool.ID]
-		pools[i] = pool
-	}
-	cfg.Pools = pools
-	return cfg
-}
-
 // sharingScope names the set of accounts that share cached prefix segments. The
 // name is a hash of the isolated accounts, which are not in the set.
 //
@@ -156,10 +209,29 @@
 }
 
 // wantedWeights returns the backend servers and the target version of each
-// model's weights, for the upgrade.
+// model's weights, for the upgrade. The list is the same while nothing changes.
 func (n *Node) wantedWeights() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion) {
 	v := n.catalog.View()
-	return n.notices.withLeaving(v.Usable()), v.Snapshot.Weights
+	in := upgradeInput{config: v.Snapshot.Config.Version, entries: v.Backends.Entries, notices: n.notices.changeCount()}
+	if n.upgradable.isFor(in) {
+		return n.upgradable.usable, v.Snapshot.Weights
+	}
+	in.usable = n.notices.withLeaving(v.Usable())
+	n.upgradable = in
+	return in.usable, v.Snapshot.Weights
+}
+
+// upgradeInput is what the list of backend servers for the upgrade is made of, and the list.
+type upgradeInput struct {
+	config  wasabiridge.ConfigVersion
+	entries []wasabiridge.BackendEntry
+	notices uint64
+	usable  []wasabiridge.BackendEntry
+}
+
+// isFor reports whether the list holds for other inputs.
+func (u upgradeInput) isFor(o upgradeInput) bool {
+	return u.config == o.config && u.notices == o.notices && len(u.entries) == len(o.entries) && (len(o.entries) == 0 || &u.entries[0] == &o.entries[0])
 }
 
 // accepts reports whether a backend server accepts requests of this instance, as far as
@@ -173,21 +245,27 @@
 // instances that are not in the view yet.
 const connectionShare = 0.8
 
+// activeConnectionParts is the inverse of the part of these connections that is for the
+// instances that callers are sent to, where a pool is used in parts.
+const activeConnectionParts = 2
+
 // ConnectionLimit returns how many connections this instance may have to a
 // backend server, or zero for any number.
+//
+// The servers of a pool that is used in parts are used by the instances of one zone. Those of
+// them that callers are sent to divide half of the connections, and the others have few
+// requests.
 func (n *Node) ConnectionLimit(b wasabiridge.BackendServer) int {
-	for _, pool := range n.activeConfig.Load().config.Pools {
-		if pool.Connections == 0 {
-			continue
-		}
-		for _, other := range pool.Backends {
-			if other.ID == b.ID {
-				instances := float64(len(n.members.Members()) + 1)
-				return max(2, int(connectionShare*float64(pool.Connections)/instances))
-			}
-		}
+	config := n.activeConfig.Load()
+	pool, used := config.poolOf(b.ID)
+	if !used || pool.Connections == 0 {
+		return 0
+	}
+	instances := len(n.members.Members()) + 1
+	if config.parted[pool.ID] && n.isActive() {
+		instances = min(instances, activeConnectionParts*max(1, n.activeInZone(n.activeEntries())))
 	}
-	return 0
+	return max(2, int(connectionShare*float64(pool.Connections)/float64(instances)))
 }
 
 // Observe takes an event that was read from a response of a backend server,
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -68,6 +68,7 @@
 	lines = append(lines, n.quotaLines()...)
 	lines = append(lines, n.streamLines()...)
 	lines = append(lines, n.shares.lines()...)
+	lines = append(lines, n.rollouts.lines()...)
 	lines = append(lines, n.heldLines()...)
 	if n.strained.Load() {
 		lines = append(lines, line("strained", 1))
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -48,6 +48,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiquota"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirelay"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirollout"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabistream"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
@@ -167,11 +168,18 @@
 	fanout       *wasabifanout.Plan
 	roster       *roster
 	activeConfig atomic.Pointer[activeConfig]
-	sockets      []net.Listener
-	servers      []*http.Server
-	leaving      atomic.Bool
-	once         sync.Once
-	drained      chan struct{}
+	cells        *cells
+	rollouts     *rollouts
+	// adopting is held while a view is made the active one, and protects adopted.
+	adopting sync.Mutex
+	adopted  adoption
+	// upgradable belongs to the goroutine of upgrade.
+	upgradable upgradeInput
+	sockets    []net.Listener
+	servers    []*http.Server
+	leaving    atomic.Bool
+	once       sync.Once
+	drained    chan struct{}
 }
 
 // New opens the listeners and assembles the node; Run serves. It returns
@@ -194,6 +202,7 @@
 	}
 	n.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
 	n.activeConfig.Store(&activeConfig{config: &wasabiridge.Config{}})
+	n.cells = newCells(o.Settings.Zone)
 	n.terms.Store(&n.bounds)
 	if err := n.assemble(); err != nil {
 		n.close()
@@ -216,8 +225,10 @@
 	n.placer = wasabireplica.New(wasabireplica.Options{
 		Seed: seed, Self: s.Instance, Zone: s.Zone, DearCrossings: s.Hosted.ZoneCrossing == wasabisettings.CrossingDear, UnevenServers: s.Hosted.UnevenServers, WeightsDeadline: n.bounds.OldWeightsLifetime - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
+		Rollouts: o.Platform.Features.Rollouts, MaxExposure: n.bounds.TrialShare,
 		BoundWaits: s.Hosted.SharesPools(o.Platform.Features),
 	})
+	n.rollouts = newRollouts(n)
 	limiter := n.assembleShares(seed)
 	n.reach = &reach{
 		log: wasabilog.Part(n.log, "reach"), clock: o.Clock, runner: o.Platform.Runner, seed: seed,
@@ -226,7 +237,8 @@
 	}
 	n.reach.prober, _ = o.Platform.Runner.(wasabiridge.BackendProber)
 	n.registry = wasabistream.NewRegistry(wasabistream.RegistryOptions{
-		Self: s.Instance, Source: o.Platform.Source, Rows: o.Platform.Table, Clock: o.Clock, Log: wasabilog.Part(n.log, "stream"),
+		Self: s.Instance, Source: wasabirollout.NewSoftwareSource(o.Platform.Source, o.Platform.Table), Rows: o.Platform.Table, Clock: o.Clock,
+		Log: wasabilog.Part(n.log, "stream"),
 	})
 	n.quarantine = wasabiquarantine.NewController(wasabiquarantine.ControllerOptions{
 		Self: s.Instance, Incarnation: n.incarnation, Clock: o.Clock, Seed: seed, Log: wasabilog.Part(n.log, "quarantine"),
@@ -271,7 +283,7 @@
 		Held: n.held, Leaving: n.leaving.Load, Mover: o.Platform.Migrator, Hasher: wasabifingerprint.New([]byte(openPeerKey)),
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
-		Self: n.self(), Members: n.members.Members, Detached: n.reach.detached, Strained: n.strained.Load, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLifetime)),
+		Self: n.self(), Members: n.members.Members, SnapshotMembers: true, Detached: n.reach.detached, Strained: n.strained.Load, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLifetime)),
 	})
 	return n.listen()
 }
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -49,6 +49,8 @@
 
 	mu    sync.Mutex
 	board wasabinotice.Board
+	// changes counts the servers that announced that they are leaving.
+	changes uint64
 	// pending are the announcements in answers to this instance that the others are still
 	// sent.
 	pending []pendingLeaving
@@ -76,6 +78,7 @@
 	if !n.board.Leave(now, e.Backend, e.Incarnation) {
 		return false
 	}
+	n.changes++
 	if from == "" {
 		n.pending = append(n.pending, pendingLeaving{LeavingUpdate: wasabiridge.LeavingUpdate{Backend: e.Backend, Incarnation: e.Incarnation}, left: leavingUpdates})
 	}
@@ -175,6 +178,13 @@
 	return !n.board.IsLeaving(b.ID, b.Incarnation) && n.board.PauseLeft(now, b.ID, b.Incarnation) == 0
 }
 
+// changeCount changes when withLeaving may return something else for the same entries.
+func (n *notices) changeCount() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changes
+}
+
 // withLeaving returns the entries with those marked as leaving whose servers have
 // announced it themselves.
 func (n *notices) withLeaving(entries []wasabiridge.BackendEntry) []wasabiridge.BackendEntry {
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -70,6 +70,7 @@
 	n.streams.Receive(update)
 	n.quarantine.Receive(update)
 	n.quota.Receive(update)
+	n.rollouts.receive(update)
 	n.applyPlacements(update)
 }
 
--- a/internal/wasabinode/publish.go
+++ b/internal/wasabinode/publish.go
@@ -66,7 +66,7 @@
 			return
 		}
 		select {
-		case <-time.After(publishWait(wait, time.Since(sent), len(n.activeEntries()))):
+		case <-time.After(publishWait(wait, time.Since(sent), n.recipientCount())):
 		case <-ctx.Done():
 			return
 		}
@@ -77,11 +77,67 @@
 			n.shares.add(n.options.Clock.Now(), &update)
 		})
 		update.Leaving = n.notices.takeLeaving(n.options.Clock.Now())
-		if !isEmpty(update) {
-			sent = time.Now()
-			n.quota.Send(ctx, update, n.targets(update))
+		if isEmpty(update) {
+			continue
+		}
+		sent = time.Now()
+		near, far := n.split(n.targets(update))
+		elsewhere := n.withoutParts(update)
+		if len(far) > 0 && !isEmpty(elsewhere) {
+			n.quota.Send(ctx, elsewhere, far)
+		}
+		n.quota.Send(ctx, update, near)
+	}
+}
+
+// split separates the targets in this instance's zone from the others. Without pools of which
+// the instances use a part, all targets count as near.
+func (n *Node) split(targets []wasabifanout.Target) (near, far []wasabifanout.Target) {
+	if !n.activeConfig.Load().isParted() {
+		return targets, nil
+	}
+	for _, t := range targets {
+		if t.Entry.Zone == n.options.Settings.Zone {
+			near = append(near, t)
+		} else {
+			far = append(far, t)
+		}
+	}
+	return near, far
+}
+
+// withoutParts returns an update without the placements at pools of which the instances of
+// each zone use other servers.
+//
+// The failure it guards against: every instance sends each placement to the instances of all
+// zones, so that the updates grow with the square of the instances and fill the links between
+// zones, although nobody there uses the same servers.
+func (n *Node) withoutParts(update wasabiridge.StateUpdate) wasabiridge.StateUpdate {
+	active := n.activeConfig.Load()
+	update.Loads = slices.DeleteFunc(slices.Clone(update.Loads), func(l wasabiridge.LoadUpdate) bool { return active.isPart(l.Backend) })
+	update.Segments = slices.DeleteFunc(slices.Clone(update.Segments), func(s wasabiridge.SegmentUpdate) bool { return active.isPart(s.Backend) })
+	return update
+}
+
+// recipientCount returns how many instances an update on placements is sent to.
+func (n *Node) recipientCount() int {
+	active := n.activeEntries()
+	if !n.activeConfig.Load().isParted() {
+		return len(active)
+	}
+	return n.activeInZone(active)
+}
+
+// activeInZone returns how many of the instances that callers are sent to are in this
+// instance's zone.
+func (n *Node) activeInZone(active []wasabiridge.InstanceEntry) int {
+	count := 0
+	for _, e := range active {
+		if e.Zone == n.options.Settings.Zone {
+			count++
 		}
 	}
+	return count
 }
 
 // targets returns the instances that an update is sent to. What must not be lost is sent to
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -143,6 +143,7 @@
 	out.Streams = encodeStreams(n.Streams)
 	encodeUses(out, n)
 	encodeDemands(out, n)
+	encodeAnswers(out, n)
 	return out
 }
 
@@ -189,6 +190,9 @@
 		return wasabiridge.StateUpdate{}, err
 	}
 	decodeUses(&n, in)
+	if err = decodeAnswers(&n, in); err != nil {
+		return wasabiridge.StateUpdate{}, err
+	}
 	if err = decodeDemands(&n, in); err != nil {
 		return wasabiridge.StateUpdate{}, err
 	}
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -50,6 +50,7 @@
 	if completed {
 		x.disposition = wasabiridge.Ran
 	}
+	end.ServerError = completed && x.status >= http.StatusInternalServerError
 	if completed && x.mayImprove(d) {
 		// Another server may still answer successfully. Keep this answer buffered.
 		end.Result, end.Failed = wasabiridge.AttemptBroken, true
--- a/internal/wasabireplica/gauge.go
+++ b/internal/wasabireplica/gauge.go
@@ -75,8 +75,9 @@
 	}
 	q := wasabiridge.PlaceQuery{Request: pl.normalizeRequest(r), Pool: pl.config, Origin: r.Origin}
 	pr := pl.promptOf(q.Request)
+	preferred := l.placer.preferred(now, pl)
 	for _, rep := range pl.replicas {
-		if !l.placer.eligible(now, rep, q) || rep.loadRatio(now, pr.memory()) >= spareLoad {
+		if !l.placer.serves(now, pl, rep, preferred[len(preferred)-1]) || !l.placer.eligible(now, rep, q) || rep.loadRatio(now, pr.memory()) >= spareLoad {
 			continue
 		}
 		slowness := rep.slowness(now)
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -70,8 +70,9 @@
 	pr := pl.promptOf(q.Request)
 	remaining, full, pausedFor := 0, false, wasabiridge.Millis(0)
 	_, brittle := pl.refusalsAllowed(now)
+	preferred := l.placer.preferred(now, pl)
 	for _, rep := range pl.replicas {
-		if rep.leaving || !q.CanContinue(rep.server) {
+		if rep.leaving || !l.placer.serves(now, pl, rep, preferred[len(preferred)-1]) || !q.CanContinue(rep.server) {
 			continue
 		}
 		remaining++
@@ -97,6 +98,7 @@
 		}
 		leastExcess = min(leastExcess, wait-maxWait)
 	}
+	pl.refused++
 	if !math.IsInf(leastExcess, 1) {
 		return wasabiridge.Admission{
 			Verdict: wasabiridge.Rejected, Reason: wasabiridge.RefusedOverload, RetryAfter: max(minRetryAfter, wasabiridge.Millis(leastExcess)),
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -34,6 +34,8 @@
 		p.pauseRequested(now, e)
 	case wasabiridge.ConfigAdopted:
 		p.adopt(now, e.Config)
+	case wasabiridge.SoftwareRolloutsSet:
+		p.setRollouts(now, e.Rollouts)
 	case wasabiridge.TargetWeightsSet:
 		p.announced.add(e.Model, announcedVersion{weights: e.Weights, at: e.At})
 	case wasabiridge.WeightsReported:
@@ -216,6 +218,7 @@
 	}
 	delete(p.attempts, e.Attempt)
 	a.observeFetchEnd(e)
+	p.observeAnswer(&a, e)
 	r := a.replica
 	r.own.requests--
 	r.own.tokens -= a.prompt.memory()
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -93,6 +93,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow wasabiridge.Millis
+	// Rollouts reports that operators order rollouts of software versions, and MaxExposure is
+	// the part of the requests that a bad version may get.
+	Rollouts    bool
+	MaxExposure float64
 	// BoundWaits refuses every request that is expected to be late, also light ones and
 	// those without a prompt. It is for instances that share pools among client accounts,
 	// where a refused request finds capacity when it returns.
@@ -121,6 +125,7 @@
 	random      *rand.Rand
 	replicas    map[wasabiridge.BackendServerID]*replica
 	pools       map[wasabiridge.PoolID]*pool
+	rollouts    map[wasabiridge.PoolID]*rollout
 	announced   announcedVersions
 	attempts    map[wasabiridge.AttemptID]attempt
 	kvStores    kvStores
@@ -171,9 +176,15 @@
 	q.Request = pl.normalizeRequest(q.Request)
 	pr := pl.promptOf(q.Request)
 	restricted := pl.restrictsBegins(now)
-	best, found := p.best(now, pl, q, &pr, restricted)
-	if !found && restricted {
-		best, found = p.best(now, pl, q, &pr, false)
+	var best candidate
+	found := false
+	for _, v := range p.preferred(now, pl) {
+		if best, found = p.best(now, pl, q, &pr, v, restricted); !found && restricted {
+			best, found = p.best(now, pl, q, &pr, v, false)
+		}
+		if found {
+			break
+		}
 	}
 	if !found {
 		return wasabiridge.Placement{Unplaceable: p.isUnresumable(now, pl, q)}, false
@@ -181,13 +192,13 @@
 	return p.placement(now, pl, best, q.Request, &pr), true
 }
 
-// best returns the replica with the lowest loss, at random among nearly equal ones. If
-// restricted, streams begin only at the versions at which they may.
-func (p *Placer) best(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery, pr *prompt, restricted bool) (best candidate, found bool) {
+// best returns the replica with the lowest loss of those of some versions, at random among
+// nearly equal ones. If restricted, streams begin only at the versions at which they may.
+func (p *Placer) best(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery, pr *prompt, v versions, restricted bool) (best candidate, found bool) {
 	count := 0
 	_, brittle := pl.refusalsAllowed(now)
 	for _, r := range pl.replicas {
-		if !p.eligible(now, r, q) || brittle && !p.hasBrittleRoom(r, pr) || restricted && !pl.mayBegin(now, r, q) || !p.hasMemory(now, pl, r, pr) {
+		if !p.serves(now, pl, r, v) || !p.eligible(now, r, q) || brittle && !p.hasBrittleRoom(r, pr) || restricted && !pl.mayBegin(now, r, q) || !p.hasMemory(now, pl, r, pr) {
 			continue
 		}
 		c := p.evaluate(now, pl, r, pr, q.Request.Action.FirstByteTarget)
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -60,6 +60,8 @@
 	// average speed, in milliseconds, and usualAnswers the number of answers behind it.
 	usual        float64
 	usualAnswers int
+	// refused counts the requests that no replica could take since the last TakeUses.
+	refused int
 	// zones is the number of availability zones of the replicas.
 	zones int
 	// software holds what is known of the software versions of the replicas.
@@ -168,7 +170,7 @@
 		}
 		if before := p.pools[cp.ID]; before != nil {
 			pl.failures, pl.delay = before.failures, before.delay
-			pl.retries = before.retries
+			pl.retries, pl.refused = before.retries, before.refused
 			pl.curve = before.curve
 			pl.usual, pl.usualAnswers = before.usual, before.usualAnswers
 			pl.overrun = before.overrun
--- a/internal/wasabisettings/hosted.go
+++ b/internal/wasabisettings/hosted.go
@@ -106,13 +106,16 @@
 	RetryRatio  float64 `json:"retry_ratio,omitempty"`
 	RetrySlack  float64 `json:"retry_slack,omitempty"`
 	RetryWindow Seconds `json:"retry_window_s,omitempty"`
+	// TrialShare is the part of the requests to a pool that a bad software version may get
+	// between the order of its rollout and the deadline. The default is 0.1.
+	TrialShare float64 `json:"trial_share,omitempty"`
 }
 
 // ResolvedBounds are Bounds with the defaults filled in and all times in milliseconds.
 // It is an immutable value.
 type ResolvedBounds struct {
 	RevokedKeyLifetime, ConfigPropagationTime, OldWeightsLifetime, LeaseTerm, ShutdownGrace, AddressLifetime, RetryWindow wasabiridge.Millis
-	RetryRatio, RetrySlack                                                                                                float64
+	RetryRatio, RetrySlack, TrialShare                                                                                    float64
 }
 
 // Defaults of Bounds.
@@ -126,6 +129,7 @@
 	DefaultRetryRatio            = 0.2
 	DefaultRetrySlack            = 50
 	DefaultRetryWindow           = 10 * wasabiridge.Second
+	DefaultTrialShare            = 0.1
 )
 
 // Resolve returns the bounds with every zero field set to its default.
@@ -134,7 +138,7 @@
 		RevokedKeyLifetime: wasabiridge.Millis(b.RevokedKeyLifetime), ConfigPropagationTime: wasabiridge.Millis(b.ConfigPropagationTime),
 		OldWeightsLifetime: wasabiridge.Millis(b.OldWeightsLifetime), LeaseTerm: wasabiridge.Millis(b.LeaseTerm),
 		ShutdownGrace: b.ShutdownGrace.millis(), AddressLifetime: b.AddressLifetime.millis(), RetryWindow: b.RetryWindow.millis(),
-		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
+		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, TrialShare: b.TrialShare,
 	}
 	setMillis(&t.RevokedKeyLifetime, DefaultRevokedKeyLifetime)
 	setMillis(&t.ConfigPropagationTime, DefaultConfigPropagationTime)
@@ -149,6 +153,9 @@
 	if t.RetrySlack == 0 {
 		t.RetrySlack = DefaultRetrySlack
 	}
+	if t.TrialShare == 0 {
+		t.TrialShare = DefaultTrialShare
+	}
 	return t
 }
 
@@ -175,7 +182,7 @@
 	values := map[string]float64{
 		"key_life_ms": float64(b.RevokedKeyLifetime), "config_life_ms": float64(b.ConfigPropagationTime), "weights_life_ms": float64(b.OldWeightsLifetime),
 		"turn_ms": float64(b.LeaseTerm), "grace_s": float64(b.ShutdownGrace), "address_life_s": float64(b.AddressLifetime),
-		"retry_window_s": float64(b.RetryWindow), "retry_ratio": b.RetryRatio, "retry_slack": b.RetrySlack,
+		"retry_window_s": float64(b.RetryWindow), "retry_ratio": b.RetryRatio, "retry_slack": b.RetrySlack, "trial_share": b.TrialShare,
 	}
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		if values[name] < 0 {
