An idle instance of a fleet takes little memory and wakes up rarely

Of the 20 MB of private memory of an instance 9.2 MB were the time line, allocated whole at the start, and as much again garbage (heap profile of a node in a test process); it grows with its events now, up to 8,192 here, where nobody reads it. Instances that start together took themselves for those that callers are sent to while they knew few others, and asked every engine for the content of its cache: they wait until their view has stopped growing.

--- a/internal/wasabicore/core.go
+++ b/internal/wasabicore/core.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// Idle reports whether there is no request and no timer.
+func (c *Core) Idle() bool { return len(c.requests) == 0 && len(c.timers.heap) == 0 }
+
 // Open returns the number of requests that have no final answer yet or have an
 // attempt in flight.
 func (c *Core) Open() int {
--- a/internal/wasabilease/lease.go
+++ b/internal/wasabilease/lease.go
@@ -27,23 +27,34 @@
 type Lease struct {
 	options Options
 	wanted  atomic.Bool
-	epoch   atomic.Uint64
-	grant   atomic.Pointer[Grant]
+	// wake ends the longer interval of an instance that did not want the lease.
+	wake  chan struct{}
+	epoch atomic.Uint64
+	grant atomic.Pointer[Grant]
 }
 
 // New returns a lease for which this instance does not contend yet.
 func New(o Options) *Lease {
 	o.Timing = o.Timing.withDefaults()
-	l := &Lease{options: o}
+	l := &Lease{options: o, wake: make(chan struct{}, 1)}
 	l.grant.Store(&Grant{})
 	return l
 }
 
+// idleFactor is how much longer the interval is at which an instance acts that neither wants
+// nor holds the lease.
+const idleFactor = 5
+
 // Contend sets whether this instance wants the lease. A holder must not release
 // the lease while a command of its own is in flight: the next holder may start
 // at once.
 func (l *Lease) Contend(wanted bool) {
-	l.wanted.Store(wanted)
+	if !l.wanted.Swap(wanted) && wanted {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // ObserveEpoch passes on the newest known epoch of the store. An instance that learns it
@@ -65,14 +76,21 @@
 func (l *Lease) Run(ctx context.Context) {
 	o := l.options
 	m := NewMachine(o.Name, o.Self, o.Incarnation, o.Timing)
-	ticker := time.NewTicker(max(o.Timing.Renew/10, 1).Duration())
+	interval := max(o.Timing.Renew/10, 1).Duration()
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+		case <-l.wake:
 		case <-ctx.Done():
 			return
 		}
+		if l.wanted.Load() || l.Grant().Fencing != 0 {
+			ticker.Reset(interval)
+		} else {
+			ticker.Reset(idleFactor * interval)
+		}
 		l.handle(ctx, m, Contended{Wanted: l.wanted.Load(), Epoch: wasabiridge.StoreEpoch(l.epoch.Load())})
 	}
 }
--- a/internal/wasabiloop/loop.go
+++ b/internal/wasabiloop/loop.go
@@ -39,6 +39,9 @@
 	DefaultRingSize = 8192
 	// tickInterval is the interval of Ticked events.
 	tickInterval = 20 * time.Millisecond
+	// idleInterval is the same while the decider is idle. Instances that callers are not sent
+	// to are idle nearly all of the time.
+	idleInterval = 100 * time.Millisecond
 	// mailboxSize is the capacity of a mailbox, in effects. A decider emits one
 	// or two dispatches for a request and then waits for its events.
 	mailboxSize = 16
@@ -55,6 +58,12 @@
 	RingSize int
 }
 
+// Idler is implemented by a decider that knows when nothing depends on frequent Ticked events.
+type Idler interface {
+	// Idle reports whether there is no request and nothing is due.
+	Idle() bool
+}
+
 // Loop drives a Decider. It is safe for concurrent use.
 type Loop struct {
 	options Options
@@ -174,14 +183,24 @@
 	defer l.closeMailboxes()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	idler, _ := l.options.Decider.(Idler)
+	idle := false
 	for {
 		select {
 		case m := <-l.ring:
 			l.process(m)
 			l.cancelUndelivered()
+			if idle && !idler.Idle() {
+				idle = false
+				ticker.Reset(tickInterval)
+			}
 		case <-ticker.C:
 			l.handle(wasabiridge.Ticked{})
 			l.cancelUndelivered()
+			if !idle && idler != nil && idler.Idle() {
+				idle = true
+				ticker.Reset(idleInterval)
+			}
 		case <-l.stop:
 			return
 		}
--- a/internal/wasabinode/background.go
+++ b/internal/wasabinode/background.go
@@ -126,7 +126,7 @@
 			// that a store holds. Before the stores are polled, the task waits for other
 			// instances, because only then is it known whether callers are sent to this
 			// one.
-			n.waitFor(ctx, restoreWait, func() bool { return !n.isAlone() })
+			n.waitForMembers(ctx)
 			settled = true
 			continue
 		}
--- a/internal/wasabinode/cells.go
+++ b/internal/wasabinode/cells.go
@@ -12,7 +12,7 @@
 
 // cellInterval is how often it is checked whether the servers that this instance uses of a
 // large pool are enough.
-const cellInterval = 100 * time.Millisecond
+const cellInterval = 200 * time.Millisecond
 
 // cells holds which servers of large pools this instance uses. It is safe for concurrent use.
 type cells struct {
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -82,6 +82,9 @@
 	// attemptBits is the number of low bits of an attempt identifier that count the
 	// attempts of one incarnation.
 	attemptBits = 20
+	// timelineCapacity is the number of events that the time line of a node keeps. No operator
+	// reads it on this platform; the log has the same decisions.
+	timelineCapacity = 8192
 	// ringSize bounds the events that are queued for the decision loop.
 	ringSize = 4096
 	// openPeerKey takes the place of the shared secret where no other process can
@@ -221,7 +224,7 @@
 	}
 	n.limits = serverLimits{log: wasabilog.Part(n.log, "limit"), byServer: map[wasabiridge.BackendServerID]serverLimit{}}
 	n.notices.log = wasabilog.Part(n.log, "notice")
-	n.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: o.Clock})
+	n.timeline = wasabitimeline.New(wasabitimeline.Options{Instance: s.Instance, Clock: o.Clock, Capacity: timelineCapacity})
 	n.placer = wasabireplica.New(wasabireplica.Options{
 		Seed: seed, Self: s.Instance, Zone: s.Zone, DearCrossings: s.Hosted.ZoneCrossing == wasabisettings.CrossingDear, UnevenServers: s.Hosted.UnevenServers, WeightsDeadline: n.bounds.OldWeightsLifetime - weightsMargin,
 		RetryRatio: n.bounds.RetryRatio, RetrySlack: n.bounds.RetrySlack, RetryWindow: n.bounds.RetryWindow,
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -87,6 +87,13 @@
 	return true
 }
 
+// hasPending reports whether there are announcements that the other instances are still sent.
+func (n *notices) hasPending() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.pending) > 0
+}
+
 // takeLeaving returns the announcements of servers that are to be sent to the other
 // instances now.
 func (n *notices) takeLeaving(now wasabiridge.Millis) []wasabiridge.LeavingUpdate {
--- a/internal/wasabinode/publish.go
+++ b/internal/wasabinode/publish.go
@@ -62,6 +62,9 @@
 		case <-n.placed:
 			wait = publishDelay
 		case <-ticker.C:
+			if n.isIdle() {
+				continue
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -90,6 +93,10 @@
 	}
 }
 
+// isIdle reports whether this instance has nothing to publish: callers are not sent to it, and
+// it has no request.
+func (n *Node) isIdle() bool { return n.relay.Open() == 0 && !n.isActive() && !n.notices.hasPending() }
+
 // split separates the targets in this instance's zone from the others. Without pools of which
 // the instances use a part, all targets count as near.
 func (n *Node) split(targets []wasabifanout.Target) (near, far []wasabifanout.Target) {
--- a/internal/wasabinode/restore.go
+++ b/internal/wasabinode/restore.go
@@ -19,6 +19,10 @@
 	// other instances, to know whether callers are sent to this one at all. The
 	// membership has them about 300 ms after a start.
 	restoreWait = 300 * wasabiridge.Millis(1)
+	// The membership view counts as complete when it has not grown for membersSettleTime, and
+	// after maxMembersWait in any case.
+	membersSettleTime = 200 * wasabiridge.Millis(1)
+	maxMembersWait    = 2 * wasabiridge.Second
 	// restoreTimeout bounds one query to a cache.
 	restoreTimeout = 2 * time.Second
 )
@@ -33,7 +37,7 @@
 	if !n.waitFor(ctx, wasabiridge.Day, n.hasConfig) {
 		return
 	}
-	n.waitFor(ctx, restoreWait, func() bool { return !n.isAlone() })
+	n.waitForMembers(ctx)
 	if !n.isActive() {
 		return
 	}
@@ -57,6 +61,24 @@
 		Int64("took_ms", int64(n.options.Clock.Now()-began)).Msg("Caches listed.")
 }
 
+// waitForMembers waits until the membership view has stopped growing after a start, so that it
+// is known whether callers are sent to this instance.
+//
+// The failure it guards against: hundreds of instances start together, and each knows few
+// others at first. All of them take themselves for the ones that callers are sent to, and ask
+// every engine for the content of its cache.
+func (n *Node) waitForMembers(ctx context.Context) {
+	n.waitFor(ctx, restoreWait, func() bool { return !n.isAlone() })
+	known, changedAt := len(n.members.Members()), n.options.Clock.Now()
+	n.waitFor(ctx, maxMembersWait, func() bool {
+		now := n.options.Clock.Now()
+		if count := len(n.members.Members()); count != known {
+			known, changedAt = count, now
+		}
+		return known == 0 || now-changedAt >= membersSettleTime
+	})
+}
+
 // waitFor waits until a condition is met. It returns false when the time-out
 // passes or the context ends first.
 func (n *Node) waitFor(ctx context.Context, timeout wasabiridge.Millis, condition func() bool) bool {
--- a/internal/wasabinode/rollout.go
+++ b/internal/wasabinode/rollout.go
@@ -20,6 +20,8 @@
 const (
 	// rolloutInterval is how often it is decided on the rollouts of software versions.
 	rolloutInterval = 100 * time.Millisecond
+	// noRolloutFactor is how much longer the interval is while none is ordered.
+	noRolloutFactor = 5
 	// rolloutRankDelay is the delay, for each lower rank, after which an instance stores a
 	// phase that no other one has stored.
 	rolloutRankDelay = 900 * wasabiridge.Millis(1)
@@ -80,9 +82,12 @@
 	for {
 		select {
 		case <-ticker.C:
-			if len(o.node.catalog.View().Snapshot.Rollouts) > 0 {
-				o.decide(ctx)
+			if len(o.node.catalog.View().Snapshot.Rollouts) == 0 {
+				ticker.Reset(noRolloutFactor * rolloutInterval)
+				continue
 			}
+			ticker.Reset(rolloutInterval)
+			o.decide(ctx)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/wasabiquota/controller.go
+++ b/internal/wasabiquota/controller.go
@@ -65,6 +65,8 @@
 	// active and knownCount are the last values passed to the table.
 	active     []wasabiridge.InstanceID
 	knownCount int
+	// members is the list from which addresses were taken last.
+	members []wasabiridge.Member
 	// ownersRead says that the stored owners have been requested. ownersWritten is the last
 	// list written, at ownersWrittenAt in ownersEpoch. Only Run uses these fields.
 	ownersRead      bool
@@ -159,19 +161,25 @@
 // updateActive passes to the table which instances callers are routed to, and how many
 // instances there are.
 func (k *Controller) updateActive() {
-	var entries []wasabiridge.InstanceEntry
-	count := 1
+	var members []wasabiridge.Member
 	if k.options.Members != nil {
-		for _, m := range k.options.Members() {
-			entries = append(entries, m.InstanceEntry)
+		members = k.options.Members()
+	}
+	count := 1 + len(members)
+	if len(members) != len(k.members) || len(members) > 0 && &members[0] != &k.members[0] {
+		k.members = members
+		k.mu.Lock()
+		for _, m := range members {
+			k.addresses[m.ID] = m.PeerAddress
 		}
+		k.mu.Unlock()
 	}
-	count += len(entries)
-	k.mu.Lock()
-	for _, e := range entries {
-		k.addresses[e.ID] = e.PeerAddress
+	var entries []wasabiridge.InstanceEntry
+	if k.options.Active == nil {
+		for _, m := range members {
+			entries = append(entries, m.InstanceEntry)
+		}
 	}
-	k.mu.Unlock()
 	if k.options.Active != nil {
 		entries = k.options.Active()
 	} else {
--- a/internal/wasabitimeline/timeline.go
+++ b/internal/wasabitimeline/timeline.go
@@ -64,10 +64,12 @@
 type Log struct {
 	options Options
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// ring grows up to Capacity events, so that an instance without requests needs little
+	// memory.
 	ring []wasabiridge.TimelineEvent
 	// next is the sequence number of the next event, and so the number of events
-	// recorded. Event n is stored at ring[n % len(ring)].
+	// recorded. Event n is stored at ring[n % Capacity].
 	next uint64
 	// at and logical are the current hybrid time.
 	at      wasabiridge.Millis
@@ -86,7 +88,7 @@
 	if o.MaxSkew <= 0 {
 		o.MaxSkew = DefaultMaxSkew
 	}
-	return &Log{options: o, ring: make([]wasabiridge.TimelineEvent, o.Capacity)}
+	return &Log{options: o}
 }
 
 // Record stores an event, with At, Logical and Instance set to the hybrid time
@@ -98,14 +100,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e.At, e.Logical = l.tick(physical)
-	slot := l.next % uint64(len(l.ring))
-	if l.next >= uint64(len(l.ring)) {
+	if slot := l.next % l.capacity(); slot == uint64(len(l.ring)) {
+		l.ring = append(l.ring, e)
+	} else {
 		l.lastDropped = l.ring[slot].At
+		l.ring[slot] = e
 	}
-	l.ring[slot] = e
 	l.next++
 }
 
+func (l *Log) capacity() uint64 { return uint64(l.options.Capacity) }
+
 // tick advances the hybrid time and returns it. The caller holds the lock.
 func (l *Log) tick(physical wasabiridge.Millis) (wasabiridge.Millis, uint32) {
 	if physical > l.at {
@@ -164,7 +169,7 @@
 // droppedLocked returns how many events have been overwritten. The caller holds
 // the lock.
 func (l *Log) droppedLocked() uint64 {
-	if size := uint64(len(l.ring)); l.next > size {
+	if size := l.capacity(); l.next > size {
 		return l.next - size
 	}
 	return 0
@@ -183,7 +188,7 @@
 	}
 	buf = buf[:0]
 	for cursor < l.next && len(buf) < cap(buf) {
-		buf = append(buf, l.ring[cursor%uint64(len(l.ring))])
+		buf = append(buf, l.ring[cursor%l.capacity()])
 		cursor++
 	}
 	return buf, cursor, lost
--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -14,6 +14,9 @@
 
 const (
 	tickEvery = 50 * time.Millisecond
+	// idleFactor is how much longer the time between ticks is at an instance that observes no
+	// replicas.
+	idleFactor = 5
 	// leaseName is the same for all pools, so that a single instance sends all orders.
 	leaseName = "upgrade"
 	// resultsSize is the capacity of the queue of results. At most one call is in
@@ -127,6 +130,11 @@
 		case e = <-k.results:
 		case <-ticker.C:
 			e = k.tick()
+			if len(k.entries) == 0 {
+				ticker.Reset(idleFactor * tickEvery)
+			} else {
+				ticker.Reset(tickEvery)
+			}
 		}
 		now := k.options.Clock.Now()
 		var updates []wasabiridge.BackoffUpdate
