--- a/internal/wasabicatalog/controller.go
+++ b/internal/wasabicatalog/controller.go
@@ -11,10 +11,13 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
 	tick = 50 * time.Millisecond
+	// standbyTick is the same at a standby instance that has the configuration and the list.
+	standbyTick = 250 * time.Millisecond
 	// inboxSize limits the events that wait for the machine. At most one call of each
 	// kind is in flight. State updates that do not fit are dropped, because the next
 	// query returns the same content.
@@ -128,7 +131,7 @@
 
 // Run drives the machine until the context ends. It is called once.
 func (k *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
+	ticker := wasabipulse.New(tick)
 	defer ticker.Stop()
 	k.tick(ctx)
 	for {
@@ -137,6 +140,11 @@
 			return
 		case <-ticker.C:
 			k.tick(ctx)
+			interval := tick
+			if k.machine.isSettledStandby() {
+				interval = standbyTick
+			}
+			ticker.Next(interval)
 		case e := <-k.inbox:
 			k.handle(ctx, e)
 		}
@@ -256,8 +264,7 @@
 func (k *Controller) logEntries(s wasabiridge.BackendSnapshot) {
 	entries := s.Unusable
 	if v := k.View(); v.ConfigKnown {
-		_, others := split(v.Snapshot.Config, s.Entries)
-		entries = slices.Concat(entries, others)
+		entries = slices.Concat(entries, unknownPools(v.Snapshot.Config, s.Entries))
 	}
 	k.mu.Lock()
 	e, unlogged := k.entries.read(k.options.Clock.Now(), entries)
--- a/internal/wasabicatalog/ignored.go
+++ b/internal/wasabicatalog/ignored.go
@@ -62,22 +62,32 @@
 // Usable returns the entries whose pool is in the configuration. The others name no
 // backend server to use, but may do so with a later configuration.
 func (v View) Usable() []wasabiridge.BackendEntry {
-	out, _ := split(v.Snapshot.Config, v.Backends.Entries)
+	pools := poolsOf(v.Snapshot.Config)
+	out := make([]wasabiridge.BackendEntry, 0, len(v.Backends.Entries))
+	for _, e := range v.Backends.Entries {
+		if pools[e.Pool] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// unknownPools returns the entries whose pool is not in a configuration.
+func unknownPools(cfg wasabiridge.Config, entries []wasabiridge.BackendEntry) []wasabiridge.UnusableEntry {
+	pools := poolsOf(cfg)
+	var out []wasabiridge.UnusableEntry
+	for _, e := range entries {
+		if !pools[e.Pool] {
+			out = append(out, wasabiridge.UnusableEntry{ID: e.Server.ID, Cause: unknownService})
+		}
+	}
 	return out
 }
 
-// split separates the entries whose pool is in a configuration from the others.
-func split(cfg wasabiridge.Config, entries []wasabiridge.BackendEntry) (usable []wasabiridge.BackendEntry, others []wasabiridge.UnusableEntry) {
+func poolsOf(cfg wasabiridge.Config) map[wasabiridge.PoolID]bool {
 	pools := make(map[wasabiridge.PoolID]bool, len(cfg.Pools))
 	for _, p := range cfg.Pools {
 		pools[p.ID] = true
 	}
-	for _, e := range entries {
-		if pools[e.Pool] {
-			usable = append(usable, e)
-			continue
-		}
-		others = append(others, wasabiridge.UnusableEntry{ID: e.Server.ID, Cause: unknownService})
-	}
-	return usable, others
+	return pools
 }
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -106,6 +106,10 @@
 	// complete one is known. partialSince is when it was read.
 	partial      bool
 	partialSince wasabiridge.Millis
+	// lastRead is the list of the last complete read, and lastReadDigest the digest of what
+	// followed from it.
+	lastRead       []wasabiridge.BackendEntry
+	lastReadDigest uint64
 	// keepExpiredUntil is the time until which entries that vanish are kept.
 	keepExpiredUntil wasabiridge.Millis
 	// epoch is the newest known epoch of the store, and epochRevision the first revision
@@ -223,6 +227,12 @@
 // instance of one of the lowest ranks queries the pollers, because it polls next.
 func (m *Machine) isStandby() bool { return len(m.sources) > 0 && m.rank >= maxRankDelays }
 
+// isSettledStandby reports whether this is a standby instance with content, which queries its
+// sources rarely.
+func (m *Machine) isSettledStandby() bool {
+	return m.isStandby() && m.config.known && m.backends.known && m.queryFailures == 0
+}
+
 // query sends a query to the peer whose turn it is, or to the peer that sent a state
 // update.
 func (m *Machine) query(now wasabiridge.Millis) {
@@ -313,10 +323,17 @@
 		m.takePartial(now, e.Snapshot)
 		return
 	}
+	if known && len(e.Snapshot.Entries) > 0 && len(e.Snapshot.Entries) == len(m.lastRead) && &e.Snapshot.Entries[0] == &m.lastRead[0] &&
+		now >= m.keepExpiredUntil && m.lastReadDigest == m.backends.digest {
+		// The source returns the same list while it does not change.
+		m.confirm(&m.backends, e.Snapshot.Revision, e.Sent)
+		return
+	}
 	list := m.withExpired(now, e.Snapshot)
 	list.Entries = sorted(list.Entries)
 	list.Entries, _ = m.withDepartures(now, list.Entries)
 	digest := digestOf(list.Entries)
+	m.lastRead, m.lastReadDigest = e.Snapshot.Entries, digest
 	if known && digest == m.backends.digest {
 		m.confirm(&m.backends, e.Snapshot.Revision, e.Sent)
 		return
--- a/internal/wasabiheld/keeper.go
+++ b/internal/wasabiheld/keeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 // reviewInterval is how often a Keeper has its Ledger review what is held.
@@ -67,11 +68,12 @@
 	if k == nil {
 		return
 	}
-	ticker := time.NewTicker(reviewInterval)
+	ticker := wasabipulse.New(reviewInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+			ticker.Next(reviewInterval)
 		case <-k.wake:
 		case <-ctx.Done():
 			return
--- a/internal/wasabilease/lease.go
+++ b/internal/wasabilease/lease.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 // Options configures a Lease.
@@ -41,9 +42,8 @@
 	return l
 }
 
-// idleFactor is how much longer the interval is at which an instance acts that neither wants
-// nor holds the lease.
-const idleFactor = 5
+// idleInterval is the interval at which an instance acts that neither wants nor holds the lease.
+const idleInterval = 500 * time.Millisecond
 
 // Contend sets whether this instance wants the lease. A holder must not release
 // the lease while a command of its own is in flight: the next holder may start
@@ -77,7 +77,7 @@
 	o := l.options
 	m := NewMachine(o.Name, o.Self, o.Incarnation, o.Timing)
 	interval := max(o.Timing.Renew/10, 1).Duration()
-	ticker := time.NewTicker(interval)
+	ticker := wasabipulse.New(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -87,9 +87,9 @@
 			return
 		}
 		if l.wanted.Load() || l.Grant().Fencing != 0 {
-			ticker.Reset(interval)
+			ticker.Next(interval)
 		} else {
-			ticker.Reset(idleFactor * interval)
+			ticker.Next(idleInterval)
 		}
 		l.handle(ctx, m, Contended{Wanted: l.wanted.Load(), Epoch: wasabiridge.StoreEpoch(l.epoch.Load())})
 	}
--- a/internal/wasabiloop/loop.go
+++ b/internal/wasabiloop/loop.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
@@ -41,7 +42,7 @@
 	tickInterval = 20 * time.Millisecond
 	// idleInterval is the same while the decider is idle. Instances that callers are not sent
 	// to are idle nearly all of the time.
-	idleInterval = 100 * time.Millisecond
+	idleInterval = 250 * time.Millisecond
 	// mailboxSize is the capacity of a mailbox, in effects. A decider emits one
 	// or two dispatches for a request and then waits for its events.
 	mailboxSize = 16
@@ -181,7 +182,7 @@
 func (l *Loop) run() {
 	defer close(l.done)
 	defer l.closeMailboxes()
-	ticker := time.NewTicker(tickInterval)
+	ticker := wasabipulse.New(tickInterval)
 	defer ticker.Stop()
 	idler, _ := l.options.Decider.(Idler)
 	idle := false
@@ -192,15 +193,16 @@
 			l.cancelUndelivered()
 			if idle && !idler.Idle() {
 				idle = false
-				ticker.Reset(tickInterval)
+				ticker.Next(tickInterval)
 			}
 		case <-ticker.C:
 			l.handle(wasabiridge.Ticked{})
 			l.cancelUndelivered()
-			if !idle && idler != nil && idler.Idle() {
-				idle = true
-				ticker.Reset(idleInterval)
+			interval := tickInterval
+			if idle = idler != nil && idler.Idle(); idle {
+				interval = idleInterval
 			}
+			ticker.Next(interval)
 		case <-l.stop:
 			return
 		}
--- a/internal/wasabimember/controller.go
+++ b/internal/wasabimember/controller.go
@@ -8,10 +8,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
 	tickInterval = 50 * time.Millisecond
+	// idleInterval is the same while no member is being probed and no update waits to be sent.
+	idleInterval = 125 * time.Millisecond
 	// inboxSize bounds the events that wait for the machine. When the inbox is
 	// full, heartbeats of other instances are refused and responses are
 	// dropped, as if the network had lost them; all other events block their
@@ -118,7 +121,7 @@
 	if k.options.List != nil {
 		go k.readList(ctx)
 	}
-	ticker := time.NewTicker(tickInterval)
+	ticker := wasabipulse.New(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -129,9 +132,19 @@
 		case d := <-k.inbox:
 			k.handle(ctx, d)
 		}
+		ticker.Next(k.tickInterval())
 	}
 }
 
+// tickInterval returns the time until the next tick at most. A tick more would do no harm, but
+// wake the process.
+func (k *Controller) tickInterval() time.Duration {
+	if k.unpublished || k.machine.IsBusy() {
+		return tickInterval
+	}
+	return idleInterval
+}
+
 func (k *Controller) handle(ctx context.Context, d delivery) {
 	now := k.options.Clock.Now()
 	sincePublished := now - k.snapshot.Load().at
--- a/internal/wasabimember/machine.go
+++ b/internal/wasabimember/machine.go
@@ -99,6 +99,18 @@
 	return m.effects
 }
 
+// IsBusy reports whether anything is due within less than a heartbeat interval: a probe that
+// is not answered yet, an update that has not been sent, or the heartbeats of an instance that
+// has just started.
+func (m *Machine) IsBusy() bool {
+	return len(m.probes) > 0 || m.broadcastDue || m.isJoining(m.lastTick)
+}
+
+// isJoining reports whether this instance has just started and its view still grows.
+func (m *Machine) isJoining(now wasabiridge.Millis) bool {
+	return now-m.started < joinPeriod && now-m.changed < settleTime
+}
+
 func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
 
 // Alive returns the members that are alive and not leaving, including this
--- a/internal/wasabimember/probe.go
+++ b/internal/wasabimember/probe.go
@@ -32,7 +32,7 @@
 	}
 	if now >= m.nextHeartbeat {
 		interval := heartbeatInterval
-		if now-m.started < joinPeriod {
+		if m.isJoining(now) {
 			interval = joiningInterval
 		}
 		m.nextHeartbeat = now + interval - interval/8 + m.jitter(interval/4)
--- a/internal/wasabinode/background.go
+++ b/internal/wasabinode/background.go
@@ -11,6 +11,7 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiconn"
 	"github.com/wasabiridge/wasabiridge/internal/wasabikept"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
@@ -55,7 +56,7 @@
 // backend servers, and which of them serve callers, whenever either changes.
 // It logs both.
 func (n *Node) countInstances(ctx context.Context) {
-	ticker := time.NewTicker(countInterval)
+	ticker := wasabipulse.New(countInterval)
 	defer ticker.Stop()
 	var posted wasabiridge.InstancesCounted
 	for {
@@ -72,6 +73,7 @@
 		}
 		select {
 		case <-ticker.C:
+			ticker.Next(countInterval)
 		case <-ctx.Done():
 			return
 		}
@@ -111,7 +113,7 @@
 	defer pool.Close()
 	settled := false
 	watch := wasabikept.New(wasabikept.Options{Prober: pool, IsServing: func() bool { return settled && n.isActive() }})
-	ticker := time.NewTicker(wasabikept.PollInterval)
+	ticker := wasabipulse.New(wasabikept.PollInterval)
 	defer ticker.Stop()
 	for {
 		for _, polled := range watch.Poll(ctx, n.activeConfig.Load().config.CacheStores) {
@@ -132,6 +134,7 @@
 		}
 		select {
 		case <-ticker.C:
+			ticker.Next(wasabikept.PollInterval)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/wasabinode/cells.go
+++ b/internal/wasabinode/cells.go
@@ -8,11 +8,12 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicell"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 // cellInterval is how often it is checked whether the servers that this instance uses of a
 // large pool are enough.
-const cellInterval = 200 * time.Millisecond
+const cellInterval = 250 * time.Millisecond
 
 // cells holds which servers of large pools this instance uses. It is safe for concurrent use.
 type cells struct {
@@ -92,12 +93,13 @@
 
 // watchCells changes how many servers of large pools this instance uses, as its requests need.
 func (n *Node) watchCells(ctx context.Context) {
-	ticker := time.NewTicker(cellInterval)
+	ticker := wasabipulse.New(cellInterval)
 	defer ticker.Stop()
 	log := wasabilog.Part(n.log, "cell")
 	for {
 		select {
 		case <-ticker.C:
+			ticker.Next(cellInterval)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/wasabinode/pathcheck.go
+++ b/internal/wasabinode/pathcheck.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireach"
 )
 
@@ -13,6 +14,8 @@
 	// reachInterval is how often it is determined whether the path to the backend
 	// servers has to be checked.
 	reachInterval = 100 * time.Millisecond
+	// noPathInterval is the same while nothing was sent to any pool.
+	noPathInterval = 250 * time.Millisecond
 	// probeTimeout bounds opening a connection for a check.
 	probeTimeout = 300 * time.Millisecond
 	// hangTime is the time from which a failed check counts as one that got no response,
@@ -32,12 +35,16 @@
 	if r.prober == nil {
 		return
 	}
-	ticker := time.NewTicker(reachInterval)
+	ticker := wasabipulse.New(reachInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			r.startChecks(ctx)
+			interval := reachInterval
+			if !r.startChecks(ctx) {
+				interval = noPathInterval
+			}
+			ticker.Next(interval)
 		case <-ctx.Done():
 			return
 		}
@@ -45,8 +52,8 @@
 }
 
 // startChecks starts the checks that are due, and forgets pools that the configuration
-// does not have any more.
-func (r *reach) startChecks(ctx context.Context) {
+// does not have any more. It reports whether requests were sent to any pool.
+func (r *reach) startChecks(ctx context.Context) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	pools := r.pools()
@@ -66,13 +73,14 @@
 		}
 	}
 	if known == len(r.byPool) {
-		return
+		return known > 0
 	}
 	for id := range r.byPool {
 		if !hasPool(pools, id) {
 			delete(r.byPool, id)
 		}
 	}
+	return known > 0
 }
 
 func hasPool(pools []wasabiridge.Pool, id wasabiridge.PoolID) bool {
--- a/internal/wasabinode/publish.go
+++ b/internal/wasabinode/publish.go
@@ -8,6 +8,7 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifanout"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 )
 
@@ -18,6 +19,9 @@
 	// publishInterval is how often the other instances are sent loads when no long
 	// prompt was placed.
 	publishInterval = 100 * time.Millisecond
+	// idlePublishInterval is how often it is checked whether there is anything to publish while
+	// this instance has no requests.
+	idlePublishInterval = 250 * time.Millisecond
 	// passOnTimeout bounds passing an update on to one instance.
 	passOnTimeout = 500 * time.Millisecond
 	// messageInterval is the least time between two messages to other instances, on
@@ -53,7 +57,7 @@
 // server, with the use of quotas, the demand for pools that are short of capacity, and the
 // servers that announced that they are leaving.
 func (n *Node) publishPlacements(ctx context.Context) {
-	ticker := time.NewTicker(publishInterval)
+	ticker := wasabipulse.New(publishInterval)
 	defer ticker.Stop()
 	var sent time.Time
 	for {
@@ -63,8 +67,10 @@
 			wait = publishDelay
 		case <-ticker.C:
 			if n.isIdle() {
+				ticker.Next(idlePublishInterval)
 				continue
 			}
+			ticker.Next(publishInterval)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/wasabinode/rollout.go
+++ b/internal/wasabinode/rollout.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 	"github.com/wasabiridge/wasabiridge/internal/wasabireplica"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirollout"
 )
@@ -20,8 +21,8 @@
 const (
 	// rolloutInterval is how often it is decided on the rollouts of software versions.
 	rolloutInterval = 100 * time.Millisecond
-	// noRolloutFactor is how much longer the interval is while none is ordered.
-	noRolloutFactor = 5
+	// noRolloutInterval is the same while none is ordered.
+	noRolloutInterval = 500 * time.Millisecond
 	// rolloutRankDelay is the delay, for each lower rank, after which an instance stores a
 	// phase that no other one has stored.
 	rolloutRankDelay = 900 * wasabiridge.Millis(1)
@@ -77,16 +78,16 @@
 
 // run decides until the context ends.
 func (o *rollouts) run(ctx context.Context) {
-	ticker := time.NewTicker(rolloutInterval)
+	ticker := wasabipulse.New(rolloutInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			if len(o.node.catalog.View().Snapshot.Rollouts) == 0 {
-				ticker.Reset(noRolloutFactor * rolloutInterval)
+				ticker.Next(noRolloutInterval)
 				continue
 			}
-			ticker.Reset(rolloutInterval)
+			ticker.Next(rolloutInterval)
 			o.decide(ctx)
 		case <-ctx.Done():
 			return
--- a/internal/wasabiquarantine/controller.go
+++ b/internal/wasabiquarantine/controller.go
@@ -9,6 +9,7 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
@@ -93,7 +94,7 @@
 		go k.loadBlocks(ctx)
 		go k.writeBlocks(ctx)
 	}
-	ticker := time.NewTicker(repeatInterval)
+	ticker := wasabipulse.New(repeatInterval)
 	defer ticker.Stop()
 	spread := NewRecipientSelector(k.options.Seed)
 	for {
@@ -104,6 +105,7 @@
 		case <-ticker.C:
 			k.sendRepeats(ctx, spread)
 			k.restoreBlocks()
+			ticker.Next(repeatInterval)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/wasabiquota/controller.go
+++ b/internal/wasabiquota/controller.go
@@ -14,11 +14,14 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabiending"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifanout"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
 	// pollInterval is how often the controller checks whether updates are due.
 	pollInterval = 100 * time.Millisecond
+	// unlimitedInterval is the same while no account has a limit.
+	unlimitedInterval = 250 * time.Millisecond
 	// probeInterval is the shortest time between two checks whether the process of a silent
 	// instance has ended.
 	probeInterval = wasabiridge.Second
@@ -102,19 +105,24 @@
 // Run sends updates to the other instances and logs refusals, until the context ends. It
 // must be called only once.
 func (k *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
+	ticker := wasabipulse.New(pollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			k.poll(ctx)
+			interval := pollInterval
+			if !k.poll(ctx) {
+				interval = unlimitedInterval
+			}
+			ticker.Next(interval)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (k *Controller) poll(ctx context.Context) {
+// poll does what is due. It reports whether any account has a limit.
+func (k *Controller) poll(ctx context.Context) bool {
 	k.updateActive()
 	var update wasabiridge.StateUpdate
 	var refusals []Refusal
@@ -144,6 +152,7 @@
 	}
 	k.probeAll(ctx, silent)
 	k.syncOwners(ctx, limited, owners)
+	return limited
 }
 
 // probeAll checks whether silent instances have ended, each at most once per probeInterval.
--- a/internal/wasabistream/controller.go
+++ b/internal/wasabistream/controller.go
@@ -41,6 +41,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
@@ -62,7 +63,7 @@
 	// peersLife is how long the instances that may be notified of streams are not computed again.
 	peersLife = 100 * wasabiridge.Millis(1)
 	// watchInterval is how often the age of the list is noted.
-	watchInterval = 200 * time.Millisecond
+	watchInterval = 250 * time.Millisecond
 )
 
 // Options configure a Controller. Clock is required.
@@ -128,12 +129,13 @@
 
 // Run follows the list of backend servers until the context ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(watchInterval)
+	ticker := wasabipulse.New(watchInterval)
 	defer ticker.Stop()
 	for {
 		c.Watch()
 		select {
 		case <-ticker.C:
+			ticker.Next(watchInterval)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/wasabistream/history.go
+++ b/internal/wasabistream/history.go
@@ -26,6 +26,16 @@
 	since, readAt wasabiridge.Millis
 	// listedAt holds when each version was last listed.
 	listedAt map[wasabiridge.PoolID]map[wasabiridge.SoftwareVersion]wasabiridge.Millis
+	// entries is the list that was read last, and versions are those in it. Lists are not
+	// modified.
+	entries  []wasabiridge.BackendEntry
+	versions []listedVersion
+}
+
+// listedVersion is a software version that is listed in a pool.
+type listedVersion struct {
+	pool    wasabiridge.PoolID
+	version wasabiridge.SoftwareVersion
 }
 
 // NewHistory returns a History of an instance that has not read the list.
@@ -43,13 +53,13 @@
 		h.since = sent
 	}
 	h.readAt = sent
-	for _, e := range entries {
-		versions := h.listedAt[e.Pool]
+	for _, l := range h.versionsOf(entries) {
+		versions := h.listedAt[l.pool]
 		if versions == nil {
 			versions = map[wasabiridge.SoftwareVersion]wasabiridge.Millis{}
-			h.listedAt[e.Pool] = versions
+			h.listedAt[l.pool] = versions
 		}
-		versions[e.Server.Software] = sent
+		versions[l.version] = sent
 	}
 	for pool, versions := range h.listedAt {
 		for v, at := range versions {
@@ -63,6 +73,23 @@
 	}
 }
 
+// versionsOf returns the versions in a list. The list is the same from one read to the next while
+// nothing changes, and may have thousands of entries.
+func (h *History) versionsOf(entries []wasabiridge.BackendEntry) []listedVersion {
+	if len(entries) == len(h.entries) && (len(entries) == 0 || &entries[0] == &h.entries[0]) {
+		return h.versions
+	}
+	seen := map[listedVersion]bool{}
+	h.entries, h.versions = entries, nil
+	for _, e := range entries {
+		if v := (listedVersion{pool: e.Pool, version: e.Server.Software}); !seen[v] {
+			seen[v] = true
+			h.versions = append(h.versions, v)
+		}
+	}
+	return h.versions
+}
+
 // Of returns the versions that were listed in a pool within a window before now.
 func (h *History) Of(now wasabiridge.Millis, pool wasabiridge.PoolID, window wasabiridge.Millis) wasabiridge.SoftwareHistory {
 	out := wasabiridge.SoftwareHistory{Age: maxLife}
--- a/internal/wasabistream/registry.go
+++ b/internal/wasabistream/registry.go
@@ -54,6 +54,7 @@
 	mu sync.Mutex
 	// registered are the versions that the row is known to contain.
 	registered versions
+	marked     marking
 	history    *History
 	// epoch is the epoch of the store, lost are the versions that were registered before
 	// the restore that began it, and restoredAt is when it was seen.
@@ -106,9 +107,7 @@
 	r.register(ctx, sent, s.Entries)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, e := range s.Entries {
-		s.Entries[i].Server.SoftwareRegistered = r.registered.has(e.Pool, e.Server.Software)
-	}
+	s.Entries = r.marked.of(s.Entries, r.registered)
 	return s, nil
 }
 
@@ -122,6 +121,29 @@
 	return r.readMarked(ctx, pages.ReadFirstBackends)
 }
 
+// marking is a list with its servers marked. It is used again while neither the list nor the
+// registered versions change.
+type marking struct {
+	entries    []wasabiridge.BackendEntry
+	registered versions
+	out        []wasabiridge.BackendEntry
+}
+
+// of returns a list whose servers are marked if their version is registered. The given list is
+// not modified.
+func (m *marking) of(entries []wasabiridge.BackendEntry, registered versions) []wasabiridge.BackendEntry {
+	same := len(entries) == len(m.entries) && len(entries) > 0 && &entries[0] == &m.entries[0]
+	if same && maps.EqualFunc(registered, m.registered, slices.Equal[[]wasabiridge.SoftwareVersion]) {
+		return m.out
+	}
+	out := slices.Clone(entries)
+	for i, e := range out {
+		out[i].Server.SoftwareRegistered = registered.has(e.Pool, e.Server.Software)
+	}
+	*m = marking{entries: entries, registered: maps.Clone(registered), out: out}
+	return out
+}
+
 // epochPool is the entry of the row that holds the epoch of the store in which the row was
 // last checked. A restore may have lost versions of an earlier epoch.
 const epochPool = wasabiridge.PoolID("")
--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilease"
+	"github.com/wasabiridge/wasabiridge/internal/wasabipulse"
 )
 
 const (
@@ -120,7 +121,7 @@
 func (k *Controller) Run(ctx context.Context) {
 	go k.lease.Run(ctx)
 	m := NewMachine(k.options.Timing)
-	ticker := time.NewTicker(tickEvery)
+	ticker := wasabipulse.New(tickEvery)
 	defer ticker.Stop()
 	for {
 		var e Event
@@ -130,11 +131,11 @@
 		case e = <-k.results:
 		case <-ticker.C:
 			e = k.tick()
+			interval := tickEvery
 			if len(k.entries) == 0 {
-				ticker.Reset(idleFactor * tickEvery)
-			} else {
-				ticker.Reset(tickEvery)
+				interval *= idleFactor
 			}
+			ticker.Next(interval)
 		}
 		now := k.options.Clock.Now()
 		var updates []wasabiridge.BackoffUpdate
