--- a/internal/wasabicatalog/apply.go
+++ b/internal/wasabicatalog/apply.go
@@ -143,17 +143,20 @@
 	if m.partial {
 		known = nil
 	}
-	entries, digest, err := decodeBackends(a.Content, p.digest, known)
-	if err != nil || digest != a.Digest {
+	list, err := decodeBackends(a.Content, p.digest, known)
+	if err != nil || list.digest != a.Digest {
 		return
 	}
-	entries = sorted(entries)
-	if marked, changed := m.withDepartures(now, entries); changed {
-		entries, digest = marked, digestOf(marked)
+	if list.change != nil && len(m.departures) == 0 && !list.change.hasDepartures() {
+		m.replaceList(wasabiridge.BackendSnapshot{Revision: a.Revision, Entries: list.entries}, list, confirmedAt, false)
+		return
 	}
-	if p.known && digest == p.digest {
+	if marked, changed := m.withDepartures(now, list.entries); changed {
+		list = decodedList{entries: marked, digest: digestOf(marked)}
+	}
+	if p.known && list.digest == p.digest {
 		m.confirm(p, a.Revision, confirmedAt)
 		return
 	}
-	m.replaceList(wasabiridge.BackendSnapshot{Revision: a.Revision, Entries: entries}, digest, confirmedAt, false)
+	m.replaceList(wasabiridge.BackendSnapshot{Revision: a.Revision, Entries: list.entries}, list, confirmedAt, false)
 }
--- a/internal/wasabicatalog/export_test.go
+++ b/internal/wasabicatalog/export_test.go
@@ -12,3 +12,6 @@
 }
 
 func (t IgnoredEntries) Total() map[string]uint64 { return t.total() }
+
+// BackendDigest returns the digest of the known list.
+func (m *Machine) BackendDigest() uint64 { return m.backends.digest }
--- a/internal/wasabicatalog/list.go
+++ b/internal/wasabicatalog/list.go
@@ -25,6 +25,11 @@
 
 func (s step) size() int { return len(s.set) + len(s.removed) }
 
+// hasDepartures reports whether a server has left or is leaving.
+func (s step) hasDepartures() bool {
+	return len(s.removed) > 0 || slices.ContainsFunc(s.set, func(e wasabiridge.BackendEntry) bool { return e.Leaving })
+}
+
 // history holds the last changes of the list, the newest last, so that other instances are
 // sent only what has changed since the list that they have.
 //
@@ -116,16 +121,19 @@
 	return h.full
 }
 
-// replaceList makes entries the known list, which are sorted and differ from it.
-func (m *Machine) replaceList(s wasabiridge.BackendSnapshot, digest uint64, confirmedAt wasabiridge.Millis, own bool) {
-	if m.backends.known {
-		m.history.add(changesBetween(m.backends.digest, m.list.Entries, s.Entries))
-	} else {
+// replaceList makes a list the known one. Its entries are sorted and differ from it.
+func (m *Machine) replaceList(s wasabiridge.BackendSnapshot, list decodedList, confirmedAt wasabiridge.Millis, own bool) {
+	switch {
+	case !m.backends.known:
 		m.history = history{}
+	case list.change != nil:
+		m.history.add(*list.change)
+	default:
+		m.history.add(changesBetween(m.backends.digest, m.list.Entries, s.Entries))
 	}
 	m.list, m.partial = s, false
 	p := &m.backends
-	p.revision, p.digest, p.confirmedAt, p.known = s.Revision, digest, confirmedAt, true
+	p.revision, p.digest, p.confirmedAt, p.known = s.Revision, list.digest, confirmedAt, true
 	m.emit(Changed{FromPlatform: own})
 }
 
--- a/internal/wasabicatalog/list_test.go
+++ b/internal/wasabicatalog/list_test.go
@@ -61,8 +61,7 @@
 // query has an instance query another one. A lost message is not answered.
 func (c *chain) query(from, to int) {
 	c.now += 10
-	q := c.machines[from].Answer(c.now, wasabiridge.CatalogQuery{})
-	answer := c.machines[to].Answer(c.now, wasabiridge.CatalogQuery{BackendDigest: q.Backends.Digest})
+	answer := c.machines[to].Answer(c.now, wasabiridge.CatalogQuery{BackendDigest: c.machines[from].BackendDigest()})
 	c.bytes = len(answer.Backends.Content)
 	c.machines[from].Handle(c.now, wasabicatalog.PeerResponded{Sent: c.now, Peer: "other", Answer: answer})
 }
--- a/internal/wasabicatalog/listcodec.go
+++ b/internal/wasabicatalog/listcodec.go
@@ -19,6 +19,11 @@
 const (
 	fullList  = 'F'
 	listDelta = 'D'
+	// plain marks a kind whose content is not compressed.
+	plain = 0x80
+	// maxPlain is the length up to which content is not compressed: a compressor takes more
+	// time and memory than the few bytes are worth.
+	maxPlain = 2048
 )
 
 // Flags of an encoded entry.
@@ -100,6 +105,9 @@
 // pack compresses encoded content behind its kind and its length. Lists change often, so they are compressed
 // with little effort.
 func pack(kind byte, content []byte) []byte {
+	if len(content) <= maxPlain {
+		return append([]byte{kind | plain}, content...)
+	}
 	out := bytes.NewBuffer(protowire.AppendVarint([]byte{kind}, uint64(len(content))))
 	w, err := gzip.NewWriterLevel(out, gzip.BestSpeed)
 	if err != nil {
@@ -119,6 +127,9 @@
 	if len(packed) == 0 {
 		return 0, nil, wasabiridge.ErrInvalid.New("catalog: a list is empty")
 	}
+	if packed[0]&plain != 0 {
+		return packed[0] &^ plain, packed[1:], nil
+	}
 	length, n := protowire.ConsumeVarint(packed[1:])
 	if n < 0 || length > maxContent {
 		return 0, nil, wasabiridge.ErrInvalid.New("catalog: a list of %d bytes, at most %d are allowed", length, uint64(maxContent))
@@ -261,30 +272,39 @@
 	return out
 }
 
-// decodeBackends returns the list that a response leads to, given the known one and its
-// digest, and the digest of that list. It reports ErrInvalid for content that cannot be
-// decoded and for a change of another list.
-func decodeBackends(packed []byte, digest uint64, known []wasabiridge.BackendEntry) ([]wasabiridge.BackendEntry, uint64, error) {
+// decodedList is the list that a response leads to.
+type decodedList struct {
+	entries []wasabiridge.BackendEntry
+	digest  uint64
+	// change is the change that led to it, or nil for a complete list.
+	change *step
+}
+
+// decodeBackends decodes the list of a response, given the known one and its digest. It reports
+// ErrInvalid for content that cannot be decoded and for a change of another list.
+func decodeBackends(packed []byte, digest uint64, known []wasabiridge.BackendEntry) (decodedList, error) {
 	kind, content, err := unpack(packed)
 	if err != nil {
-		return nil, 0, err
+		return decodedList{}, err
 	}
 	r := newReader(content)
 	switch kind {
 	case fullList:
 		entries := r.entries()
 		if r.failed {
-			return nil, 0, wasabiridge.ErrInvalid.New("catalog: a list of %d bytes is incomplete", len(content))
+			return decodedList{}, wasabiridge.ErrInvalid.New("catalog: a list of %d bytes is incomplete", len(content))
 		}
-		return entries, digestOf(entries), nil
+		entries = sorted(entries)
+		return decodedList{entries: entries, digest: digestOf(entries)}, nil
 	case listDelta:
 		s := step{from: r.number()}
 		s.set, s.removed = r.entries(), r.removed()
 		if r.failed || s.from != digest {
-			return nil, 0, wasabiridge.ErrInvalid.New("catalog: a change of a list with digest %x does not apply to %x", s.from, digest)
+			return decodedList{}, wasabiridge.ErrInvalid.New("catalog: a change of a list with digest %x does not apply to %x", s.from, digest)
 		}
-		entries, after := s.applied(digest, known)
-		return entries, after, nil
+		out := decodedList{change: &s}
+		out.entries, out.digest = s.applied(digest, known)
+		return out, nil
 	}
-	return nil, 0, wasabiridge.ErrInvalid.New("catalog: unknown kind %q of a list", kind)
+	return decodedList{}, wasabiridge.ErrInvalid.New("catalog: unknown kind %q of a list", kind)
 }
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -338,7 +338,7 @@
 		m.confirm(&m.backends, e.Snapshot.Revision, e.Sent)
 		return
 	}
-	m.replaceList(list, digest, e.Sent, true)
+	m.replaceList(list, decodedList{digest: digest}, e.Sent, true)
 }
 
 // takePartial takes the first page of a large list. It confirms nothing, and other instances
--- a/internal/wasabicell/cell.go
+++ b/internal/wasabicell/cell.go
@@ -28,7 +28,7 @@
 //
 //	size := wasabicell.NewSize()
 //	size = size.Observe(now, wasabicell.Use{Load: 0.7})
-//	cell := wasabicell.Select("san-fernando", size.Servers(), pool.Backends)
+//	cell := wasabicell.Select("san-fernando", size.Servers(), entries)
 package wasabicell
 
 import (
@@ -51,51 +51,94 @@
 	minPerVersion = 16
 )
 
-// ranked is a server with its place in the order of a zone.
+// ranked is an entry with its place in the order of a zone.
 type ranked struct {
-	server *wasabiridge.BackendServer
-	far    bool
-	hash   uint64
+	entry *wasabiridge.BackendEntry
+	far   bool
+	hash  uint64
 }
 
 func compare(a, b ranked) int {
-	switch {
-	case a.far != b.far && b.far:
-		return -1
-	case a.far != b.far:
+	if a.far != b.far {
+		if b.far {
+			return -1
+		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.server.ID, b.server.ID))
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.entry.Server.ID, b.entry.Server.ID))
 }
 
-// Select returns the servers of a pool that the instances of a zone use, in the order of their
-// identifiers. The result does not depend on the order of the servers. A pool of at most size
-// servers is used whole. The servers are not modified.
-func Select(zone wasabiridge.AvailabilityZone, size int, servers []*wasabiridge.BackendServer) []wasabiridge.BackendServer {
-	out := make([]wasabiridge.BackendServer, 0, min(len(servers), size+minPerVersion))
-	if len(servers) <= size {
-		for _, s := range servers {
-			out = append(out, *s)
-		}
-		return out
-	}
-	all := make([]ranked, len(servers))
+// order returns entries in the order of a zone.
+func order(zone wasabiridge.AvailabilityZone, entries []*wasabiridge.BackendEntry) []ranked {
+	out := make([]ranked, len(entries))
 	var seed xxhash.Digest
-	for i, s := range servers {
+	for i, e := range entries {
 		seed.Reset()
 		_, _ = seed.WriteString(string(zone))
 		_, _ = seed.WriteString("\x00")
-		_, _ = seed.WriteString(string(s.ID))
-		all[i] = ranked{server: s, far: s.Zone != zone, hash: seed.Sum64()}
+		_, _ = seed.WriteString(string(e.Server.ID))
+		out[i] = ranked{entry: e, far: e.Server.Zone != zone, hash: seed.Sum64()}
 	}
-	slices.SortFunc(all, compare)
-	count := map[wasabiridge.SoftwareVersion]int{}
-	for i, r := range all {
-		if i < size || count[r.server.Software] < minPerVersion {
-			out = append(out, *r.server)
-			count[r.server.Software]++
+	slices.SortFunc(out, compare)
+	return out
+}
+
+// Select returns the entries of the servers of a pool that the instances of a zone use, in the
+// order of their identifiers. The result does not depend on the order of the entries. A pool of
+// at most size servers is used whole.
+func Select(zone wasabiridge.AvailabilityZone, size int, entries []*wasabiridge.BackendEntry) []*wasabiridge.BackendEntry {
+	out := slices.Clone(entries)
+	if len(entries) > size {
+		out = selectSome(zone, size, entries)
+	}
+	slices.SortFunc(out, func(a, b *wasabiridge.BackendEntry) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
+	return out
+}
+
+func selectSome(zone wasabiridge.AvailabilityZone, size int, entries []*wasabiridge.BackendEntry) []*wasabiridge.BackendEntry {
+	var near []*wasabiridge.BackendEntry
+	listed := map[wasabiridge.SoftwareVersion]int{}
+	for _, e := range entries {
+		listed[e.Server.Software]++
+		if e.Server.Zone == zone {
+			near = append(near, e)
+		}
+	}
+	if len(near) < size {
+		near = entries
+	}
+	out := make([]*wasabiridge.BackendEntry, 0, size)
+	used := map[wasabiridge.SoftwareVersion]int{}
+	for _, r := range order(zone, near)[:size] {
+		out = append(out, r.entry)
+		used[r.entry.Server.Software]++
+	}
+	for version, n := range listed {
+		if used[version] < min(n, minPerVersion) {
+			out = withVersion(zone, version, out, entries)
 		}
 	}
-	slices.SortFunc(out, func(a, b wasabiridge.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// withVersion returns a cell with further servers of a version.
+func withVersion(zone wasabiridge.AvailabilityZone, version wasabiridge.SoftwareVersion, cell, entries []*wasabiridge.BackendEntry) []*wasabiridge.BackendEntry {
+	used := map[wasabiridge.BackendServerID]bool{}
+	count := 0
+	for _, e := range cell {
+		if e.Server.Software == version {
+			used[e.Server.ID] = true
+			count++
+		}
+	}
+	var others []*wasabiridge.BackendEntry
+	for _, e := range entries {
+		if e.Server.Software == version && !used[e.Server.ID] {
+			others = append(others, e)
+		}
+	}
+	for _, r := range order(zone, others)[:min(len(others), minPerVersion-count)] {
+		cell = append(cell, r.entry)
+	}
+	return cell
+}
--- a/internal/wasabicell/cell_test.go
+++ b/internal/wasabicell/cell_test.go
@@ -18,18 +18,18 @@
 func TestCell(t *testing.T) { wasabitest.Run(t, "cell") }
 
 // servers returns n servers, spread evenly over some zones.
-func servers(n, zones int) []*wasabiridge.BackendServer {
-	var out []*wasabiridge.BackendServer
+func servers(n, zones int) []*wasabiridge.BackendEntry {
+	var out []*wasabiridge.BackendEntry
 	for i := range n {
-		out = append(out, &wasabiridge.BackendServer{
+		out = append(out, &wasabiridge.BackendEntry{Server: wasabiridge.BackendServer{
 			ID: wasabiridge.BackendServerID(fmt.Sprintf("s%05d", i)), Zone: wasabiridge.AvailabilityZone(fmt.Sprint("z", i%zones)), Software: "v1",
-		})
+		}})
 	}
 	return out
 }
 
 // common returns how many servers two cells share.
-func common(a, b []wasabiridge.BackendServer) int {
+func common(a, b []*wasabiridge.BackendEntry) int {
 	n := 0
 	for _, s := range a {
 		if slices.Contains(b, s) {
@@ -39,10 +39,10 @@
 	return n
 }
 
-func zonesOf(list []wasabiridge.BackendServer) map[wasabiridge.AvailabilityZone]int {
+func zonesOf(list []*wasabiridge.BackendEntry) map[wasabiridge.AvailabilityZone]int {
 	out := map[wasabiridge.AvailabilityZone]int{}
 	for _, s := range list {
-		out[s.Zone]++
+		out[s.Server.Zone]++
 	}
 	return out
 }
@@ -53,7 +53,7 @@
 		cell := wasabicell.Select("z0", wasabicell.MinServers, all)
 		Expect(cell).To(HaveLen(len(all)))
 		for i, s := range cell {
-			Expect(s).To(Equal(*all[i]))
+			Expect(s).To(BeIdenticalTo(all[i]))
 		}
 	})
 
@@ -78,7 +78,7 @@
 	It("stay when others come and go", func() {
 		all := servers(3000, 6)
 		before := wasabicell.Select("z1", wasabicell.MinServers, all)
-		without := slices.DeleteFunc(slices.Clone(all), func(s *wasabiridge.BackendServer) bool { return s.ID == before[0].ID })
+		without := slices.DeleteFunc(slices.Clone(all), func(s *wasabiridge.BackendEntry) bool { return s == before[0] })
 		Expect(common(before, wasabicell.Select("z1", wasabicell.MinServers, without))).To(Equal(wasabicell.MinServers - 1))
 		added := append(slices.Clone(all), servers(3150, 6)[3000:]...)
 		Expect(common(before, wasabicell.Select("z1", wasabicell.MinServers, added))).To(BeNumerically(">", wasabicell.MinServers*8/10))
@@ -87,7 +87,7 @@
 	// Guards against a zone that has lost its servers and sends everything to the same servers
 	// as the zone beside it.
 	It("are spread over the other zones when the own zone has none", func() {
-		all := slices.DeleteFunc(servers(6000, 6), func(s *wasabiridge.BackendServer) bool { return s.Zone == "z1" })
+		all := slices.DeleteFunc(servers(6000, 6), func(s *wasabiridge.BackendEntry) bool { return s.Server.Zone == "z1" })
 		cell := wasabicell.Select("z1", wasabicell.MinServers, all)
 		Expect(zonesOf(cell)).To(HaveLen(5))
 		for zone, count := range zonesOf(cell) {
@@ -106,12 +106,12 @@
 	It("include servers of every software version", func() {
 		all := servers(5000, 5)
 		for i := range 40 {
-			all[i*97].Software = "v2"
+			all[i*97].Server.Software = "v2"
 		}
-		all[3].Software = "v3"
+		all[3].Server.Software = "v3"
 		count := map[wasabiridge.SoftwareVersion]int{}
 		for _, s := range wasabicell.Select("z1", wasabicell.MinServers, all) {
-			count[s.Software]++
+			count[s.Server.Software]++
 		}
 		Expect(count["v2"]).To(BeNumerically(">=", 16))
 		Expect(count["v3"]).To(Equal(1))
--- a/internal/wasabinode/cells.go
+++ b/internal/wasabinode/cells.go
@@ -29,22 +29,37 @@
 	return &cells{zone: zone, sizes: map[wasabiridge.PoolID]wasabicell.Size{}}
 }
 
+// usedServers are the backend servers that this instance uses.
+type usedServers struct {
+	config wasabiridge.Config
+	// parted are the pools of which it uses a part only.
+	parted map[wasabiridge.PoolID]bool
+	// weights are those that the servers serve, and those that are leaving.
+	weights []wasabiridge.WeightsReported
+}
+
 // apply returns the configuration with the backend servers that this instance uses of each
-// pool, without those that are leaving, and the pools of which it uses a part only.
-func (c *cells) apply(cfg wasabiridge.Config, entries []wasabiridge.BackendEntry) (wasabiridge.Config, map[wasabiridge.PoolID]bool) {
-	byPool := make(map[wasabiridge.PoolID][]*wasabiridge.BackendServer, len(cfg.Pools))
+// pool, without those that are leaving.
+func (c *cells) apply(cfg wasabiridge.Config, entries []wasabiridge.BackendEntry) usedServers {
+	out := usedServers{parted: map[wasabiridge.PoolID]bool{}}
+	byPool := make(map[wasabiridge.PoolID][]*wasabiridge.BackendEntry, len(cfg.Pools))
 	for _, p := range cfg.Pools {
 		byPool[p.ID] = nil
 	}
 	for i := range entries {
-		if list, used := byPool[entries[i].Pool]; used && !entries[i].Leaving {
-			byPool[entries[i].Pool] = append(list, &entries[i].Server)
+		e := &entries[i]
+		list, known := byPool[e.Pool]
+		switch {
+		case !known:
+		case e.Leaving:
+			out.addWeights(e)
+		default:
+			byPool[e.Pool] = append(list, e)
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listed = map[wasabiridge.PoolID]int{}
-	parted := map[wasabiridge.PoolID]bool{}
 	pools := make([]wasabiridge.Pool, len(cfg.Pools))
 	for i, pool := range cfg.Pools {
 		size, known := c.sizes[pool.ID]
@@ -54,13 +69,25 @@
 		}
 		if n := len(byPool[pool.ID]); n > wasabicell.MinServers {
 			c.listed[pool.ID] = n
-			parted[pool.ID] = n > size.Servers()
+			out.parted[pool.ID] = n > size.Servers()
+		}
+		pool.Backends = nil
+		for _, e := range wasabicell.Select(c.zone, size.Servers(), byPool[pool.ID]) {
+			pool.Backends = append(pool.Backends, e.Server)
+			out.addWeights(e)
 		}
-		pool.Backends = wasabicell.Select(c.zone, size.Servers(), byPool[pool.ID])
 		pools[i] = pool
 	}
 	cfg.Pools = pools
-	return cfg, parted
+	out.config = cfg
+	return out
+}
+
+// addWeights adds the weights that a server serves.
+func (u *usedServers) addWeights(e *wasabiridge.BackendEntry) {
+	for _, model := range sortedModels(e.Weights) {
+		u.weights = append(u.weights, wasabiridge.WeightsReported{Backend: e.Server.ID, Model: model, Weights: e.Weights[model], Incarnation: e.Server.Incarnation})
+	}
 }
 
 // observe takes how the servers of the pools are used. It returns the pools of which the cell
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -69,9 +69,9 @@
 	}
 	n.adopting.Lock()
 	defer n.adopting.Unlock()
-	cfg, parted := n.cells.apply(v.Snapshot.Config, v.Backends.Entries)
+	used := n.cells.apply(v.Snapshot.Config, v.Backends.Entries)
+	cfg, parted, weights := used.config, used.parted, used.weights
 	before := n.activeConfig.Load()
-	weights := weightsOf(&cfg, v.Backends.Entries)
 	if len(parted) > 0 && n.adopted.covers(&cfg, weights, v) {
 		// The change concerns servers that this instance does not use.
 		return
@@ -117,28 +117,6 @@
 	})
 }
 
-// weightsOf returns which weights the servers of a configuration serve, as far as they are
-// listed.
-func weightsOf(cfg *wasabiridge.Config, entries []wasabiridge.BackendEntry) []wasabiridge.WeightsReported {
-	used, pools := map[wasabiridge.BackendServerID]bool{}, map[wasabiridge.PoolID]bool{}
-	for _, pool := range cfg.Pools {
-		pools[pool.ID] = true
-		for _, b := range pool.Backends {
-			used[b.ID] = true
-		}
-	}
-	var out []wasabiridge.WeightsReported
-	for _, e := range entries {
-		if !pools[e.Pool] || !used[e.Server.ID] && !e.Leaving {
-			continue
-		}
-		for _, model := range sortedModels(e.Weights) {
-			out = append(out, wasabiridge.WeightsReported{Backend: e.Server.ID, Model: model, Weights: e.Weights[model], Incarnation: e.Server.Incarnation})
-		}
-	}
-	return out
-}
-
 // logRestarts logs the backend servers whose incarnation rose between two
 // configurations.
 func (n *Node) logRestarts(before, now *wasabiridge.Config) {
