--- a/config.go
+++ b/config.go
@@ -78,6 +78,9 @@
 	// MigratesRequests reports that the engines of the pool can move the KV cache of a
 	// running request to each other.
 	MigratesRequests bool `json:"moves_runs,omitempty"`
+	// Parted reports that Backends are a part of the servers of the pool, which this instance
+	// uses of many.
+	Parted bool `json:"-"`
 }
 
 // CacheStore is a KV cache store that engines export to and import from.
--- a/internal/wasabinode/cells.go
+++ b/internal/wasabinode/cells.go
@@ -76,6 +76,7 @@
 			pool.Backends = append(pool.Backends, e.Server)
 			out.addWeights(e)
 		}
+		pool.Parted = out.parted[pool.ID]
 		pools[i] = pool
 	}
 	cfg.Pools = pools
--- a/internal/wasabireplica/cost_test.go
+++ b/internal/wasabireplica/cost_test.go
@@ -53,3 +53,30 @@
 		}
 	})
 })
+
+var _ = Describe("Requests to the servers of a large pool", func() {
+	// Guards against a new connection for nearly every request: at a steady load at most one in
+	// ten may need one.
+	It("go to few of them while they are idle, and to others at another instance", func() {
+		used := func(self wasabiridge.InstanceID) map[wasabiridge.BackendServerID]int {
+			g := newRigOf(self, 128)
+			g.pool.Parted = true
+			g.adopt()
+			out := map[wasabiridge.BackendServerID]int{}
+			connections := 0
+			for i := range 400 {
+				pl, id := g.place(short())
+				g.now += 40
+				g.answer(id)
+				if out[pl.Backend.ID]++; out[pl.Backend.ID] == 1 && i >= 100 {
+					connections++
+				}
+				g.now += 60
+				g.observe(wasabiridge.Ticked{})
+			}
+			Expect(connections).To(BeNumerically("<=", 30))
+			return out
+		}
+		Expect(used("a")).NotTo(Equal(used("b")))
+	})
+})
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -193,7 +193,8 @@
 }
 
 // best returns the replica with the lowest loss of those of some versions, at random among
-// nearly equal ones. If restricted, streams begin only at the versions at which they may.
+// nearly equal ones. Of a large pool it is the one that this instance prefers: at random, nearly
+// every request would go to a server without an open connection. If restricted, streams begin only at the versions at which they may.
 func (p *Placer) best(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery, pr *prompt, v versions, restricted bool) (best candidate, found bool) {
 	count := 0
 	_, brittle := pl.refusalsAllowed(now)
@@ -212,6 +213,10 @@
 			}
 		case !found || c.score < best.score-tieMargin:
 			best, found, count = c, true, 1
+		case c.score <= best.score+tieMargin && pl.config.Parted:
+			if r.preference > best.replica.preference {
+				best = c
+			}
 		case c.score <= best.score+tieMargin:
 			count++
 			if p.random.IntN(count) == 0 {
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabibudget"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicost"
@@ -187,6 +189,7 @@
 			r := p.replicas[b.ID]
 			if r == nil {
 				r = newReplica(b)
+				r.preference = xxhash.Sum64String(string(p.options.Self) + "\x00" + string(b.ID))
 				p.replicas[b.ID] = r
 			}
 			p.acceptIncarnation(now, r, b.Incarnation)
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -61,7 +61,9 @@
 
 // replica is the state of one replica.
 type replica struct {
-	server      wasabiridge.BackendServer
+	server wasabiridge.BackendServer
+	// preference orders the replicas for this instance, differently at each one.
+	preference  uint64
 	gone        bool
 	incarnation wasabilife.Tracker
 	// life counts the restarts of the replica that were noticed, lifeSince is the time of
--- a/internal/wasabirollout/software.go
+++ b/internal/wasabirollout/software.go
@@ -12,10 +12,10 @@
 	// softwarePrefix is the prefix of the keys of the rows that hold the phases of software
 	// rollouts. There is one row per pool.
 	softwarePrefix = "software_rollout/"
-	// TrialShare is the part of the requests that goes to a new version during its trial, and
-	// ExposureShare the part that it may get in all until its deadline, both as fractions of
-	// what the operators allow a bad version.
-	TrialShare    = 0.3
+	// TrialShare is the part of the requests that goes to a new version during its trial, as a
+	// fraction of what the operators allow a bad version.
+	TrialShare = 0.3
+	// ExposureShare is the part that a new version may get in all until its deadline.
 	ExposureShare = 0.9
 	// settleTime is how long after the begin of the shift all instances take part in it.
 	settleTime = 700 * wasabiridge.Millis(1)
