--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -341,8 +341,8 @@
 	m.replaceList(list, decodedList{digest: digest}, e.Sent, true)
 }
 
-// takePartial takes the first page of a large list. It confirms nothing, and other instances
-// are not told of it.
+// takePartial takes the first page of a large list. It confirms nothing and is not sent to other
+// instances.
 func (m *Machine) takePartial(now wasabiridge.Millis, s wasabiridge.BackendSnapshot) {
 	if m.backends.known {
 		return
--- a/internal/wasabicell/cell.go
+++ b/internal/wasabicell/cell.go
@@ -7,7 +7,7 @@
 //
 // # Selection
 //
-// A pool of at most MinServers servers is used whole. Of a larger one the cell has the servers
+// Of a pool of at most MinServers servers all are used. Of a larger one the cell has the servers
 // of the instance's availability zone in the order of their hashes, and after these the servers
 // of the other zones. Half of the servers by which it grows are of other zones, since those of
 // its own may have failed together. The order depends on the zone and on the servers only, so the instances
@@ -42,8 +42,8 @@
 )
 
 const (
-	// MinServers is the size of a cell at first, and that of the largest pool that is used
-	// whole. One instance has far fewer requests in flight than so many servers have slots.
+	// MinServers is the size of a cell at first, and that of the largest pool of which all servers
+	// are used. One instance has far fewer requests in flight than so many servers have slots.
 	MinServers = 128
 	// MaxServers bounds the size of a cell, and with it the time of a decision.
 	MaxServers = 1024
@@ -78,8 +78,8 @@
 }
 
 // Select returns the entries of the servers of a pool that the instances of a zone use, in the
-// order of their identifiers. The result does not depend on the order of the entries. A pool of
-// at most size servers is used whole.
+// order of their identifiers. The result does not depend on the order of the entries. Of a pool of
+// at most size servers it is all.
 func Select(zone wasabiridge.AvailabilityZone, size int, entries []*wasabiridge.BackendEntry) []*wasabiridge.BackendEntry {
 	out := slices.Clone(entries)
 	if len(entries) > size {
--- a/internal/wasabireplica/decision_bench_test.go
+++ b/internal/wasabireplica/decision_bench_test.go
@@ -11,8 +11,7 @@
 )
 
 // BenchmarkDecision measures the admission and the placement of a long and a short prompt at
-// the sizes of a cell: that of the largest pool that is used whole, the least and the greatest
-// of a larger pool.
+// the size of the largest earlier pool, and at the least and the greatest size of a cell.
 func BenchmarkDecision(b *testing.B) {
 	prompts := map[string]func() wasabiridge.Request{"long": func() wasabiridge.Request { return long(7) }, "short": short}
 	for _, name := range []string{"long", "short"} {
