--- a/internal/wasabicatalog/listcodec.go
+++ b/internal/wasabicatalog/listcodec.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -21,9 +22,8 @@
 	listDelta = 'D'
 	// plain marks a kind whose content is not compressed.
 	plain = 0x80
-	// maxPlain is the length up to which content is not compressed: a compressor takes more
-	// time and memory than the few bytes are worth.
-	maxPlain = 2048
+	// maxPlain is the length up to which content is not compressed.
+	maxPlain = 256
 )
 
 // Flags of an encoded entry.
@@ -102,6 +102,15 @@
 	return pack(listDelta, out)
 }
 
+// compressors holds compressors, which take a megabyte each.
+var compressors = sync.Pool{New: func() any {
+	w, err := gzip.NewWriterLevel(nil, gzip.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	return w
+}}
+
 // pack compresses encoded content behind its kind and its length. Lists change often, so they are compressed
 // with little effort.
 func pack(kind byte, content []byte) []byte {
@@ -109,14 +118,13 @@
 		return append([]byte{kind | plain}, content...)
 	}
 	out := bytes.NewBuffer(protowire.AppendVarint([]byte{kind}, uint64(len(content))))
-	w, err := gzip.NewWriterLevel(out, gzip.BestSpeed)
-	if err != nil {
-		return nil
-	}
-	if _, err = w.Write(content); err != nil {
+	w := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(w)
+	w.Reset(out)
+	if _, err := w.Write(content); err != nil {
 		return nil
 	}
-	if err = w.Close(); err != nil {
+	if err := w.Close(); err != nil {
 		return nil
 	}
 	return out.Bytes()
