Review: case 3, an encoded slash selects another route

Disruption: a new version of the configuration adds two routes. Paths with %2F are compared with the prefixes after decoding, and forwarded as they were sent: requests are run by a service that no configuration allows, and on an anonymous route with a key that no configuration held.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *record, folder string, trouble bool) int{
 	"extra-refusal": extraRefusal,
 	"last-tenant":   lastTenant,
+	"encoded-slash": encodedSlash,
 }
 
 func main() {
