Review: a stream that a refused move stopped ends as complete

A final move that is answered 503 has stopped the run; the router takes the end of the connection for the end of the stream.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -22,7 +23,9 @@
 // request is a request of a client.
 type request struct {
 	id, method, path, host, key, body string
-	deadline                          time.Duration
+	// header holds further lines of the header.
+	header   string
+	deadline time.Duration
 }
 
 // answer is what a client received. Cut is set if the answer ended early, and err if there
@@ -32,6 +35,8 @@
 	seal, body string
 	cut        bool
 	err        error
+	// retryAfter is when the client is told to come back.
+	retryAfter time.Duration
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -54,7 +59,7 @@
 	if r.method != http.MethodGet {
 		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(r.body))
 	}
-	text.WriteString("\r\n" + r.body)
+	text.WriteString(r.header + "\r\n" + r.body)
 	if _, err := io.WriteString(c.conn, text.String()); err != nil {
 		c.close()
 		return answer{err: err}
@@ -69,7 +74,11 @@
 	if err != nil || response.Close {
 		c.close()
 	}
-	return answer{status: response.StatusCode, seal: response.Header.Get("Wasabiridge-Server-Seal"), body: string(body), cut: err != nil}
+	var after time.Duration
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		after = time.Duration(seconds * float64(time.Second))
+	}
+	return answer{retryAfter: after, status: response.StatusCode, seal: response.Header.Get("Wasabiridge-Server-Seal"), body: string(body), cut: err != nil}
 }
 
 func (c *caller) close() {
