--- a/review/standin/stopped.go
+++ b/review/standin/stopped.go
@@ -16,7 +16,7 @@
 // stopped for a move which it answers with 503.
 func stoppedMove(r *record, folder string, trouble bool) int {
 	const (
-		routers, replicas, callers = 3, 12, 144
+		routers, replicas, callers = 6, 12, 150
 		events                     = 60
 		// share of the replicas send part of their streams without a length, for window at
 		// a time.
