A stream that its engine stopped for a move is not answered as complete

Cause: an engine that is asked for a final move stops the run first, whatever it responds. A 503 counted as a call without effect, its handle was dropped, and every trace of the request was removed, so the end of the connection was taken for the end of the stream. The same held for 409, late, lost and garbled responses, for an end before the response and for one after the last pass.

The run now remembers, from before the request is written, that it may be stopped; 404 and a request that was never written take it back. A kept KV cache is used at the source, which counts as the same run.

--- a/event.go
+++ b/event.go
@@ -97,10 +97,12 @@
 	// PartialEvent is the number of bytes of the event within which a stream ended.
 	PartialEvent int
 	Usage        Usage
-	// Moved is where the response continues when its KV cache was moved. The end is
-	// then not a failure of the server, and the next attempt does not count as another
-	// run.
+	// Moved is where the response continues when its KV cache was moved. The next attempt
+	// then does not count as another run.
 	Moved MigrationResult
+	// Stopped reports that the server may have ended the response because it was asked to
+	// move the request. The end is then not a failure of the server.
+	Stopped bool
 }
 
 // LoadReported carries a load report of a backend server.
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -34,9 +34,7 @@
 	}
 	end.Unsent = !s.sent
 	x.framing, x.partialEvent = end.Framing, end.PartialEvent
-	if end.Moved = x.takeMove(d, end); end.Moved.Handle != "" {
-		end.Result = wasabiridge.AttemptBroken
-	}
+	x.takeMove(d, &end)
 	if end.Framing != wasabiridge.FramingNone {
 		x.relay.counts.addEnd(end.Framing.String(), end.Result.String())
 	}
--- a/internal/wasabirelay/counts.go
+++ b/internal/wasabirelay/counts.go
@@ -73,6 +73,18 @@
 	c.causes["move/"+outcome]++
 }
 
+// addUnproven counts a response without a length that ended after its engine was asked to
+// move the run, so that its end proves nothing. Kept says that its KV cache is known.
+func (c *Counts) addUnproven(kept bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if kept {
+		c.causes["unproven/kept"]++
+	} else {
+		c.causes["unproven/lost"]++
+	}
+}
+
 // addForward counts a request that was passed on to another instance, by its outcome.
 func (c *Counts) addForward(outcome string) {
 	c.mu.Lock()
@@ -119,7 +131,8 @@
 
 // Causes returns the number of requests by "outcome/cause", of moves by "move/outcome", of
 // requests that were passed on to another instance by "forward/outcome", of streams that
-// were continued by "continued/kind", and of responses of servers by "end/framing result".
+// were continued by "continued/kind", of responses of servers by "end/framing result", and
+// of responses whose end proves nothing after a move by "unproven/kept" and "unproven/lost".
 func (c *Counts) Causes() map[string]uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -112,6 +112,8 @@
 		Bool("other_server", end.Misdirected).
 		Bool("other_weights", end.OtherWeights).
 		Bool("server_ended", end.ServerCrashed).
+		Bool("stopped", end.Stopped).
+		Str("continues_at", string(end.Moved.To.ID)).
 		Stringer("framing", end.Framing).
 		Int("partial_event_bytes", end.PartialEvent).
 		Int("events", end.Delivered).
--- a/internal/wasabirelay/move.go
+++ b/internal/wasabirelay/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -48,15 +49,35 @@
 	dispatch wasabiridge.Dispatch
 	// cancel ends the attempt.
 	cancel context.CancelCauseFunc
-	// move is the move of the answer, or nil if it is not being moved.
+	// chunks counts the pieces of the answer that have arrived.
+	chunks atomic.Uint64
+
+	// move is the move of the answer, or nil if it is not being moved. This and the
+	// following fields are protected by activeRuns.mu.
 	move *pendingMove
+	// mayBeStopped is set while the engine may have stopped the run because it was asked to
+	// move it. The end of a response that has no length proves nothing then.
+	mayBeStopped bool
+	// moved is where the answer continues if its stream ends before the answer is complete.
+	moved wasabiridge.MigrationResult
+	// movedChunks is the value of chunks when moved was set.
+	movedChunks uint64
 }
 
-// pendingMove is a move in flight. Moved may be read after done is closed; its zero
-// value means that the move failed.
+// isStopped reports whether the answer continues elsewhere. An engine that kept the KV cache
+// of the run but goes on sending has not stopped it.
+func (r *run) isStopped() bool {
+	if r.moved.Handle == "" {
+		return false
+	}
+	return r.moved.To.ID != r.dispatch.Backend.ID || r.chunks.Load() == r.movedChunks
+}
+
+// pendingMove is a move in flight.
 type pendingMove struct {
-	done  chan struct{}
-	moved wasabiridge.MigrationResult
+	done chan struct{}
+	// mayBeStopped is that of the run before the move.
+	mayBeStopped bool
 }
 
 func newActiveRuns() *activeRuns { return &activeRuns{attempts: map[wasabiridge.AttemptID]*run{}} }
@@ -83,37 +104,93 @@
 	return out
 }
 
-// beginMove marks an answer as being moved. It returns nil if the answer has ended or
-// is already being moved.
+// beginMove marks an answer as being moved. It returns nil if the answer has ended, is
+// already being moved, or was stopped by an earlier move.
 func (l *activeRuns) beginMove(id wasabiridge.AttemptID) *run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.attempts[id]
-	if r == nil || r.move != nil {
+	if r == nil || r.move != nil || r.isStopped() {
 		return nil
 	}
-	r.move = &pendingMove{done: make(chan struct{})}
+	r.move = &pendingMove{done: make(chan struct{}), mayBeStopped: r.mayBeStopped}
 	return r
 }
 
-// cancelMove ends the move of an answer that stays at its engine.
+// orderStop records that the engine is about to be asked to move the answer. It reports
+// false if the answer has ended meanwhile.
+//
+// The failure it guards against: the engine stops the run before it responds, and the
+// stream may end before the response to the move is known.
+func (l *activeRuns) orderStop(r *run) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.attempts[r.dispatch.Attempt] != r {
+		return false
+	}
+	r.mayBeStopped = true
+	return true
+}
+
+// endMove ends the move of an answer with the result of the request to its engine.
+func (l *activeRuns) endMove(r *run, moved wasabiridge.MigrationResult, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		r.moved, r.movedChunks = moved, r.chunks.Load()
+	} else if !mayHaveStopped(err) {
+		r.mayBeStopped = r.move.mayBeStopped
+	}
+	l.release(r)
+}
+
+// cancelStopped ends the attempt of a run that its engine has stopped.
+func (l *activeRuns) cancelStopped(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.isStopped() {
+		r.cancel(errFirstByteTimeout)
+	}
+}
+
+// cancelMove ends a move that was not requested from the engine.
 func (l *activeRuns) cancelMove(r *run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.release(r)
+}
+
+// release makes the answer available for another move. The mutex must be held.
+func (l *activeRuns) release(r *run) {
 	close(r.move.done)
 	r.move = nil
 }
 
-// remove removes an attempt that has ended. It returns the move of its answer, or nil.
-func (l *activeRuns) remove(id wasabiridge.AttemptID) *pendingMove {
+// remove removes an attempt that has ended. It returns its run and the move in flight; both
+// may be nil.
+func (l *activeRuns) remove(id wasabiridge.AttemptID) (*run, *pendingMove) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.attempts[id]
 	delete(l.attempts, id)
 	if r == nil {
-		return nil
+		return nil, nil
 	}
-	return r.move
+	return r, r.move
+}
+
+// result returns where the answer of a run continues, if it was moved, and whether its
+// engine may have stopped it.
+func (l *activeRuns) result(r *run) (moved wasabiridge.MigrationResult, mayBeStopped bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return r.moved, r.mayBeStopped
+}
+
+// mayHaveStopped reports whether an engine may have stopped a run although the migration
+// failed.
+func mayHaveStopped(err error) bool {
+	return !errorx.IsOfType(err, wasabiridge.ErrNotFound) && !errorx.IsOfType(err, wasabiridge.ErrUnavailable)
 }
 
 // MigrateAnswers moves the answers that run at an engine to the engines that
@@ -162,11 +239,9 @@
 				left = append(left, id)
 				break
 			}
-			if err := l.move(ctx, r, to); err == nil {
-				close(r.move.done)
+			if l.move(ctx, r, to) == nil {
 				break
 			}
-			l.running.cancelMove(r)
 			excluded = append(excluded, to.ID)
 		}
 	}
@@ -179,11 +254,18 @@
 	started := l.options.Clock.Now()
 	timed, cancel := context.WithTimeout(ctx, moveTimeout.Duration())
 	defer cancel()
-	memory, err := l.options.Mover.Migrate(timed, wasabiridge.RequestMigration{Request: r.request.ID, From: r.dispatch.Backend, To: to})
+	if !l.running.orderStop(r) {
+		l.running.cancelMove(r)
+		return nil
+	}
+	moved, err := l.options.Mover.Migrate(timed, wasabiridge.RequestMigration{Request: r.request.ID, From: r.dispatch.Backend, To: to})
+	l.running.endMove(r, moved, err)
 	outcome := moveOutcome(err)
 	if err == nil {
-		r.move.moved = wasabiridge.MigrationResult{To: to, Handle: memory}
-		time.AfterFunc(oldStreamTimeout.Duration(), func() { r.cancel(errFirstByteTimeout) })
+		if moved.To.ID == r.dispatch.Backend.ID {
+			outcome = "stopped"
+		}
+		time.AfterFunc(oldStreamTimeout.Duration(), func() { l.running.cancelStopped(r) })
 	}
 	l.counts.addMove(outcome)
 	l.options.Log.Info().
@@ -192,8 +274,10 @@
 		Str(wasabilog.BackendField, string(r.dispatch.Backend.ID)).
 		Str("to", string(to.ID)).
 		Uint64("weights", uint64(r.dispatch.Weights)).
+		Uint64("chunks", r.chunks.Load()).
 		Int64("took_ms", int64(l.options.Clock.Now()-started)).
 		Str("outcome", outcome).
+		AnErr("error", err).
 		Msg("Move of an answer ended.")
 	return err
 }
@@ -207,34 +291,66 @@
 	case errorx.IsOfType(err, wasabiridge.ErrConflict):
 		return "being moved"
 	case errorx.IsOfType(err, wasabiridge.ErrUnavailable):
+		return "not sent"
+	case errorx.IsOfType(err, wasabiridge.ErrMigrationRefused):
 		return "refused"
 	}
 	return "unknown"
 }
 
-// takeMove waits for the move of an attempt that has ended, if there is one. It returns
-// where the answer continues. If the answer is complete or the request has ended, the moved
-// KV cache is released. The engine closes the stream of an answer that it has stopped, which
-// proves no end of a response that ends with its connection.
-func (x *exchange) takeMove(d wasabiridge.Dispatch, end wasabiridge.AttemptEnded) wasabiridge.MigrationResult {
-	m := x.relay.running.remove(d.Attempt)
-	if m == nil {
-		return wasabiridge.MigrationResult{}
+// takeMove completes the result of an attempt whose run the engine was asked to move. An
+// engine closes the stream of a run that it stops, so that the end of a response without a
+// length proves nothing from the moment at which the move was requested. The run then
+// continues where its KV cache is, or is resumed like any stream that broke off. If the
+// answer is complete or the request has ended, the moved KV cache is released.
+func (x *exchange) takeMove(d wasabiridge.Dispatch, end *wasabiridge.AttemptEnded) {
+	r, move := x.relay.running.remove(d.Attempt)
+	if r == nil {
+		return
 	}
-	select {
-	case <-m.done:
-	case <-x.ctx.Done():
-		return wasabiridge.MigrationResult{}
+	if end.Result == wasabiridge.AttemptCompleted && end.Framing != wasabiridge.FramingClose {
+		go x.relay.releaseMove(r, move)
+		return
 	}
-	if m.moved.Handle == "" {
-		return wasabiridge.MigrationResult{}
+	if move != nil {
+		select {
+		case <-move.done:
+		case <-x.ctx.Done():
+			go x.relay.releaseMove(r, move)
+		}
+	}
+	moved, mayBeStopped := x.relay.running.result(r)
+	if !mayBeStopped {
+		return
+	}
+	if end.Result == wasabiridge.AttemptCompleted {
+		x.relay.counts.addUnproven(moved.Handle != "")
+		end.Result = wasabiridge.AttemptBroken
+	}
+	if end.Result != wasabiridge.AttemptBroken {
+		go x.relay.releaseMove(r, nil)
+		return
+	}
+	end.Stopped = !end.ServerCrashed
+	switch {
+	case x.ctx.Err() != nil:
+		if move == nil {
+			go x.relay.releaseMove(r, nil)
+		}
+	case end.Stopped || moved.To.ID != d.Backend.ID:
+		end.Moved = moved
+	}
+}
+
+// releaseMove waits for a move in flight, which may be nil, and releases the KV cache of a
+// run that does not continue.
+func (l *Relay) releaseMove(r *run, move *pendingMove) {
+	if move != nil {
+		<-move.done
 	}
-	stopped := end.Result == wasabiridge.AttemptBroken || end.Result == wasabiridge.AttemptCompleted && end.Framing == wasabiridge.FramingClose
-	if !stopped || x.ctx.Err() != nil {
-		go x.relay.dropCache(d.Backend, m.moved.Handle)
-		return wasabiridge.MigrationResult{}
+	if moved, _ := l.running.result(r); moved.Handle != "" {
+		l.dropCache(r.dispatch.Backend, moved.Handle)
 	}
-	return m.moved
 }
 
 // dropCache releases a moved KV cache that will not be used. If the call fails, the
--- a/internal/wasabirelay/move_test.go
+++ b/internal/wasabirelay/move_test.go
@@ -20,12 +20,14 @@
 	err error
 	// refuses lists the engines that do not accept a move.
 	refuses []wasabiridge.BackendServerID
+	// keeps makes the engines keep the KV cache of the answers that they stop.
+	keeps   bool
 	stops   func()
 	moves   []wasabiridge.RequestMigration
 	dropped []string
 }
 
-func (m *mover) Migrate(_ context.Context, r wasabiridge.RequestMigration) (string, error) {
+func (m *mover) Migrate(_ context.Context, r wasabiridge.RequestMigration) (wasabiridge.MigrationResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.moves = append(m.moves, r)
@@ -33,12 +35,15 @@
 		m.stops()
 	}
 	if m.err != nil {
-		return "", m.err
+		return wasabiridge.MigrationResult{}, m.err
 	}
 	if slices.Contains(m.refuses, r.To.ID) {
-		return "", wasabiridge.ErrUnavailable.New("dark")
+		return wasabiridge.MigrationResult{}, wasabiridge.ErrMigrationRefused.New("dark")
 	}
-	return "s:1/h1", nil
+	if m.keeps {
+		return wasabiridge.MigrationResult{To: r.From, Handle: "s:1/h1"}, nil
+	}
+	return wasabiridge.MigrationResult{To: r.To, Handle: "s:1/h1"}, nil
 }
 
 func (m *mover) DropCache(_ context.Context, _ wasabiridge.BackendServer, memory string) error {
@@ -192,8 +197,9 @@
 		"keeps running if no engine has capacity":       {},
 		"keeps running if the engine does not know it":  {err: wasabiridge.ErrNotFound.New("x"), found: true},
 		"keeps running if it is already being moved":    {err: wasabiridge.ErrConflict.New("x"), found: true},
-		"keeps running if the engine refuses":           {err: wasabiridge.ErrUnavailable.New("x"), found: true},
-		"is resumed if the engine refuses but stops it": {err: wasabiridge.ErrUnavailable.New("x"), found: true, breaks: true, resumed: true},
+		"keeps running if the engine refuses":           {err: wasabiridge.ErrMigrationRefused.New("x"), found: true},
+		"keeps running if the engine was not asked":     {err: wasabiridge.ErrUnavailable.New("x"), found: true},
+		"is resumed if the engine refuses but stops it": {err: wasabiridge.ErrMigrationRefused.New("x"), found: true, breaks: true, resumed: true},
 		"is resumed if the move gets no response":       {err: wasabiridge.ErrOutcomeUnknown.New("x"), found: true, breaks: true, resumed: true},
 	}
 	for _, name := range slices.Sorted(maps.Keys(failures)) {
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -27,6 +27,8 @@
 	sent bool
 	// gotChunk is set when the first chunk of the body has been received.
 	gotChunk bool
+	// run is set while the answer is a stream that may be moved.
+	run *run
 }
 
 var _ wasabiridge.AttemptSink = (*sink)(nil)
@@ -73,10 +75,14 @@
 			x.noteContinuation(s.dispatch.Backend)
 		}
 		if s.stream && x.request.Action.Resume {
-			x.relay.running.add(&run{request: x.request, dispatch: s.dispatch, cancel: s.cancel})
+			s.run = &run{request: x.request, dispatch: s.dispatch, cancel: s.cancel}
+			x.relay.running.add(s.run)
 		}
 		x.relay.options.Loop.Post(wasabiridge.AttemptFirstToken{Request: s.dispatch.Request, Attempt: s.dispatch.Attempt})
 	}
+	if s.run != nil {
+		s.run.chunks.Add(1)
+	}
 	if err := x.deliver(s.stream, data); err != nil {
 		return err
 	}
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -254,7 +254,7 @@
 // observeResult updates the state of a replica with the result of an attempt.
 func (p *Placer) observeResult(now wasabiridge.Millis, r *replica, firstByteSeen bool, e wasabiridge.AttemptEnded) {
 	switch {
-	case e.Moved.Handle != "":
+	case e.Stopped:
 	case e.Misdirected:
 		// Another replica now has this address.
 		r.gone = true
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -310,6 +310,7 @@
 		"that has other weights is put into a short backoff":        {end: wasabiridge.AttemptEnded{Result: wasabiridge.AttemptNotRun, OtherWeights: true}, away: true},
 		"whose address belongs to another one is removed":           {end: wasabiridge.AttemptEnded{Result: wasabiridge.AttemptNotRun, Misdirected: true}, away: true},
 		"that answers with a failure of its own stays in use":       {end: wasabiridge.AttemptEnded{Result: wasabiridge.AttemptBroken, Failed: true}},
+		"that was asked to move the request stays in use":           {end: wasabiridge.AttemptEnded{Result: wasabiridge.AttemptBroken, Stopped: true}},
 		"whose attempt was cancelled stays in use":                  {end: wasabiridge.AttemptEnded{Result: wasabiridge.AttemptCancelled}},
 	}
 	for _, name := range slices.Sorted(maps.Keys(endings)) {
--- a/internal/wasabireplica/rollout.go
+++ b/internal/wasabireplica/rollout.go
@@ -185,7 +185,7 @@
 		return
 	}
 	silent := e.FirstByteTimeout && a.replica.lastReceived > a.sent
-	failed := e.Failed || e.ServerError || e.Result == wasabiridge.AttemptBroken && a.firstByteSeen && e.Moved.Handle == ""
+	failed := e.Failed || e.ServerError || e.Result == wasabiridge.AttemptBroken && a.firstByteSeen && !e.Stopped
 	if e.Result != wasabiridge.AttemptCompleted && !failed && !silent {
 		return
 	}
