An empty list of tenants requires keys, and none requires none

A process that started into that configuration served everyone.

Cause: no accounts stood for two configurations: without `tenants`, which asks for no keys, and with an empty list, which refuses each. The difference was lost in decodeConfig, and nothing on the way between instances could carry it.

Config.Keys states the policy where there are no accounts. It is empty in a configuration of an instance of the version before: then requests are refused as not run, and the store is read; a known policy is not replaced by an unknown one.

The simulations of wasabicatalog state a policy, as the platform always does: without one, each instance reads the store by itself.

--- a/config.go
+++ b/config.go
@@ -212,8 +212,22 @@
 	IdleTimeout   Millis `json:"idle_timeout_ms,omitempty"`
 }
 
+// KeyPolicy states whether callers need a key.
+type KeyPolicy string
+
+// Key policies. KeysUnknown comes from an instance of a version that does not distinguish
+// the others.
+const (
+	KeysUnknown  KeyPolicy = ""
+	KeysNone     KeyPolicy = "none"
+	KeysRequired KeyPolicy = "required"
+)
+
 // Config is one complete configuration. It is an immutable value.
 type Config struct {
+	// Keys is the key policy of a configuration without accounts. With accounts, keys are
+	// always required; see KeyPolicy.
+	Keys KeyPolicy `json:"keys,omitempty"`
 	// CacheStores are the KV cache stores that run beside the engines.
 	CacheStores []CacheStore `json:"kept_caches,omitempty"`
 	// CallerLimits overrides the limits of the settings file. Zero fields keep those
@@ -240,6 +254,14 @@
 	return c
 }
 
+// KeyPolicy states whether callers need a key, unless the rule of their request is anonymous.
+func (c Config) KeyPolicy() KeyPolicy {
+	if len(c.Accounts) > 0 {
+		return KeysRequired
+	}
+	return c.Keys
+}
+
 // Pool returns the pool with the given ID. The result is false when there is none.
 func (c Config) Pool(id PoolID) (Pool, bool) {
 	for _, p := range c.Pools {
--- a/internal/wasabicatalog/catalog_test.go
+++ b/internal/wasabicatalog/catalog_test.go
@@ -140,7 +140,7 @@
 		f.read(n, func(ok bool) wasabicatalog.Event {
 			version := len(f.changed) - 1
 			event := wasabicatalog.ConfigRead{Sent: sent, Snapshot: wasabiridge.ConfigSnapshot{
-				Revision: uint64(version + 1), Config: wasabiridge.Config{Version: wasabiridge.ConfigVersion(version + 1)},
+				Revision: uint64(version + 1), Config: wasabiridge.Config{Version: wasabiridge.ConfigVersion(version + 1), Keys: wasabiridge.KeysNone},
 			}}
 			if f.snapshot != nil {
 				event.Snapshot = f.snapshot()
--- a/internal/wasabicatalog/export_test.go
+++ b/internal/wasabicatalog/export_test.go
@@ -15,3 +15,6 @@
 
 // BackendDigest returns the digest of the known list.
 func (m *Machine) BackendDigest() uint64 { return m.backends.digest }
+
+// Snapshot returns the known configuration.
+func (m *Machine) Snapshot() wasabiridge.ConfigSnapshot { return m.snapshot }
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -194,6 +194,11 @@
 	if !p.known {
 		return p.failures == 0 || now >= p.nextRead+m.readDelay()
 	}
+	if p == &m.config && m.snapshot.Config.KeyPolicy() == wasabiridge.KeysUnknown {
+		// The instance that it comes from has lost the policy, and requests are refused
+		// until it is known.
+		return now >= p.nextRead
+	}
 	return p.age(now) >= readAge+m.readDelay()
 }
 
@@ -290,6 +295,9 @@
 	if m.applyRead(&m.config, s.Revision, sent, content) {
 		m.snapshot = s
 	}
+	if s.Config.KeyPolicy() == wasabiridge.KeysUnknown {
+		m.delayNextRead(now, &m.config)
+	}
 	m.recordConfigTargets(now, first, confirmedAt)
 }
 
--- a/internal/wasabicatalog/restore.go
+++ b/internal/wasabicatalog/restore.go
@@ -75,10 +75,12 @@
 }
 
 // withNewer returns a snapshot with what another one has newer: a configuration is ordered
-// by its version, and so are weights, whatever the store's revisions. It reports whether
-// there is anything newer.
+// by its version, and so are weights, whatever the store's revisions. Of two configurations of
+// one version, the one with a known key policy is newer: the other comes from an instance that
+// lost it. It reports whether there is anything newer.
 func withNewer(s, other wasabiridge.ConfigSnapshot) (wasabiridge.ConfigSnapshot, bool) {
-	newer := other.Config.Version > s.Config.Version
+	newer := other.Config.Version > s.Config.Version ||
+		other.Config.Version == s.Config.Version && s.Config.KeyPolicy() == wasabiridge.KeysUnknown && other.Config.KeyPolicy() != wasabiridge.KeysUnknown
 	if newer {
 		s.Config, s.Written = other.Config, other.Written
 	}
--- a/internal/wasabicatalog/restore_test.go
+++ b/internal/wasabicatalog/restore_test.go
@@ -58,7 +58,7 @@
 	}
 	return wasabiridge.ConfigSnapshot{
 		Revision: revision(f.store.version), Written: revision(f.store.written),
-		Config: wasabiridge.Config{Version: wasabiridge.ConfigVersion(f.store.config)},
+		Config: wasabiridge.Config{Version: wasabiridge.ConfigVersion(f.store.config), Keys: wasabiridge.KeysNone},
 	}
 }
 
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -91,7 +91,7 @@
 	n.logRestarts(before.config, &cfg)
 	if before.config.Version != cfg.Version {
 		n.members.SetConfig(cfg.Version)
-		n.log.Info().Uint64("config_version", uint64(cfg.Version)).Int("rules", len(cfg.Rules)).Int("accounts", len(cfg.Accounts)).
+		n.log.Info().Uint64("config_version", uint64(cfg.Version)).Int("rules", len(cfg.Rules)).Int("accounts", len(cfg.Accounts)).Str("keys", string(cfg.KeyPolicy())).
 			Int64("age_ms", int64(n.options.Clock.Now()-v.ConfigConfirmedAt)).Msg("Configuration adopted.")
 	}
 }
@@ -108,7 +108,7 @@
 // what is active in nothing that matters here. A read without a change of the configuration
 // has the same version, since operators raise it with every change.
 func (a adoption) covers(cfg *wasabiridge.Config, weights []wasabiridge.WeightsReported, v wasabicatalog.View) bool {
-	if a.config == nil || a.config.Version != cfg.Version || !slices.Equal(a.weights, weights) || !slices.Equal(a.targets, v.TargetVersions) ||
+	if a.config == nil || a.config.Version != cfg.Version || a.config.KeyPolicy() != cfg.KeyPolicy() || !slices.Equal(a.weights, weights) || !slices.Equal(a.targets, v.TargetVersions) ||
 		!slices.Equal(a.rollouts, v.Snapshot.Rollouts) {
 		return false
 	}
--- a/internal/wasabirelay/call.go
+++ b/internal/wasabirelay/call.go
@@ -117,8 +117,12 @@
 }
 
 func (c *call) authenticate() *wasabiridge.Refusal {
-	if c.rule.Then.Anonymous || len(c.view.Config.Accounts) == 0 {
+	policy := c.view.Config.KeyPolicy()
+	switch {
+	case c.rule.Then.Anonymous || policy == wasabiridge.KeysNone:
 		return nil
+	case policy == wasabiridge.KeysUnknown:
+		return c.notRun("configuration does not state whether keys are required")
 	}
 	var ok bool
 	if c.parsed.Key == "" {
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -435,6 +435,41 @@
 		})
 	}
 
+	policies := map[string]struct {
+		policy    wasabiridge.KeyPolicy
+		path, key string
+		status    int
+		kind      wasabiridge.RefusalKind
+	}{
+		"none are required":                          {policy: wasabiridge.KeysNone, path: "/x", status: 200},
+		"none are required, one is given":            {policy: wasabiridge.KeysNone, path: "/x", key: "z", status: 200},
+		"all are revoked":                            {policy: wasabiridge.KeysRequired, path: "/x", key: "k", kind: wasabiridge.RefusalNoKey},
+		"all are revoked, none is given":             {policy: wasabiridge.KeysRequired, path: "/x", kind: wasabiridge.RefusalNoKey},
+		"all are revoked, the rule is anonymous":     {policy: wasabiridge.KeysRequired, path: "/open/x", status: 200},
+		"it is not known whether they are required":  {path: "/x", key: "k", kind: wasabiridge.RefusalNotRun},
+		"it is not known, none is given":             {path: "/x", kind: wasabiridge.RefusalNotRun},
+		"it is not known, and the rule is anonymous": {path: "/open/x", status: 200},
+	}
+	for _, name := range slices.Sorted(maps.Keys(policies)) {
+		c := policies[name]
+
+		// Guards against an installation that serves everyone after its last account is
+		// removed.
+		It("are required as the configuration without accounts says: "+name, func() {
+			g := newKeyed()
+			g.setView(func(v *wasabirelay.View) {
+				cfg := *v.Config
+				cfg.Accounts, cfg.Keys = nil, c.policy
+				v.Config = &cfg
+			})
+			got := g.send(c.path, c.key)
+			Expect(got.kind).To(Equal(string(c.kind)))
+			if c.status > 0 {
+				Expect(got.status).To(Equal(c.status))
+			}
+		})
+	}
+
 	// An instance is paused between the arrival of a request and the sending of its
 	// first byte, and the key is revoked meanwhile. When the instance resumes, it must
 	// not send the request.
--- a/internal/wasabirule/check.go
+++ b/internal/wasabirule/check.go
@@ -70,6 +70,9 @@
 		rules:    map[wasabiridge.RuleID]bool{},
 		keys:     map[string]string{},
 	}
+	if cfg.Keys != wasabiridge.KeysUnknown {
+		c.report("/keys", "must be left out: callers always need a key")
+	}
 	for i, p := range cfg.Pools {
 		c.pool(fmt.Sprintf("/pools/%d", i), p)
 	}
