A retry budget of zero is kept, not replaced by the default

Cause: zero stood for "not set" in the settings and again in the placer.

Ratio and slack are pointers in the settings, nil for the default; the placer takes what it is given once it is given a window, which the node always does. Both new checks of zero failed before.

--- a/internal/wasabireplica/budget_test.go
+++ b/internal/wasabireplica/budget_test.go
@@ -331,3 +331,13 @@
 		}
 	})
 })
+
+// Guards against retries where the operators allow none: a budget of zero is no default.
+var _ = It("A retry budget of zero allows no further attempts", func() {
+	placer := wasabireplica.New(wasabireplica.Options{Seed: 1, RetryWindow: retryWindow})
+	limiter := wasabireplica.NewLimiter(placer)
+	placer.Observe(0, wasabiridge.Ticked{})
+	r := short()
+	placer.Observe(0, wasabiridge.ConfigAdopted{Config: wasabiridge.Config{Version: 1, Pools: []wasabiridge.Pool{{ID: r.Action.Pool}}}})
+	Expect(limiter.MayRetry(10*wasabiridge.Minute, r)).To(BeFalse())
+})
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -89,7 +89,7 @@
 	WeightsDeadline wasabiridge.Millis
 	// RetryRatio, RetrySlack and RetryWindow define the retry budget that all instances
 	// share: within a window, RetryRatio times the number of requests, and RetrySlack
-	// more. Zero means 0.1, 10 and 10 s.
+	// more. A window of zero means 10 s, and 0.1 and 10 for those of the others that are zero.
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow wasabiridge.Millis
@@ -107,15 +107,16 @@
 	if o.WeightsDeadline == 0 {
 		o.WeightsDeadline = 10 * wasabiridge.Second
 	}
+	if o.RetryWindow != 0 {
+		return o
+	}
+	o.RetryWindow = 10 * wasabiridge.Second
 	if o.RetryRatio == 0 {
 		o.RetryRatio = 0.1
 	}
 	if o.RetrySlack == 0 {
 		o.RetrySlack = 10
 	}
-	if o.RetryWindow == 0 {
-		o.RetryWindow = 10 * wasabiridge.Second
-	}
 	return o
 }
 
--- a/internal/wasabisettings/hosted.go
+++ b/internal/wasabisettings/hosted.go
@@ -79,7 +79,7 @@
 type Seconds float64
 
 // Bounds are the time limits and the retry budget that the platform's operators
-// rely on. A zero field means its default.
+// rely on. A zero field means its default, unless it is a pointer.
 type Bounds struct {
 	// RevokedKeyLifetime is the longest time for which a revoked key may still be
 	// accepted. The default is 5 s.
@@ -102,10 +102,11 @@
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget that all
 	// instances share: within each window, the further attempts must not exceed
 	// RetryRatio times the number of requests plus RetrySlack. The defaults are
-	// 0.2, 50 and 10 s.
-	RetryRatio  float64 `json:"retry_ratio,omitempty"`
-	RetrySlack  float64 `json:"retry_slack,omitempty"`
-	RetryWindow Seconds `json:"retry_window_s,omitempty"`
+	// 0.2, 50 and 10 s. A ratio or slack of zero is a bound like any other; nil means the
+	// default.
+	RetryRatio  *float64 `json:"retry_ratio,omitempty"`
+	RetrySlack  *float64 `json:"retry_slack,omitempty"`
+	RetryWindow Seconds  `json:"retry_window_s,omitempty"`
 	// TrialShare is the part of the requests to a pool that a bad software version may get
 	// between the order of its rollout and the deadline. The default is 0.1.
 	TrialShare float64 `json:"trial_share,omitempty"`
@@ -132,13 +133,13 @@
 	DefaultTrialShare            = 0.1
 )
 
-// Resolve returns the bounds with every zero field set to its default.
+// Resolve returns the bounds with every field that is not set at its default.
 func (b Bounds) Resolve() ResolvedBounds {
 	t := ResolvedBounds{
 		RevokedKeyLifetime: wasabiridge.Millis(b.RevokedKeyLifetime), ConfigPropagationTime: wasabiridge.Millis(b.ConfigPropagationTime),
 		OldWeightsLifetime: wasabiridge.Millis(b.OldWeightsLifetime), LeaseTerm: wasabiridge.Millis(b.LeaseTerm),
 		ShutdownGrace: b.ShutdownGrace.millis(), AddressLifetime: b.AddressLifetime.millis(), RetryWindow: b.RetryWindow.millis(),
-		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, TrialShare: b.TrialShare,
+		RetryRatio: orDefault(b.RetryRatio, DefaultRetryRatio), RetrySlack: orDefault(b.RetrySlack, DefaultRetrySlack), TrialShare: b.TrialShare,
 	}
 	setMillis(&t.RevokedKeyLifetime, DefaultRevokedKeyLifetime)
 	setMillis(&t.ConfigPropagationTime, DefaultConfigPropagationTime)
@@ -147,18 +148,19 @@
 	setMillis(&t.ShutdownGrace, DefaultShutdownGrace)
 	setMillis(&t.AddressLifetime, DefaultAddressLifetime)
 	setMillis(&t.RetryWindow, DefaultRetryWindow)
-	if t.RetryRatio == 0 {
-		t.RetryRatio = DefaultRetryRatio
-	}
-	if t.RetrySlack == 0 {
-		t.RetrySlack = DefaultRetrySlack
-	}
 	if t.TrialShare == 0 {
 		t.TrialShare = DefaultTrialShare
 	}
 	return t
 }
 
+func orDefault(v *float64, otherwise float64) float64 {
+	if v == nil {
+		return otherwise
+	}
+	return *v
+}
+
 func (s Seconds) millis() wasabiridge.Millis {
 	return wasabiridge.Millis(float64(s) * float64(wasabiridge.Second))
 }
@@ -182,7 +184,7 @@
 	values := map[string]float64{
 		"key_life_ms": float64(b.RevokedKeyLifetime), "config_life_ms": float64(b.ConfigPropagationTime), "weights_life_ms": float64(b.OldWeightsLifetime),
 		"turn_ms": float64(b.LeaseTerm), "grace_s": float64(b.ShutdownGrace), "address_life_s": float64(b.AddressLifetime),
-		"retry_window_s": float64(b.RetryWindow), "retry_ratio": b.RetryRatio, "retry_slack": b.RetrySlack, "trial_share": b.TrialShare,
+		"retry_window_s": float64(b.RetryWindow), "retry_ratio": orDefault(b.RetryRatio, DefaultRetryRatio), "retry_slack": orDefault(b.RetrySlack, DefaultRetrySlack), "trial_share": b.TrialShare,
 	}
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		if values[name] < 0 {
--- a/internal/wasabisettings/settings_test.go
+++ b/internal/wasabisettings/settings_test.go
@@ -78,6 +78,27 @@
 		})
 	}
 
+	budgets := map[string]struct {
+		bounds       string
+		ratio, slack float64
+	}{
+		"not set":    {`{}`, wasabisettings.DefaultRetryRatio, wasabisettings.DefaultRetrySlack},
+		"null":       {`{"retry_ratio":null,"retry_slack":null}`, wasabisettings.DefaultRetryRatio, wasabisettings.DefaultRetrySlack},
+		"zero":       {`{"retry_ratio":0,"retry_slack":0}`, 0, 0},
+		"one is set": {`{"retry_slack":7}`, wasabisettings.DefaultRetryRatio, 7},
+	}
+	for _, name := range wasabitest.SortedKeys(budgets) {
+		c := budgets[name]
+
+		// Guards against retries where the operators allow none.
+		It("keep a retry budget of zero: "+name, func() {
+			s, err := wasabisettings.Parse([]byte(start + `,"hosted":{"store":"127.0.0.1:3","bounds":` + c.bounds + `}}`))
+			Expect(err).NotTo(HaveOccurred())
+			b := s.Hosted.Bounds.Resolve()
+			Expect([]float64{b.RetryRatio, b.RetrySlack}).To(Equal([]float64{c.ratio, c.slack}))
+		})
+	}
+
 	It("get their defaults", func() {
 		s, err := wasabisettings.Parse([]byte(start + "}"))
 		Expect(err).NotTo(HaveOccurred())
