What a replica sends without end is bounded in bytes and time

Cause: http.ReadResponse on a plain reader keeps a head of any size.

The connection is closed, the attempt is broken, and a log line and a counter name the server and the part.

An answer that is no stream is buffered up to 128 KB, not 256, before it is passed on, so that 100 at a time stay within 16 MiB.

--- a/event.go
+++ b/event.go
@@ -134,6 +134,32 @@
 	Name string
 }
 
+// ResponsePart is a part of what a backend server sends.
+type ResponsePart string
+
+// Parts of a response. PartCall is a response to a call of the router itself, and PartList a
+// list of cached prefix segments.
+const (
+	PartHead    ResponsePart = "head"
+	PartFraming ResponsePart = "framing"
+	PartEvent   ResponsePart = "event"
+	PartCall    ResponsePart = "call"
+	PartList    ResponsePart = "list"
+)
+
+// ResponseMalformed reports that a backend server sent bytes that are no response, or more of
+// a part than is read. The connection was closed.
+type ResponseMalformed struct {
+	// Backend is empty if Address is that of a KV cache store.
+	Backend BackendServerID
+	Address string
+	// Request is empty if the response is one to a call of the router itself.
+	Request RequestID
+	Part    ResponsePart
+	// Cause describes what is wrong, without the bytes that were received.
+	Cause string
+}
+
 // PauseRequested reports that a backend server refused a request and wants no further
 // requests from this instance for a while.
 type PauseRequested struct {
@@ -233,6 +259,7 @@
 func (BackendLost) isEvent()         {}
 func (BackendLeaving) isEvent()      {}
 func (UnknownAnnouncement) isEvent() {}
+func (ResponseMalformed) isEvent()   {}
 func (PauseRequested) isEvent()      {}
 func (BrittleAnnounced) isEvent()    {}
 func (WeightsReported) isEvent()     {}
--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,9 @@
 	maxForeign = 3
 	// foreignBytes bounds the bytes that are read of a skipped response's body.
 	foreignBytes = 64 << 10
+	// drainTimeout bounds the time for which the rest of a response is read that is not
+	// needed.
+	drainTimeout = 100 * time.Millisecond
 	// inlineBody is the size up to which a body is written before the response is
 	// read. The system's buffers take that much in any case. A larger body is
 	// written concurrently, because a server may respond before it has read all
@@ -41,6 +45,7 @@
 	pool    *Pool
 	address string
 	raw     net.Conn
+	head    *headReader
 	reader  *bufio.Reader
 	// written is closed after the write of the request ended. Before that,
 	// writeErr is set if the write failed.
@@ -55,7 +60,8 @@
 }
 
 func newConn(p *Pool, address string, raw net.Conn) *Conn {
-	return &Conn{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}
+	head := &headReader{Conn: raw}
+	return &Conn{pool: p, address: address, raw: raw, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}
 }
 
 // isClean reports whether nothing was received since the last response: neither
@@ -85,7 +91,8 @@
 // RoundTrip writes a request exactly once and reads the header of its response.
 // isOwn reports by a header whether a response belongs to the request; responses
 // to other requests are skipped. An error is of type ErrOutcomeUnknown: the request
-// may have run. The context must not end before the response's body is read.
+// may have run. It is of its subtype ErrMalformed if the server sent something else than a
+// response. The context must not end before the response's body is read.
 func (c *Conn) RoundTrip(ctx context.Context, r *http.Request, isOwn func(http.Header) bool) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(longAgo) })
 	c.written = make(chan struct{})
@@ -101,18 +108,29 @@
 	} else {
 		go write()
 	}
-	response, err := c.readOwn(r, isOwn)
+	response, err := c.readOwn(ctx, r, isOwn)
 	if err != nil {
 		stop()
-		return nil, wasabiridge.ErrOutcomeUnknown.Wrap(err, "conn: no response from %s", c.address)
+		return nil, wrapReadError(err, c.address)
 	}
 	response.Body = &body{ReadCloser: response.Body, conn: c, stop: stop}
 	return response, nil
 }
 
-func (c *Conn) readOwn(r *http.Request, isOwn func(http.Header) bool) (*http.Response, error) {
+// wrapReadError returns the error of a read that got no response.
+func wrapReadError(err error, address string) error {
+	var failed net.Error
+	if errors.Is(err, errHeadTooLarge) || !errors.Is(err, errForeign) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &failed) {
+		return ErrMalformed.Wrap(err, "conn: no response from %s", address)
+	}
+	return wasabiridge.ErrOutcomeUnknown.Wrap(err, "conn: no response from %s", address)
+}
+
+func (c *Conn) readOwn(ctx context.Context, r *http.Request, isOwn func(http.Header) bool) (*http.Response, error) {
 	for range maxForeign {
+		c.head.begin()
 		response, err := http.ReadResponse(c.reader, r)
+		c.head.end()
 		if err != nil {
 			return nil, err
 		}
@@ -122,13 +140,31 @@
 		if isOwn(response.Header) {
 			return response, nil
 		}
-		if n, err := io.CopyN(io.Discard, response.Body, foreignBytes); err != io.EOF || n == foreignBytes {
+		if !c.Drain(ctx, response.Body, foreignBytes) {
 			return nil, errForeign
 		}
 	}
 	return nil, errForeign
 }
 
+// Drain reads the rest of a response that is not needed, so that the connection can be used
+// again. It reports whether the response ended before it had the given size, and soon. The
+// context is that of the request.
+func (c *Conn) Drain(ctx context.Context, rest io.Reader, size int64) bool {
+	if c.raw.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return false
+	}
+	_, err := io.CopyN(io.Discard, rest, size)
+	if c.raw.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	if ctx.Err() != nil {
+		// The end of the context set the deadline that was just removed.
+		_ = c.raw.SetDeadline(longAgo)
+	}
+	return err == io.EOF
+}
+
 // body is a response body whose Close ends the monitoring of the context.
 type body struct {
 	io.ReadCloser
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -14,6 +14,12 @@
 // with unread bytes is therefore not reused, and a response with the identifier of
 // another request is skipped.
 //
+// # Bytes without end
+//
+// A faulty server may send bytes that are no response, without end. The head of a response,
+// the number of responses before the own one, and what is read of a response that is not
+// needed are bounded, the last also in time. A connection that exceeds a bound is closed.
+//
 // # Usage
 //
 //	pool := wasabiconn.New(wasabiconn.Options{Clock: clock})
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -257,6 +257,9 @@
 	case wasabiridge.UnknownAnnouncement:
 		n.notices.recordUnknown(e)
 		return
+	case wasabiridge.ResponseMalformed:
+		n.notices.recordMalformed(e)
+		return
 	case wasabiridge.BrittleAnnounced:
 		n.notices.recordBrittle(e, n.options.Clock.Now())
 	case wasabiridge.PauseRequested:
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -60,6 +60,8 @@
 	unloggedFaults int
 	// unknown counts the announcements of each name that has no known meaning.
 	unknown map[string]int
+	// malformed counts the malformed responses by part.
+	malformed map[wasabiridge.ResponsePart]int
 	// pauses counts the pauses that servers have requested.
 	pauses int
 	// brittle holds the refusals in a second that brittle servers have announced last.
@@ -167,6 +169,18 @@
 	}
 }
 
+// recordMalformed counts and logs a malformed response.
+func (n *notices) recordMalformed(e wasabiridge.ResponseMalformed) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.malformed == nil {
+		n.malformed = map[wasabiridge.ResponsePart]int{}
+	}
+	n.malformed[e.Part]++
+	n.log.Warn().Str(wasabilog.RequestField, string(e.Request)).Str(wasabilog.BackendField, string(e.Backend)).Str("address", e.Address).
+		Str("part", string(e.Part)).Str("cause", e.Cause).Msg("Malformed response of a backend server; its connection was closed.")
+}
+
 // logFault logs an unusable announcement, at most once per faultLogInterval.
 func (n *notices) logFault(b wasabiridge.BackendServerID, fault string, now wasabiridge.Millis) {
 	if n.faultLoggedAt != 0 && now-n.faultLoggedAt < faultLogInterval {
@@ -214,6 +228,9 @@
 		unknown += count
 	}
 	out := []string{line("server_pauses_total", int64(n.pauses)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(len(n.brittle)))}
+	for part, count := range n.malformed {
+		out = append(out, line("server_responses_malformed_total{part=\""+string(part)+"\"}", int64(count)))
+	}
 	for _, s := range n.board.List() {
 		if left := s.PausedUntil - now; left > 0 {
 			out = append(out, line("server_pause_left_ms{backend=\""+string(s.Backend)+"\"}", int64(left)))
--- a/internal/wasabinode/notice_test.go
+++ b/internal/wasabinode/notice_test.go
@@ -1,9 +1,12 @@
 package wasabinode
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -56,3 +59,16 @@
 	g.Expect(l.lines(2000)).To(HaveLen(1))
 	g.Expect(l.lines(1000 + 11*wasabiridge.Second)).To(BeEmpty())
 }
+
+// Guards against malformed responses that no operator can see.
+func TestMalformedResponsesAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	n := notices{log: zerolog.New(&out)}
+	for _, part := range []wasabiridge.ResponsePart{wasabiridge.PartHead, wasabiridge.PartEvent, wasabiridge.PartHead} {
+		n.recordMalformed(wasabiridge.ResponseMalformed{Backend: "e1", Request: "r1", Part: part, Cause: "c"})
+	}
+	g.Expect(n.lines(0)).To(ContainElement("wasabiridge_server_responses_malformed_total{part=\"head\"} 2\n"))
+	g.Expect(n.lines(0)).To(ContainElement("wasabiridge_server_responses_malformed_total{part=\"event\"} 1\n"))
+	g.Expect(strings.Count(out.String(), `"request_id":"r1","backend":"e1"`)).To(Equal(3))
+}
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -15,7 +15,7 @@
 	// maxBufferedBytes is the size up to which an answer is buffered until it is
 	// complete, so that it can be replaced by the answer of another attempt. A
 	// larger answer is streamed to the caller.
-	maxBufferedBytes = 256 << 10
+	maxBufferedBytes = 128 << 10
 	// finalMargin is the time before the caller's deadline at which the final
 	// answer is sent. Callers do not read answers that arrive at the deadline.
 	finalMargin = 15 * wasabiridge.Millis(1)
