Rules are compared with the path that the server receives

Cause: rules were compared with the decoded path, and the encoded one was sent, written anew by net/url. One place now gives both: TargetOf is what the caller sent, byte for byte, PathOf its path with only the escapes of unreserved characters decoded. Rule, pool, key and limits follow from it, here and at an instance that the request is passed on to.

--- a/internal/wasabigateway/serve.go
+++ b/internal/wasabigateway/serve.go
@@ -32,7 +32,7 @@
 	}
 	request := c.request(r)
 	request.Fingerprint = g.options.Hasher.Fingerprint(wasabifingerprint.Content{
-		Account: request.Account, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Model: request.Model, Body: c.body.raw,
+		Account: request.Account, Method: r.Method, Host: r.Host, Path: wasabirule.TargetOf(r), Model: request.Model, Body: c.body.raw,
 	})
 	var ticket claimTicket
 	if c.rule.Then.NonIdempotent {
@@ -93,7 +93,7 @@
 	rule, ok := wasabirule.Match(*c.config, wasabirule.RequestView{
 		Account:      c.account.ID,
 		Method:       r.Method,
-		Path:         r.URL.Path,
+		Path:         wasabirule.PathOf(r),
 		Model:        c.body.model,
 		PromptTokens: len(c.body.prompt) / wasabiprefix.BytesPerToken,
 		Header:       r.Header.Values,
@@ -132,7 +132,7 @@
 		ID:        c.id,
 		Account:   c.account.ID,
 		Method:    r.Method,
-		Path:      r.URL.Path,
+		Path:      wasabirule.PathOf(r),
 		Model:     model,
 		MaxTokens: c.body.maxTokens,
 		Stream:    c.body.stream,
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
 
 // runAttempt runs an attempt and passes its result to the decider. It reports whether
@@ -93,7 +94,7 @@
 func (x *exchange) attempt(d wasabiridge.Dispatch) wasabiridge.Attempt {
 	a := wasabiridge.Attempt{
 		ID: d.Attempt, Request: d.Request, Account: x.request.Account, Backend: d.Backend,
-		Method: x.r.Method, Path: x.r.URL.RequestURI(), Header: x.header, Body: x.body, Host: x.r.Host, Model: x.request.Model,
+		Method: x.r.Method, Path: wasabirule.TargetOf(x.r), Header: x.header, Body: x.body, Host: x.r.Host, Model: x.request.Model,
 		Stream: x.request.Stream, NonIdempotent: x.request.Action.NonIdempotent, Priority: x.request.Action.Priority,
 		Weights: d.Weights, ResumeFrom: d.ResumeFrom, LastEvent: x.lastEvent,
 		ImportFrom: d.ImportFrom, ExportTo: d.ExportTo, CacheHandle: d.CacheHandle, Deadline: x.until,
--- a/internal/wasabirelay/call.go
+++ b/internal/wasabirelay/call.go
@@ -5,6 +5,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiheld"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
 
 // call is the state of one request in the filters. It is owned by the goroutine of the
@@ -107,7 +108,7 @@
 
 func (c *call) match() *wasabiridge.Refusal {
 	var ok bool
-	if c.rule, ok = c.relay.index.find(c.view.Config, hostOf(c.r), c.r.URL.Path); !ok {
+	if c.rule, ok = c.relay.index.find(c.view.Config, hostOf(c.r), wasabirule.PathOf(c.r)); !ok {
 		return c.deny(wasabiridge.RefusalNoRule, "no rule matches")
 	}
 	if t := c.rule.Then.Timeout; t > 0 {
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
 
 const (
@@ -74,7 +75,7 @@
 		root.Account, root.Sharing = c.account.ID, ""
 	}
 	r := wasabiridge.Request{
-		ID: c.parsed.ID, Account: c.account.ID, Method: c.r.Method, Path: c.r.URL.Path, Host: hostOf(c.r), Model: c.parsed.Model,
+		ID: c.parsed.ID, Account: c.account.ID, Method: c.r.Method, Path: wasabirule.PathOf(c.r), Host: hostOf(c.r), Model: c.parsed.Model,
 		Bytes: len(c.body), MaxTokens: c.parsed.MaxTokens, Stream: c.rule.Then.Stream, Arrived: c.arrived, Deadline: c.until,
 		EndsWithCaller: true, Fingerprint: c.fingerprint,
 	}.WithRule(c.rule).WithChain(wasabiridge.Chain{
@@ -95,7 +96,7 @@
 // computeFingerprint returns the keyed hash of the request's content.
 func (c *call) computeFingerprint() wasabiridge.Fingerprint {
 	return c.relay.options.Hasher.Fingerprint(wasabifingerprint.Content{
-		Account: c.account.ID, Method: c.r.Method, Host: hostOf(c.r), Path: c.r.URL.RequestURI(), Model: c.parsed.Model, Body: c.body, Blocks: c.parsed.Blocks,
+		Account: c.account.ID, Method: c.r.Method, Host: hostOf(c.r), Path: wasabirule.TargetOf(c.r), Model: c.parsed.Model, Body: c.body, Blocks: c.parsed.Blocks,
 	})
 }
 
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
 
 const (
@@ -70,7 +72,7 @@
 		x.disposition = x.disposition.Advance(wasabiridge.MaybeRun)
 		result := d.Forward(x.ctx, to.PeerAddress, wasabiridge.ForwardedRequest{
 			From: x.relay.options.Instance, Config: x.view.Config.Version, Attempts: left, Method: x.r.Method, Host: x.r.Host,
-			Target: x.r.URL.RequestURI(), Header: x.r.Header, Body: x.body, Timeout: timeout,
+			Target: wasabirule.TargetOf(x.r), Header: x.r.Header, Body: x.body, Timeout: timeout,
 		}, &forwardSink{exchange: x})
 		x.logForwarded(to, result, started)
 		if result.Result == wasabiridge.AttemptNotRun {
@@ -191,11 +193,10 @@
 func (l *Relay) ServeForwarded(ctx context.Context, in wasabiridge.ForwardedRequest, sink wasabiridge.ForwardSink) (result wasabiridge.ForwardResult) {
 	l.open.Add(1)
 	defer l.open.Add(-1)
-	r, err := http.NewRequestWithContext(ctx, in.Method, "http://"+in.Host+in.Target, http.NoBody)
+	r, err := forwardedRequest(ctx, in)
 	if err != nil {
 		return wasabiridge.ForwardResult{Result: wasabiridge.AttemptNotRun, Refusal: wasabiridge.Refusal{Kind: wasabiridge.RefusalInvalid, Reason: "unreadable request"}}
 	}
-	r.Header, r.Host, r.RequestURI = in.Header, in.Host, in.Target
 	w := &forwardWriter{sink: sink, header: http.Header{}}
 	c := &call{relay: l, w: w, r: r, arrived: l.options.Clock.Now(), view: l.options.View(), received: &received{ForwardedRequest: in}, body: in.Body}
 	defer c.release()
@@ -223,6 +224,18 @@
 	return wasabiridge.ForwardResult{Result: wasabiridge.AttemptCompleted}
 }
 
+// forwardedRequest returns a request that another instance passes on, as a server would have
+// received it from its caller.
+func forwardedRequest(ctx context.Context, in wasabiridge.ForwardedRequest) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, in.Method, "/", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	r.Header, r.Host, r.RequestURI = in.Header, in.Host, in.Target
+	r.URL, err = url.ParseRequestURI(in.Target)
+	return r, err
+}
+
 // checkVersion refuses a request that another instance accepted by a newer configuration.
 func (c *call) checkVersion() *wasabiridge.Refusal {
 	if c.received != nil && c.view.Config.Version < c.received.Config {
