Bytes behind a complete response do not fill an idle connection

A spec of "behind the last chunk of a stream" failed once of some ten runs of the suite: the bytes came when the connection was idle already, and were found only when it was taken again, up to seconds later. The system's buffers hold megabytes of them, which count as the router's memory.

--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -54,6 +54,8 @@
 	idleSince wasabiridge.Millis
 	expires   wasabiridge.Millis
 	released  bool
+	// checked is set when the connection was checked for unread bytes while it was idle.
+	checked bool
 	// tainted is true when the context ended during the exchange, which may leave
 	// a deadline on the connection.
 	tainted bool
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -61,6 +61,8 @@
 	// unacknowledged before the system closes the connection. A network partition
 	// cannot be detected in any other way.
 	DefaultUserTimeout = 3 * wasabiridge.Second
+	// extraBytesTime is how long after a response bytes may follow that belong to none.
+	extraBytesTime = 200 * wasabiridge.Millis(1)
 	// unusedIdle is how long a connection is kept on which nothing was ever sent.
 	// The server closes it long before.
 	unusedIdle = wasabiridge.Minute
@@ -276,6 +278,23 @@
 	h.idle = kept
 }
 
+// dropUnclean closes idle connections on which something was received since their last
+// response. Each is checked until extraBytesTime after its release.
+func (h *host) dropUnclean(now wasabiridge.Millis) {
+	kept := h.idle[:0]
+	for _, c := range h.idle {
+		if c.checked || c.isClean() {
+			c.checked = c.checked || now-c.idleSince >= extraBytesTime
+			kept = append(kept, c)
+			continue
+		}
+		h.open--
+		c.close()
+	}
+	clear(h.idle[len(kept):])
+	h.idle = kept
+}
+
 // uncount reduces the count of open connections by one that could not be opened or
 // was closed.
 func (p *Pool) uncount(address string) {
@@ -300,18 +319,20 @@
 		return
 	}
 	now := p.options.Clock.Now()
-	c.idleSince, c.expires = now, now+keep
+	c.idleSince, c.expires, c.checked = now, now+keep, false
 	h.idle = append(h.idle, c)
 }
 
-// Sweep closes expired idle connections. It should be called periodically, so that
-// servers do not hold connections that are no longer used.
+// Sweep closes expired idle connections, and those on which bytes arrived behind the last
+// response. It should be called periodically, so that servers do not hold connections that are
+// no longer used, and what they send without being asked does not fill the system's buffers.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
 	for address, h := range p.hosts {
 		h.dropExpired(now)
+		h.dropUnclean(now)
 		if h.open <= 0 && len(h.idle) == 0 {
 			delete(p.hosts, address)
 		}
