--- a/event.go
+++ b/event.go
@@ -141,6 +141,7 @@
 // list of cached prefix segments.
 const (
 	PartHead    ResponsePart = "head"
+	PartRefusal ResponsePart = "refusal"
 	PartFraming ResponsePart = "framing"
 	PartEvent   ResponsePart = "event"
 	PartCall    ResponsePart = "call"
