--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -184,18 +184,19 @@
 }
 
 // Refuses reports whether an address refuses connections, because nothing listens there.
-// A connection that it opens is kept for the next request. It sends nothing.
-func (p *Pool) Refuses(ctx context.Context, address string, w Requirements) bool {
+// A connection that it opens is kept for the next request. It sends nothing. It returns
+// ErrUnavailable when no connection may be opened to find out.
+func (p *Pool) Refuses(ctx context.Context, address string, w Requirements) (bool, error) {
 	w.NewConnection = true
-	if c, err := p.take(address, w); c != nil || err != nil {
-		return false
+	if _, err := p.take(address, w); err != nil {
+		return false, err
 	}
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED), nil
 	}
 	p.put(c, unusedIdle)
-	return false
+	return false, nil
 }
 
 // Probe reports whether an address can be reached. It checks an idle connection if
