A moved KV cache is released once

Found by reading: a request that ended during a move released the KV cache of an earlier one twice, and not that of a move that succeeded right before. Each complete stream began a goroutine, also if nobody had asked for a move.

--- a/internal/wasabirelay/move.go
+++ b/internal/wasabirelay/move.go
@@ -309,14 +309,16 @@
 		return
 	}
 	if end.Result == wasabiridge.AttemptCompleted && end.Framing != wasabiridge.FramingClose {
-		go x.relay.releaseMove(r, move)
+		if _, requested := x.relay.running.result(r); requested {
+			go x.relay.releaseMove(r, move)
+		}
 		return
 	}
 	if move != nil {
 		select {
 		case <-move.done:
+			move = nil
 		case <-x.ctx.Done():
-			go x.relay.releaseMove(r, move)
 		}
 	}
 	moved, mayBeStopped := x.relay.running.result(r)
@@ -327,17 +329,12 @@
 		x.relay.counts.addUnproven(moved.Handle != "")
 		end.Result = wasabiridge.AttemptBroken
 	}
-	if end.Result != wasabiridge.AttemptBroken {
-		go x.relay.releaseMove(r, nil)
+	if end.Result != wasabiridge.AttemptBroken || x.ctx.Err() != nil {
+		go x.relay.releaseMove(r, move)
 		return
 	}
 	end.Stopped = !end.ServerCrashed
-	switch {
-	case x.ctx.Err() != nil:
-		if move == nil {
-			go x.relay.releaseMove(r, nil)
-		}
-	case end.Stopped || moved.To.ID != d.Backend.ID:
+	if end.Stopped || moved.To.ID != d.Backend.ID {
 		end.Moved = moved
 	}
 }
