The spec of a rolled back version waits for both instances

Cause: the check, not the product. The phases that /rollouts of both instances showed at that moment: rolled_back at the instance that had decided, trial at the other one, which decides by its next look, at most 100 ms later, and had placed the late request (16, 49 and 73 ms after). The operators allow a bad version requests until rollbackMs, 5,000 ms, after its 50th bad answer; here it had 18.

The spec waits now until both instances place by the phase, within those 5 s, and until the callers' requests of before have ended.

--- a/internal/wasabinode/rollout_test.go
+++ b/internal/wasabinode/rollout_test.go
@@ -3,21 +3,31 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/platform/standin"
 )
 
 var _ = Describe("A rollout of a software version", func() {
 	const perSecond = 200
 
+	// requests counts how the requests of callers end, ended by instance. Each instance has one
+	// caller, which sends one request after the other.
+	type requests struct {
+		failed atomic.Int64
+		ended  [2]atomic.Int64
+	}
 	// begin orders a rollout of the plain service to v2 while callers send requests, and
 	// returns the servers of both versions and how the requests end.
-	begin := func(g *rig, seconds float64) (old, added []*standin.Replica, failed *atomic.Int64) {
+	begin := func(g *rig, seconds float64) (old, added []*standin.Replica, sent *requests) {
 		n := g.start()
 		other := g.start()
 		for i := range 3 {
@@ -27,7 +37,7 @@
 		for _, node := range []*running{n, other} {
 			Eventually(status(node.caller, "/open/x", ""), "5s").Should(Equal(200))
 		}
-		failed = &atomic.Int64{}
+		sent = &requests{}
 		stop := make(chan struct{})
 		DeferCleanup(func() { close(stop) })
 		for i, node := range []*running{n, other} {
@@ -40,8 +50,9 @@
 					case <-time.After(time.Second / perSecond):
 					}
 					if code, _, _ := send(node.caller, "/open/x", fmt.Sprintf("%d-%d", i, id), ""); code != 200 {
-						failed.Add(1)
+						sent.failed.Add(1)
 					}
+					sent.ended[i].Add(1)
 				}
 			}()
 		}
@@ -49,7 +60,7 @@
 			added = append(added, g.replica(standin.ReplicaOptions{ID: fmt.Sprint("new", i), Service: "app", Software: "v2", ProcessingTime: 5 * time.Millisecond}))
 		}
 		g.store.Put("op", "rollout/app", map[string]any{"service": "app", "to": "v2", "durationS": seconds})
-		return old, added, failed
+		return old, added, sent
 	}
 	state := func(g *rig) func() string {
 		return func() string {
@@ -70,7 +81,7 @@
 
 	It("to a good version is completed, without a failed request", func() {
 		g := newRig()
-		old, added, failed := begin(g, 6)
+		old, added, sent := begin(g, 6)
 		Eventually(state(g), "3s").Should(Equal("v2 running"))
 		Eventually(state(g), "15s").Should(Equal("v2 completed"))
 		before := runs(old)
@@ -79,20 +90,46 @@
 		}
 		Consistently(func() int { return runs(old) }, "1s").Should(Equal(before))
 		Expect(runs(added)).To(BeNumerically(">", 10))
-		Expect(failed.Load()).To(BeZero())
+		Expect(sent.failed.Load()).To(BeZero())
 	})
 
+	// phase returns the phase of the rollout by which an instance places requests.
+	phase := func(n *running) func() wasabiridge.RolloutPhase {
+		return func() wasabiridge.RolloutPhase {
+			response, err := http.Get("http://" + n.metrics + "/rollouts")
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			var list []struct{ Phase wasabiridge.RolloutPhase }
+			if Expect(json.NewDecoder(response.Body).Decode(&list)).To(Succeed()); len(list) != 1 {
+				return ""
+			}
+			return list[0].Phase
+		}
+	}
+
 	It("to a bad version is rolled back, with few requests at it and none afterwards", func() {
 		g := newRig()
-		old, added, _ := begin(g, 20)
+		old, added, sent := begin(g, 20)
 		for _, r := range added {
 			r.FailWith(func(int) standin.Fault { return standin.Error })
 		}
 		Eventually(state(g), "15s").Should(Equal("v2 rolled_back"))
+		Expect(runs(added)).To(BeNumerically("<=", 50))
+		Expect(runs(added)).To(BeNumerically("<=", runs(old)/10))
+		decided := ""
+		for _, n := range g.nodes {
+			Eventually(phase(n), "5s").Should(Equal(wasabiridge.RolloutRolledBack))
+			decided += n.log.String()
+		}
+		// A request that was placed before has ended once its caller has sent the next one.
+		for i := range sent.ended {
+			ended := sent.ended[i].Load()
+			Eventually(sent.ended[i].Load, "5s").Should(BeNumerically(">=", ended+2))
+		}
 		before := runs(added)
 		Expect(before).To(BeNumerically("<=", 50))
-		Expect(before).To(BeNumerically("<=", runs(old)/10))
 		Consistently(func() int { return runs(added) }, "1s").Should(Equal(before))
-		Expect(g.nodes[0].lastLines("Phase of a rollout decided.")).To(ContainSubstring(`"measure":"failures"`))
+		Expect(slices.Collect(strings.SplitSeq(decided, "\n"))).To(ContainElement(And(ContainSubstring("Phase of a rollout decided."),
+			ContainSubstring(`"phase":"rolled_back"`), ContainSubstring(`"measure":"failures"`))))
 	})
 })
