A holder of the lease for orders leaves its last orders to the next one

Cause: the orders of other holders lay only in the memory of instances that received updates. A holder that restarts knows neither its own nor those of the holder that followed it; one that loses the lease and gets it again checked the updates before it began an upgrade, not before it sent or repeated its order; and ranks six to eight may hold the lease but were not sent the updates.

An upgrade begun under another number goes on only if no other holder has sent an order. One constant names the ranks that may hold the lease.

Tried and given up: to leave out every replica of the row.

--- a/internal/wasabilease/events.go
+++ b/internal/wasabilease/events.go
@@ -6,10 +6,12 @@
 type Event interface{ isEvent() }
 
 // Contended reports whether this instance wants the lease, and the newest known epoch of
-// the store. Zero means that none is known.
+// the store. Zero means that none is known. Handover is written for the next holder when the
+// lease is released.
 type Contended struct {
-	Wanted bool
-	Epoch  wasabiridge.StoreEpoch
+	Wanted   bool
+	Epoch    wasabiridge.StoreEpoch
+	Handover string
 }
 
 // RowRead is the result of a ReadRow.
--- a/internal/wasabilease/lease.go
+++ b/internal/wasabilease/lease.go
@@ -21,6 +21,9 @@
 	// Recorder receives timeline events. Nil means that none are recorded.
 	Recorder wasabiridge.Recorder
 	Timing   Timing
+	// Handover returns what the next holder needs if this instance releases the lease. Nil
+	// means nothing.
+	Handover func() string
 }
 
 // Lease contends for one lease in the platform's table. It is safe for
@@ -91,7 +94,11 @@
 		} else {
 			ticker.Next(idleInterval)
 		}
-		l.handle(ctx, m, Contended{Wanted: l.wanted.Load(), Epoch: wasabiridge.StoreEpoch(l.epoch.Load())})
+		contended := Contended{Wanted: l.wanted.Load(), Epoch: wasabiridge.StoreEpoch(l.epoch.Load())}
+		if o.Handover != nil {
+			contended.Handover = o.Handover()
+		}
+		l.handle(ctx, m, contended)
 	}
 }
 
--- a/internal/wasabilease/lease_test.go
+++ b/internal/wasabilease/lease_test.go
@@ -161,6 +161,21 @@
 		t.run(wasabiridge.Second, c)
 		Expect(c.grant).To(Equal(wasabilease.Grant{Lease: "orders", Fencing: 1, Until: sent + ttl}))
 	},
+	// The next holder must learn what the one before has done last.
+	"a release with a handover": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a)
+		t.a.feed(wasabilease.Contended{Handover: "done"})
+		t.run(ttl/2, t.b)
+		Expect(t.b.holds()).To(BeTrue())
+		Expect(t.b.grant.Previous).To(Equal(wasabilease.Previous{Fencing: 1, Holder: "a", Handover: "done"}))
+		t.run(ttl, t.b)
+		Expect(t.b.grant.Previous.Holder).To(BeEquivalentTo("a"), "a renewal keeps it")
+	},
+	"a holder that ends without a release": func(t *leaseTest) {
+		t.run(wasabiridge.Second, t.a)
+		t.run(3*ttl, t.b)
+		Expect(t.b.grant.Previous).To(Equal(wasabilease.Previous{Fencing: 1, Holder: "a"}))
+	},
 	// The holder's renewal takes effect long after it was sent. The grant must
 	// not be extended from that point, because contenders do not count from it.
 	"a renewal that takes effect late": func(t *leaseTest) {
--- a/internal/wasabilease/machine.go
+++ b/internal/wasabilease/machine.go
@@ -13,6 +13,17 @@
 	Lease   string
 	Fencing wasabiridge.FencingNumber
 	Until   wasabiridge.Millis
+	// Previous is the holder whose row this instance took over.
+	Previous Previous
+}
+
+// Previous is what the row of a lease says about its last holder. The zero Previous means that
+// the lease was never held.
+type Previous struct {
+	Fencing wasabiridge.FencingNumber
+	Holder  wasabiridge.InstanceID
+	// Handover is what the holder wrote for the next one when it released the lease.
+	Handover string
 }
 
 // Covers reports whether the grant lasts for the whole span from now.
@@ -67,8 +78,12 @@
 	timing      Timing
 
 	wanted bool
-	busy   bool
-	grant  Grant
+	// handover is what the next holder needs if this instance releases the lease.
+	handover string
+	busy     bool
+	grant    Grant
+	// previous is the holder of the row that was last taken over.
+	previous Previous
 	// nextAt is when the row is read next.
 	nextAt wasabiridge.Millis
 	// seen is the last revision that was read of another holder's row, seenAt
@@ -119,6 +134,7 @@
 	switch e := e.(type) {
 	case Contended:
 		m.observeEpoch(now, e.Epoch)
+		m.handover = e.Handover
 		m.contend(now, e.Wanted)
 	case RowRead:
 		m.read(now, e)
@@ -220,7 +236,7 @@
 // whose result arrives after the grant ended does not restore it: every
 // uninterrupted term has its own fencing number.
 func (m *Machine) hold(now wasabiridge.Millis, w sentWrite) {
-	g := Grant{Lease: m.name, Fencing: w.fencing, Until: w.at + m.timing.TTL}
+	g := Grant{Lease: m.name, Fencing: w.fencing, Until: w.at + m.timing.TTL, Previous: m.previous}
 	if !m.wanted || w.kind == release || !g.Covers(now, 0) {
 		return
 	}
@@ -237,7 +253,7 @@
 	own := r.Holder == m.self && r.Incarnation == m.incarnation
 	switch {
 	case own && !m.wanted:
-		m.write(now, revision, record{Fencing: r.Fencing}, release)
+		m.write(now, revision, record{Fencing: r.Fencing, Last: m.self, Handover: m.handover}, release)
 	case !m.wanted:
 	case m.holdsFromEarlierEpoch(now, r):
 		m.take(now, revision, r)
@@ -288,6 +304,7 @@
 }
 
 func (m *Machine) take(now wasabiridge.Millis, revision uint64, r record) {
+	m.previous = r.previous()
 	m.write(now, revision, record{Holder: m.self, Incarnation: m.incarnation, Fencing: r.next(m.epoch)}, takeover)
 }
 
--- a/internal/wasabilease/record.go
+++ b/internal/wasabilease/record.go
@@ -14,10 +14,22 @@
 	Holder      wasabiridge.InstanceID    `json:"holder"`
 	Incarnation wasabiridge.Incarnation   `json:"incarnation"`
 	Fencing     wasabiridge.FencingNumber `json:"fencing_number"`
+	// Last is the instance that has released the lease, and Handover what it tells the next
+	// holder. Both are empty while the lease is held.
+	Last     wasabiridge.InstanceID `json:"last_holder,omitempty"`
+	Handover string                 `json:"handover,omitempty"`
 }
 
 func (r record) isFree() bool { return r.Holder == "" }
 
+// previous returns what the row says about its last holder.
+func (r record) previous() Previous {
+	if !r.isFree() {
+		return Previous{Fencing: r.Fencing, Holder: r.Holder}
+	}
+	return Previous{Fencing: r.Fencing, Holder: r.Last, Handover: r.Handover}
+}
+
 // epochBits is the number of low bits of a fencing number that count the holders within
 // one epoch of the store. Fencing numbers stay below 2^53, so that JSON numbers hold them.
 const epochBits = 32
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -7,6 +7,7 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabicatalog"
+	"github.com/wasabiridge/wasabiridge/internal/wasabiupgrade"
 )
 
 // rank returns this instance's place in the order of the instances in the
@@ -15,14 +16,10 @@
 	return wasabicatalog.RankOf(n.self(), n.members.Members())
 }
 
-// leaseCandidates is how many instances of the lowest ranks receive updates on the
-// backoff of replicas although callers are not sent to them: the next holder of
-// the upgrade lease is one of them.
-const leaseCandidates = 5
-
 // sendBackoffs applies updates on replicas, with their backoff, drain and weights,
 // at this instance first. Then it sends them to the instances that place requests
-// and to those that may hold the upgrade lease next.
+// and to those that may hold the upgrade lease next, although callers may not be
+// sent to them.
 //
 // The failure it guards against: the holder of the lease sends an update on each
 // replica to every one of many instances. It does nothing else for seconds, and
@@ -31,7 +28,7 @@
 	update := wasabiridge.StateUpdate{From: n.options.Settings.Instance, Backoffs: backoffs}
 	n.applyUpdate(update)
 	peers := n.active()
-	for _, p := range n.catalog.LowestRanks(leaseCandidates) {
+	for _, p := range n.catalog.LowestRanks(wasabiupgrade.Candidates) {
 		if !slices.Contains(peers, p) {
 			peers = append(peers, p)
 		}
@@ -53,7 +50,7 @@
 	now := n.options.Clock.Now()
 	for _, r := range update.Backoffs {
 		if update.From != n.options.Settings.Instance {
-			n.upgrade.Receive(r.Backend)
+			n.upgrade.Receive(update.From, r.Backend)
 		}
 		n.loop.TryPost(wasabiridge.BackendInBackoff{Backend: r.Backend, Until: now + r.Backoff})
 		if r.Backoff > 0 {
--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -29,10 +30,10 @@
 	// instance contends for the lease because the outstanding upgrades make no
 	// progress.
 	rankDelay = 900 * wasabiridge.Millis(1)
-	// observingRanks is how many instances of the lowest ranks observe the replicas, so that
-	// they can hold the lease. The others neither keep a state for each replica nor look at
-	// them many times a second.
-	observingRanks = 8
+	// Candidates is how many instances of the lowest ranks observe the replicas, so that they
+	// can hold the lease. They need the updates of each other. The others neither keep a state
+	// for each replica nor look at them many times a second.
+	Candidates = 8
 	// updateInterval is how often the replicas are compared with the list although it has not
 	// changed: an earlier incarnation is accepted when it was reported for long enough.
 	updateInterval = 500 * wasabiridge.Millis(1)
@@ -80,8 +81,10 @@
 type Controller struct {
 	options Options
 	lease   *wasabilease.Lease
-	times   Durations
-	results chan Event
+	// handover is what is written for the next holder when the lease is released.
+	handover atomic.Value
+	times    Durations
+	results  chan Event
 	// stalledSince is the time since which the outstanding upgrades make no progress.
 	stalledSince wasabiridge.Millis
 	// loggedFencing is the fencing number of the lease that was last logged.
@@ -95,14 +98,13 @@
 
 // NewController returns a Controller that is not running yet. Run runs it.
 func NewController(o Options) *Controller {
-	return &Controller{
-		options: o,
-		results: make(chan Event, resultsSize),
-		lease: wasabilease.New(wasabilease.Options{
-			Name: leaseName, Self: wasabiridge.InstanceID(string(o.Self) + "@" + o.Address), Incarnation: o.Incarnation, Table: o.Table, Clock: o.Clock,
-			Recorder: o.Recorder, Timing: LeaseTiming,
-		}),
-	}
+	k := &Controller{options: o, results: make(chan Event, resultsSize)}
+	k.handover.Store("")
+	k.lease = wasabilease.New(wasabilease.Options{
+		Name: leaseName, Self: wasabiridge.InstanceID(string(o.Self) + "@" + o.Address), Incarnation: o.Incarnation, Table: o.Table, Clock: o.Clock,
+		Recorder: o.Recorder, Timing: LeaseTiming, Handover: func() string { return k.handover.Load().(string) },
+	})
+	return k
 }
 
 // Durations returns the durations of the upgrades since the start.
@@ -110,9 +112,9 @@
 
 // Receive is called when another instance has sent a state update about a replica. It
 // does not block; the update is dropped if the queue is full.
-func (k *Controller) Receive(b wasabiridge.BackendServerID) {
+func (k *Controller) Receive(from wasabiridge.InstanceID, b wasabiridge.BackendServerID) {
 	select {
-	case k.results <- UpdateReceived{Backend: b}:
+	case k.results <- UpdateReceived{Backend: b, From: from}:
 	default:
 	}
 }
@@ -120,7 +122,7 @@
 // Run runs the controller until the context is cancelled.
 func (k *Controller) Run(ctx context.Context) {
 	go k.lease.Run(ctx)
-	m := NewMachine(k.options.Timing)
+	m := NewMachine(k.options.Self, k.options.Timing)
 	ticker := wasabipulse.New(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -151,7 +153,11 @@
 		if k.options.Epoch != nil {
 			k.lease.ObserveEpoch(k.options.Epoch())
 		}
-		k.lease.Contend(k.wantsLease(now, m.Outstanding()))
+		wanted := k.wantsLease(now, m.Outstanding())
+		if !wanted && k.lease.Grant().Fencing != 0 {
+			k.handover.Store(m.Handover(now))
+		}
+		k.lease.Contend(wanted)
 	}
 }
 
@@ -160,7 +166,7 @@
 func (k *Controller) tick() Ticked {
 	out := Ticked{Grant: k.lease.Grant()}
 	var entries []wasabiridge.BackendEntry
-	if out.Grant.Fencing != 0 || k.options.Rank() < observingRanks {
+	if out.Grant.Fencing != 0 || k.options.Rank() < Candidates {
 		entries, out.Targets = k.options.Catalog()
 	}
 	now := k.options.Clock.Now()
@@ -203,6 +209,9 @@
 		go k.send(ctx, e)
 	case ReadState:
 		go k.read(ctx, e)
+	case Succeeded:
+		k.options.Log.Info().Err(e.Err).Uint64("fencing_before", uint64(e.Previous.Fencing)).Str("holder_before", string(e.Previous.Holder)).
+			Int("orders", e.Orders).Msg("Orders of an earlier holder taken over.")
 	case Upgraded:
 		k.times.add(e)
 		k.options.Log.Info().Str("backend", string(e.Backend)).Str("model", string(e.Model)).Uint64("weights", uint64(e.Weights)).
--- a/internal/wasabiupgrade/controller_test.go
+++ b/internal/wasabiupgrade/controller_test.go
@@ -16,9 +16,10 @@
 
 // stuckEngines accept orders and never carry them out, so that the upgrade stays
 // outstanding.
-type stuckEngines struct{}
+type stuckEngines struct{ orders *atomic.Int64 }
 
-func (stuckEngines) SendOrder(context.Context, wasabiridge.BackendServer, wasabiridge.EngineOrder) error {
+func (e stuckEngines) SendOrder(context.Context, wasabiridge.BackendServer, wasabiridge.EngineOrder) error {
+	e.orders.Add(1)
 	return nil
 }
 
@@ -34,10 +35,11 @@
 		running, cancel := context.WithCancel(ctx)
 		defer cancel()
 		var leaving atomic.Bool
+		var orders atomic.Int64
 		clock := wasabiclock.Boot()
 		table := wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock})
 		controller := wasabiupgrade.NewController(wasabiupgrade.Options{
-			Self: "i", Incarnation: 1, Clock: clock, Table: table, Engines: stuckEngines{},
+			Self: "i", Incarnation: 1, Clock: clock, Table: table, Engines: stuckEngines{&orders},
 			Catalog: func() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion) {
 				return []wasabiridge.BackendEntry{{
 					Server: wasabiridge.BackendServer{ID: "e"}, Weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: 1},
@@ -60,8 +62,10 @@
 			return len(list)
 		}
 		Eventually(rows, "10s").Should(Equal(1))
+		Eventually(orders.Load, "10s").Should(BeNumerically(">", 0))
 		leaving.Store(true)
 		other.Contend(true)
 		Eventually(held, "10s").ShouldNot(BeZero())
+		Expect(other.Grant().Previous.Handover).To(And(ContainSubstring(`"backend":"e"`), ContainSubstring(`"holder":"i"`)), "the next holder learns of the order")
 	})
 })
--- a/internal/wasabiupgrade/event.go
+++ b/internal/wasabiupgrade/event.go
@@ -46,7 +46,10 @@
 
 // UpdateReceived reports that another instance has sent a state update about a replica,
 // as it does when it sends orders.
-type UpdateReceived struct{ Backend wasabiridge.BackendServerID }
+type UpdateReceived struct {
+	Backend wasabiridge.BackendServerID
+	From    wasabiridge.InstanceID
+}
 
 func (Ticked) isEvent()         {}
 func (UpdateReceived) isEvent() {}
@@ -84,7 +87,16 @@
 	LoadTime wasabiridge.Millis
 }
 
+// Succeeded reports that this instance has got the lease with a handover. Orders is the number
+// of orders in it, and Err is set if it cannot be decoded.
+type Succeeded struct {
+	Previous wasabilease.Previous
+	Orders   int
+	Err      error
+}
+
 func (SendUpdate) isEffect() {}
+func (Succeeded) isEffect()  {}
 func (Upgraded) isEffect()   {}
 func (SendOrder) isEffect()  {}
 func (ReadState) isEffect()  {}
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -37,6 +37,10 @@
 // Orders of an earlier holder may still be in flight when its lease has expired.
 // Instances receive state updates about each other's orders, so a new holder sends no
 // order to a replica within one lease term after such an update from another instance.
+// An instance that has just started has not received them. The row of the lease has the orders
+// of the last lease term if the earlier holder has released it, so that the instance does not
+// order a replica again to which another holder has sent an order after its own. A holder that
+// ends without a release is followed only when its lease has expired.
 //
 // # Usage
 //
@@ -96,13 +100,15 @@
 // deterministic and not safe for concurrent use.
 type Machine struct {
 	timing   Timing
+	self     wasabiridge.InstanceID
 	replicas map[unit]*replica
 	// order holds the replicas in the order of their units.
 	order  []*replica
 	wanted map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 	grant  wasabilease.Grant
-	// reported is the time of the last update about a replica from another instance.
-	reported map[wasabiridge.BackendServerID]wasabiridge.Millis
+	// recent are the orders of all holders within the last lease term, by replica. Any update
+	// from another instance about a replica counts as an order.
+	recent map[wasabiridge.BackendServerID][]orderedBy
 	// rejectedFencing is the highest fencing number that a replica rejected as outdated.
 	rejectedFencing wasabiridge.FencingNumber
 	// outstanding is the result of Outstanding as of the last tick.
@@ -111,12 +117,12 @@
 	effects     []Effect
 }
 
-// NewMachine returns a Machine without replicas.
-func NewMachine(t Timing) *Machine {
+// NewMachine returns a Machine without replicas. Self is this instance.
+func NewMachine(self wasabiridge.InstanceID, t Timing) *Machine {
 	t = t.withDefaults()
 	return &Machine{
-		timing: t, replicas: map[unit]*replica{},
-		reported: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
+		timing: t, self: self, replicas: map[unit]*replica{},
+		recent: map[wasabiridge.BackendServerID][]orderedBy{},
 	}
 }
 
@@ -132,6 +138,9 @@
 	}
 	switch e := e.(type) {
 	case Ticked:
+		if e.Grant.Fencing != m.grant.Fencing && e.Grant.Fencing != 0 {
+			m.succeed(now, e.Grant.Previous)
+		}
 		m.wanted, m.grant = e.Targets, e.Grant
 		if !e.Unchanged {
 			m.updateReplicas(now, e)
@@ -144,7 +153,7 @@
 	case StateResult:
 		m.handleStateResult(now, e)
 	case UpdateReceived:
-		m.reported[e.Backend] = now
+		m.observeOrder(e.Backend, orderedBy{holder: e.From, at: now, told: true})
 	}
 	return m.effects
 }
@@ -198,7 +207,7 @@
 			delete(m.replicas, id)
 		}
 	}
-	maps.DeleteFunc(m.reported, func(_ wasabiridge.BackendServerID, at wasabiridge.Millis) bool { return now-at >= m.timing.LeaseTerm })
+	m.expireOrders(now)
 	if changed {
 		m.sortReplicas()
 	}
@@ -227,7 +236,11 @@
 		return
 	}
 	for _, r := range m.order {
-		if r.phase == inBackoff && now-r.since >= m.timing.Backoff && r.readInBackoff && !r.busy {
+		switch {
+		case r.phase != inBackoff || now-r.since < m.timing.Backoff || !r.readInBackoff || r.busy:
+		case !m.mayContinue(now, r):
+			m.abandon(now, r)
+		default:
 			m.send(now, r)
 		}
 	}
@@ -268,7 +281,7 @@
 			away, drained, serving = away+1, drained-1, serving-1
 		case r.phase == idle && away+drained < 2*m.maxLoads() && now >= r.notBefore && !m.mayBeOrderedByOther(now, id) && !inProgress[id]:
 			inProgress[id] = true
-			r.phase, r.since, r.target = draining, now, m.wanted[r.model]
+			r.phase, r.since, r.target, r.fencing = draining, now, m.wanted[r.model], m.grant.Fencing
 			r.drainAnnounced, r.busy = false, true
 			drained++
 			m.effects = append(m.effects, ReadState{Server: r.server, Model: r.model})
@@ -289,13 +302,6 @@
 	m.effects = append(m.effects, SendUpdate{Update: wasabiridge.BackoffUpdate{Backend: r.server.ID, Backoff: backoffTTL}}, ReadState{Server: r.server, Model: r.model})
 }
 
-// mayBeOrderedByOther reports whether another instance may have sent the replica an order
-// within the last lease term.
-func (m *Machine) mayBeOrderedByOther(now wasabiridge.Millis, id wasabiridge.BackendServerID) bool {
-	at, ok := m.reported[id]
-	return ok && now-at < m.timing.LeaseTerm
-}
-
 // inProgress returns the backend servers at which an upgrade of any model is in progress. A
 // server carries out one order at a time.
 func (m *Machine) inProgress() map[wasabiridge.BackendServerID]bool {
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -12,8 +12,9 @@
 
 // emitOrder emits the order for a replica, for the first time or again.
 func (m *Machine) emitOrder(now wasabiridge.Millis, r *replica) {
-	r.busy, r.accepted = true, false
+	r.busy, r.accepted, r.fencing = true, false, m.grant.Fencing
 	r.nextRead = now + m.timing.Poll
+	m.observeOrder(r.server.ID, orderedBy{holder: m.self, at: now, told: true})
 	m.effects = append(m.effects, SendOrder{
 		Server: r.server,
 		Order: wasabiridge.EngineOrder{
@@ -150,7 +151,7 @@
 		return
 	}
 	r.acceptedOrders = s.Orders
-	if m.mayOrder(now) {
+	if m.mayOrder(now) && m.mayContinue(now, r) {
 		m.emitOrder(now, r)
 	}
 }
--- a/internal/wasabiupgrade/replica.go
+++ b/internal/wasabiupgrade/replica.go
@@ -37,6 +37,8 @@
 	serves wasabiridge.WeightsVersion
 	phase  phase
 	target wasabiridge.WeightsVersion
+	// fencing is the number under which the upgrade was begun or the replica last ordered.
+	fencing wasabiridge.FencingNumber
 	// since is the start of the phase, backoffTime the time in backoff before the order,
 	// and nextRead the time of the next read.
 	since       wasabiridge.Millis
--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -54,7 +54,7 @@
 
 func newFleet(n int) *fleet {
 	f := &fleet{
-		machine: wasabiupgrade.NewMachine(wasabiupgrade.Timing{}), now: 1e6, wanted: 1,
+		machine: wasabiupgrade.NewMachine("self", wasabiupgrade.Timing{}), now: 1e6, wanted: 1,
 		serves: map[wasabiridge.BackendServerID]wasabiridge.WeightsVersion{}, done: map[wasabiridge.BackendServerID]wasabiridge.Millis{},
 		target: map[wasabiridge.BackendServerID]wasabiridge.WeightsVersion{}, accepted: map[wasabiridge.BackendServerID]uint64{},
 	}
@@ -326,6 +326,85 @@
 		Expect(f.left()).To(BeZero())
 	})
 
+	// handOver replaces the machine by one of another process that gets the released lease.
+	handOver := func(f *fleet, to wasabiridge.InstanceID) {
+		previous := wasabilease.Previous{Fencing: f.grant.Fencing, Holder: "before", Handover: f.machine.Handover(f.now)}
+		f.machine = wasabiupgrade.NewMachine(to, wasabiupgrade.Timing{})
+		f.hold(f.grant.Fencing + 1)
+		f.grant.Previous = previous
+	}
+	// ordered returns the engines that got an order since the first ones.
+	ordered := func(f *fleet, first int) map[wasabiridge.BackendServerID]bool {
+		out := map[wasabiridge.BackendServerID]bool{}
+		for _, o := range f.orders[first:] {
+			out[o.Server.ID] = true
+		}
+		return out
+	}
+
+	// Two instances restart in turn. The first one has sent an engine an order, and so has the
+	// second one while the first was away.
+	It("does not order a replica again after the order of another holder, although both have restarted", func() {
+		f := newFleet(6)
+		f.hold(1)
+		f.wanted = 2
+		f.lose = func(wasabiridge.BackendServerID) bool { return true }
+		f.run(500)
+		first := ordered(f, 0)
+		handOver(f, "other")
+		before := len(f.orders)
+		f.run(500)
+		both := ordered(f, before)
+		maps.DeleteFunc(both, func(id wasabiridge.BackendServerID, _ bool) bool { return !first[id] })
+		Expect(both).NotTo(BeEmpty(), "the lease was released, so the next holder may order them")
+		handOver(f, "self")
+		before = len(f.orders)
+		f.run(2000)
+		third := ordered(f, before)
+		Expect(third).NotTo(BeEmpty(), "the replicas that no two holders have ordered are not held up")
+		for id := range both {
+			Expect(third).NotTo(HaveKey(id))
+		}
+		f.lose = nil
+		f.run(12000)
+		Expect(f.left()).To(BeZero())
+	})
+
+	resumed := map[string]func(f *fleet){
+		"that has not answered its order": func(f *fleet) { f.lose = func(wasabiridge.BackendServerID) bool { return true }; f.run(400) },
+		"that is in backoff":              func(f *fleet) { f.run(200) },
+	}
+	for _, name := range slices.Sorted(maps.Keys(resumed)) {
+		// An instance is cut off from the store during an upgrade. Another one orders the
+		// replica, and the first one gets the lease again within the lease term.
+		It("does not go on with the order of a replica "+name+" that another holder has ordered meanwhile", func() {
+			f := newFleet(1)
+			f.hold(1)
+			f.wanted = 2
+			resumed[name](f)
+			before := len(f.orders)
+			f.handle(wasabiupgrade.UpdateReceived{Backend: id(0), From: "other"})
+			f.hold(3)
+			f.lose = nil
+			f.run(2900)
+			Expect(f.orders[before:]).To(BeEmpty())
+			f.run(5000)
+			Expect(f.left()).To(BeZero())
+		})
+	}
+
+	It("reports a handover that it cannot decode, and sends its orders", func() {
+		f := newFleet(3)
+		f.hold(2)
+		f.grant.Previous = wasabilease.Previous{Fencing: 1, Holder: "other", Handover: "["}
+		effects := f.machine.Handle(f.now, wasabiupgrade.Ticked{Grant: f.grant})
+		Expect(effects).To(HaveLen(1))
+		Expect(effects[0].(wasabiupgrade.Succeeded).Err).To(MatchError(And(ContainSubstring("other"), ContainSubstring("fencing number 1"))))
+		f.wanted = 2
+		f.run(8000)
+		Expect(f.left()).To(BeZero())
+	})
+
 	// Two of nine engines do not respond when the target version changes. They must not
 	// take the two load slots again and again while the others wait.
 	It("does not wait for replicas that do not respond, and upgrades them once they do", func() {
@@ -426,7 +505,7 @@
 	// number were used for both, an upgrade of the other model would never start, or
 	// never be detected as complete.
 	It("upgrades the models of one replica separately, one at a time", func() {
-		m := wasabiupgrade.NewMachine(wasabiupgrade.Timing{})
+		m := wasabiupgrade.NewMachine("self", wasabiupgrade.Timing{})
 		serves := map[wasabiridge.ModelID]wasabiridge.WeightsVersion{"a": 7, "b": 2}
 		wanted := map[wasabiridge.ModelID]wasabiridge.WeightsVersion{"a": 8, "b": 3}
 		grant := wasabilease.Grant{Lease: "l", Fencing: 1, Until: 1e9}
