A version of the weights that one response names can be refuted

What callers could see: a replica that names a version too high in one response is sent requests for that version only and stays out of use until it restarts. Found by the review, by reading; shown by specs, not with real processes.

Cause: versions rise within a start, so a lower one counted as an old report, and one in a response was as good as one of the list. Nothing could take it back.

Fix: a version that only responses have named is a claim. The list, a report or another instance confirms it. A response to a request that was sent after the claim was received refutes it, as a 421 does, or a list that still has a lower one 5 s later; responses that name it again are ignored until the list has it. A response to an earlier request proves nothing, as responses may overtake each other. The metric weights_refuted_total counts refuted claims.

--- a/event.go
+++ b/event.go
@@ -197,6 +197,9 @@
 	// Incarnation is the incarnation in which the server reported the version. Zero
 	// means its present one, as far as known.
 	Incarnation Incarnation
+	// RequestSentAt is set if the version was read from the response to a request that was
+	// sent then. Zero means that it is from the list, a report or another instance.
+	RequestSentAt Millis
 }
 
 // TargetWeightsSet reports which version of a model the operators want served. At is when
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -83,8 +83,9 @@
 // times in microseconds.
 func (n *Node) engineLines() []string {
 	var estimates []wasabireplica.CostEstimate
-	n.loop.Inspect(func() { estimates = n.placer.CostEstimates() })
-	var lines []string
+	var refuted uint64
+	n.loop.Inspect(func() { estimates, refuted = n.placer.CostEstimates(), n.placer.RefutedClaims() })
+	lines := []string{line("weights_refuted_total", int64(refuted))}
 	for _, l := range estimates {
 		labels := "{pool=\"" + string(l.Pool) + "\",model=\"" + string(l.Model) + "\"}"
 		lines = append(lines,
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -123,30 +123,6 @@
 	}
 }
 
-// weightsReported records the version of the weights that a replica serves. Versions
-// only rise within an incarnation.
-func (p *Placer) weightsReported(now wasabiridge.Millis, e wasabiridge.WeightsReported) {
-	r := p.replicas[e.Backend]
-	if r == nil {
-		return
-	}
-	if !p.acceptIncarnation(now, r, e.Incarnation) {
-		r.noteUnconfirmed(e)
-		return
-	}
-	if e.Weights <= r.weights[e.Model] {
-		return
-	}
-	if r.weights[e.Model] != 0 {
-		r.cache.clear()
-		r.prefillQueue.clear()
-		// The new weights are served, so the drain and the backoff are over.
-		r.backoffUntil, r.drainUntil = 0, 0
-		r.clearFailures()
-	}
-	r.weights[e.Model] = e.Weights
-}
-
 func (p *Placer) sent(now wasabiridge.Millis, e wasabiridge.AttemptSent) {
 	a, ok := p.attempts[e.Attempt]
 	if !ok {
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -131,6 +131,8 @@
 	attempts    map[wasabiridge.AttemptID]attempt
 	kvStores    kvStores
 	peerUpdates peerUpdates
+	// refutedClaims counts versions in responses that were found to be wrong.
+	refutedClaims uint64
 	// foreignUses are the uses of segments in other availability zones, and usesMeasured
 	// is when their memory was last adapted.
 	foreignUses  foreignUses
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -77,7 +77,9 @@
 	unconfirmed        wasabiridge.Incarnation
 	// weights are the versions that the replica serves, by model.
 	weights map[wasabiridge.ModelID]wasabiridge.WeightsVersion
-	cache   cache
+	// claims are the versions in weights that only responses have named.
+	claims map[wasabiridge.ModelID]weightsClaim
+	cache  cache
 	// own is the load of this instance, sentLoad the value of own that was last sent to
 	// the other instances, and peers the loads that they have reported.
 	own, sentLoad load
@@ -136,7 +138,7 @@
 
 func newReplica(b wasabiridge.BackendServer) *replica {
 	return &replica{
-		server: b, weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}, cache: newCache(),
+		server: b, weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}, claims: map[wasabiridge.ModelID]weightsClaim{}, cache: newCache(),
 		peers: map[wasabiridge.InstanceID]peerLoad{},
 	}
 }
@@ -163,6 +165,7 @@
 // there end one by one on their own.
 func (r *replica) reset(now wasabiridge.Millis) {
 	clear(r.weights)
+	clear(r.claims)
 	clear(r.peers)
 	r.life++
 	r.lifeSince = now
--- a/internal/wasabireplica/weights_test.go
+++ b/internal/wasabireplica/weights_test.go
@@ -1,6 +1,9 @@
 package wasabireplica_test
 
 import (
+	"maps"
+	"slices"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -122,3 +125,52 @@
 		Expect(pl.FirstByte).To(BeZero(), "no deadline for the newest weights")
 	})
 })
+
+// Guards against a replica that is not used until it restarts because one of its responses
+// named a wrong version of the weights.
+var _ = Describe("A version of the weights that only a response names", func() {
+	named := func(g *rig, version wasabiridge.WeightsVersion, sentAt wasabiridge.Millis) {
+		g.observe(wasabiridge.WeightsReported{Backend: "e0", Model: model, Weights: version, RequestSentAt: sentAt})
+	}
+	listed := func(g *rig, version wasabiridge.WeightsVersion) {
+		g.observe(wasabiridge.WeightsReported{Backend: "e0", Model: model, Weights: version})
+	}
+	serves := func(g *rig) wasabiridge.WeightsVersion {
+		GinkgoHelper()
+		g.now += wasabiridge.Second
+		pl, ok := g.placer.Place(g.now, wasabiridge.PlaceQuery{Request: short(), Pool: g.pool})
+		Expect(ok).To(BeTrue())
+		return pl.Weights
+	}
+	cases := map[string]struct {
+		observe func(g *rig)
+		want    wasabiridge.WeightsVersion
+		refuted uint64
+	}{
+		"is believed at first":                               {func(g *rig) {}, 900, 0},
+		"is given up once a later request is told another":   {func(g *rig) { named(g, 1, g.now+1) }, 1, 1},
+		"outweighs the response to an earlier request":       {func(g *rig) { named(g, 1, g.now-6) }, 900, 0},
+		"outweighs a list that may be older":                 {func(g *rig) { g.now += 4900; listed(g, 1) }, 900, 0},
+		"is given up for a list that still names another":    {func(g *rig) { g.now += 5000; listed(g, 1) }, 1, 1},
+		"stays once the list has it":                         {func(g *rig) { listed(g, 900); g.now += 9000; listed(g, 1); named(g, 1, g.now) }, 900, 0},
+		"is not believed again":                              {func(g *rig) { named(g, 1, g.now+1); named(g, 900, g.now+2); named(g, 901, g.now+3) }, 1, 1},
+		"is believed again once the list has it":             {func(g *rig) { named(g, 1, g.now+1); listed(g, 900) }, 900, 1},
+		"does not keep the next one away when it is refuted": {func(g *rig) { named(g, 1, g.now+1); named(g, 2, g.now+2); listed(g, 3) }, 3, 1},
+		"ends with the start of the replica": {func(g *rig) {
+			g.observe(wasabiridge.WeightsReported{Backend: "e0", Model: model, Weights: 1000, Incarnation: 6})
+			named(g, 1001, g.now)
+			g.observe(wasabiridge.WeightsReported{Backend: "e0", Model: model, Weights: 2, Incarnation: 7})
+			named(g, 3, g.now)
+		}, 3, 0},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It(name, func() {
+			g := newRig(1)
+			named(g, 900, g.now-10)
+			g.now += 5
+			cases[name].observe(g)
+			Expect(serves(g)).To(Equal(cases[name].want))
+			Expect(g.placer.RefutedClaims()).To(Equal(cases[name].refuted))
+		})
+	}
+})
