--- a/internal/wasabicatalog/catalog_test.go
+++ b/internal/wasabicatalog/catalog_test.go
@@ -480,6 +480,28 @@
 		}
 	})
 
+	// Guards against a row that goes back to an older version without a trace in the log.
+	It("are reported when the store names an older one, once until it names another", func() {
+		m := wasabicatalog.NewMachine(wasabiridge.InstanceEntry{ID: "i"})
+		older := func(now wasabiridge.Millis, revision, version int) []wasabicatalog.Effect {
+			s := snapshot(version)
+			s.Revision = uint64(revision)
+			return slices.DeleteFunc(slices.Clone(m.Handle(now, wasabicatalog.ConfigRead{Sent: now, Snapshot: s})), func(e wasabicatalog.Effect) bool {
+				_, is := e.(wasabicatalog.TargetOlder)
+				return !is
+			})
+		}
+		Expect(older(1000, 1, 5)).To(BeEmpty())
+		Expect(older(2000, 2, 4)).To(Equal([]wasabicatalog.Effect{wasabicatalog.TargetOlder{Model: "m", Read: 4, Known: 5, Revision: 2}}))
+		Expect(older(3000, 3, 4)).To(BeEmpty())
+		Expect(older(4000, 4, 3)).To(HaveLen(1))
+		Expect(older(5000, 5, 5)).To(BeEmpty())
+		Expect(older(6000, 6, 4)).To(HaveLen(1))
+		Expect(m.Snapshot().Weights).To(HaveKeyWithValue(wasabiridge.ModelID("m"), wasabiridge.WeightsVersion(5)))
+		effects := m.Handle(7000, wasabicatalog.ConfigRead{Sent: 7000, Snapshot: snapshot(7)})
+		Expect(effects).To(ContainElement(HaveField("Target.Weights", wasabiridge.WeightsVersion(7))))
+	})
+
 	// The failure it guards against: an instance starts when version 2 has been wanted
 	// for eleven seconds and version 3 has just been set, and reads the configuration
 	// itself. Another instance sends it the time of version 2. Without a further change
--- a/internal/wasabicatalog/controller.go
+++ b/internal/wasabicatalog/controller.go
@@ -192,6 +192,13 @@
 			k.logRestored(f)
 		case ReadIgnored:
 			k.logIgnored(f)
+		case TargetRecorded:
+			k.options.Log.Info().Str("model", string(f.Target.Model)).Uint64("weights", uint64(f.Target.Weights)).Bool("observed", f.Target.Observed).
+				Bool("from_instance", f.FromInstance).Int64("age_ms", int64(k.options.Clock.Now()-f.Target.At)).Uint64("revision", wasabiridge.VersionOf(f.Revision)).
+				Msg("Target version of weights recorded.")
+		case TargetOlder:
+			k.options.Log.Warn().Str("model", string(f.Model)).Uint64("weights_read", uint64(f.Read)).Uint64("weights", uint64(f.Known)).
+				Uint64("revision", wasabiridge.VersionOf(f.Revision)).Msg("Store names older weights than the known ones, which stay the target.")
 		}
 	}
 }
--- a/internal/wasabicatalog/event.go
+++ b/internal/wasabicatalog/event.go
@@ -91,9 +91,27 @@
 	Revision, Known uint64
 }
 
-func (ReadIgnored) isEffect()  {}
-func (ReadConfig) isEffect()   {}
-func (ReadBackends) isEffect() {}
-func (QueryPeer) isEffect()    {}
-func (Changed) isEffect()      {}
-func (Confirmed) isEffect()    {}
+// TargetRecorded reports a target version of weights that was not known before. FromInstance is
+// set if another instance sent it, and not the store.
+type TargetRecorded struct {
+	Target       TargetVersion
+	Revision     uint64
+	FromInstance bool
+}
+
+// TargetOlder reports that the store names an older version of weights than the known one, which
+// stays the target. It is reported once until the store names another.
+type TargetOlder struct {
+	Model       wasabiridge.ModelID
+	Read, Known wasabiridge.WeightsVersion
+	Revision    uint64
+}
+
+func (TargetRecorded) isEffect() {}
+func (TargetOlder) isEffect()    {}
+func (ReadIgnored) isEffect()    {}
+func (ReadConfig) isEffect()     {}
+func (ReadBackends) isEffect()   {}
+func (QueryPeer) isEffect()      {}
+func (Changed) isEffect()        {}
+func (Confirmed) isEffect()      {}
--- a/internal/wasabicatalog/machine.go
+++ b/internal/wasabicatalog/machine.go
@@ -124,6 +124,8 @@
 	// targetVersions are the wanted versions of weights, in the order in which they
 	// were first seen.
 	targetVersions []TargetVersion
+	// olderTargets are the older versions that the store names instead of the known ones.
+	olderTargets map[wasabiridge.ModelID]wasabiridge.WeightsVersion
 
 	querying   bool
 	queriedAt  wasabiridge.Millis
@@ -281,6 +283,7 @@
 		m.delayNextRead(now, &m.config)
 		return
 	}
+	m.compareTargets(e.Snapshot)
 	s, _ := withNewer(e.Snapshot, m.snapshot)
 	content, err := encodeConfig(s)
 	if err != nil {
--- a/internal/wasabicatalog/naming.go
+++ b/internal/wasabicatalog/naming.go
@@ -49,10 +49,28 @@
 	for _, model := range models {
 		if n := (TargetVersion{Model: model, Weights: m.snapshot.Weights[model], At: now, Observed: observed}); !m.isTarget(n) {
 			m.addTargetVersion(n)
+			m.emit(TargetRecorded{Target: n, Revision: m.snapshot.Revision})
 		}
 	}
 }
 
+// compareTargets reports where a snapshot of the store names an older version of weights than
+// the known one.
+func (m *Machine) compareTargets(s wasabiridge.ConfigSnapshot) {
+	older := map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}
+	for model, known := range m.snapshot.Weights {
+		read, named := s.Weights[model]
+		if !named || read >= known {
+			continue
+		}
+		older[model] = read
+		if m.olderTargets[model] != read {
+			m.emit(TargetOlder{Model: model, Read: read, Known: known, Revision: s.Revision})
+		}
+	}
+	m.olderTargets = older
+}
+
 // isTarget reports whether a version is recorded.
 func (m *Machine) isTarget(n TargetVersion) bool {
 	return slices.ContainsFunc(m.targetVersions, func(known TargetVersion) bool { return known.Model == n.Model && known.Weights == n.Weights })
@@ -86,8 +104,14 @@
 func (m *Machine) mergeTargetVersions(e PeerResponded) {
 	changed := false
 	for _, n := range e.Answer.TargetVersions {
-		if n.Observed && m.addTargetVersion(TargetVersion{Model: n.Model, Weights: n.Weights, At: e.Sent - n.Age, Observed: true}) {
-			changed = true
+		target := TargetVersion{Model: n.Model, Weights: n.Weights, At: e.Sent - n.Age, Observed: true}
+		known := m.isTarget(target)
+		if !n.Observed || !m.addTargetVersion(target) {
+			continue
+		}
+		changed = true
+		if !known {
+			m.emit(TargetRecorded{Target: target, Revision: m.snapshot.Revision, FromInstance: true})
 		}
 	}
 	if changed {
