--- a/internal/wasabinode/rollout_test.go
+++ b/internal/wasabinode/rollout_test.go
@@ -128,6 +128,7 @@
 		}
 		before := runs(added)
 		Expect(before).To(BeNumerically("<=", 50))
+		Expect(before).To(BeNumerically("<=", runs(old)/10))
 		Consistently(func() int { return runs(added) }, "1s").Should(Equal(before))
 		Expect(slices.Collect(strings.SplitSeq(decided, "\n"))).To(ContainElement(And(ContainSubstring("Phase of a rollout decided."),
 			ContainSubstring(`"phase":"rolled_back"`), ContainSubstring(`"measure":"failures"`))))
