A placement logs what the instance may use of a server that states how much it takes

Callers were refused, and servers fell. The log did not tell which part of a server an instance went by, in a group of how many, how many of its requests were there, and how old the announcement was. Request placed. has them now for servers that have announced a limit or that they are brittle; for others nothing is added. Nothing decides differently.

--- a/effect.go
+++ b/effect.go
@@ -37,8 +37,9 @@
 	// ExpectedWait and Why are copied from the Placement, for the log.
 	ExpectedWait Millis
 	Why          string
-	// Slowness is copied from the Placement, for the log.
-	Slowness float64
+	// Slowness and Allotment are copied from the Placement, for the log.
+	Slowness  float64
+	Allotment Allotment
 	// Quota is the state of the account limit when the request was admitted.
 	Quota QuotaState
 }
--- a/internal/wasabicore/place.go
+++ b/internal/wasabicore/place.go
@@ -153,6 +153,7 @@
 		FirstByte:     p.FirstByte,
 		ExpectedWait:  p.ExpectedWait,
 		Slowness:      p.Slowness,
+		Allotment:     p.Allotment,
 		Why:           p.Why,
 		Quota:         rs.quota,
 	})
--- a/internal/wasabirate/group.go
+++ b/internal/wasabirate/group.go
@@ -53,6 +53,9 @@
 	g.Expire(now)
 }
 
+// Size returns the number of instances that share the servers.
+func (g *Group) Size() int { return len(g.departedAt) }
+
 // Expire removes instances that have not been seen for departedRetention. After soloDelay
 // it lets an instance that sees no other one use the whole rate.
 func (g *Group) Expire(now wasabiridge.Millis) {
--- a/internal/wasabirate/limit.go
+++ b/internal/wasabirate/limit.go
@@ -112,6 +112,9 @@
 	return l.rate, l.limited
 }
 
+// Age returns how long ago the limit was last received.
+func (l *Limit) Age(now wasabiridge.Millis) wasabiridge.Millis { return now - l.receivedAt }
+
 // Wait returns how long this instance has to wait before it may send the next request.
 // Zero means that it may send now.
 func (l *Limit) Wait(now wasabiridge.Millis, server wasabiridge.BackendServerID, g *Group) wasabiridge.Millis {
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -4,6 +4,8 @@
 	"math"
 	"strconv"
 
+	"github.com/rs/zerolog"
+
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
@@ -21,7 +23,12 @@
 		shared += x.request.Chain.Lengths[i]
 		key = wasabiprefix.SegmentKey(salt, x.request.Chain.Blocks[i])
 	}
-	x.relay.options.Log.Info().
+	line := x.relay.options.Log.Info()
+	if a := d.Allotment; a != (wasabiridge.Allotment{}) {
+		line = line.Dict("allotment", zerolog.Dict().Float64("rate", a.Rate).Bool("brittle", a.Brittle).
+			Int("part", a.Part).Int("used", a.Used).Int("instances", a.Instances).Int64("age_ms", int64(a.Age)))
+	}
+	line.
 		Str(wasabilog.RequestField, string(x.request.ID)).
 		Uint64("attempt", uint64(d.Attempt)).
 		Str("account", string(x.request.Account)).
--- a/internal/wasabireplica/limit.go
+++ b/internal/wasabireplica/limit.go
@@ -50,6 +50,24 @@
 	}
 }
 
+// allotment returns what this instance may use of a replica, if it has announced how much it
+// takes.
+func (p *Placer) allotment(now wasabiridge.Millis, pl *pool, r *replica) wasabiridge.Allotment {
+	var out wasabiridge.Allotment
+	rate, limited := r.limit.Rate(now)
+	if limited {
+		out.Rate, out.Age = rate, r.limit.Age(now)
+	}
+	if _, out.Brittle = pl.refusalsAllowed(now); out.Brittle {
+		out.Part, _ = p.rateGroup.Part(r.server.ID, max(1, r.slotCount()))
+		out.Used, out.Age = r.own.requests, now-(r.brittle.until-brittleExpiry)
+	}
+	if limited || out.Brittle {
+		out.Instances = p.rateGroup.Size()
+	}
+	return out
+}
+
 // limitWait returns how long this instance has to wait, because of the limit that the
 // replica reports, before it may send the next request there. Zero means that it may
 // send now.
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -299,7 +299,7 @@
 }
 
 func (p *Placer) placement(now wasabiridge.Millis, pl *pool, c candidate, q wasabiridge.Request, pr *prompt) wasabiridge.Placement {
-	out := wasabiridge.Placement{Backend: c.replica.server, ExpectedWait: wasabiridge.Millis(c.expected), Slowness: c.slowness, Why: WhyLoad}
+	out := wasabiridge.Placement{Backend: c.replica.server, ExpectedWait: wasabiridge.Millis(c.expected), Slowness: c.slowness, Why: WhyLoad, Allotment: p.allotment(now, pl, c.replica)}
 	if q.Action.Retry && len(pl.replicas) > 1 {
 		out.FirstByte = silenceTimeout(q, c.expected+pl.plainExcess(pr, c.slowness))
 	}
--- a/placement.go
+++ b/placement.go
@@ -54,11 +54,28 @@
 	FirstByte  Millis
 	// CacheHandle is copied to the Dispatch.
 	CacheHandle string
+	// Allotment is what this instance may use of a server that states how much it takes.
+	Allotment Allotment
 	// Unplaceable is set when no server was found. It reports that none will be found
 	// however long the request waits.
 	Unplaceable bool
 }
 
+// Allotment is what one instance may use of a server that has announced a rate limit or that
+// it is brittle. The zero value is that of a server that has announced neither.
+type Allotment struct {
+	// Rate is the announced limit in requests per second, and zero without one.
+	Rate float64
+	// Brittle is set if servers of the pool have announced that they are brittle. Part is the
+	// number of slots that this instance may use, and Used the number that it uses.
+	Brittle    bool
+	Part, Used int
+	// Instances is the number of instances that share the server, as this one knows them.
+	Instances int
+	// Age is how long ago the last announcement was received.
+	Age Millis
+}
+
 // WhyMoved is the reason of a placement that follows the moved KV cache of the previous
 // attempt.
 const WhyMoved = "moved"
