Failing specs: servers that state how much they take get more

The fleets of the specs get servers that are renamed when they fall, instances that callers are not sent to, and callers that pause.

--- a/internal/wasabireplica/brittle_test.go
+++ b/internal/wasabireplica/brittle_test.go
@@ -48,7 +48,13 @@
 	// announces is cleared to simulate instances that ignore the announcements.
 	announces bool
 	// uneven makes half of all requests arrive at the first instance.
-	uneven                  bool
+	uneven bool
+	// renames makes servers that fell come back under new identifiers.
+	renames bool
+	// serving is the number of instances that receive requests, the first ones. Zero means all.
+	// With idle set, none receives any.
+	serving                 int
+	idle                    bool
 	offered, served, failed int
 }
 
@@ -83,10 +89,10 @@
 
 func (f *brittleFleet) tick() {
 	for i, g := range f.instances {
-		g.observe(wasabiridge.InstancesCounted{Count: len(f.instances), Serving: f.names})
+		g.observe(wasabiridge.InstancesCounted{Count: len(f.instances), Serving: f.names[:f.servingCount()]})
 		g.observe(wasabiridge.Ticked{})
 		loads, segments := g.placer.TakeUpdates(f.now)
-		for j, other := range f.instances {
+		for j, other := range f.instances[:f.servingCount()] {
 			if i != j {
 				other.observe(wasabiridge.PeerPlaced{From: f.names[i], Loads: loads, Segments: segments})
 			}
@@ -95,8 +101,19 @@
 	f.agenda.Schedule(f.now+100, f.tick)
 }
 
+func (f *brittleFleet) servingCount() int {
+	if f.serving == 0 {
+		return len(f.instances)
+	}
+	return f.serving
+}
+
 func (f *brittleFleet) arrive() {
-	at := f.random.IntN(len(f.instances))
+	if f.idle {
+		f.agenda.Schedule(f.now+10, f.arrive)
+		return
+	}
+	at := f.random.IntN(f.servingCount())
 	if f.uneven && f.random.IntN(2) == 0 {
 		at = 0
 	}
@@ -179,10 +196,22 @@
 		fail(wasabiridge.AttemptEnded{Result: wasabiridge.AttemptNotRun, Overloaded: true})
 		if countWithin(s.refused, f.now-wasabiridge.Second+1, f.now+1) > brittleRefusals {
 			s.fall(f.now)
+			if f.renames {
+				f.agenda.Schedule(s.downUntil, func() { f.rename(s) })
+			}
 		}
 	}
 }
 
+// rename gives a server a new identifier at all instances.
+func (f *brittleFleet) rename(s *brittleServer) {
+	at := slices.Index(f.servers, s)
+	for _, g := range f.instances {
+		g.pool.Backends[at].ID = wasabiridge.BackendServerID(fmt.Sprintf("e%d.%d", at, s.incarnation))
+		g.adopt()
+	}
+}
+
 func (s *brittleServer) fall(now wasabiridge.Millis) {
 	s.falls = append(s.falls, now)
 	s.downUntil = now + brittleDown
@@ -300,3 +329,50 @@
 		Expect(id).NotTo(BeZero())
 	})
 })
+
+var _ = Describe("What is known of servers that are brittle", func() {
+	play := func(f *brittleFleet, span wasabiridge.Millis) int {
+		start := f.now
+		f.run(brittleGrace + span)
+		return f.falls(start + brittleGrace)
+	}
+
+	// Guards against servers that end again because nothing is known of the process that
+	// replaced one that fell.
+	It("holds for servers that replace those that fell", func() {
+		for seed := range uint64(3) {
+			f := newBrittleFleet(seed, 24, 4, 6, 3)
+			f.renames = true
+			Expect(play(f, brittleSpan)).To(BeNumerically("<=", 2), "seed %d", seed)
+		}
+	})
+
+	// Guards against servers that end because of instances that have had no answer of
+	// theirs.
+	It("is told to instances that receive their first requests", func() {
+		for seed := range uint64(3) {
+			f := newBrittleFleet(seed, 24, 4, 6, 3)
+			f.serving = 8
+			falls := play(f, 3*wasabiridge.Second)
+			f.serving = 24
+			start := f.now
+			f.run(brittleSpan)
+			Expect(falls+f.falls(start)).To(BeNumerically("<=", 2), "seed %d", seed)
+		}
+	})
+
+	// Guards against all instances sending what they like once no answer has confirmed for
+	// long that the servers are brittle.
+	It("does not end at all instances at once when callers pause", func() {
+		for seed := range uint64(3) {
+			f := newBrittleFleet(seed, 24, 4, 6, 3)
+			f.run(2 * brittleSpan)
+			f.idle = true
+			f.run(11 * wasabiridge.Second)
+			f.idle = false
+			start := f.now
+			f.run(brittleSpan)
+			Expect(f.falls(start)).To(BeNumerically("<=", 2), "seed %d", seed)
+		}
+	})
+})
--- a/internal/wasabireplica/limit_test.go
+++ b/internal/wasabireplica/limit_test.go
@@ -41,7 +41,12 @@
 	// partitioned separates the instances with odd numbers from those with even ones.
 	partitioned bool
 	// silent keeps the instances from sending each other updates.
-	silent            bool
+	silent bool
+	// serving is the number of instances that callers are sent to, the first ones. Zero means
+	// all. The others receive requests, too, and no updates.
+	serving int
+	// idle stops all requests.
+	idle              bool
 	admitted, refused int
 	// retryAfters are the delays after which refused callers may retry.
 	retryAfters []wasabiridge.Millis
@@ -79,7 +84,7 @@
 		g.observe(wasabiridge.Ticked{})
 		loads, segments := g.placer.TakeUpdates(f.now)
 		for j, other := range f.instances {
-			if i != j && !f.silent && (!f.partitioned || i%2 == j%2) {
+			if i != j && (f.serving == 0 || j < f.serving) && !f.silent && (!f.partitioned || i%2 == j%2) {
 				other.observe(wasabiridge.PeerPlaced{From: f.names[i], Loads: loads, Segments: segments})
 			}
 		}
@@ -91,7 +96,7 @@
 func (f *limitedFleet) visibleTo(instance int) []wasabiridge.InstanceID {
 	var out []wasabiridge.InstanceID
 	for i, name := range f.names {
-		if !f.partitioned || i%2 == instance%2 {
+		if (!f.partitioned || i%2 == instance%2) && (f.serving == 0 || i < f.serving) {
 			out = append(out, name)
 		}
 	}
@@ -99,7 +104,9 @@
 }
 
 func (f *limitedFleet) arrive() {
-	f.request(f.instances[f.random.IntN(len(f.instances))])
+	if !f.idle {
+		f.request(f.instances[f.random.IntN(len(f.instances))])
+	}
 	f.agenda.Schedule(f.now+wasabiridge.Millis(1+f.random.ExpFloat64()*1000/f.rate), f.arrive)
 }
 
@@ -202,6 +209,31 @@
 		}
 	})
 
+	// Guards against instances that count themselves although the others do not, because
+	// callers are not sent to them.
+	It("receives no more than its limit when some requests arrive at instances that callers are not sent to", func() {
+		f := newLimitedFleet(8, 24, 9, 340)
+		f.serving = 12
+		f.advance(wasabiridge.Second)
+		f.limit(0, 5.7)
+		f.advance(20 * wasabiridge.Second)
+		Expect(f.servers[0].excess()).To(BeNumerically("<=", 0))
+	})
+
+	// Guards against a limit that ends at all instances at the same moment because no answer
+	// has confirmed it for long.
+	It("receives no more than its limit when callers pause for long and return", func() {
+		f := newLimitedFleet(9, 24, 9, 340)
+		f.advance(wasabiridge.Second)
+		f.limit(0, 2)
+		f.advance(6 * wasabiridge.Second)
+		f.idle = true
+		f.advance(11 * wasabiridge.Second)
+		f.idle = false
+		f.advance(6 * wasabiridge.Second)
+		Expect(f.servers[0].excess()).To(BeNumerically("<=", 0))
+	})
+
 	// Guards against instances that stop sending to a limited server, which then
 	// receives far fewer requests than it takes.
 	It("receives most of what its limit allows", func() {
