--- a/internal/wasabirate/rate_test.go
+++ b/internal/wasabirate/rate_test.go
@@ -99,4 +99,50 @@
 		send(1000, 62_000, senders)
 		Expect(send(62_000, 62_000+span, senders)).To(BeNumerically("~", rate*4, 2))
 	})
+
+	// Guards against shares that add up to more than the whole because an instance that
+	// callers are not sent to counts itself, which the others do not.
+	It("is not shared by instances that callers are not sent to", func() {
+		senders := newSenders(1000, 24)
+		for _, s := range senders {
+			s.group.SetInstances(1000, names(24)[:6])
+		}
+		Expect(send(1000, 9000, senders[6:])).To(BeZero())
+		Expect(send(9000, 9000+span, senders)).To(BeNumerically("<=", maxRequests))
+		Expect(send(14_000, 24_000, senders)).To(BeNumerically(">=", 0.8*rate*10))
+	})
+
+	// Guards against an instance that goes on with its share although the others have dropped
+	// it from theirs, because it noticed later that callers are not sent to it any more.
+	It("is not shared any more by an instance that callers have not been sent to for long", func() {
+		senders := newSenders(1000, 6)
+		for _, s := range senders {
+			s.group.SetInstances(1000, names(6))
+		}
+		send(1000, 5000, senders)
+		for _, s := range senders {
+			s.group.SetInstances(5000, names(5))
+		}
+		Expect(send(6000, 50_000, senders[5:])).To(BeNumerically(">", 0))
+		send(50_000, 55_000, senders)
+		Expect(send(55_000, 75_000, senders[5:])).To(BeZero())
+	})
+
+	// Guards against instances that join and take their shares before the others know them
+	// and take less.
+	It("is kept while instances join that the others see a second later", func() {
+		senders := newSenders(1000, 24)
+		for _, s := range senders[:12] {
+			s.group.SetInstances(1000, names(12))
+		}
+		send(1000, 9000, senders[:12])
+		for _, s := range senders[12:] {
+			s.group.SetInstances(9000, names(24))
+		}
+		sent := send(9000, 10_000, senders)
+		for _, s := range senders[:12] {
+			s.group.SetInstances(10_000, names(24))
+		}
+		Expect(sent + send(10_000, 9000+span, senders)).To(BeNumerically("<=", maxRequests))
+	})
 })
