A limit that no answer confirms is tested, instead of ending everywhere at once

Cause: a limit ended by time, 10 s after the last answer that named it, at all instances at the same moment, although nothing said that the server takes more. A server of which the few senders have no requests for 10 s got those of all others until the first answers came.

After 10 s of silence the instances test it in turn, one request each, a second apart, so that the answer to the first is known before the next one is due, and each once in 30 s at most while no answer comes.

--- a/internal/wasabirate/rate_test.go
+++ b/internal/wasabirate/rate_test.go
@@ -145,4 +145,34 @@
 		}
 		Expect(sent + send(10_000, 9000+span, senders)).To(BeNumerically("<=", maxRequests))
 	})
+
+	// Guards against a limit that ends at all instances at the same moment because no answer
+	// has confirmed it, and against one that no instance ever tests.
+	It("is tested by one instance after the other once no answer has confirmed it for long", func() {
+		senders := newSenders(1000, 24)
+		for _, s := range senders {
+			s.group.SetInstances(1000, names(24))
+			s.limit.Report(1000, 1000, 0)
+		}
+		var sent []wasabiridge.Millis
+		for now := 1000 + 5*wasabiridge.Second; now < 40*wasabiridge.Second; now += 20 {
+			for _, s := range senders {
+				s.group.Expire(now)
+				if s.limit.Wait(now, server, s.group) == 0 {
+					s.limit.RecordSent(now, server, s.group)
+					sent = append(sent, now)
+				}
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < sent[i]+span {
+					n++
+				}
+			}
+			Expect(n).To(BeNumerically("<=", 5+3), "a server that takes half a request a second")
+		}
+		Expect(len(sent)).To(BeNumerically(">", 24))
+	})
 })
--- a/internal/wasabireplica/limit.go
+++ b/internal/wasabireplica/limit.go
@@ -54,7 +54,7 @@
 // takes.
 func (p *Placer) allotment(now wasabiridge.Millis, pl *pool, r *replica) wasabiridge.Allotment {
 	var out wasabiridge.Allotment
-	rate, limited := r.limit.Rate(now)
+	rate, limited := r.limit.Rate()
 	if limited {
 		out.Rate, out.Age = rate, r.limit.Age(now)
 	}
