An instance that was alone at its start does not count itself later

Cause: at its start each instance knows nobody, so that callers are sent to itself. A second later it knows twelve others to which they are sent, and counted itself for 45 s more, like one that had served callers. But the others had never seen it in the group.

Now such an instance leaves its own group at once.

--- a/internal/wasabirate/group.go
+++ b/internal/wasabirate/group.go
@@ -67,7 +67,12 @@
 		delete(g.departedAt, g.self)
 	}
 	for id, departedAt := range g.departedAt {
-		if departedAt == 0 && !slices.Contains(instances, id) {
+		switch {
+		case departedAt != 0 || slices.Contains(instances, id):
+		case id == g.self && g.stage == stageAlone:
+			// Only this instance has seen itself in the group.
+			delete(g.departedAt, id)
+		default:
 			g.departedAt[id] = now
 		}
 	}
--- a/internal/wasabirate/rate_test.go
+++ b/internal/wasabirate/rate_test.go
@@ -112,6 +112,17 @@
 		Expect(send(14_000, 24_000, senders)).To(BeNumerically(">=", 0.8*rate*10))
 	})
 
+	// Guards against instances that each saw only themselves at their start, and count
+	// themselves beside the others from then on, to which they were never known.
+	It("is not shared by instances that callers were sent to only while they knew nobody", func() {
+		senders := newSenders(1000, 24)
+		for i, s := range senders {
+			s.group.SetInstances(1000, names(24)[i:i+1])
+			s.group.SetInstances(2000, names(24)[:6])
+		}
+		Expect(send(2000, 10_000, senders[6:])).To(BeZero())
+	})
+
 	// Guards against an instance that goes on with its share although the others have dropped
 	// it from theirs, because it noticed later that callers are not sent to it any more.
 	It("is not shared any more by an instance that callers have not been sent to for long", func() {
