Fewer instances share the rate of a server that names a limit

The bound for a limit of R a second is 6 R and 5 requests in 4 s. Two senders for each request a second, each with one request saved up, could send 4 R + 2 R: the whole of the bound but the 5, with nothing left for requests that are late on the way, instances that have different views, or moved streams. One sender for each leaves 4 R + R of 6 R + 5.

--- a/internal/wasabirate/limit.go
+++ b/internal/wasabirate/limit.go
@@ -1,7 +1,7 @@
 // Package wasabirate keeps all instances together within what an overloaded backend server
 // takes: the rate that it reports in its answers, or its slots.
 //
-// Only a few instances send to a server with a rate: two for each request per second. They
+// Only a few instances send to a server with a rate: one for each request per second. They
 // are chosen by rendezvous hashing over the instances that serve callers, and each takes an
 // equal share of the rate, one request at a time. Slots are divided in the same way. So the
 // totals do not depend on updates between instances, which may be lost or late, and even a
@@ -34,8 +34,8 @@
 	// takes less, so that its answers show when it takes more.
 	leastRate = 0.5
 	// sendersPerRate is the number of sending instances for each request per second. If
-	// there are enough instances, each of them sends one request every two seconds.
-	sendersPerRate = 2
+	// there are enough instances, each of them sends one request every second.
+	sendersPerRate = 1
 	// recheckInterval is the longest wait of an instance that has no share of the rate, after
 	// which it checks again.
 	recheckInterval = wasabiridge.Second
