Requests wait for a moment for a slot of a brittle server

Such a request waits now, by priority and then by arrival, for a quarter of its target at most, and only if the requests before it leave time for it; otherwise it is refused at once, as before.

--- a/internal/wasabireplica/brittle_test.go
+++ b/internal/wasabireplica/brittle_test.go
@@ -92,6 +92,7 @@
 	for i, g := range f.instances {
 		g.observe(wasabiridge.InstancesCounted{Count: len(f.instances), Serving: f.names[:f.servingCount()]})
 		g.observe(wasabiridge.Ticked{})
+		f.dispatchQueued(g)
 		loads, segments := g.placer.TakeUpdates(f.now)
 		for j, other := range f.instances[:f.servingCount()] {
 			if i != j {
@@ -135,14 +136,39 @@
 }
 
 func (f *brittleFleet) attempt(g *rig, excluded []wasabiridge.BackendServerID) {
-	if len(excluded) == 0 && g.limiter.Offer(f.now, plain()).Verdict != wasabiridge.Admitted {
-		f.failed++
-		return
+	if len(excluded) == 0 {
+		switch g.limiter.Offer(f.now, plain()).Verdict {
+		case wasabiridge.Queued:
+			return
+		case wasabiridge.Rejected:
+			f.failed++
+			return
+		}
 	}
 	if len(excluded) >= brittleAttempts || len(excluded) > 0 && !g.limiter.MayRetry(f.now, plain()) {
 		f.failed++
 		return
 	}
+	f.place(g, excluded)
+}
+
+// dispatchQueued places the queued requests of an instance for which there is a slot.
+func (f *brittleFleet) dispatchQueued(g *rig) {
+	for {
+		if _, expired := g.limiter.Expired(f.now); !expired {
+			break
+		}
+		f.failed++
+	}
+	for {
+		if _, found := g.limiter.Next(f.now); !found {
+			return
+		}
+		f.place(g, nil)
+	}
+}
+
+func (f *brittleFleet) place(g *rig, excluded []wasabiridge.BackendServerID) {
 	pl, id := g.place(plain(), excluded...)
 	if id == 0 {
 		f.failed++
@@ -165,6 +191,7 @@
 		f.agenda.Schedule(f.now+1, func() {
 			g.end(id, e)
 			f.attempt(g, excluded)
+			f.dispatchQueued(g)
 		})
 	}
 	run := func() {
@@ -177,6 +204,7 @@
 			announce()
 			g.answer(id)
 			f.served++
+			f.dispatchQueued(g)
 			if s.running--; len(s.queue) > 0 {
 				next := s.queue[0]
 				s.queue = s.queue[1:]
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -36,13 +36,18 @@
 )
 
 // Limiter implements wasabiridge.Limiter on the state of a Placer. It admits or refuses
-// each request immediately and queues none: admitted requests wait inside the replicas,
-// which serve the most urgent ones first.
+// each request immediately: admitted requests wait inside the replicas, which serve the most
+// urgent ones first. Only for brittle servers, which must not be sent more than they have room
+// for, it queues requests for a moment.
 type Limiter struct {
 	placer *Placer
+	queue  slotQueue
 }
 
-var _ wasabiridge.Limiter = (*Limiter)(nil)
+var (
+	_ wasabiridge.Limiter       = (*Limiter)(nil)
+	_ wasabiridge.ExpiryRefuser = (*Limiter)(nil)
+)
 
 // NewLimiter returns a Limiter that shares the state of p.
 func NewLimiter(p *Placer) *Limiter { return &Limiter{placer: p} }
@@ -53,7 +58,14 @@
 	if pl := l.placer.pools[r.Action.Pool]; pl != nil {
 		pl.budget.AddRequest(now)
 	}
-	return l.Assess(now, r)
+	a := l.Assess(now, r)
+	if a.Verdict == wasabiridge.Rejected && a.Reason == wasabiridge.RefusedOverload {
+		if until, ok := l.mayWait(now, r); ok {
+			l.queue.add(waitingRequest{request: r, until: until})
+			return wasabiridge.Admission{Verdict: wasabiridge.Queued}
+		}
+	}
+	return a
 }
 
 // Assess implements wasabiridge.PoolGauge.
@@ -199,19 +211,6 @@
 	return float64(r.Action.FirstByteTarget)
 }
 
-// Next implements wasabiridge.Limiter. No request is ever queued.
-func (l *Limiter) Next(wasabiridge.Millis) (wasabiridge.Request, bool) {
-	return wasabiridge.Request{}, false
-}
-
-// Expired implements wasabiridge.Limiter. No request is ever queued.
-func (l *Limiter) Expired(wasabiridge.Millis) (wasabiridge.Request, bool) {
-	return wasabiridge.Request{}, false
-}
-
-// Withdraw implements wasabiridge.Limiter. No request is ever queued.
-func (l *Limiter) Withdraw(wasabiridge.RequestID) {}
-
 // HasRoom implements wasabiridge.Limiter. The Placer has already considered the load.
 func (l *Limiter) HasRoom(wasabiridge.Millis, wasabiridge.BackendServer) bool { return true }
 
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -39,7 +39,7 @@
 //
 // Replicas that announce that they are brittle, which means that they end when they refuse
 // too many requests in a second, receive from each instance no more than an equal part of
-// their slots and memory.
+// their slots and memory. Requests that find this part taken wait for a moment.
 //
 // # Failing replicas
 //
