An instance that started late does not use the part of one that has just left

An instance that callers ceased to be sent to used its part for 45 s more; one that started again in this time had never seen it, and counted fewer. Others keep it in their groups for a minute and are not concerned.

Now an instance uses its part for 3 s after it has left, and one that joins takes no more than one slot and half a request a second for 5 s, which is 3 s and the time that news need. So every instance that uses a part is in the view of all others that use more than that.

--- a/internal/wasabirate/group.go
+++ b/internal/wasabirate/group.go
@@ -13,14 +13,15 @@
 	// may be partitioned and go on sending.
 	departedRetention = wasabiridge.Minute
 	// selfRetention is how long this instance uses its share after callers have ceased to be
-	// sent to it. It is shorter, because the others may have noticed earlier.
-	selfRetention = 45 * wasabiridge.Second
+	// sent to it.
+	selfRetention = 3 * wasabiridge.Second
 	// soloDelay is how long after its start an instance that sees no other one waits before
 	// it assumes that there is none.
 	soloDelay = 10 * wasabiridge.Second
 	// joinDelay is how long an instance that joins the group takes next to nothing, until the
-	// others know it and take less.
-	joinDelay = 2 * wasabiridge.Second
+	// others know it and take less, and until those that left before it could see them use
+	// their shares no more.
+	joinDelay = selfRetention + 2*wasabiridge.Second
 )
 
 // Group holds the instances that serve callers, as seen by one of them.
--- a/internal/wasabireplica/queue_test.go
+++ b/internal/wasabireplica/queue_test.go
@@ -27,6 +27,7 @@
 			_, id := g.place(plain())
 			g.now += 50
 			g.answer(id)
+			g.now += 60
 		}
 		g.observe(wasabiridge.Ticked{})
 		g.observe(wasabiridge.BrittleAnnounced{Backend: "e0", Brittle: true, Refusals: 3, RequestSentAt: g.now - 10})
