The log tells which instance told that a server is brittle

An announcement that another instance was told is logged with from and its age, like one in an answer, and servers_brittle counts it.

--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -261,7 +261,7 @@
 		n.notices.recordMalformed(e)
 		return
 	case wasabiridge.BrittleAnnounced:
-		n.notices.recordBrittle(e, n.options.Clock.Now())
+		n.notices.recordBrittle(e, "", n.options.Clock.Now())
 	case wasabiridge.PauseRequested:
 		n.notices.recordPause(e, n.options.Clock.Now())
 	case wasabiridge.BackendLeaving:
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -1,6 +1,7 @@
 package wasabinode
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -64,8 +65,15 @@
 	malformed map[wasabiridge.ResponsePart]int
 	// pauses counts the pauses that servers have requested.
 	pauses int
-	// brittle holds the refusals in a second that brittle servers have announced last.
-	brittle map[wasabiridge.BackendServerID]float64
+	// brittle holds what brittle servers have announced last.
+	brittle map[wasabiridge.BackendServerID]brittleNotice
+}
+
+// brittleNotice is the announcement of a server that it is brittle: the refusals in a second
+// that it bears, and when it was last received.
+type brittleNotice struct {
+	refusals   float64
+	receivedAt wasabiridge.Millis
 }
 
 // recordLeaving takes the announcement of a server that it is leaving, from one of its
@@ -129,27 +137,37 @@
 	}
 }
 
-// recordBrittle takes what an answer says about how its server bears overload. It logs each
-// change.
-func (n *notices) recordBrittle(e wasabiridge.BrittleAnnounced, now wasabiridge.Millis) {
+// recordBrittle takes what a server says about how it bears overload, in an answer or, if from
+// is not empty, as another instance was told. It logs each change.
+func (n *notices) recordBrittle(e wasabiridge.BrittleAnnounced, from wasabiridge.InstanceID, now wasabiridge.Millis) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if e.Fault != "" {
 		n.logFault(e.Backend, e.Fault, now)
 	}
 	before, known := n.brittle[e.Backend]
-	if e.Brittle == known && (!known || e.Refusals == before) || e.Brittle && !known && len(n.brittle) >= maxBrittleServers {
+	if !e.Brittle && !known {
 		return
 	}
+	if e.Brittle && !known && len(n.brittle) >= maxBrittleServers {
+		maps.DeleteFunc(n.brittle, func(_ wasabiridge.BackendServerID, b brittleNotice) bool { return now-b.receivedAt > noticeMetricTime })
+		if len(n.brittle) >= maxBrittleServers {
+			return
+		}
+	}
 	if e.Brittle {
 		if n.brittle == nil {
-			n.brittle = map[wasabiridge.BackendServerID]float64{}
+			n.brittle = map[wasabiridge.BackendServerID]brittleNotice{}
 		}
-		n.brittle[e.Backend] = e.Refusals
+		n.brittle[e.Backend] = brittleNotice{refusals: e.Refusals, receivedAt: now}
 	} else {
 		delete(n.brittle, e.Backend)
 	}
+	if e.Brittle && known && e.Refusals == before.refusals {
+		return
+	}
 	n.log.Info().Str(wasabilog.BackendField, string(e.Backend)).Bool("brittle", e.Brittle).Float64("refusals", e.Refusals).
+		Str("from", string(from)).Int64("asked_ms_ago", int64(now-e.RequestSentAt)).
 		Msg("Backend server announced how many refusals it bears.")
 }
 
@@ -227,7 +245,13 @@
 	for _, count := range n.unknown {
 		unknown += count
 	}
-	out := []string{line("server_pauses_total", int64(n.pauses)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(len(n.brittle)))}
+	brittle := 0
+	for _, b := range n.brittle {
+		if now-b.receivedAt < noticeMetricTime {
+			brittle++
+		}
+	}
+	out := []string{line("server_pauses_total", int64(n.pauses)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(brittle))}
 	for part, count := range n.malformed {
 		out = append(out, line("server_responses_malformed_total{part=\""+string(part)+"\"}", int64(count)))
 	}
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -76,6 +76,12 @@
 	if len(update.Demands) > 0 {
 		n.loop.TryPost(wasabiridge.DemandReceived{From: update.From, Demands: update.Demands})
 	}
+	now := n.options.Clock.Now()
+	for _, l := range update.Loads {
+		if b := l.Brittle; b.Known {
+			n.notices.recordBrittle(wasabiridge.BrittleAnnounced{Backend: l.Backend, Brittle: b.Brittle, Refusals: b.Refusals, RequestSentAt: now - b.Age}, update.From, now)
+		}
+	}
 	if len(update.Loads) > 0 || len(update.Segments) > 0 {
 		n.loop.TryPost(wasabiridge.PeerPlaced{From: update.From, Loads: update.Loads, Segments: update.Segments})
 	}
