Announcements to be told are collected by pool, not by replica

Every 100 ms each of up to 1,600 replicas looked up its pools for one announcement. Nothing decides differently; the specs of brittle servers pass.

--- a/internal/wasabireplica/brittle.go
+++ b/internal/wasabireplica/brittle.go
@@ -77,18 +77,20 @@
 	return out
 }
 
-// takeBrittleUpdate returns what a replica announced about how it bears overload if the other
-// instances have to be told now, and the zero value otherwise.
-func (p *Placer) takeBrittleUpdate(now wasabiridge.Millis, r *replica) wasabiridge.BrittleUpdate {
-	var out wasabiridge.BrittleUpdate
-	for _, pl := range p.poolsOf(r) {
+// takeBrittleUpdates returns what the other instances have to be told now of how replicas bear
+// overload, by replica.
+func (p *Placer) takeBrittleUpdates(now wasabiridge.Millis) map[wasabiridge.BackendServerID]wasabiridge.BrittleUpdate {
+	var out map[wasabiridge.BackendServerID]wasabiridge.BrittleUpdate
+	for _, pl := range p.pools {
 		b := pl.brittle
-		e := b.last
-		if !b.untold || e.Backend != r.server.ID || b.sentAt > 0 && now-b.sentAt < brittleUpdateInterval {
+		if !b.untold || b.sentAt > 0 && now-b.sentAt < brittleUpdateInterval {
 			continue
 		}
+		if out == nil {
+			out = map[wasabiridge.BackendServerID]wasabiridge.BrittleUpdate{}
+		}
 		b.sentAt, b.untold = now, false
-		out = wasabiridge.BrittleUpdate{Known: true, Brittle: e.Brittle, Refusals: e.Refusals, Age: max(0, now-e.RequestSentAt)}
+		out[b.last.Backend] = wasabiridge.BrittleUpdate{Known: true, Brittle: b.last.Brittle, Refusals: b.last.Refusals, Age: max(0, now-b.last.RequestSentAt)}
 	}
 	return out
 }
--- a/internal/wasabireplica/updates.go
+++ b/internal/wasabireplica/updates.go
@@ -33,18 +33,19 @@
 	segments := p.peerUpdates.segments
 	p.peerUpdates.segments = nil
 	var loads []wasabiridge.LoadUpdate
+	brittle := p.takeBrittleUpdates(now)
 	for id, r := range p.replicas {
-		limit, brittle := r.takeLimitUpdate(now), p.takeBrittleUpdate(now, r)
+		limit := r.takeLimitUpdate(now)
 		slowness, answers := 0.0, 0
 		if p.options.UnevenServers {
 			slowness, answers = r.takeSlowness()
 		}
-		if r.own == r.sentLoad && !limit.Known && !brittle.Known && answers == 0 {
+		if r.own == r.sentLoad && !limit.Known && !brittle[id].Known && answers == 0 {
 			continue
 		}
 		r.sentLoad = r.own
 		loads = append(loads, wasabiridge.LoadUpdate{
-			Backend: id, InFlight: r.own.requests, Tokens: r.own.tokens, Limit: limit, Brittle: brittle, Slowness: slowness, SlownessAnswers: answers,
+			Backend: id, InFlight: r.own.requests, Tokens: r.own.tokens, Limit: limit, Brittle: brittle[id], Slowness: slowness, SlownessAnswers: answers,
 		})
 	}
 	slices.SortFunc(loads, func(a, b wasabiridge.LoadUpdate) int { return compare(a.Backend, b.Backend) })
