--- a/catalog.go
+++ b/catalog.go
@@ -164,7 +164,7 @@
 
 // BrittleUpdate is what a backend server announced about how it bears overload.
 type BrittleUpdate struct {
-	// Known reports that there is something to tell. Brittle reports that the server announced
+	// Known reports that the update contains an announcement. Brittle reports that the server announced
 	// that it is brittle, and Refusals is the number of requests that it may refuse in a second.
 	Known, Brittle bool
 	Refusals       float64
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -138,7 +138,7 @@
 }
 
 // recordBrittle takes what a server says about how it bears overload, in an answer or, if from
-// is not empty, as another instance was told. It logs each change.
+// is not empty, in an update of that instance. It logs each change.
 func (n *notices) recordBrittle(e wasabiridge.BrittleAnnounced, from wasabiridge.InstanceID, now wasabiridge.Millis) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/wasabirate/group.go
+++ b/internal/wasabirate/group.go
@@ -27,8 +27,8 @@
 // Group holds the instances that serve callers, as seen by one of them.
 //
 // An instance has a share only while callers are sent to it, and for selfRetention after
-// that: the others do not count it otherwise, and the shares would add up to more than the
-// whole.
+// that: the others do not count it otherwise, and the shares would add up to more than
+// there is.
 type Group struct {
 	self wasabiridge.InstanceID
 	// departedAt is when an instance was last seen. Zero means that it is seen now. It does
--- a/internal/wasabirate/history_test.go
+++ b/internal/wasabirate/history_test.go
@@ -115,7 +115,7 @@
 }
 
 var _ = Describe("The parts of instances whose views lag behind each other", func() {
-	// Guards against parts that add up to more than the whole, other than by one for each
+	// Guards against parts that add up to more than the amount, other than by one for each
 	// instance that the others do not know yet, and against parts that nobody uses.
 	It("add up to no more than the whole in any history", func() {
 		for seed := range uint64(60) {
--- a/internal/wasabirate/rate_test.go
+++ b/internal/wasabirate/rate_test.go
@@ -100,7 +100,7 @@
 		Expect(send(62_000, 62_000+span, senders)).To(BeNumerically("~", rate*4, 2))
 	})
 
-	// Guards against shares that add up to more than the whole because an instance that
+	// Guards against shares that add up to more than the rate because an instance that
 	// callers are not sent to counts itself, which the others do not.
 	It("is not shared by instances that callers are not sent to", func() {
 		senders := newSenders(1000, 24)
--- a/internal/wasabireplica/brittle.go
+++ b/internal/wasabireplica/brittle.go
@@ -12,8 +12,8 @@
 	// brittleSpread is the fraction by which the backoff is extended at random.
 	maxBrittleBackoff = 5 * wasabiridge.Second
 	brittleSpread     = 0.5
-	// brittleUpdateInterval is how often the other instances are told that the servers of a
-	// pool are still brittle.
+	// brittleUpdateInterval is how often an unchanged announcement is sent to the other
+	// instances.
 	brittleUpdateInterval = wasabiridge.Second
 	// abandonedTime is how long a brittle server may still be at work on a request whose
 	// attempt ended without an answer.
@@ -27,10 +27,10 @@
 	statement wasabirate.Statement
 	// refusals is the least number of requests that a server may refuse in a second.
 	refusals float64
-	// last is the last announcement to this instance. untold is set while the other instances
-	// were not told of it, and sentAt is when they were last told of one.
+	// last is the last announcement to this instance. unsent is set while it was not sent to
+	// the other instances, and sentAt is when one was last sent.
 	last   wasabiridge.BrittleAnnounced
-	untold bool
+	unsent bool
 	sentAt wasabiridge.Millis
 }
 
@@ -61,7 +61,7 @@
 			b.sentAt = 0
 		}
 		if changed || e.Brittle {
-			b.last, b.untold = e, true
+			b.last, b.unsent = e, true
 		}
 	}
 }
@@ -77,25 +77,25 @@
 	return out
 }
 
-// takeBrittleUpdates returns what the other instances have to be told now of how replicas bear
-// overload, by replica.
+// takeBrittleUpdates returns the announcements that have to be sent to the other instances
+// now, by replica.
 func (p *Placer) takeBrittleUpdates(now wasabiridge.Millis) map[wasabiridge.BackendServerID]wasabiridge.BrittleUpdate {
 	var out map[wasabiridge.BackendServerID]wasabiridge.BrittleUpdate
 	for _, pl := range p.pools {
 		b := pl.brittle
-		if !b.untold || b.sentAt > 0 && now-b.sentAt < brittleUpdateInterval {
+		if !b.unsent || b.sentAt > 0 && now-b.sentAt < brittleUpdateInterval {
 			continue
 		}
 		if out == nil {
 			out = map[wasabiridge.BackendServerID]wasabiridge.BrittleUpdate{}
 		}
-		b.sentAt, b.untold = now, false
+		b.sentAt, b.unsent = now, false
 		out[b.last.Backend] = wasabiridge.BrittleUpdate{Known: true, Brittle: b.last.Brittle, Refusals: b.last.Refusals, Age: max(0, now-b.last.RequestSentAt)}
 	}
 	return out
 }
 
-// applyPeerBrittle applies what another instance was told by a replica.
+// applyPeerBrittle applies an announcement of a replica to another instance.
 func (p *Placer) applyPeerBrittle(now wasabiridge.Millis, r *replica, u wasabiridge.BrittleUpdate) {
 	if !u.Known {
 		return
--- a/internal/wasabireplica/limit.go
+++ b/internal/wasabireplica/limit.go
@@ -23,7 +23,7 @@
 		r.limitSentAt = 0
 	}
 	if changed || e.Limited {
-		r.lastLimit, r.limitUntold = e, true
+		r.lastLimit, r.limitUnsent = e, true
 	}
 }
 
@@ -31,24 +31,24 @@
 // instances now, and the zero value otherwise.
 func (r *replica) takeLimitUpdate(now wasabiridge.Millis) wasabiridge.LimitUpdate {
 	e := r.lastLimit
-	if !r.limitUntold || r.limitSentAt > 0 && now-r.limitSentAt < limitUpdateInterval {
+	if !r.limitUnsent || r.limitSentAt > 0 && now-r.limitSentAt < limitUpdateInterval {
 		return wasabiridge.LimitUpdate{}
 	}
-	r.limitSentAt, r.limitUntold = now, false
+	r.limitSentAt, r.limitUnsent = now, false
 	return wasabiridge.LimitUpdate{Known: true, Limited: e.Limited, Rate: e.Rate, Age: max(0, now-e.RequestSentAt)}
 }
 
-// repeatAnnouncements has the other instances told again at once which servers have announced
-// a limit or that they are brittle, because there is a new one. It has had no answer of them.
+// repeatAnnouncements has the limits that servers have announced, and that they are brittle,
+// sent to the other instances again, because a new one has had no answer of them.
 func (p *Placer) repeatAnnouncements() {
 	for _, r := range p.replicas {
 		r.limitSentAt = 0
 		if _, limited := r.limit.Rate(); limited && r.lastLimit.Limited {
-			r.limitUntold = true
+			r.limitUnsent = true
 		}
 	}
 	for _, pl := range p.pools {
-		pl.brittle.sentAt, pl.brittle.untold = 0, pl.brittle.statement.Holds() && pl.brittle.last.Brittle
+		pl.brittle.sentAt, pl.brittle.unsent = 0, pl.brittle.statement.Holds() && pl.brittle.last.Brittle
 	}
 }
 
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -127,11 +127,11 @@
 	delay    float64
 	samples  int
 	// limit is the rate limit that the replica reports. lastLimit is the last report to this
-	// instance. limitUntold is set while it was not sent to the other instances, and
+	// instance. limitUnsent is set while it was not sent to the other instances, and
 	// limitSentAt is when a report was last sent.
 	limit       wasabirate.Limit
 	lastLimit   wasabiridge.LimitAnnounced
-	limitUntold bool
+	limitUnsent bool
 	limitSentAt wasabiridge.Millis
 	// pools are the pools that the replica belongs to, and abandoned the times until which it
 	// may be at work on requests that this instance has given up, while it is brittle.
@@ -179,7 +179,7 @@
 	r.leaving, r.pausedUntil, r.resuming = false, 0, false
 	r.clearFailures()
 	r.failures, r.delay, r.samples = 0, 0, 0
-	r.limit, r.lastLimit, r.limitUntold, r.limitSentAt = wasabirate.Limit{}, wasabiridge.LimitAnnounced{}, false, 0
+	r.limit, r.lastLimit, r.limitUnsent, r.limitSentAt = wasabirate.Limit{}, wasabiridge.LimitAnnounced{}, false, 0
 	r.abandoned = nil
 	if r.unconfirmed == r.incarnation.Current() {
 		maps.Copy(r.weights, r.unconfirmedWeights)
