An instance that callers are not sent to learns with single requests how servers bear them

Cause: announcements are sent to the instances that callers are sent to.

Such an instance sends one request to each server of a pool, and more when one has answered; it refuses the others at once. Instances that callers are sent to are not concerned. The new spec failed before.

--- a/internal/wasabirate/group.go
+++ b/internal/wasabirate/group.go
@@ -96,6 +96,9 @@
 // Size returns the number of instances that share the servers.
 func (g *Group) Size() int { return len(g.departedAt) }
 
+// Outside reports whether this instance has no share, because callers are not sent to it.
+func (g *Group) Outside() bool { return g.stage == stageOutside }
+
 // Expire removes instances that have not been seen for departedRetention, and lets this
 // instance take more as time passes.
 func (g *Group) Expire(now wasabiridge.Millis) {
--- a/internal/wasabireplica/brittle.go
+++ b/internal/wasabireplica/brittle.go
@@ -15,6 +15,9 @@
 	// brittleUpdateInterval is how often an unchanged announcement is sent to the other
 	// instances.
 	brittleUpdateInterval = wasabiridge.Second
+	// knowledgeTime is how long after the last answer of a pool an instance to which callers
+	// are not sent still knows how its servers bear requests.
+	knowledgeTime = 2 * wasabiridge.Second
 	// abandonedTime is how long a brittle server may still be at work on a request whose
 	// attempt ended without an answer.
 	abandonedTime = wasabiridge.Second
@@ -118,6 +121,29 @@
 	return pl.brittle.refusals, pl.brittle.statement.Holds()
 }
 
+// hasRoom reports whether a server of a pool may receive a request beside those of this
+// instance, as far as its servers have announced how they bear overload.
+//
+// Instances to which callers are not sent receive no announcements of the others. If callers
+// come nevertheless, such an instance sends one request to each server, and further ones when a
+// server has answered.
+func (p *Placer) hasRoom(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt) bool {
+	if _, brittle := pl.refusalsAllowed(); brittle {
+		return p.hasBrittleRoom(now, pl, r, pr)
+	}
+	return !p.rateGroup.Outside() || now-pl.answeredAt < knowledgeTime || !p.awaitsAnswer(r)
+}
+
+// awaitsAnswer reports whether a request to a replica has not been answered yet.
+func (p *Placer) awaitsAnswer(r *replica) bool {
+	for _, a := range p.attempts {
+		if a.replica == r && !a.firstByteSeen {
+			return true
+		}
+	}
+	return false
+}
+
 // hasBrittleRoom reports whether a server of a brittle pool has room for a request within
 // this instance's part of its slots and its memory. The parts of all instances add up to
 // no more than the whole, so that the server refuses next to nothing, however late or
--- a/internal/wasabireplica/brittle_test.go
+++ b/internal/wasabireplica/brittle_test.go
@@ -389,6 +389,24 @@
 		Expect(full(other)).To(BeFalse())
 	})
 
+	// Guards against an instance that gets callers although they are not sent to it, and that
+	// ends servers with all it has before their first answer.
+	It("is learned with single requests by an instance that callers are not sent to", func() {
+		g.observe(wasabiridge.InstancesCounted{Count: 2, Serving: []wasabiridge.InstanceID{"i1", "i2"}})
+		g.now += wasabiridge.Minute
+		g.observe(wasabiridge.Ticked{})
+		_, first := g.place(plain())
+		Expect(first).NotTo(BeZero())
+		_, second := g.place(plain())
+		Expect(second).To(BeZero(), "the first has not been answered")
+		Expect(g.limiter.Offer(g.now, plain()).Verdict).To(Equal(wasabiridge.Rejected))
+		g.answer(first)
+		for range 3 {
+			_, id := g.place(plain())
+			Expect(id).NotTo(BeZero())
+		}
+	})
+
 	// Guards against a slot that counts as free while the server is still at work on a request
 	// whose attempt has ended.
 	It("keeps the slot of a request that was given up for a while", func() {
--- a/internal/wasabireplica/limiter.go
+++ b/internal/wasabireplica/limiter.go
@@ -81,7 +81,6 @@
 	leastExcess, limitedFor := math.Inf(1), wasabiridge.Millis(0)
 	pr := pl.promptOf(q.Request)
 	remaining, full, pausedFor := 0, false, wasabiridge.Millis(0)
-	_, brittle := pl.refusalsAllowed()
 	preferred := l.placer.preferred(now, pl)
 	for _, rep := range pl.replicas {
 		if rep.leaving || !l.placer.serves(now, pl, rep, preferred[len(preferred)-1]) || !q.CanContinue(rep.server) {
@@ -96,7 +95,7 @@
 			continue
 		}
 		slowness := rep.slowness(now)
-		if rep.loadRatio(now, pr.memory()) >= rep.maxLoad(pl.maxLoad(r, &pr, slowness)) || brittle && !l.placer.hasBrittleRoom(now, pl, rep, &pr) || !l.placer.hasMemory(now, pl, rep, &pr) {
+		if rep.loadRatio(now, pr.memory()) >= rep.maxLoad(pl.maxLoad(r, &pr, slowness)) || !l.placer.hasRoom(now, pl, rep, &pr) || !l.placer.hasMemory(now, pl, rep, &pr) {
 			full = true
 			continue
 		}
--- a/internal/wasabireplica/migration.go
+++ b/internal/wasabireplica/migration.go
@@ -32,7 +32,6 @@
 	}
 	var best *replica
 	least := maxTargetLoad
-	_, brittle := pl.refusalsAllowed()
 	for _, rep := range pl.replicas {
 		ratio := rep.loadRatio(now, pr.memory())
 		if now < rep.drainUntil {
@@ -40,7 +39,7 @@
 			ratio += maxTargetLoad / 2
 		}
 		// A replica that failed recently is not probed with a running answer.
-		if ratio < least && rep.failureBackoff == 0 && p.eligible(now, rep, q) && (!brittle || p.hasBrittleRoom(now, pl, rep, &pr)) {
+		if ratio < least && rep.failureBackoff == 0 && p.eligible(now, rep, q) && p.hasRoom(now, pl, rep, &pr) {
 			best, least = rep, ratio
 		}
 	}
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -152,6 +152,7 @@
 	a.observeCosts(now, p.pools[a.pool])
 	a.observeFetch(now)
 	if pl := p.pools[a.pool]; pl != nil {
+		pl.answeredAt = now
 		if p.options.UnevenServers && !a.prompt.engine {
 			pl.observeUsual(now, &a, float64(now-a.sent))
 		}
@@ -228,6 +229,7 @@
 	}
 	p.observeResult(now, r, a.firstByteSeen, e)
 	if pl := p.pools[a.pool]; pl != nil && e.Overloaded {
+		pl.answeredAt = now
 		if refusals, brittle := pl.refusalsAllowed(); brittle {
 			r.backoffUntil = max(r.backoffUntil, now+p.brittleBackoff(r, refusals))
 		}
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -200,9 +200,8 @@
 // every request would go to a server without an open connection. If restricted, streams begin only at the versions at which they may.
 func (p *Placer) best(now wasabiridge.Millis, pl *pool, q wasabiridge.PlaceQuery, pr *prompt, v versions, restricted bool) (best candidate, found bool) {
 	count := 0
-	_, brittle := pl.refusalsAllowed()
 	for _, r := range pl.replicas {
-		if !p.serves(now, pl, r, v) || !p.eligible(now, r, q) || brittle && !p.hasBrittleRoom(now, pl, r, pr) || restricted && !pl.mayBegin(now, r, q) || !p.hasMemory(now, pl, r, pr) {
+		if !p.serves(now, pl, r, v) || !p.eligible(now, r, q) || !p.hasRoom(now, pl, r, pr) || restricted && !pl.mayBegin(now, r, q) || !p.hasMemory(now, pl, r, pr) {
 			continue
 		}
 		c := p.evaluate(now, pl, r, pr, q.Request.Action.FirstByteTarget)
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -66,8 +66,10 @@
 	refused int
 	// zones is the number of availability zones of the replicas.
 	zones int
-	// brittle is whether the servers of the pool are brittle.
-	brittle *brittle
+	// brittle is whether the servers of the pool are brittle, and answeredAt when one last
+	// answered this instance.
+	brittle    *brittle
+	answeredAt wasabiridge.Millis
 	// software holds what is known of the software versions of the replicas.
 	software map[wasabiridge.SoftwareVersion]softwareState
 }
@@ -178,7 +180,7 @@
 			pl.curve = before.curve
 			pl.usual, pl.usualAnswers = before.usual, before.usualAnswers
 			pl.overrun = before.overrun
-			pl.software, pl.brittle = before.software, before.brittle
+			pl.software, pl.brittle, pl.answeredAt = before.software, before.brittle, before.answeredAt
 			pl.fetches = before.fetches
 			pl.service, pl.promptShare = before.service, before.promptShare
 			pl.costs, pl.meanWork, pl.meanOutput, pl.meanDuration = before.costs, before.meanWork, before.meanOutput, before.meanDuration
