Instances that callers are not sent to learn when servers are brittle no more

Cause: an instance that callers are not sent to knew from its own answers that servers are brittle, has no part of their slots, and is sent no updates. It refused what came until it tested the servers, 10 s and more after the last answer.

Three instances, chosen by hashing, send such instances the begin and the end, and each 10 s meanwhile.

--- a/internal/wasabinode/publish.go
+++ b/internal/wasabinode/publish.go
@@ -79,12 +79,16 @@
 		case <-ctx.Done():
 			return
 		}
-		var update wasabiridge.StateUpdate
+		var update, outside wasabiridge.StateUpdate
 		n.loop.Inspect(func() {
+			outside.Loads = n.placer.TakeOutsideUpdates(n.options.Clock.Now())
 			update.Loads, update.Segments = n.placer.TakeUpdates(n.options.Clock.Now())
 			n.quota.Add(n.options.Clock.Now(), &update)
 			n.shares.add(n.options.Clock.Now(), &update)
 		})
+		if len(outside.Loads) > 0 {
+			n.catalog.SendUpdate(ctx, n.inactive(), outside)
+		}
 		update.Leaving = n.notices.takeLeaving(n.options.Clock.Now())
 		if isEmpty(update) {
 			continue
@@ -227,6 +231,21 @@
 	return peers
 }
 
+// inactive returns the instances that callers are not sent to.
+func (n *Node) inactive() []wasabicatalog.Peer {
+	active := map[wasabiridge.InstanceID]bool{}
+	for _, e := range n.activeEntries() {
+		active[e.ID] = true
+	}
+	var peers []wasabicatalog.Peer
+	for _, m := range n.members.Members() {
+		if !active[m.ID] && !m.Dead && !m.Leaving && m.PeerAddress != "" {
+			peers = append(peers, wasabicatalog.PeerOf(m.InstanceEntry))
+		}
+	}
+	return peers
+}
+
 // activeEntries returns all instances that callers are sent to, in the order of the
 // address book. This instance may be one of them.
 func (n *Node) activeEntries() []wasabiridge.InstanceEntry { return n.book.Active() }
--- a/internal/wasabirate/statement.go
+++ b/internal/wasabirate/statement.go
@@ -67,6 +67,9 @@
 // Age returns how long ago the statement was last received.
 func (s *Statement) Age(now wasabiridge.Millis) wasabiridge.Millis { return now - s.receivedAt }
 
+// EndAge returns how long ago the request was sent whose answer ended the statement.
+func (s *Statement) EndAge(now wasabiridge.Millis) wasabiridge.Millis { return now - s.liftedAt }
+
 // ProbeWait returns how long this instance, of the given rank, has to wait before it may test
 // the statement with one request. Zero means that it may now.
 func (s *Statement) ProbeWait(now wasabiridge.Millis, rank int) wasabiridge.Millis {
--- a/internal/wasabireplica/brittle.go
+++ b/internal/wasabireplica/brittle.go
@@ -15,6 +15,10 @@
 	// brittleUpdateInterval is how often an unchanged announcement is sent to the other
 	// instances.
 	brittleUpdateInterval = wasabiridge.Second
+	// outsideSenders is the number of instances that send announcements to those that callers
+	// are not sent to, and outsideInterval how often they send an unchanged one.
+	outsideSenders  = 3
+	outsideInterval = 10 * wasabiridge.Second
 	// knowledgeTime is how long after the last answer of a pool an instance to which callers
 	// are not sent still knows how its servers bear requests.
 	knowledgeTime = 2 * wasabiridge.Second
@@ -35,6 +39,10 @@
 	last   wasabiridge.BrittleAnnounced
 	unsent bool
 	sentAt wasabiridge.Millis
+	// sentOutside is whether the servers were brittle when the instances that callers are not
+	// sent to were last sent that, at outsideAt.
+	sentOutside bool
+	outsideAt   wasabiridge.Millis
 }
 
 // set applies a number of refusals, of which the least since the servers became brittle counts.
@@ -98,6 +106,33 @@
 	return out
 }
 
+// TakeOutsideUpdates returns the updates that have to be sent to the instances that callers are
+// not sent to: when the servers of a pool become brittle or cease to be, and now and then in
+// between. Few instances return any, so that the messages do not grow with their number.
+//
+// Without them, such an instance would refuse requests for long after the end.
+func (p *Placer) TakeOutsideUpdates(now wasabiridge.Millis) []wasabiridge.LoadUpdate {
+	var out []wasabiridge.LoadUpdate
+	for id, pl := range p.pools {
+		b, holds := pl.brittle, pl.brittle.statement.Holds()
+		if holds == b.sentOutside && (!holds || now-b.outsideAt < outsideInterval) {
+			continue
+		}
+		if p.rateGroup.Outside() || p.rateGroup.Rank(wasabiridge.BackendServerID(id)) >= outsideSenders || len(pl.replicas) == 0 {
+			continue
+		}
+		b.sentOutside, b.outsideAt = holds, now
+		update := wasabiridge.BrittleUpdate{Known: true, Brittle: holds, Refusals: b.refusals, Age: b.statement.Age(now)}
+		if !holds {
+			update.Age = b.statement.EndAge(now)
+		}
+		// What holds for one server of the pool holds for all.
+		r := pl.replicas[0]
+		out = append(out, wasabiridge.LoadUpdate{Backend: r.server.ID, InFlight: r.own.requests, Tokens: r.own.tokens, Brittle: update})
+	}
+	return out
+}
+
 // applyPeerBrittle applies an announcement of a replica to another instance.
 func (p *Placer) applyPeerBrittle(now wasabiridge.Millis, r *replica, u wasabiridge.BrittleUpdate) {
 	if !u.Known {
--- a/internal/wasabireplica/brittle_test.go
+++ b/internal/wasabireplica/brittle_test.go
@@ -389,6 +389,35 @@
 		Expect(full(other)).To(BeFalse())
 	})
 
+	// Guards against an instance that refuses requests for long after servers have ceased to be
+	// brittle, because callers are not sent to it and nobody sends it the end.
+	It("is sent to instances that callers are not sent to, and so is its end", func() {
+		other := newRigOf("i9", 1)
+		other.pool.Backends[0].Kind, other.pool.Backends[0].Slots = wasabiridge.BackendService, 2
+		other.adopt()
+		other.observe(wasabiridge.InstancesCounted{Count: 3, Serving: []wasabiridge.InstanceID{"i0", "i1"}})
+		other.now += wasabiridge.Minute
+		other.observe(wasabiridge.Ticked{})
+		g.now = other.now
+		send := func() int {
+			loads := g.placer.TakeOutsideUpdates(g.now)
+			other.now = g.now
+			other.observe(wasabiridge.PeerPlaced{From: "i0", Loads: loads})
+			return len(loads)
+		}
+		Expect(send()).To(BeZero())
+		announce(g, wasabiridge.BrittleAnnounced{Brittle: true, Refusals: 3, RequestSentAt: g.now - 10})
+		Expect(send()).To(Equal(1))
+		Expect(send()).To(BeZero(), "nothing has changed")
+		_, id := other.place(plain())
+		Expect(id).To(BeZero())
+		g.now += 100
+		announce(g, wasabiridge.BrittleAnnounced{RequestSentAt: g.now - 10})
+		Expect(send()).To(Equal(1))
+		_, id = other.place(plain())
+		Expect(id).NotTo(BeZero())
+	})
+
 	// Guards against an instance that gets callers although they are not sent to it, and that
 	// ends servers with all it has before their first answer.
 	It("is learned with single requests by an instance that callers are not sent to", func() {
