The log names the response that ended an attempt, and why the attempt counts as run

Callers were refused with a promise although their request ran. Which status ended an attempt, whether it had the identifier of the attempt, what its connection had carried and what was received behind it stood in no line, so that a response to another request could not be told from one of the server. Attempt failed and Request answered have it now; bytes behind a response on an idle connection are reported as the part extra. Nothing is decided by it.

--- a/event.go
+++ b/event.go
@@ -103,6 +103,34 @@
 	// Stopped reports that the server may have ended the response because it was asked to
 	// move the request. The end is then not a failure of the server.
 	Stopped bool
+	// Response is the response that ended the attempt.
+	Response ResponseEvidence
+}
+
+// IdentifierMatch tells whose identifier a response carries.
+type IdentifierMatch string
+
+// Identifiers of responses.
+const (
+	IdentifierOwn     IdentifierMatch = "own"
+	IdentifierMissing IdentifierMatch = "missing"
+	IdentifierOther   IdentifierMatch = "other"
+)
+
+// ResponseEvidence is what shows whether a response belongs to an attempt, and what was
+// concluded from it.
+type ResponseEvidence struct {
+	// Status is the status code. Zero means that no response was received.
+	Status     int
+	Identifier IdentifierMatch
+	// Requests is the number of requests that the connection carried before, Earlier that of
+	// the responses that it had received before this one, and Skipped that of those responses
+	// among them that arrived since the request was sent, and belong to others.
+	Requests, Earlier, Skipped int
+	// Behind is the number of bytes that were received with the response, behind its end.
+	Behind int
+	// Cause is why the attempt has its result.
+	Cause string
 }
 
 // LoadReported carries a load report of a backend server.
@@ -137,8 +165,8 @@
 // ResponsePart is a part of what a backend server sends.
 type ResponsePart string
 
-// Parts of a response. PartCall is a response to a call of the router itself, and PartList a
-// list of cached prefix segments.
+// Parts of a response. PartCall is a response to a call of the router itself, PartList a
+// list of cached prefix segments, and PartExtra what follows the end of a response.
 const (
 	PartHead    ResponsePart = "head"
 	PartRefusal ResponsePart = "refusal"
@@ -146,12 +174,13 @@
 	PartEvent   ResponsePart = "event"
 	PartCall    ResponsePart = "call"
 	PartList    ResponsePart = "list"
+	PartExtra   ResponsePart = "extra"
 )
 
 // ResponseMalformed reports that a backend server sent bytes that are no response, or more of
 // a part than is read. The connection was closed.
 type ResponseMalformed struct {
-	// Backend is empty if Address is that of a KV cache store.
+	// Backend is empty if Address is that of a KV cache store, or of an idle connection.
 	Backend BackendServerID
 	Address string
 	// Request is empty if the response is one to a call of the router itself.
--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -59,8 +59,27 @@
 	// tainted is true when the context ended during the exchange, which may leave
 	// a deadline on the connection.
 	tainted bool
+	// requests and responses count what the connection carried, and usage is what it had
+	// carried when the response to the last request began.
+	requests, responses int
+	usage               Usage
 }
 
+// Usage is what a connection has carried before a response.
+type Usage struct {
+	// Requests is the number of requests sent before that of the response.
+	Requests int
+	// Responses is the number of responses received before, and Skipped that of those among
+	// them that arrived since the request was sent and belong to other requests.
+	Responses, Skipped int
+}
+
+// Usage returns what the connection had carried before the response that RoundTrip returned.
+func (c *Conn) Usage() Usage { return c.usage }
+
+// Unread returns the number of bytes that were received and belong to no response so far.
+func (c *Conn) Unread() int { return c.reader.Buffered() }
+
 func newConn(p *Pool, address string, raw net.Conn) *Conn {
 	head := &headReader{Conn: raw}
 	return &Conn{pool: p, address: address, raw: raw, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}
@@ -70,6 +89,7 @@
 // bytes, which would belong to no request, nor the close of the connection.
 func (c *Conn) isClean() bool {
 	if c.reader.Buffered() > 0 {
+		c.pool.observeExtra(c.address)
 		return false
 	}
 	s, ok := c.raw.(syscall.Conn)
@@ -83,8 +103,11 @@
 	empty := false
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		empty = failed == syscall.EAGAIN || failed == syscall.EWOULDBLOCK
+		if failed == nil && n > 0 {
+			c.pool.observeExtra(c.address)
+		}
 		return true
 	})
 	return err == nil && empty
@@ -98,6 +121,8 @@
 func (c *Conn) RoundTrip(ctx context.Context, r *http.Request, isOwn func(http.Header) bool) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(longAgo) })
 	c.written = make(chan struct{})
+	c.usage = Usage{Requests: c.requests, Responses: c.responses}
+	c.requests++
 	write := func() {
 		defer close(c.written)
 		w := bufio.NewWriterSize(c.raw, bufferBytes)
@@ -139,9 +164,12 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
+		c.responses++
 		if isOwn(response.Header) {
 			return response, nil
 		}
+		c.usage.Responses++
+		c.usage.Skipped++
 		if !c.Drain(ctx, response.Body, foreignBytes) {
 			return nil, errForeign
 		}
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -83,6 +83,9 @@
 	// Dial opens a connection. Its context ends after DialTimeout. Nil means a TCP
 	// connection of the system.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Extra is called when an idle connection is closed because bytes were received behind
+	// its last response. It must not block. Nil discards it.
+	Extra func(address string)
 }
 
 // Requirements describes the connection that a request needs. With the zero value any
@@ -356,6 +359,12 @@
 	h.idle = nil
 }
 
+func (p *Pool) observeExtra(address string) {
+	if p.options.Extra != nil {
+		p.options.Extra(address)
+	}
+}
+
 // Dials returns the number of new connections, including failed attempts, since
 // the pool was created.
 func (p *Pool) Dials() uint64 {
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -34,7 +34,7 @@
 		end = x.relay.options.Runner.Run(ctx, x.attempt(d), s)
 	}
 	end.Unsent = !s.sent
-	x.framing, x.partialEvent = end.Framing, end.PartialEvent
+	x.framing, x.partialEvent, x.response = end.Framing, end.PartialEvent, end.Response
 	x.takeMove(d, &end)
 	if end.Framing != wasabiridge.FramingNone {
 		x.relay.counts.addEnd(end.Framing.String(), end.Result.String())
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -58,6 +58,8 @@
 	// framing and partialEvent are those of the last attempt's response.
 	framing      wasabiridge.Framing
 	partialEvent int
+	// response is what is known of that response.
+	response wasabiridge.ResponseEvidence
 }
 
 func newExchange(c *call) *exchange {
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -148,6 +148,7 @@
 		Str("to", string(to.ID)).
 		Str("outcome", outcome).
 		Str("cause", result.Reason).
+		Str("kind", string(result.Refusal.Kind)).
 		Int("status", x.status).
 		Int64("took_ms", int64(x.relay.options.Clock.Now()-started)).
 		Msg("Request forwarded.")
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -124,10 +124,17 @@
 		Stringer("framing", end.Framing).
 		Int("partial_event_bytes", end.PartialEvent).
 		Int("events", end.Delivered).
+		Dict("response", evidence(end.Response)).
 		Int64("took_ms", int64(x.relay.options.Clock.Now()-started)).
 		Msg("Attempt failed.")
 }
 
+// evidence returns the fields of the response that ended an attempt.
+func evidence(e wasabiridge.ResponseEvidence) *zerolog.Event {
+	return zerolog.Dict().Int("status", e.Status).Str("identifier", string(e.Identifier)).Int("requests_before", e.Requests).
+		Int("responses_before", e.Earlier).Int("skipped", e.Skipped).Int("bytes_behind", e.Behind).Str("cause", e.Cause)
+}
+
 // log counts and logs the end of a request.
 func (x *exchange) log(message, outcome, cause string) {
 	now := x.relay.options.Clock.Now()
@@ -145,6 +152,7 @@
 		Int("attempts", x.attempts).
 		Stringer("framing", x.framing).
 		Int("partial_event_bytes", x.partialEvent).
+		Dict("response", evidence(x.response)).
 		Int("events", x.events).
 		Int64("first_byte_ms", int64(first)).
 		Int64("took_ms", int64(now-x.arrived)).
