Whether a refusal without an identifier is proven depends on the responses before it

A request could run twice, or run although its caller was refused: behind a response to another request, which is skipped, a refusal without an identifier was believed if the connection was new, as only the requests before were asked for. And callers got 502 in place of a refusal that was true on a connection that had been opened in advance, which counted as used.

--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -39,9 +39,6 @@
 
 // Conn is a connection that is used by one request at a time.
 type Conn struct {
-	// Reused is true when another request was sent on the connection before.
-	Reused bool
-
 	pool    *Pool
 	address string
 	raw     net.Conn
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -248,7 +248,7 @@
 		}
 		h.idle = h.idle[:len(h.idle)-1]
 		if c.isClean() {
-			c.Reused, c.released = true, false
+			c.released = false
 			return c, nil
 		}
 		h.open--
