A refusal of another instance counts as not run only by a kind that says so

A request that was passed on could be refused with a promise, or be passed on to a further instance, although it ran: a refusal of a kind that this build does not know, from an instance of a later one, counted as not run, and so did one behind the beginning of an answer. The kinds that state it stand in one place now, RefusalKind.IsNotRun, asked by the decoder and by the relay; all others may have run.

--- a/caller.go
+++ b/caller.go
@@ -52,6 +52,16 @@
 	RefusalBodyTooLarge   RefusalKind = "body_too_large"
 )
 
+// IsNotRun reports whether a refusal of this kind states that the request has not run and will
+// not be. An unknown kind does not.
+func (k RefusalKind) IsNotRun() bool {
+	switch k {
+	case RefusalNotRun, RefusalLimited, RefusalNoRule, RefusalNoKey, RefusalInvalid, RefusalHeaderTooLarge, RefusalBodyTooLarge:
+		return true
+	}
+	return false
+}
+
 // Refusal is an error response of the router itself. It is an immutable value.
 type Refusal struct {
 	Kind RefusalKind
--- a/internal/wasabipeer/forward.go
+++ b/internal/wasabipeer/forward.go
@@ -60,6 +60,8 @@
 			return wasabiridge.ForwardResult{Result: wasabiridge.AttemptCompleted}, nil
 		case err != nil:
 			return wasabiridge.ForwardResult{}, err
+		case reply.Refusal != nil && hasHead:
+			return broken("refusal behind the beginning of an answer"), nil
 		case reply.Refusal != nil:
 			return decodeForwardRefusal(reply.Refusal), nil
 		}
@@ -157,11 +159,10 @@
 	out.Refusal = wasabiridge.Refusal{
 		Kind: wasabiridge.RefusalKind(in.Kind), Reason: in.Reason, RetryAfter: wasabiridge.Millis(min(in.RetryAfterMs, uint64(wasabiridge.Hour))),
 	}
-	switch out.Refusal.Kind {
-	case wasabiridge.RefusalBroken, wasabiridge.RefusalTimeout:
-		out.Declined = false
-	default:
+	if out.Refusal.Kind.IsNotRun() {
 		out.Result = wasabiridge.AttemptNotRun
+	} else {
+		out.Declined = false
 	}
 	return out
 }
--- a/internal/wasabipeer/forward_test.go
+++ b/internal/wasabipeer/forward_test.go
@@ -107,6 +107,25 @@
 		Entry("may have run", refusal(wasabiridge.RefusalBroken, false)),
 	)
 
+	// Guards against a request that counts as not run by a word that this build does not know,
+	// or by a refusal behind the beginning of an answer.
+	DescribeTable("may have run", func(kind wasabiridge.RefusalKind, begun bool) {
+		h := &forwardHandler{serve: func(_ context.Context, sink wasabiridge.ForwardSink) wasabiridge.ForwardResult {
+			if begun {
+				Expect(sink.Head(http.StatusOK, http.Header{})).To(Succeed())
+			}
+			return refusal(kind, true)
+		}}
+		result := connect(o).Forward(context.Background(), serve(h, o).Address(), forwarded, &recorded{})
+		Expect(result.Result).To(Equal(wasabiridge.AttemptBroken))
+		Expect(result.Declined).To(BeFalse())
+		Expect(result.Refusal.Kind).NotTo(Equal(wasabiridge.RefusalNotRun))
+	},
+		Entry("after a refusal of an unknown kind", wasabiridge.RefusalKind("later"), false),
+		Entry("after a refusal that says so", wasabiridge.RefusalTimeout, false),
+		Entry("after a refusal behind the beginning of an answer", wasabiridge.RefusalNotRun, true),
+	)
+
 	// Guards against a request that is said not to have run, or is sent to a further
 	// instance, although the one before may have sent it to a server.
 	It("may have run if the answer ends early", func() {
--- a/internal/wasabirelay/refusal.go
+++ b/internal/wasabirelay/refusal.go
@@ -53,7 +53,7 @@
 
 func (c *call) refuse(f wasabiridge.Refusal) {
 	outcome := OutcomeBroken
-	if f.Kind != wasabiridge.RefusalBroken && f.Kind != wasabiridge.RefusalTimeout {
+	if f.Kind.IsNotRun() {
 		outcome = OutcomeRefused
 	}
 	c.relay.counts.add(outcome, f.Reason, c.relay.options.Clock.Now()-c.arrived)
