A refusal of an engine or service is believed only if it belongs to the attempt

On the OpenAI way a response with the disposition not_run was believed without an identifier and on a used connection. A faulty server that sends it behind a complete answer makes the next request of the connection, while it runs, count as not run: its caller is told so, or it runs at another server as well. Requests that are not idempotent were safe, as each has a connection of its own; idempotent ones were told an untrue not_run.

Heads that end at any byte are broken attempts on this way, too.

--- a/header.go
+++ b/header.go
@@ -6,6 +6,9 @@
 	// accepts only the value "not_run" from a backend server, and deletes the header
 	// from every response that it forwards.
 	HeaderDisposition = "X-Wasabiridge-Disposition"
+	// HeaderRequest is the identifier of the request. A refusal that repeats it belongs to
+	// that request, whatever its connection carried before.
+	HeaderRequest = "X-Request-Id"
 	// HeaderWeights is a weights version: on a request the one that must produce the
 	// response, on a response the one that did.
 	HeaderWeights = "X-Wasabiridge-Weights"
--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -21,6 +21,8 @@
 	ended      wasabiridge.AttemptEnded
 	wantsUsage bool
 	sent       bool
+	// reused is set if the connection carried another request before.
+	reused     bool
 	sinkFailed bool
 }
 
@@ -34,7 +36,10 @@
 	}
 	x.wantsUsage = body.wantsUsage
 	x.attempt.Body = nil
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.markSent() }}
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		x.reused = c.Reused
+		x.markSent()
+	}}
 	var req *http.Request
 	var err error
 	if req, err = newRequest(httptrace.WithClientTrace(x.ctx, trace), x.attempt); err != nil {
@@ -79,6 +84,9 @@
 	x.readOverload(resp)
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(wasabiridge.HeaderDisposition) == wasabiridge.NotRun.String() {
 		x.drain(resp.Body)
+		if !x.isProven(resp) {
+			return wasabiridge.AttemptBroken
+		}
 		return wasabiridge.AttemptNotRun
 	}
 	if x.attempt.Backend.Kind != wasabiridge.BackendEngine {
@@ -97,6 +105,15 @@
 	return x.relayBuffered(resp)
 }
 
+// isProven reports whether a refusal belongs to this attempt.
+//
+// The failure it guards against: a faulty server sends a refusal behind a complete answer. It
+// arrives while the next request of the connection runs.
+func (x *exchange) isProven(resp *http.Response) bool {
+	id := x.attempt.Header.Get(wasabiridge.HeaderRequest)
+	return !x.reused || id != "" && resp.Header.Get(wasabiridge.HeaderRequest) == id
+}
+
 // version returns the number in a response header, or zero when it is missing or
 // malformed.
 func version(resp *http.Response, name string) uint64 {
--- a/internal/wasabibackend/failure_test.go
+++ b/internal/wasabibackend/failure_test.go
@@ -108,6 +108,67 @@
 	})
 })
 
+// Guards against a request that counts as not run by a refusal that belongs to none: a faulty
+// server sends it behind a complete answer, on a connection that is used again.
+var _ = Describe("a refusal that states that nothing ran", func() {
+	cases := map[string]struct {
+		used, once bool
+		id         string
+		want       wasabiridge.AttemptResult
+	}{
+		"is believed on a new connection":                               {want: wasabiridge.AttemptNotRun},
+		"proves nothing on a used connection":                           {used: true, want: wasabiridge.AttemptBroken},
+		"proves nothing with another identifier on a used connection":   {used: true, id: "another", want: wasabiridge.AttemptBroken},
+		"is believed with the identifier on a used connection":          {used: true, id: "r1", want: wasabiridge.AttemptNotRun},
+		"is believed for a non-idempotent request, which is sent alone": {used: true, once: true, want: wasabiridge.AttemptNotRun},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		c := cases[name]
+		It(name, func() {
+			answered := 0
+			url := serve(func(w http.ResponseWriter, _ *http.Request) {
+				if answered++; c.used && answered == 1 {
+					_, _ = io.WriteString(w, "ok")
+					return
+				}
+				w.Header().Set(wasabiridge.HeaderDisposition, wasabiridge.NotRun.String())
+				if c.id != "" {
+					w.Header().Set(wasabiridge.HeaderRequest, c.id)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			a := wasabiridge.Attempt{ID: 1, Request: "r1", Backend: wasabiridge.BackendServer{ID: "s", URL: url}, Method: http.MethodGet, Path: "/", Header: http.Header{wasabiridge.HeaderRequest: {"r1"}}, NonIdempotent: c.once}
+			runner := newRunner(wasabibackend.Options{})
+			if c.used {
+				ended, _ := run(runner, a)
+				Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
+			}
+			ended, s := run(runner, a)
+			Expect(ended.Result).To(Equal(c.want))
+			Expect(s.status).To(BeZero())
+		})
+	}
+})
+
+// Guards against a part of an answer that is passed on as a whole one, because its server ended
+// within the head.
+var _ = It("an answer that ends within its head is broken at each byte", func() {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
+	for n := range len(head) {
+		url := serve(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, head[:n])
+			_ = conn.Close()
+		})
+		ended, s := run(newRunner(wasabibackend.Options{}), bookingOf(wasabiridge.BackendServer{ID: "s", URL: url}, "visit"))
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken), "%q", head[:n])
+		Expect(s.status).To(BeZero(), "%q", head[:n])
+	}
+})
+
 // Guards against a resumed answer that does not continue the first part: the
 // second engine does not implement resuming and starts at the first token, or it
 // has other weights, so that its tokens belong to a different answer.
--- a/internal/wasabiengine/handler.go
+++ b/internal/wasabiengine/handler.go
@@ -47,8 +47,11 @@
 }
 
 // refuse writes an error response with a disposition header that says that the
-// request did not run.
-func refuse(w http.ResponseWriter, status int, reason string) {
+// request did not run, and with the identifier of the request.
+func refuse(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	if id := r.Header.Get(wasabiridge.HeaderRequest); id != "" {
+		w.Header().Set(wasabiridge.HeaderRequest, id)
+	}
 	w.Header().Set(wasabiridge.HeaderDisposition, wasabiridge.NotRun.String())
 	writeError(w, status, reason, "not_run")
 }
@@ -73,7 +76,7 @@
 	sameWeights := acceptsVersion(w, r, wasabiridge.HeaderWeights, uint64(weights))
 	sameIncarnation := acceptsVersion(w, r, wasabiridge.HeaderIncarnation, uint64(incarnation))
 	if !sameWeights || !sameIncarnation {
-		refuse(w, http.StatusConflict, "another weights version or incarnation")
+		refuse(w, r, http.StatusConflict, "another weights version or incarnation")
 		return
 	}
 	chain := body.chain(e.opts.Spec.BlockTokens)
@@ -85,7 +88,7 @@
 	}, body.blockNames(chain))
 	if !ok {
 		w.Header().Set("Retry-After", "1")
-		refuse(w, http.StatusServiceUnavailable, "queue full or loading weights")
+		refuse(w, r, http.StatusServiceUnavailable, "queue full or loading weights")
 		return
 	}
 	defer e.runner.release(pending)
--- a/internal/wasabigateway/failure.go
+++ b/internal/wasabigateway/failure.go
@@ -13,7 +13,7 @@
 const (
 	// RequestIDHeader holds the identifier of the request in the log and the
 	// timeline.
-	RequestIDHeader = "X-Request-Id"
+	RequestIDHeader = wasabiridge.HeaderRequest
 	// DispositionHeader states whether the request ran: "not_run", "maybe_run"
 	// or "ran".
 	DispositionHeader = "Wasabi-Disposition"
--- a/internal/wasabiservice/service.go
+++ b/internal/wasabiservice/service.go
@@ -117,6 +117,7 @@
 	}
 	if s.takeRefusal() {
 		w.Header().Set(wasabiridge.HeaderDisposition, wasabiridge.NotRun.String())
+		w.Header().Set(wasabiridge.HeaderRequest, r.Header.Get(wasabiridge.HeaderRequest))
 		w.Header().Set("Retry-After", "2")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
