--- a/event.go
+++ b/event.go
@@ -107,7 +107,7 @@
 	Response ResponseEvidence
 }
 
-// IdentifierMatch tells whose identifier a response carries.
+// IdentifierMatch is whose identifier a response carries.
 type IdentifierMatch string
 
 // Identifiers of responses.
--- a/internal/wasabibackend/failure_test.go
+++ b/internal/wasabibackend/failure_test.go
@@ -150,8 +150,8 @@
 	}
 })
 
-// Guards against a part of an answer that is passed on as a whole one, because its server ended
-// within the head.
+// Guards against a part of an answer that is passed on as a complete one, because its server
+// ended within the head.
 var _ = It("an answer that ends within its head is broken at each byte", func() {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
 	for n := range len(head) {
