--- a/internal/wasabinode/partition_test.go
+++ b/internal/wasabinode/partition_test.go
@@ -88,7 +88,7 @@
 				Eventually(func() string { return listed(n) }, "10s").Should(ContainSubstring(cut.caller))
 			}
 			Eventually(func() string { return metricsOf(cut) }, "5s").ShouldNot(MatchRegexp(`path_lost_ms\{[^}]*\} [1-9]`))
-			Expect(statuses(cut, 6)).To(BeEmpty())
+			Expect(statuses(cut, 6)).To(BeEmpty(), cut.lastLines("Request refused."))
 			runs := map[string]int{}
 			for _, r := range apps {
 				for _, run := range r.Runs() {
