--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -12,7 +12,8 @@
 // A faulty server may send a second response, or bytes after a complete one. The
 // next request on the connection would receive them as its response. A connection
 // with unread bytes is therefore not reused, and a response with the identifier of
-// another request is skipped.
+// another request is skipped. Conn.Usage has the number of responses before one, for those
+// without an identifier.
 //
 // # Bytes without end
 //
