Log lines name first which response decided, and what lay behind a response

Users keep some 200 characters of a line. The deciding fields now stand behind the request; account, rule and fingerprint are last. Bytes behind a response are described: last request of the connection, replica, status, identifier, proof and statement. No change of logic. A spec checks the first 200 characters of both lines.

--- a/event.go
+++ b/event.go
@@ -180,16 +180,33 @@
 // ResponseMalformed reports that a backend server sent bytes that are no response, or more of
 // a part than is read. The connection was closed.
 type ResponseMalformed struct {
-	// Backend is empty if Address is that of a KV cache store, or of an idle connection.
+	// Backend is empty if Address is that of a KV cache store.
 	Backend BackendServerID
 	Address string
-	// Request is empty if the response is one to a call of the router itself.
+	// Request is empty if the response is one to a call of the router itself. If Part is
+	// PartExtra, it is the last request of the connection.
 	Request RequestID
 	Part    ResponsePart
+	// Extra is what was received if Part is PartExtra.
+	Extra ExtraResponse
 	// Cause describes what is wrong, without the bytes that were received.
 	Cause string
 }
 
+// ExtraResponse describes what was received behind the last response of a connection.
+type ExtraResponse struct {
+	// Bytes is the number of bytes that were examined.
+	Bytes int
+	// Status is the status code. Zero means that the bytes do not begin with the head of a
+	// response.
+	Status int
+	// Identifier is own if the bytes carry that of the last request of the connection.
+	Identifier IdentifierMatch
+	// Sealed reports that the bytes carry the proof of a server that it wrote the response, and
+	// NotRun that they state that a request did not run.
+	Sealed, NotRun bool
+}
+
 // PauseRequested reports that a backend server refused a request and wants no further
 // requests from this instance for a while.
 type PauseRequested struct {
--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -25,6 +25,8 @@
 	// drainTimeout bounds the time for which the rest of a response is read that is not
 	// needed.
 	drainTimeout = 100 * time.Millisecond
+	// maxExtraBytes is the most that is examined of the bytes behind a response.
+	maxExtraBytes = 1 << 10
 	// inlineBody is the size up to which a body is written before the response is
 	// read. The system's buffers take that much in any case. A larger body is
 	// written concurrently, because a server may respond before it has read all
@@ -41,6 +43,9 @@
 type Conn struct {
 	pool    *Pool
 	address string
+	// request and backend are those for which the connection is used, or was used last.
+	request wasabiridge.RequestID
+	backend wasabiridge.BackendServerID
 	raw     net.Conn
 	head    *headReader
 	reader  *bufio.Reader
@@ -85,8 +90,9 @@
 // isClean reports whether nothing was received since the last response: neither
 // bytes, which would belong to no request, nor the close of the connection.
 func (c *Conn) isClean() bool {
-	if c.reader.Buffered() > 0 {
-		c.pool.observeExtra(c.address)
+	if n := c.reader.Buffered(); n > 0 {
+		text, _ := c.reader.Peek(min(n, maxExtraBytes))
+		c.pool.observeExtra(c, text)
 		return false
 	}
 	s, ok := c.raw.(syscall.Conn)
@@ -103,7 +109,9 @@
 		n, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		empty = failed == syscall.EAGAIN || failed == syscall.EWOULDBLOCK
 		if failed == nil && n > 0 {
-			c.pool.observeExtra(c.address)
+			text := make([]byte, maxExtraBytes)
+			n, _, _ = syscall.Recvfrom(int(fd), text, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			c.pool.observeExtra(c, text[:max(0, n)])
 		}
 		return true
 	})
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -86,12 +86,26 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Extra is called when an idle connection is closed because bytes were received behind
 	// its last response. It must not block. Nil discards it.
-	Extra func(address string)
+	Extra func(e Extra)
+}
+
+// Extra describes the bytes that were received behind the last response of a connection.
+type Extra struct {
+	Address string
+	// Request and Backend are those for which the connection was used last.
+	Request wasabiridge.RequestID
+	Backend wasabiridge.BackendServerID
+	// Text holds the first maxExtraBytes of them.
+	Text []byte
 }
 
 // Requirements describes the connection that a request needs. With the zero value any
 // connection will do.
 type Requirements struct {
+	// Request and Backend are what the connection is used for. They are named in reports of
+	// bytes behind the response.
+	Request wasabiridge.RequestID
+	Backend wasabiridge.BackendServerID
 	// MaxConnections bounds the connections to the address, idle ones included. Zero
 	// means no limit.
 	MaxConnections int
@@ -166,12 +180,15 @@
 // the limit is reached; nothing was sent then. The caller must release the connection.
 func (p *Pool) Get(ctx context.Context, address string, w Requirements) (*Conn, error) {
 	c, err := p.take(address, w)
-	if c != nil || err != nil {
-		return c, err
+	if err != nil {
+		return nil, err
 	}
-	if c, err = p.dial(ctx, address); err != nil {
-		return nil, wasabiridge.ErrUnavailable.Wrap(err, "conn: connect to %s", address)
+	if c == nil {
+		if c, err = p.dial(ctx, address); err != nil {
+			return nil, wasabiridge.ErrUnavailable.Wrap(err, "conn: connect to %s", address)
+		}
 	}
+	c.request, c.backend = w.Request, w.Backend
 	return c, nil
 }
 
@@ -360,9 +377,9 @@
 	h.idle = nil
 }
 
-func (p *Pool) observeExtra(address string) {
+func (p *Pool) observeExtra(c *Conn, text []byte) {
 	if p.options.Extra != nil {
-		p.options.Extra(address)
+		p.options.Extra(Extra{Address: c.address, Request: c.request, Backend: c.backend, Text: text})
 	}
 }
 
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -446,6 +446,43 @@
 		Expect(n.log.String()).NotTo(ContainSubstring("secret-key"))
 	})
 
+	// Guards against log lines of which operators keep only the beginning, and which do not name
+	// there why a request counts as not run.
+	It("names in the first 200 characters of a line which response decided", func() {
+		g := newRig()
+		n := g.start()
+		r := g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
+		g.configure(1, "key")
+		Eventually(status(n.caller, "/book/x", "key"), "3s").Should(Equal(http.StatusOK))
+		line := func(parts ...string) func() string {
+			return func() string {
+				for line := range strings.Lines(n.log.String()) {
+					if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
+						return line[:min(200, len(line))]
+					}
+				}
+				return ""
+			}
+		}
+		r.SendExtra(func(int) *standin.Extra {
+			return &standin.Extra{Status: http.StatusServiceUnavailable, Delay: time.Millisecond, Identifier: standin.IdentifierBefore}
+		})
+		_, _, err := send(n.caller, "/book/x", "extra1", "key")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(line("Malformed response of a backend server", `"request_id":"extra1"`), "3s").Should(And(
+			ContainSubstring(`"backend":"s1"`), ContainSubstring(`"of":"extra"`), ContainSubstring(`"status":503`),
+			ContainSubstring(`"identifier":"own"`), ContainSubstring(`"sealed":false`), ContainSubstring(`"not_run":true`),
+		))
+		r.SendExtra(nil)
+		r.FailWith(func(int) standin.Fault { return standin.Refuse })
+		_, _, err = send(n.caller, "/book/x", "refused1", "key")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(line("Attempt failed.", `"request_id":"refused1"`)).Should(And(
+			ContainSubstring(`"result":"not_run"`), ContainSubstring(`"status":503`), ContainSubstring(`"identifier":"own"`),
+			MatchRegexp(`"responses_before":[0-9]+,`), ContainSubstring(`"bytes_behind":0`),
+		))
+	})
+
 	It("serves counters, ages and latencies on its metrics address", func() {
 		g := newRig()
 		n := g.start()
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -195,8 +195,12 @@
 		n.malformed = map[wasabiridge.ResponsePart]int{}
 	}
 	n.malformed[e.Part]++
-	n.log.Warn().Str(wasabilog.RequestField, string(e.Request)).Str(wasabilog.BackendField, string(e.Backend)).Str("address", e.Address).
-		Str("part", string(e.Part)).Str("cause", e.Cause).Msg("Malformed response of a backend server; its connection was closed.")
+	line := n.log.Warn().Str(wasabilog.RequestField, string(e.Request)).Str(wasabilog.BackendField, string(e.Backend)).Str("of", string(e.Part))
+	if e.Part == wasabiridge.PartExtra {
+		line = line.Int("status", e.Extra.Status).Str("identifier", string(e.Extra.Identifier)).Bool("sealed", e.Extra.Sealed).
+			Bool("not_run", e.Extra.NotRun).Int("bytes", e.Extra.Bytes)
+	}
+	line.Str("cause", e.Cause).Str("address", e.Address).Msg("Malformed response of a backend server; its connection was closed.")
 }
 
 // logFault logs an unusable announcement, at most once per faultLogInterval.
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -143,14 +143,14 @@
 	x.relay.counts.addForward(outcome)
 	x.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(x.request.ID)).
-		Str("account", string(x.request.Account)).
-		Str("rule", string(x.request.Rule)).
-		Str("to", string(to.ID)).
 		Str("outcome", outcome).
-		Str("cause", result.Reason).
 		Str("kind", string(result.Refusal.Kind)).
+		Str("to", string(to.ID)).
+		Str("cause", result.Reason).
 		Int("status", x.status).
 		Int64("took_ms", int64(x.relay.options.Clock.Now()-started)).
+		Str("account", string(x.request.Account)).
+		Str("rule", string(x.request.Rule)).
 		Msg("Request forwarded.")
 }
 
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -23,19 +23,11 @@
 		shared += x.request.Chain.Lengths[i]
 		key = wasabiprefix.SegmentKey(salt, x.request.Chain.Blocks[i])
 	}
-	line := x.relay.options.Log.Info()
-	if a := d.Allotment; a != (wasabiridge.Allotment{}) {
-		line = line.Dict("allotment", zerolog.Dict().Float64("rate", a.Rate).Bool("brittle", a.Brittle).
-			Int("part", a.Part).Int("used", a.Used).Int("instances", a.Instances).Int64("age_ms", int64(a.Age)))
-	}
-	line.
+	line := x.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(x.request.ID)).
-		Uint64("attempt", uint64(d.Attempt)).
-		Str("account", string(x.request.Account)).
-		Str("rule", string(x.request.Rule)).
-		Stringer("fingerprint", x.request.Fingerprint).
 		Str(wasabilog.BackendField, string(d.Backend.ID)).
 		Str("why", d.Why).
+		Uint64("attempt", uint64(d.Attempt)).
 		Int64("expected_ms", int64(d.ExpectedWait)).
 		Int("slowness_percent", int(math.Round(100*d.Slowness))).
 		Int("prompt_tokens", x.request.Chain.Tokens).
@@ -50,7 +42,14 @@
 		Int("priority", int(x.request.Action.Priority)).
 		Int64("left_ms", int64(x.until-x.relay.options.Clock.Now())).
 		Uint64("config_version", uint64(x.view.Config.Version)).
-		Msg("Request placed.")
+		Str("account", string(x.request.Account)).
+		Str("rule", string(x.request.Rule)).
+		Stringer("fingerprint", x.request.Fingerprint)
+	if a := d.Allotment; a != (wasabiridge.Allotment{}) {
+		line = line.Dict("allotment", zerolog.Dict().Float64("rate", a.Rate).Bool("brittle", a.Brittle).
+			Int("part", a.Part).Int("used", a.Used).Int("instances", a.Instances).Int64("age_ms", int64(a.Age)))
+	}
+	line.Msg("Request placed.")
 }
 
 // Kinds of continued streams, for the metrics.
@@ -103,15 +102,8 @@
 		return
 	}
 	line := x.relay.options.Log.Info()
-	if end.ServerCrashed {
-		line = line.Strs("parts", partNames(x.request.Chain)).Bool("began", began)
-	}
-	line.
-		Str(wasabilog.RequestField, string(end.Request)).
-		Uint64("attempt", uint64(end.Attempt)).
-		Stringer("fingerprint", x.request.Fingerprint).
+	addEvidence(line.Str(wasabilog.RequestField, string(end.Request)).Stringer("result", end.Result), end.Response).
 		Str(wasabilog.BackendField, string(end.Backend)).
-		Stringer("result", end.Result).
 		Bool("unsent", end.Unsent).
 		Bool("unreachable", end.Unreachable).
 		Bool("silent", end.FirstByteTimeout).
@@ -124,15 +116,20 @@
 		Stringer("framing", end.Framing).
 		Int("partial_event_bytes", end.PartialEvent).
 		Int("events", end.Delivered).
-		Dict("response", evidence(end.Response)).
 		Int64("took_ms", int64(x.relay.options.Clock.Now()-started)).
-		Msg("Attempt failed.")
+		Uint64("attempt", uint64(end.Attempt)).
+		Stringer("fingerprint", x.request.Fingerprint)
+	if end.ServerCrashed {
+		line = line.Bool("began", began).Strs("parts", partNames(x.request.Chain))
+	}
+	line.Msg("Attempt failed.")
 }
 
-// evidence returns the fields of the response that ended an attempt.
-func evidence(e wasabiridge.ResponseEvidence) *zerolog.Event {
-	return zerolog.Dict().Int("status", e.Status).Str("identifier", string(e.Identifier)).Int("requests_before", e.Requests).
-		Int("responses_before", e.Earlier).Int("skipped", e.Skipped).Int("bytes_behind", e.Behind).Str("cause", e.Cause)
+// addEvidence adds the fields of the response that ended an attempt. Operators may keep only
+// the beginning of a line, so they stand right behind the result.
+func addEvidence(line *zerolog.Event, e wasabiridge.ResponseEvidence) *zerolog.Event {
+	return line.Int("status", e.Status).Str("identifier", string(e.Identifier)).Int("responses_before", e.Earlier).
+		Int("bytes_behind", e.Behind).Str("why", e.Cause).Int("requests_before", e.Requests).Int("skipped", e.Skipped)
 }
 
 // log counts and logs the end of a request.
@@ -143,21 +140,21 @@
 	if x.firstByte > 0 {
 		first = x.firstByte - x.arrived
 	}
-	x.relay.options.Log.Info().
+	line := x.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(x.request.ID)).
-		Str("account", string(x.request.Account)).
-		Str("rule", string(x.request.Rule)).
-		Str(wasabilog.BackendField, string(x.backend)).
-		Int("status", x.status).
+		Str("outcome", outcome).
+		Str("cause", cause).
 		Int("attempts", x.attempts).
+		Str(wasabilog.BackendField, string(x.backend))
+	addEvidence(line, x.response).
+		Int("answered", x.status).
 		Stringer("framing", x.framing).
 		Int("partial_event_bytes", x.partialEvent).
-		Dict("response", evidence(x.response)).
 		Int("events", x.events).
 		Int64("first_byte_ms", int64(first)).
 		Int64("took_ms", int64(now-x.arrived)).
-		Str("outcome", outcome).
-		Str("cause", cause).
+		Str("account", string(x.request.Account)).
+		Str("rule", string(x.request.Rule)).
 		Msg(message)
 }
 
--- a/internal/wasabirelay/refusal.go
+++ b/internal/wasabirelay/refusal.go
@@ -57,22 +57,21 @@
 		outcome = OutcomeRefused
 	}
 	c.relay.counts.add(outcome, f.Reason, c.relay.options.Clock.Now()-c.arrived)
-	line := c.relay.options.Log.Info()
-	if f.Reason == string(wasabiridge.RefusedQuarantined) {
-		line = line.Strs("parts", partNames(c.request().Chain))
-	}
-	line.
+	line := c.relay.options.Log.Info().
 		Str(wasabilog.RequestField, string(c.parsed.ID)).
-		Str("account", string(c.account.ID)).
-		Str("rule", string(c.rule.ID)).
-		Stringer("fingerprint", c.fingerprint).
 		Str("kind", string(f.Kind)).
 		Str("cause", f.Reason).
 		Int64("retry_after_ms", int64(f.RetryAfter)).
 		Uint64("config_version", uint64(c.view.Config.Version)).
 		Int64("config_age_ms", int64(c.arrived-c.view.ConfirmedAt)).
 		Int64("took_ms", int64(c.relay.options.Clock.Now()-c.arrived)).
-		Msg("Request refused.")
+		Str("account", string(c.account.ID)).
+		Str("rule", string(c.rule.ID)).
+		Stringer("fingerprint", c.fingerprint)
+	if f.Reason == string(wasabiridge.RefusedQuarantined) {
+		line = line.Strs("parts", partNames(c.request().Chain))
+	}
+	line.Msg("Request refused.")
 	if c.received != nil {
 		c.received.result.Result, c.received.result.Refusal, c.received.result.Reason = wasabiridge.AttemptNotRun, f, f.Reason
 		if outcome == OutcomeBroken {
