A refusal of a non-idempotent request is believed once a later request was answered

Callers saw requests that ran although they were refused, and requests that ran twice, where a replica refused a request that it ran. The answer then lay on the idle connection ("bytes behind a response").

A refusal was believed by what it says itself: the identifier of the request, or none on a connection that had received nothing before. Neither shows that the replica does not run the request.

A replica processes one request at a time on a connection and responds in order. A connection that is announced to be closed has to be closed.

--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -140,6 +141,17 @@
 	} else {
 		go write()
 	}
+	return c.next(ctx, r, isOwn, stop)
+}
+
+// Next reads another response behind that of RoundTrip, whose body must have been read and
+// closed. Its arguments and errors are those of RoundTrip.
+func (c *Conn) Next(ctx context.Context, r *http.Request, isOwn func(http.Header) bool) (*http.Response, error) {
+	return c.next(ctx, r, isOwn, context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(longAgo) }))
+}
+
+// next reads a response. Stop ends the monitoring of the context.
+func (c *Conn) next(ctx context.Context, r *http.Request, isOwn func(http.Header) bool, stop func() bool) (*http.Response, error) {
 	response, err := c.readOwn(ctx, r, isOwn)
 	if err != nil {
 		stop()
@@ -149,6 +161,26 @@
 	return response, nil
 }
 
+// WaitWritten waits until the last request is written, and reports whether it was written
+// completely.
+func (c *Conn) WaitWritten(ctx context.Context) bool {
+	select {
+	case <-c.written:
+		return c.writeErr == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// WaitEnd waits until the server closes or resets the connection, and reports whether it did
+// so without sending anything before.
+func (c *Conn) WaitEnd(ctx context.Context) bool {
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(longAgo) })
+	defer stop()
+	_, err := c.reader.Peek(1)
+	return err != nil && ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // wrapReadError returns the error of a read that got no response.
 func wrapReadError(err error, address string) error {
 	var failed net.Error
--- a/internal/wasabiconn/pool.go
+++ b/internal/wasabiconn/pool.go
@@ -13,7 +13,8 @@
 // next request on the connection would receive them as its response. A connection
 // with unread bytes is therefore not reused, and a response with the identifier of
 // another request is skipped. Conn.Usage has the number of responses before one, for those
-// without an identifier.
+// without an identifier. A server responds in order, so what belongs to a request has arrived
+// once it has responded to a later one: Conn.Next returns what lies between.
 //
 // # Bytes without end
 //
