Log lines name the server that sent an event of no run, and how the stream ended

Each event of a stream is now checked: one identifier, which is a number and the next one of its run, data, and only fields and comments. No change of logic: the event is handed on as before.

--- a/event.go
+++ b/event.go
@@ -100,6 +100,8 @@
 	// Moved is where the response continues when its KV cache was moved. The next attempt
 	// then does not count as another run.
 	Moved MigrationResult
+	// Malformed is the event that ended the attempt, because it belongs to no run.
+	Malformed MalformedEvent
 	// Stopped reports that the server may have ended the response because it was asked to
 	// move the request. The end is then not a failure of the server.
 	Stopped bool
@@ -187,12 +189,25 @@
 	// PartExtra, it is the last request of the connection.
 	Request RequestID
 	Part    ResponsePart
-	// Extra is what was received if Part is PartExtra.
+	// Extra is what was received if Part is PartExtra, and Event if it is PartEvent.
 	Extra ExtraResponse
+	Event MalformedEvent
 	// Cause describes what is wrong, without the bytes that were received.
 	Cause string
 }
 
+// MalformedEvent describes bytes in a stream that are not the next event of a run.
+type MalformedEvent struct {
+	// Cause is what is wrong with them. Empty means that there were none.
+	Cause string
+	// Delivered is the number of events of the stream that the caller had then, and LastID
+	// the identifier of the last one.
+	Delivered int
+	LastID    uint64
+	// Bytes is the number of bytes that were received of them.
+	Bytes int
+}
+
 // ExtraResponse describes what was received behind the last response of a connection.
 type ExtraResponse struct {
 	// Bytes is the number of bytes that were examined.
--- a/internal/wasabievent/event.go
+++ b/internal/wasabievent/event.go
@@ -11,8 +11,9 @@
 //	var splitter wasabievent.Splitter
 //	for {
 //		n, err := body.Read(buffer)
-//		events, count := splitter.Add(buffer[:n])
-//		...
+//		for _, block := range splitter.Add(buffer[:n]) {
+//			...
+//		}
 //		if err == io.EOF && splitter.Partial() > 0 {
 //			return errCutOff
 //		}
@@ -24,6 +25,13 @@
 // byteOrderMark may stand before the first line of a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
+// Block is a whole event with the comments before it, or comments and an empty line, which
+// belong to no event.
+type Block struct {
+	Text  []byte
+	Event bool
+}
+
 // Splitter splits one stream. The zero value is ready to use. It is not safe for
 // concurrent use.
 type Splitter struct {
@@ -31,6 +39,8 @@
 	// which Add has returned.
 	pending  []byte
 	returned int
+	// blocks are those that end within the bytes that Add has added.
+	blocks []Block
 	// scanned and line are the offsets of the first byte that was not scanned and of the
 	// current line.
 	scanned, line int
@@ -46,46 +56,42 @@
 	begun bool
 }
 
-// Add appends received bytes. It returns the bytes up to the end of the last whole event,
-// which are valid until the next call, and the number of whole events in them.
-func (s *Splitter) Add(data []byte) (events []byte, count int) {
+// Add appends received bytes. It returns what is whole by now, which is valid until the next
+// call.
+func (s *Splitter) Add(data []byte) []Block {
 	s.pending = append(s.pending[:copy(s.pending, s.pending[s.returned:])], data...)
 	s.scanned -= s.returned
 	s.line -= s.returned
 	s.returned = 0
+	s.blocks = s.blocks[:0]
 	for ; s.scanned < len(s.pending); s.scanned++ {
-		if s.add(s.pending[s.scanned]) {
-			count++
-		}
+		s.add(s.pending[s.scanned])
 	}
-	return s.pending[:s.returned], count
+	return s.blocks
 }
 
-// add scans the byte at scanned. It reports whether the byte completes an event.
-func (s *Splitter) add(b byte) bool {
-	complete := false
+// add scans the byte at scanned.
+func (s *Splitter) add(b byte) {
 	if s.afterCR {
-		complete = s.endCR(b == '\n')
+		s.endCR(b == '\n')
 		if b == '\n' {
-			return complete
+			return
 		}
 	}
 	switch b {
 	case '\n':
 		s.mixed = true
-		return s.endLine(s.scanned, s.scanned+1) || complete
+		s.endLine(s.scanned, s.scanned+1)
 	case '\r':
 		s.afterCR, s.held = true, s.begun && !s.mixed
 		if !s.held {
-			return s.endLine(s.scanned, s.scanned+1) || complete
+			s.endLine(s.scanned, s.scanned+1)
 		}
 	}
-	return complete
 }
 
-// endCR completes the line end that began with the CR before scanned. It reports whether
-// that completes an event.
-func (s *Splitter) endCR(lf bool) bool {
+// endCR completes the line end that began with the CR before scanned.
+func (s *Splitter) endCR(lf bool) {
 	held := s.held
 	s.afterCR, s.held = false, false
 	end, next := s.scanned-1, s.scanned
@@ -95,18 +101,17 @@
 		s.mixed = true
 	}
 	if held {
-		return s.endLine(end, next)
+		s.endLine(end, next)
+		return
 	}
 	s.line = next
 	if s.afterEvent {
-		s.returned = s.line
+		s.endBlock(false)
 	}
-	return false
 }
 
-// endLine ends the current line at an offset, with a line end up to next. It reports whether
-// the line completed an event.
-func (s *Splitter) endLine(end, next int) bool {
+// endLine ends the current line at an offset, with a line end up to next.
+func (s *Splitter) endLine(end, next int) {
 	line := s.pending[s.line:end]
 	if !s.begun {
 		line = bytes.TrimPrefix(line, byteOrderMark)
@@ -114,16 +119,20 @@
 	}
 	s.line = next
 	s.afterEvent = len(line) == 0
-	switch {
-	case !s.afterEvent:
+	if !s.afterEvent {
 		s.inEvent = s.inEvent || line[0] != ':'
-		return false
-	case !s.inEvent:
-		s.returned = s.line
-		return false
+		return
 	}
-	s.returned, s.inEvent = s.line, false
-	return true
+	s.endBlock(s.inEvent)
+	s.inEvent = false
+}
+
+// endBlock ends a block before the current line.
+func (s *Splitter) endBlock(event bool) {
+	if s.returned < s.line {
+		s.blocks = append(s.blocks, Block{Text: s.pending[s.returned:s.line], Event: event})
+	}
+	s.returned = s.line
 }
 
 // Rest returns the bytes behind the last whole event.
@@ -137,15 +146,3 @@
 	}
 	return len(s.Rest())
 }
-
-// LastID returns the identifier that is stated last in whole events, or "".
-func LastID(events []byte) string {
-	id := ""
-	events = bytes.TrimPrefix(events, byteOrderMark)
-	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
--- a/internal/wasabievent/event_test.go
+++ b/internal/wasabievent/event_test.go
@@ -25,8 +25,13 @@
 	s = &wasabievent.Splitter{}
 	for data := []byte(stream); len(data) > 0; {
 		n := min(len(data), max(1, next()))
-		events, added := s.Add(data[:n])
-		whole, count, data = whole+string(events), count+added, data[n:]
+		for _, block := range s.Add(data[:n]) {
+			whole += string(block.Text)
+			if block.Event {
+				count++
+			}
+		}
+		data = data[n:]
 	}
 	return whole, count, s
 }
--- /dev/null
+++ b/internal/wasabievent/parse.go
@@ -0,0 +1,94 @@
+package wasabievent
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// Fault is why an event is not the next one of a run. It is empty if nothing is wrong.
+type Fault string
+
+// Faults of events.
+const (
+	FaultField    Fault = "a line is no field"
+	FaultNoID     Fault = "no id"
+	FaultIDs      Fault = "two ids"
+	FaultNumber   Fault = "id is no number"
+	FaultNoData   Fault = "no data"
+	FaultRepeated Fault = "id not above the last one"
+	FaultSkipped  Fault = "id skips others"
+)
+
+// maxIDDigits bounds an identifier, so that it fits into 63 bits.
+const maxIDDigits = 18
+
+// isLineEnd reports whether a character is one of those that end lines.
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+
+// Parse returns the identifier of a whole event.
+//
+// An event of a run has one identifier, which is a positive decimal number, and data. Each of
+// its lines is a comment or a field. Fields that the format does not know are ignored by its
+// readers if they have a colon and a name of lower case letters, digits and hyphens.
+func Parse(event []byte) (id uint64, fault Fault) {
+	data := false
+	for line := range bytes.FieldsFuncSeq(bytes.TrimPrefix(event, byteOrderMark), isLineEnd) {
+		name, value, colon := bytes.Cut(line, []byte(":"))
+		switch {
+		case colon && len(name) == 0:
+		case string(name) == "data":
+			data = true
+		case string(name) == "id" && id != 0:
+			return 0, FaultIDs
+		case string(name) == "id":
+			if id = parseID(value); id == 0 {
+				return 0, FaultNumber
+			}
+		case string(name) == "event", string(name) == "retry":
+		case !colon || !isExtension(name):
+			return 0, FaultField
+		}
+	}
+	switch {
+	case id == 0:
+		return 0, FaultNoID
+	case !data:
+		return 0, FaultNoData
+	}
+	return id, ""
+}
+
+// parseID returns the number that an identifier is, and zero if it is none.
+func parseID(value []byte) uint64 {
+	text := string(bytes.TrimSpace(value))
+	if len(text) > maxIDDigits || text == "" || text[0] < '1' || text[0] > '9' {
+		return 0
+	}
+	// ParseUint accepts digits only, as the base is given.
+	id, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
+// isExtension reports whether a name may be that of a field which the format does not know.
+func isExtension(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+// LastID returns the identifier that is stated last in whole events, or "".
+func LastID(events []byte) string {
+	id := ""
+	for line := range bytes.FieldsFuncSeq(bytes.TrimPrefix(events, byteOrderMark), isLineEnd) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/internal/wasabievent/sequence_test.go
@@ -0,0 +1,175 @@
+package wasabievent_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge/internal/wasabievent"
+)
+
+var _ = Describe("An event", func() {
+	events := map[string]struct {
+		text  string
+		id    uint64
+		fault wasabievent.Fault
+	}{
+		"plain":                       {text: "id: 7\ndata: a\n\n", id: 7},
+		"without spaces":              {text: "id:7\ndata:a\n\n", id: 7},
+		"whose lines end in CRLF":     {text: "id: 7\r\ndata: a\r\n\r\n", id: 7},
+		"whose lines end in CR":       {text: "id: 7\rdata: a\r\r", id: 7},
+		"with a byte order mark":      {text: "\xef\xbb\xbfid: 7\ndata: a\n\n", id: 7},
+		"with several lines of data":  {text: "id: 7\ndata: a\ndata\ndata: b: c\n\n", id: 7},
+		"with a type":                 {text: "event: token\nid: 7\nretry: 3\ndata: a\n\n", id: 7},
+		"with comments":               {text: ": a\n:\nid: 7\n: b\ndata: a\n\n", id: 7},
+		"with an extension field":     {text: "weight-versions: 3\nid: 7\ndata: a\n\n", id: 7},
+		"with any bytes in its data":  {text: "id: 7\ndata: \xff\x00HTTP/1.1 200 OK\n\n", id: 7},
+		"of the largest number":       {text: "id: 999999999999999999\ndata: a\n\n", id: 999999999999999999},
+		"without an id":               {text: "data: a\n\n", fault: wasabievent.FaultNoID},
+		"with an empty id":            {text: "id:\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with an id without a colon":  {text: "id\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with an id of text":          {text: "id: x7\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with a negative id":          {text: "id: -7\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with a signed id":            {text: "id: +7\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with an id of zero":          {text: "id: 0\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with a zero before its id":   {text: "id: 07\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with an id of many digits":   {text: "id: 1000000000000000000\ndata: a\n\n", fault: wasabievent.FaultNumber},
+		"with two ids":                {text: "id: 7\nid: 8\ndata: a\n\n", fault: wasabievent.FaultIDs},
+		"with one id twice":           {text: "id: 7\nid: 7\ndata: a\n\n", fault: wasabievent.FaultIDs},
+		"without data":                {text: "id: 7\n\n", fault: wasabievent.FaultNoData},
+		"that is text":                {text: "some text\n\n", fault: wasabievent.FaultField},
+		"behind text":                 {text: "some text\nid: 7\ndata: a\n\n", fault: wasabievent.FaultField},
+		"that is a response":          {text: "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", fault: wasabievent.FaultField},
+		"with a header":               {text: "Content-Length: 0\r\nid: 7\r\ndata: a\r\n\r\n", fault: wasabievent.FaultField},
+		"with an id in capitals":      {text: "ID: 7\ndata: a\n\n", fault: wasabievent.FaultField},
+		"with a space before its id":  {text: " id: 7\ndata: a\n\n", fault: wasabievent.FaultField},
+		"with a byte order mark more": {text: "data: a\n\xef\xbb\xbfid: 7\n\n", fault: wasabievent.FaultField},
+	}
+	for _, name := range slices.Sorted(maps.Keys(events)) {
+		It("is read: "+name, func() {
+			c := events[name]
+			id, fault := wasabievent.Parse([]byte(c.text))
+			Expect(fault).To(Equal(c.fault))
+			if fault == "" {
+				Expect(id).To(Equal(c.id))
+			}
+		})
+	}
+})
+
+// event returns an event with an identifier.
+func event(id int) []byte { return fmt.Appendf(nil, "id: %d\ndata: a\n\n", id) }
+
+// check passes events with identifiers to the check of a response, and returns the verdicts as
+// a text: d, k or r for each.
+func check(s *wasabievent.Sequence, ids ...int) string {
+	var out strings.Builder
+	for _, id := range ids {
+		verdict, _ := s.Next(event(id))
+		out.WriteByte("dkr"[verdict])
+		if verdict == wasabievent.Reject {
+			break
+		}
+	}
+	return out.String()
+}
+
+// learned returns the numbering after complete streams with the given identifiers.
+func learned(streams int, ids ...int) *wasabievent.Numbering {
+	n := &wasabievent.Numbering{}
+	for range streams {
+		s := wasabievent.NewSequence(n, "")
+		Expect(check(s, ids...)).NotTo(ContainSubstring("r"))
+		s.End()
+	}
+	return n
+}
+
+var _ = Describe("The events of a response", func() {
+	// Guards against an event of no run whose identifier is one that the stream had, or one that
+	// is far ahead.
+	cases := map[string]struct {
+		numbering *wasabievent.Numbering
+		after     string
+		ids       []int
+		want      string
+		// kept is set if the last event was kept at the end.
+		kept bool
+	}{
+		"begin with the first one":                 {ids: []int{1, 2, 3}, want: "ddd"},
+		"go on behind the last one":                {after: "7", ids: []int{8, 9}, want: "dd"},
+		"go on behind text":                        {after: "x", ids: []int{8, 9}, want: "dd"},
+		"repeat one":                               {ids: []int{1, 2, 2}, want: "ddr"},
+		"repeat one that the caller has":           {after: "7", ids: []int{7}, want: "r"},
+		"go back":                                  {ids: []int{1, 2, 3, 1}, want: "dddr"},
+		"skip one, known to be consecutive":        {numbering: learned(8, 1, 2, 3), ids: []int{2}, want: "r"},
+		"skip one, and go on before it":            {ids: []int{5, 1}, want: "kr"},
+		"skip one, and go on behind it":            {ids: []int{5, 6, 9}, want: "kdd"},
+		"skip one, and end":                        {ids: []int{5}, want: "k", kept: true},
+		"skip one after two consecutive ones":      {ids: []int{1, 2, 9}, want: "ddr"},
+		"skip one, known to skip":                  {numbering: learned(2, 3, 7, 9), ids: []int{2, 3, 8}, want: "ddd"},
+		"go back, known to skip":                   {numbering: learned(2, 3, 7, 9), ids: []int{2, 1}, want: "dr"},
+		"skip one after others of one event":       {numbering: learned(20, 1), ids: []int{3, 5}, want: "kd"},
+		"skip one, known by few streams":           {numbering: learned(7, 1, 2, 3), ids: []int{3, 5}, want: "kd"},
+		"skip one, one stream of another did":      {numbering: learned(1, 3, 7, 9), ids: []int{3, 5}, want: "kd"},
+		"skip one, known by many to be one by one": {numbering: learned(500, 1, 2, 3), ids: []int{1, 3}, want: "dr"},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("are checked if they "+name, func() {
+			c := cases[name]
+			if c.numbering == nil {
+				c.numbering = &wasabievent.Numbering{}
+			}
+			s := wasabievent.NewSequence(c.numbering, c.after)
+			Expect(check(s, c.ids...)).To(Equal(c.want))
+			if !strings.Contains(c.want, "r") {
+				Expect(s.End()).To(Equal(c.kept))
+			}
+		})
+	}
+
+	// Guards against sound streams that are broken for good where servers skip identifiers rarely.
+	It("may skip what two servers skip at the same place", func() {
+		n := learned(8, 1, 2, 3)
+		next := func(request, server string, id int) string {
+			s := wasabievent.NewSequence(n, "3")
+			s.Request, s.Server = request, server
+			defer s.End()
+			return check(s, id)
+		}
+		Expect(next("q", "e1", 5)).To(Equal("r"))
+		Expect(next("q", "e1", 5)).To(Equal("r"), "the same server again")
+		Expect(next("p", "e2", 5)).To(Equal("r"), "in another stream")
+		Expect(next("q", "e2", 6)).To(Equal("r"), "another identifier")
+		Expect(next("q", "e2", 5)).To(Equal("d"))
+		for i := range 8 {
+			next(fmt.Sprint("r", i), "e1", 5)
+			Expect(next(fmt.Sprint("r", i), "e2", 5)).To(Equal("d"))
+		}
+		Expect(next("s", "e1", 5)).To(Equal("d"), "known to skip by now")
+	})
+})
+
+// BenchmarkSequence measures what the check adds to an event.
+func BenchmarkSequence(b *testing.B) {
+	events := make([][]byte, 100)
+	for i := range events {
+		events[i] = fmt.Appendf(nil, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 65))
+	}
+	n := &wasabievent.Numbering{}
+	b.ReportAllocs()
+	var s *wasabievent.Sequence
+	for i := 0; b.Loop(); i++ {
+		if i%len(events) == 0 {
+			s = wasabievent.NewSequence(n, "")
+		}
+		if verdict, fault := s.Next(events[i%len(events)]); verdict != wasabievent.Deliver {
+			b.Fatal(fault)
+		}
+	}
+}
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -235,6 +235,22 @@
 	return response.StatusCode, response.Header, string(body), err
 }
 
+// keptCharacters is what operators keep of a line of the log.
+const keptCharacters = 200
+
+// beginning returns a function that returns what is kept of the first line of a node's log that
+// contains all parts.
+func beginning(n *running, parts ...string) func() string {
+	return func() string {
+		for line := range strings.Lines(n.log.String()) {
+			if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
+				return line[:min(keptCharacters, len(line))]
+			}
+		}
+		return ""
+	}
+}
+
 func status(caller, path, key string) func() int {
 	return func() int {
 		s, _, _ := send(caller, path, fmt.Sprint(time.Now().UnixNano()), key)
@@ -454,22 +470,12 @@
 		r := g.replica(standin.ReplicaOptions{ID: "s1", Service: "app"})
 		g.configure(1, "key")
 		Eventually(status(n.caller, "/book/x", "key"), "3s").Should(Equal(http.StatusOK))
-		line := func(parts ...string) func() string {
-			return func() string {
-				for line := range strings.Lines(n.log.String()) {
-					if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
-						return line[:min(200, len(line))]
-					}
-				}
-				return ""
-			}
-		}
 		r.SendExtra(func(int) *standin.Extra {
 			return &standin.Extra{Status: http.StatusServiceUnavailable, Delay: time.Millisecond, Identifier: standin.IdentifierBefore}
 		})
 		_, _, err := send(n.caller, "/book/x", "extra1", "key")
 		Expect(err).NotTo(HaveOccurred())
-		Eventually(line("Malformed response of a backend server", `"request_id":"extra1"`), "3s").Should(And(
+		Eventually(beginning(n, "Malformed response of a backend server", `"request_id":"extra1"`), "3s").Should(And(
 			ContainSubstring(`"backend":"s1"`), ContainSubstring(`"of":"extra"`), ContainSubstring(`"status":503`),
 			ContainSubstring(`"identifier":"own"`), ContainSubstring(`"sealed":false`), ContainSubstring(`"not_run":true`),
 		))
@@ -477,12 +483,36 @@
 		r.FailWith(func(int) standin.Fault { return standin.Refuse })
 		_, _, err = send(n.caller, "/book/x", "refused1", "key")
 		Expect(err).NotTo(HaveOccurred())
-		Eventually(line("Attempt failed.", `"request_id":"refused1"`)).Should(And(
+		Eventually(beginning(n, "Attempt failed.", `"request_id":"refused1"`)).Should(And(
 			ContainSubstring(`"result":"not_run"`), ContainSubstring(`"status":503`), ContainSubstring(`"identifier":"own"`),
 			MatchRegexp(`"responses_before":[0-9]+,`), ContainSubstring(`"bytes_behind":0`),
 		))
 	})
 
+	// Guards against a faulty event in a stream of which the beginnings of lines name neither the
+	// server nor what was wrong, nor how the stream ended.
+	It("names in the first 200 characters of a line which server sent an event of no run", func() {
+		g := newRig()
+		n := g.start()
+		e := g.engine("e1", "")
+		g.store.SetTargetWeights("m", 1)
+		g.configure(1, "k")
+		Eventually(status(n.caller, "/chat/x", "k"), "5s").Should(Equal(http.StatusOK))
+		e.SendGarbage(func(int) *standin.Garbage { return &standin.Garbage{Text: "data: x\n\n", Event: 4} })
+		(&stream{}).read(n, "garbled1", 2*streamEvents)
+		Eventually(beginning(n, "Malformed response of a backend server", `"request_id":"garbled1"`), "3s").Should(And(
+			ContainSubstring(`"backend":"e1"`), ContainSubstring(`"of":"event"`), ContainSubstring(`"cause":"no id"`),
+			ContainSubstring(`"events":3,"last_id":3,"bytes":9`),
+		))
+		Eventually(beginning(n, "Stream had an event that belongs to no run", `"request_id":"garbled1"`), "3s").Should(And(
+			MatchRegexp(`"outcome":"(answered|cut)"`), ContainSubstring(`"cause":"no id"`), ContainSubstring(`"sent_by":"e1"`),
+			ContainSubstring(`"after":3`), MatchRegexp(`"events":[0-9]+,"backend":"e1"`),
+		))
+		Eventually(func() string { return metricsOf(n) }).Should(And(
+			ContainSubstring(`server_responses_malformed_total{part="event"} 1`), MatchRegexp(`cause="event/no id (answered|cut)"} 1`),
+		))
+	})
+
 	It("serves counters, ages and latencies on its metrics address", func() {
 		g := newRig()
 		n := g.start()
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -187,6 +187,8 @@
 	}
 }
 
+const malformedMessage = "Malformed response of a backend server; its connection was closed."
+
 // recordMalformed counts and logs a malformed response.
 func (n *notices) recordMalformed(e wasabiridge.ResponseMalformed) {
 	n.mu.Lock()
@@ -196,11 +198,16 @@
 	}
 	n.malformed[e.Part]++
 	line := n.log.Warn().Str(wasabilog.RequestField, string(e.Request)).Str(wasabilog.BackendField, string(e.Backend)).Str("of", string(e.Part))
+	if e.Part == wasabiridge.PartEvent {
+		line = line.Str("cause", e.Cause).Int("events", e.Event.Delivered).Uint64("last_id", e.Event.LastID).Int("bytes", e.Event.Bytes)
+		line.Msg(malformedMessage)
+		return
+	}
 	if e.Part == wasabiridge.PartExtra {
 		line = line.Int("status", e.Extra.Status).Str("identifier", string(e.Extra.Identifier)).Bool("sealed", e.Extra.Sealed).
 			Bool("not_run", e.Extra.NotRun).Int("bytes", e.Extra.Bytes)
 	}
-	line.Str("cause", e.Cause).Str("address", e.Address).Msg("Malformed response of a backend server; its connection was closed.")
+	line.Str("cause", e.Cause).Str("address", e.Address).Msg(malformedMessage)
 }
 
 // logFault logs an unusable announcement, at most once per faultLogInterval.
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -35,6 +35,9 @@
 	}
 	end.Unsent = !s.sent
 	x.framing, x.partialEvent, x.response = end.Framing, end.PartialEvent, end.Response
+	if end.Malformed.Cause != "" && x.malformed.Cause == "" {
+		x.malformed, x.malformedAt = end.Malformed, d.Backend.ID
+	}
 	x.takeMove(d, &end)
 	if end.Framing != wasabiridge.FramingNone {
 		x.relay.counts.addEnd(end.Framing.String(), end.Result.String())
--- a/internal/wasabirelay/counts.go
+++ b/internal/wasabirelay/counts.go
@@ -108,6 +108,14 @@
 	c.causes["end/"+framing+" "+result]++
 }
 
+// addMalformed counts a stream in which a server sent an event that belongs to no run, by what
+// was wrong with it and the outcome of the request.
+func (c *Counts) addMalformed(cause, outcome string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.causes["event/"+cause+" "+outcome]++
+}
+
 func (c *Counts) observe(name string, took wasabiridge.Millis) {
 	h := c.byName[name]
 	if h == nil {
@@ -131,8 +139,8 @@
 
 // Causes returns the number of requests by "outcome/cause", of moves by "move/outcome", of
 // requests that were passed on to another instance by "forward/outcome", of streams that
-// were continued by "continued/kind", of responses of servers by "end/framing result", and
-// of responses whose end proves nothing after a move by "unproven/kept" and "unproven/lost".
+// were continued by "continued/kind", of responses of servers by "end/framing result", of
+// streams with an event that belongs to no run by "event/cause outcome", and of responses whose end proves nothing after a move by "unproven/kept" and "unproven/lost".
 func (c *Counts) Causes() map[string]uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wasabirelay/exchange.go
+++ b/internal/wasabirelay/exchange.go
@@ -60,6 +60,12 @@
 	partialEvent int
 	// response is what is known of that response.
 	response wasabiridge.ResponseEvidence
+	// malformed is the first event of the stream that belongs to no run, if there was one, and
+	// malformedAt the server that sent it.
+	malformed   wasabiridge.MalformedEvent
+	malformedAt wasabiridge.BackendServerID
+	// outcome is that of the request, once it was logged. A refusal leaves it empty.
+	outcome string
 }
 
 func newExchange(c *call) *exchange {
@@ -107,6 +113,7 @@
 // with http.ErrAbortHandler to abort the connection, because the caller would take a
 // regular end for a complete answer.
 func (x *exchange) run() {
+	defer x.logMalformed()
 	o := x.relay.options
 	left := x.until - finalMargin - o.Clock.Now()
 	var cancel context.CancelFunc
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -134,6 +134,7 @@
 
 // log counts and logs the end of a request.
 func (x *exchange) log(message, outcome, cause string) {
+	x.outcome = outcome
 	now := x.relay.options.Clock.Now()
 	x.relay.counts.add(outcome, cause, now-x.arrived)
 	first := wasabiridge.Millis(-1)
@@ -158,6 +159,33 @@
 		Msg(message)
 }
 
+// logMalformed counts and logs how a stream ended in which a server sent an event that belongs
+// to no run.
+func (x *exchange) logMalformed() {
+	m := x.malformed
+	if m.Cause == "" {
+		return
+	}
+	outcome := x.outcome
+	if outcome == "" {
+		outcome = OutcomeRefused
+	}
+	x.relay.counts.addMalformed(m.Cause, outcome)
+	x.relay.options.Log.Warn().
+		Str(wasabilog.RequestField, string(x.request.ID)).
+		Str("outcome", outcome).
+		Str("cause", m.Cause).
+		Str("sent_by", string(x.malformedAt)).
+		Int("after", m.Delivered).
+		Int("events", x.events).
+		Str(wasabilog.BackendField, string(x.backend)).
+		Uint64("last_id", m.LastID).
+		Int("bytes", m.Bytes).
+		Int("attempts", x.attempts).
+		Str("rule", string(x.request.Rule)).
+		Msg("Stream had an event that belongs to no run.")
+}
+
 // logShare logs what the refusal of a request for the share of its account was based on.
 func (x *exchange) logShare(e wasabiridge.Refuse) {
 	x.relay.options.Log.Info().
