A stream goes on without the byte order mark of another response

A mark may stand before the first line of a response. In the middle of the caller's stream it makes the first line of the event a field of another name, so that the event has no id for its reader.

--- a/internal/wasabievent/event.go
+++ b/internal/wasabievent/event.go
@@ -25,6 +25,9 @@
 // byteOrderMark may stand before the first line of a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
+// TrimMark returns a text without the byte order mark that may stand before it.
+func TrimMark(text []byte) []byte { return bytes.TrimPrefix(text, byteOrderMark) }
+
 // Block is a whole event with the comments before it, or comments and an empty line, which
 // belong to no event.
 type Block struct {
