Streams may begin with the id 0, and pools number events by themselves

Ids of up to 63 bits are numbers. How events are numbered is learned for each pool, since two services may do it in different ways.

--- a/attempt.go
+++ b/attempt.go
@@ -12,7 +12,9 @@
 	Request RequestID
 	Account ClientAccountID
 	Backend BackendServer
-	Method  string
+	// Pool is the pool of the server.
+	Pool   PoolID
+	Method string
 	// Path is the request path including the query string.
 	Path   string
 	Header http.Header
--- a/event.go
+++ b/event.go
@@ -203,7 +203,7 @@
 	// Delivered is the number of events of the stream that the caller had then, and LastID
 	// the identifier of the last one.
 	Delivered int
-	LastID    uint64
+	LastID    int64
 	// Bytes is the number of bytes that were received of them.
 	Bytes int
 }
--- a/internal/wasabievent/parse.go
+++ b/internal/wasabievent/parse.go
@@ -19,55 +19,52 @@
 	FaultSkipped  Fault = "id skips others"
 )
 
-// maxIDDigits bounds an identifier, so that it fits into 63 bits.
-const maxIDDigits = 18
+// noID stands for an identifier that is missing or no number.
+const noID = -1
 
 // isLineEnd reports whether a character is one of those that end lines.
 func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
 
 // Parse returns the identifier of a whole event.
 //
-// An event of a run has one identifier, which is a positive decimal number, and data. Each of
+// An event of a run has one identifier, which is a decimal number, and data. Each of
 // its lines is a comment or a field. Fields that the format does not know are ignored by its
 // readers if they have a colon and a name of lower case letters, digits and hyphens.
-func Parse(event []byte) (id uint64, fault Fault) {
+func Parse(event []byte) (id int64, fault Fault) {
 	data := false
+	id = noID
 	for line := range bytes.FieldsFuncSeq(bytes.TrimPrefix(event, byteOrderMark), isLineEnd) {
 		name, value, colon := bytes.Cut(line, []byte(":"))
 		switch {
 		case colon && len(name) == 0:
 		case string(name) == "data":
 			data = true
-		case string(name) == "id" && id != 0:
-			return 0, FaultIDs
+		case string(name) == "id" && id != noID:
+			return noID, FaultIDs
 		case string(name) == "id":
-			if id = parseID(value); id == 0 {
-				return 0, FaultNumber
+			if id = parseID(value); id == noID {
+				return noID, FaultNumber
 			}
 		case string(name) == "event", string(name) == "retry":
 		case !colon || !isExtension(name):
-			return 0, FaultField
+			return noID, FaultField
 		}
 	}
 	switch {
-	case id == 0:
-		return 0, FaultNoID
+	case id == noID:
+		return noID, FaultNoID
 	case !data:
-		return 0, FaultNoData
+		return noID, FaultNoData
 	}
 	return id, ""
 }
 
-// parseID returns the number that an identifier is, and zero if it is none.
-func parseID(value []byte) uint64 {
+// parseID returns the number that an identifier is, or noID.
+func parseID(value []byte) int64 {
 	text := string(bytes.TrimSpace(value))
-	if len(text) > maxIDDigits || text == "" || text[0] < '1' || text[0] > '9' {
-		return 0
-	}
-	// ParseUint accepts digits only, as the base is given.
-	id, err := strconv.ParseUint(text, 10, 63)
-	if err != nil {
-		return 0
+	id, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || text[0] < '0' || text[0] > '9' || text[0] == '0' && len(text) > 1 {
+		return noID
 	}
 	return id
 }
--- a/internal/wasabievent/sequence.go
+++ b/internal/wasabievent/sequence.go
@@ -29,7 +29,7 @@
 // skip is a skipped identifier in the stream of a request.
 type skip struct {
 	request  string
-	last, id uint64
+	last, id int64
 }
 
 // skips reports whether identifiers skip others, and whether that is known.
@@ -92,12 +92,13 @@
 	// Request and Server identify the stream and the server that sends the response.
 	Request, Server string
 	numbering       *Numbering
-	// last is the identifier of the last event. It is not known if the caller resumes a
-	// stream behind an identifier that is no number.
-	last  uint64
-	known bool
-	// kept is the identifier of the event that was kept, or zero.
-	kept uint64
+	// last is the identifier of the last event. It is noID if the caller resumes a stream
+	// behind an identifier that is no number, and zero before the first event of a stream,
+	// which is begun only then.
+	last  int64
+	begun bool
+	// kept is the identifier of the event that was kept, or noID.
+	kept int64
 	// steps counts the events that followed their predecessor, and skipped those that
 	// skipped identifiers.
 	steps, skipped int
@@ -106,13 +107,15 @@
 // NewSequence returns the check of a response that continues a stream behind an identifier.
 // Empty text means that it begins the stream.
 func NewSequence(numbering *Numbering, after string) *Sequence {
-	s := &Sequence{numbering: numbering, last: parseID([]byte(after))}
-	s.known = s.last > 0 || after == "" || after == "0"
+	s := &Sequence{numbering: numbering, kept: noID, begun: after != ""}
+	if s.begun {
+		s.last = parseID([]byte(after))
+	}
 	return s
 }
 
 // Last returns the identifier of the last event that was delivered, or zero.
-func (s *Sequence) Last() uint64 { return s.last }
+func (s *Sequence) Last() int64 { return max(0, s.last) }
 
 // Next checks a whole event.
 func (s *Sequence) Next(event []byte) (Verdict, Fault) {
@@ -120,15 +123,15 @@
 	switch {
 	case fault != "":
 		return Reject, fault
-	case s.kept > 0:
+	case s.kept != noID:
 		return s.afterKept(id)
-	case !s.known:
-		s.last, s.known = id, true
+	case s.last == noID:
+		s.last = id
 		return Deliver, ""
-	case id <= s.last:
+	case id <= s.last && s.begun:
 		return Reject, FaultRepeated
 	case id == s.last+1:
-		s.last = id
+		s.last, s.begun = id, true
 		s.steps++
 		return Deliver, ""
 	}
@@ -136,7 +139,7 @@
 }
 
 // skip checks an event that skips identifiers.
-func (s *Sequence) skip(id uint64) (Verdict, Fault) {
+func (s *Sequence) skip(id int64) (Verdict, Fault) {
 	skips, known := s.numbering.skips()
 	switch {
 	case skips, s.skipped > 0:
@@ -146,18 +149,18 @@
 	case !s.numbering.confirms(skip{s.Request, s.last, id}, s.Server):
 		return Reject, FaultSkipped
 	}
-	s.last = id
+	s.last, s.begun = id, true
 	s.skipped++
 	return Deliver, ""
 }
 
 // afterKept checks the event behind one that was kept because it skips identifiers. If it goes
 // on behind that one, the identifiers of this stream skip others.
-func (s *Sequence) afterKept(id uint64) (Verdict, Fault) {
+func (s *Sequence) afterKept(id int64) (Verdict, Fault) {
 	if id <= s.kept {
 		return Reject, FaultSkipped
 	}
-	s.last, s.kept = id, 0
+	s.last, s.kept, s.begun = id, noID, true
 	s.skipped++
 	return Deliver, ""
 }
@@ -165,10 +168,10 @@
 // End notes that the response is complete. It reports whether an event was kept, which is then
 // the last one.
 func (s *Sequence) End() bool {
-	kept := s.kept > 0
+	kept := s.kept != noID
 	if kept {
 		// Nothing shows how this server numbers events.
-		s.last, s.kept = s.kept, 0
+		s.last, s.kept = s.kept, noID
 	}
 	switch {
 	case s.skipped > 0:
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -96,7 +96,7 @@
 // attempt returns the attempt for a dispatch, as the runner takes it.
 func (x *exchange) attempt(d wasabiridge.Dispatch) wasabiridge.Attempt {
 	a := wasabiridge.Attempt{
-		ID: d.Attempt, Request: d.Request, Account: x.request.Account, Backend: d.Backend,
+		ID: d.Attempt, Request: d.Request, Account: x.request.Account, Backend: d.Backend, Pool: d.Pool,
 		Method: x.r.Method, Path: wasabirule.TargetOf(x.r), Header: x.header, Body: x.body, Host: x.r.Host, Model: x.request.Model,
 		Stream: x.request.Stream, NonIdempotent: x.request.Action.NonIdempotent, Priority: x.request.Action.Priority,
 		Weights: d.Weights, ResumeFrom: d.ResumeFrom, LastEvent: x.lastEvent,
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -179,7 +179,7 @@
 		Int("after", m.Delivered).
 		Int("events", x.events).
 		Str(wasabilog.BackendField, string(x.backend)).
-		Uint64("last_id", m.LastID).
+		Int64("last_id", m.LastID).
 		Int("bytes", m.Bytes).
 		Int("attempts", x.attempts).
 		Str("rule", string(x.request.Rule)).
