A success of another type does not answer a request for a stream

A caller of a stream would get the body of a response that is no stream of events as it is, with nothing checked. The attempt is broken now. The type is compared as a media type, whatever its case.

--- a/internal/wasabievent/event.go
+++ b/internal/wasabievent/event.go
@@ -20,11 +20,22 @@
 //	}
 package wasabievent
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+	"mime"
+	"net/http"
+)
 
 // byteOrderMark may stand before the first line of a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
+// IsStream reports whether the body of a response is a stream of events.
+func IsStream(h http.Header) bool {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && kind == "text/event-stream"
+}
+
 // TrimMark returns a text without the byte order mark that may stand before it.
 func TrimMark(text []byte) []byte { return bytes.TrimPrefix(text, byteOrderMark) }
 
--- a/internal/wasabirelay/forward.go
+++ b/internal/wasabirelay/forward.go
@@ -5,9 +5,9 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabievent"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabirule"
 )
@@ -164,7 +164,7 @@
 
 // Head implements wasabiridge.ForwardSink.
 func (s *forwardSink) Head(status int, h http.Header) error {
-	s.stream = isEventStream(h)
+	s.stream = wasabievent.IsStream(h)
 	s.exchange.status, s.exchange.head = status, h
 	s.exchange.discardBuffered()
 	s.exchange.relay.options.Detour.Answered(s.exchange.request.Action.Pool, true)
@@ -177,10 +177,6 @@
 	return s.exchange.deliver(s.stream, data)
 }
 
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
 // received is a request that another instance passed on to this one.
 type received struct {
 	wasabiridge.ForwardedRequest
--- a/internal/wasabirelay/sink.go
+++ b/internal/wasabirelay/sink.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabievent"
 )
 
 var (
@@ -47,7 +48,7 @@
 	if s.firstByteTimer != nil {
 		s.firstByteTimer.Stop()
 	}
-	s.stream = isEventStream(h)
+	s.stream = wasabievent.IsStream(h)
 	if x.headSent {
 		// This answer continues a stream whose head the caller already has.
 		if status != http.StatusOK || !s.stream {
