One rejected fencing number no longer stops a rollout of weights

Operators would see a rollout of weights that stands still for as long as the holder of the lease lives: a response with the status for an outdated fencing number, which a garbled response can have, made the holder send no more orders under its number while it went on renewing the lease.

Cause: the holder took the rejection for a newer lease, and waited for its own to end; without another holder it never does. It releases the lease now and contends for it again. Another holder, if there is one, has it; otherwise the next number is higher. Nothing is sent under the rejected number, as before (spec "sends no more orders with a fencing number that a replica rejected", unchanged).

--- a/internal/wasabiupgrade/controller.go
+++ b/internal/wasabiupgrade/controller.go
@@ -119,7 +119,9 @@
 	}
 }
 
-// Run runs the controller until the context is cancelled.
+// Run runs the controller until the context is cancelled. It releases the lease after a replica
+// has rejected its fencing number, and contends for it again. If no other instance holds it, as
+// after a malformed response, it gets the lease under a higher number.
 func (k *Controller) Run(ctx context.Context) {
 	go k.lease.Run(ctx)
 	m := NewMachine(k.options.Self, k.options.Timing)
@@ -153,7 +155,7 @@
 		if k.options.Epoch != nil {
 			k.lease.ObserveEpoch(k.options.Epoch())
 		}
-		wanted := k.wantsLease(now, m.Outstanding())
+		wanted := k.wantsLease(now, m.Outstanding()) && !m.IsRejected()
 		if !wanted && k.lease.Grant().Fencing != 0 {
 			k.handover.Store(m.Handover(now))
 		}
--- a/internal/wasabiupgrade/controller_test.go
+++ b/internal/wasabiupgrade/controller_test.go
@@ -27,7 +27,44 @@
 	return wasabiridge.EngineState{Weights: 1}, nil
 }
 
+// fencedOnce rejects the first order as one of an outdated lease, and accepts all others.
+type fencedOnce struct {
+	stuckEngines
+	// accepted is the fencing number of the last order that was accepted.
+	accepted *atomic.Uint64
+}
+
+func (e fencedOnce) SendOrder(_ context.Context, _ wasabiridge.BackendServer, o wasabiridge.EngineOrder) error {
+	if e.orders.Add(1) == 1 {
+		return wasabiridge.ErrFenced.New("a higher fencing number was seen")
+	}
+	e.accepted.Store(uint64(o.Fencing))
+	return nil
+}
+
 var _ = Describe("A controller", func() {
+	// Guards against an upgrade that stands still for as long as the holder of the lease lives,
+	// because one response, which may be malformed, stated that there is a newer holder.
+	It("sends orders under a new fencing number after one was rejected", func(ctx SpecContext) {
+		running, cancel := context.WithCancel(ctx)
+		defer cancel()
+		var orders atomic.Int64
+		var accepted atomic.Uint64
+		clock := wasabiclock.Boot()
+		controller := wasabiupgrade.NewController(wasabiupgrade.Options{
+			Self: "i", Incarnation: 1, Clock: clock, Table: wasabitable.NewMemory(wasabitable.MemoryOptions{Clock: clock}),
+			Engines: fencedOnce{stuckEngines{&orders}, &accepted},
+			Catalog: func() ([]wasabiridge.BackendEntry, map[wasabiridge.ModelID]wasabiridge.WeightsVersion) {
+				return []wasabiridge.BackendEntry{{
+					Server: wasabiridge.BackendServer{ID: "e"}, Weights: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: 1},
+				}}, map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: 2}
+			},
+			Rank: func() int { return 0 }, Send: func([]wasabiridge.BackoffUpdate) {},
+		})
+		go controller.Run(running)
+		Eventually(accepted.Load, "15s").Should(BeEquivalentTo(2))
+	})
+
 	// All machines are restarted, one every two seconds, during an upgrade. If a holder
 	// keeps its lease when it shuts down, no instance sends orders until the lease expires,
 	// three seconds after the last renewal.
--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -224,7 +224,13 @@
 // mayOrder reports whether this instance holds the lease for long enough to send an order,
 // and no replica has rejected its fencing number.
 func (m *Machine) mayOrder(now wasabiridge.Millis) bool {
-	return m.grant.Covers(now, m.timing.OrderTimeout) && m.rejectedFencing < m.grant.Fencing
+	return m.grant.Covers(now, m.timing.OrderTimeout) && !m.IsRejected()
+}
+
+// IsRejected reports whether a replica has rejected the fencing number of the lease that this
+// instance held at the last tick. It sends no more orders under that number.
+func (m *Machine) IsRejected() bool {
+	return m.grant.Fencing != 0 && m.rejectedFencing >= m.grant.Fencing
 }
 
 // step advances all replicas, sends the orders that are due, and starts further upgrades.
