A report that the list does not confirm within 5 s does not complete a rollout

Operators would see a rollout that is complete although a replica keeps its old weights, and callers one replica less, until the replica restarts: one report, which may be garbage or another replica's, stated the target version.

Cause: what a replica serves was the highest version that the list or a report had ever stated. The list decides now if it still has the lower version 5 s after a report alone stated the higher one, the same time that the placement gives the list. A replica whose entry is old while it serves the target is read again, and gets no second order.

--- a/internal/wasabiupgrade/machine.go
+++ b/internal/wasabiupgrade/machine.go
@@ -197,7 +197,7 @@
 			}
 			entry.Server.Incarnation = r.incarnation.Current()
 			r.server = entry.Server
-			r.serves = max(r.serves, version)
+			r.serveListed(now, version)
 		}
 	}
 	changed := len(m.replicas) != before
--- a/internal/wasabiupgrade/order.go
+++ b/internal/wasabiupgrade/order.go
@@ -117,7 +117,7 @@
 		m.abandon(now, r)
 	case e.Failed:
 	case !e.State.Loading && serves >= r.target:
-		r.serves = max(r.serves, serves)
+		r.serveUnlisted(now, serves)
 		if r.phase != idle {
 			m.finish(now, r)
 		}
--- a/internal/wasabiupgrade/replica.go
+++ b/internal/wasabiupgrade/replica.go
@@ -35,8 +35,10 @@
 	// serves is the newest version that the replica was observed to serve, and target
 	// the version to which it is being upgraded.
 	serves wasabiridge.WeightsVersion
-	phase  phase
-	target wasabiridge.WeightsVersion
+	// unlistedSince is when a report first stated serves, until the list has it.
+	unlistedSince wasabiridge.Millis
+	phase         phase
+	target        wasabiridge.WeightsVersion
 	// fencing is the number under which the upgrade was begun or the replica last ordered.
 	fencing wasabiridge.FencingNumber
 	// since is the start of the phase, backoffTime the time in backoff before the order,
@@ -77,6 +79,24 @@
 	return true
 }
 
+// listDelay is how long the list may be older than what a replica reports.
+const listDelay = 5 * wasabiridge.Second
+
+// serveUnlisted records a version that the replica reports as served.
+func (r *replica) serveUnlisted(now wasabiridge.Millis, version wasabiridge.WeightsVersion) {
+	if version > r.serves {
+		r.serves, r.unlistedSince = version, now
+	}
+}
+
+// serveListed records the version that the list has. A lower one is ignored, unless a report is
+// the only source of the higher one for longer than the list may lag.
+func (r *replica) serveListed(now wasabiridge.Millis, version wasabiridge.WeightsVersion) {
+	if version >= r.serves || r.unlistedSince != 0 && now-r.unlistedSince >= listDelay {
+		r.serves, r.unlistedSince = version, 0
+	}
+}
+
 // isUnresponsive reports whether the last successful read was more than unresponsiveAfter
 // ago.
 func (r *replica) isUnresponsive(now wasabiridge.Millis) bool {
--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -42,6 +42,8 @@
 	incarnations map[wasabiridge.BackendServerID]wasabiridge.Incarnation
 	// unresponsive holds the engines that do not respond.
 	unresponsive map[wasabiridge.BackendServerID]bool
+	// listed is the list of the platform while it is not that of the engines. Nil is theirs.
+	listed []wasabiridge.BackendEntry
 	// garble changes what an engine reports of its state. Nil changes nothing.
 	garble  func(id wasabiridge.BackendServerID, s wasabiridge.EngineState) wasabiridge.EngineState
 	orders  []wasabiupgrade.SendOrder
@@ -76,6 +78,9 @@
 }
 
 func (f *fleet) entries() []wasabiridge.BackendEntry {
+	if f.listed != nil {
+		return f.listed
+	}
 	var out []wasabiridge.BackendEntry
 	for id, v := range f.serves {
 		out = append(out, wasabiridge.BackendEntry{
@@ -520,6 +525,17 @@
 		}
 	}
 
+	// Guards against further orders to replicas that are upgraded, while their entries are old.
+	It("orders each replica once while the list stays as it was", func() {
+		f := newFleet(3)
+		f.hold(1)
+		f.listed = f.entries()
+		f.wanted = 2
+		f.run(40000)
+		Expect(f.left()).To(BeZero())
+		Expect(f.orders).To(HaveLen(3))
+	})
+
 	It("upgrades a new replica that has old weights", func() {
 		f := newFleet(3)
 		f.hold(1)
