The log says which caches could not be listed after a start, and why

Operators saw "failed": 1 in "Caches listed." after an incident with garbage and could not tell whether a cache sent garbage or did not listen yet. The line has "failed_at" now, with up to three addresses in their order, each with its reason: no connection, no response, late, a malformed head, a status, cut off, no list, too large. They are the names of the error types of the listing.

--- a/internal/wasabinode/restore.go
+++ b/internal/wasabinode/restore.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiaddress"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiprefix"
@@ -43,22 +47,62 @@
 	}
 	began := n.options.Clock.Now()
 	var wg sync.WaitGroup
-	var segments, failed atomic.Int64
+	var segments atomic.Int64
+	var failed listFailures
 	for address, server := range cachesOf(n.activeConfig.Load().config) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			held, err := n.restoreCache(ctx, server, address)
 			if err != nil {
-				failed.Add(1)
+				failed.add(address, err)
 				n.log.Debug().Err(err).Str("address", address).Msg("Query of cache contents failed.")
 			}
 			segments.Add(int64(held))
 		}()
 	}
 	wg.Wait()
-	n.log.Info().Int64("parts", segments.Load()).Int64("failed", failed.Load()).
-		Int64("took_ms", int64(n.options.Clock.Now()-began)).Msg("Caches listed.")
+	n.log.Info().Int64("parts", segments.Load()).Int("failed", len(failed.causes)).
+		Int64("took_ms", int64(n.options.Clock.Now()-began)).Strs("failed_at", failed.first()).Msg("Caches listed.")
+}
+
+// maxListFailures is the number of failed listings that are named in the log.
+const maxListFailures = 3
+
+// listFailures holds why caches could not be listed. It is safe for concurrent use.
+type listFailures struct {
+	mu sync.Mutex
+	// causes are by address.
+	causes map[string]string
+}
+
+// add records a failure. Its cause is the last part of the name of its type.
+func (f *listFailures) add(address string, err error) {
+	cause := "other"
+	if typed := errorx.Cast(err); typed != nil {
+		name := typed.Type().FullName()
+		cause = name[strings.LastIndexByte(name, '.')+1:]
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.causes == nil {
+		f.causes = map[string]string{}
+	}
+	f.causes[address] = cause
+}
+
+// first returns the first failures in the order of their addresses.
+func (f *listFailures) first() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, address := range slices.Sorted(maps.Keys(f.causes)) {
+		if len(out) == maxListFailures {
+			break
+		}
+		out = append(out, address+" "+f.causes[address])
+	}
+	return out
 }
 
 // waitForMembers waits until the membership view has stopped growing after a start, so that it
--- a/internal/wasabinode/restore_test.go
+++ b/internal/wasabinode/restore_test.go
@@ -1,8 +1,13 @@
 package wasabinode_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -121,3 +126,42 @@
 		}
 	})
 })
+
+var _ = Describe("The log of an instance that queries caches after its start", func() {
+	// Guards against a line that says that a cache was not listed, but neither which nor why.
+	It("names the first caches that could not be listed, and why", func() {
+		garbage := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("garbage")) }))
+		DeferCleanup(garbage.Close)
+		full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }))
+		DeferCleanup(full.Close)
+		reasons := map[string]string{
+			"127.0.0.1:1": "no_connection", "127.0.0.1:2": "no_connection",
+			strings.TrimPrefix(garbage.URL, "http://"): "no_list", strings.TrimPrefix(full.URL, "http://"): "status",
+		}
+		config := standin.Config{Version: 1, Tenants: []standin.Tenant{{Name: "t", Keys: []string{"k"}}}}
+		for _, address := range slices.Sorted(maps.Keys(reasons)) {
+			config.Services = append(config.Services, standin.Service{Name: "kv-" + address, CacheStore: address, Zone: "z"})
+		}
+		g := newRig()
+		g.store.PutConfig(config)
+		n := g.start()
+		line := func() string {
+			i := strings.Index(n.log.String(), `"parts":0,"failed":4`)
+			if i < 0 {
+				return ""
+			}
+			found, _, _ := strings.Cut(n.log.String()[i:], "\n")
+			return found
+		}
+		Eventually(line, "5s").ShouldNot(BeEmpty())
+		first := slices.Sorted(maps.Keys(reasons))[:3]
+		want := make([]string, len(first))
+		for i, address := range first {
+			want[i] = address + " " + reasons[address]
+		}
+		named, err := json.Marshal(want)
+		Expect(err).NotTo(HaveOccurred())
+		text := line()
+		Expect(text[:min(200, len(text))]).To(ContainSubstring(`"failed_at":` + string(named)))
+	})
+})
