A replica whose address seemed to be another's is tried again while it is listed

Callers would have one replica less: one response, which may be malformed, stated that another server has its address, and the replica got no requests until the list changed or it restarted; the list may stay the same for minutes.

Cause: what one refusal of an idempotent request says was final. After 5 s a replica that is still listed gets one request at a time until one is answered. If another server does have the address, it refuses that request without running it, every 5 s, until the list has lost the entry.

--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -22,6 +22,7 @@
 		}
 		p.updateUsesMemory(now)
 		p.detectSilence(now)
+		p.reviewMisdirected(now)
 		p.reviewIncarnations(now)
 		p.rateGroup.Expire(now)
 	case wasabiridge.LimitAnnounced:
@@ -99,6 +100,21 @@
 	}
 }
 
+// reviewMisdirected sends a request to each replica again that is still listed some time after a
+// server at its address stated to be another one.
+func (p *Placer) reviewMisdirected(now wasabiridge.Millis) {
+	for _, pl := range p.pools {
+		for _, r := range pl.replicas {
+			if r.misdirectedAt == 0 || now-r.misdirectedAt < misdirectedTime {
+				continue
+			}
+			r.gone, r.misdirectedAt, r.resuming = false, 0, true
+			// It was dropped if an attempt there has ended meanwhile.
+			p.replicas[r.server.ID] = r
+		}
+	}
+}
+
 // postponeRollbacks makes earlier incarnations wait for the time in which this process was
 // frozen. Otherwise one late report before a freeze would be accepted after it, and what
 // the current incarnation stated would be ignored.
@@ -241,8 +257,8 @@
 	switch {
 	case e.Stopped:
 	case e.Misdirected:
-		// Another replica now has this address.
-		r.gone = true
+		// Another replica now has this address, or the response was wrong.
+		r.gone, r.misdirectedAt = true, now
 	case e.Failed:
 		r.observeFailure(true)
 		r.clearFailures()
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -202,7 +202,7 @@
 			r.pools = append(r.pools, cp.ID)
 			p.acceptIncarnation(now, r, b.Incarnation)
 			b.Incarnation = r.incarnation.Current()
-			r.server, r.gone = b, false
+			r.server, r.gone, r.misdirectedAt = b, false, 0
 			r.memory = cp.CacheTokens
 			r.cache.limit = int(cacheFraction * float64(cp.CacheTokens))
 			pl.replicas = append(pl.replicas, r)
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -33,6 +33,9 @@
 	// least minSilence, before an idempotent request is sent to another one.
 	silenceFactor = 4
 	minSilence    = 800 * wasabiridge.Millis(1)
+	// misdirectedTime is how long a replica gets no requests after a server at its address
+	// stated to be another one. The list has lost the replica by then if that is so.
+	misdirectedTime = 5 * wasabiridge.Second
 	// suspectAfter is the time without any sign of the replica after which a request
 	// counts as unanswered. Twice the expected time is added. Plain services take up to
 	// half a second.
@@ -63,9 +66,12 @@
 type replica struct {
 	server wasabiridge.BackendServer
 	// preference orders the replicas for this instance, differently at each one.
-	preference  uint64
-	gone        bool
-	incarnation wasabilife.Tracker
+	preference uint64
+	gone       bool
+	// misdirectedAt is when it was taken for gone although it is listed, because a server at
+	// its address stated to be another one. Zero means that it was not.
+	misdirectedAt wasabiridge.Millis
+	incarnation   wasabilife.Tracker
 	// life counts the restarts of the replica that were noticed, lifeSince is the time of
 	// the last one.
 	life      uint64
--- a/internal/wasabireplica/replica_test.go
+++ b/internal/wasabireplica/replica_test.go
@@ -313,6 +313,35 @@
 		"that was asked to move the request stays in use":           {end: wasabiridge.AttemptEnded{Result: wasabiridge.AttemptBroken, Stopped: true}},
 		"whose attempt was cancelled stays in use":                  {end: wasabiridge.AttemptEnded{Result: wasabiridge.AttemptCancelled}},
 	}
+	// Guards against a listed replica that gets no requests until the list changes, because one
+	// refusal, which may be malformed, stated that its address belongs to another one.
+	It("whose address belonged to another one is tried again with one request", func() {
+		other := wasabiridge.AttemptEnded{Result: wasabiridge.AttemptNotRun, Misdirected: true}
+		g := newRig(1)
+		_, id := g.place(short())
+		_, second := g.place(short())
+		g.end(id, other)
+		g.end(second, wasabiridge.AttemptEnded{Result: wasabiridge.AttemptCancelled})
+		for range 2 {
+			g.run(4900)
+			_, id = g.place(short())
+			Expect(id).To(BeZero())
+			g.run(200)
+			_, id = g.place(short())
+			Expect(id).NotTo(BeZero())
+			_, next := g.place(short())
+			Expect(next).To(BeZero(), "the first one has no answer yet")
+			g.end(id, other)
+		}
+		g.run(5100)
+		_, id = g.place(short())
+		g.answer(id)
+		_, id = g.place(short())
+		Expect(id).NotTo(BeZero())
+		_, id = g.place(short())
+		Expect(id).NotTo(BeZero())
+	})
+
 	for _, name := range slices.Sorted(maps.Keys(endings)) {
 		c := endings[name]
 		It(name, func() {
