Specs: the response to an order is wrong about its outcome

Accepted, refused or unknown, while the order was carried out or lost: the replica is upgraded within 12 s in all six.

--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -44,6 +44,9 @@
 	unresponsive map[wasabiridge.BackendServerID]bool
 	// listed is the list of the platform while it is not that of the engines. Nil is theirs.
 	listed []wasabiridge.BackendEntry
+	// misreport changes what the response to an order states of its outcome. Nil changes
+	// nothing.
+	misreport func(r *wasabiupgrade.OrderResult)
 	// garble changes what an engine reports of its state. Nil changes nothing.
 	garble  func(id wasabiridge.BackendServerID, s wasabiridge.EngineState) wasabiridge.EngineState
 	orders  []wasabiupgrade.SendOrder
@@ -139,6 +142,9 @@
 			case f.lateBy > 0:
 				f.late = append(f.late, lateOrder{at: f.now + f.lateBy, order: x})
 			}
+			if f.misreport != nil {
+				f.misreport(&result)
+			}
 			f.handle(result)
 		case wasabiupgrade.ReadState:
 			id := x.Server.ID
@@ -525,6 +531,30 @@
 		}
 	}
 
+	outcomes := map[string]wasabiupgrade.OrderResult{"accepted": {}, "refused": {Refused: true}, "unknown": {Unsure: true}}
+	for _, name := range slices.Sorted(maps.Keys(outcomes)) {
+		for _, lost := range []bool{false, true} {
+			// Guards against a rollout that stands still because the response to an order was none
+			// to it. The order was carried out, or it was lost.
+			It(fmt.Sprintf("upgrades a replica whose order counts as %s by a wrong response, lost %t", name, lost), func() {
+				f := newFleet(3)
+				f.hold(1)
+				f.wanted = 2
+				f.lose = func(of wasabiridge.BackendServerID) bool { return lost && of == id(0) && len(f.orders) < 3 }
+				wrong := 0
+				f.misreport = func(r *wasabiupgrade.OrderResult) {
+					if r.Backend == id(0) && wrong == 0 {
+						wrong++
+						r.Refused, r.Unsure = outcomes[name].Refused, outcomes[name].Unsure
+					}
+				}
+				f.run(12000)
+				Expect(wrong).To(Equal(1))
+				Expect(f.left()).To(BeZero())
+			})
+		}
+	}
+
 	// Guards against further orders to replicas that are upgraded, while their entries are old.
 	It("orders each replica once while the list stays as it was", func() {
 		f := newFleet(3)
