A version of the weights that only a report names is given up for a later refusal

Callers would see refusals, or a longer wait, while a replica counts as serving newer weights than it does: each request there is refused for its version. The lease holder finds out by the list after 5 s and loads the weights; until then all instances kept to the wrong report.

Cause: a report outweighed whatever the replica stated later. A version that only a report names is a claim now, as that of a response is: the response to a later request with a lower version refutes it. A list does not, since it may be much older while the store is down.

--- a/event.go
+++ b/event.go
@@ -261,6 +261,8 @@
 	// RequestSentAt is set if the version was read from the response to a request that was
 	// sent then. Zero means that it is from the list, a report or another instance.
 	RequestSentAt Millis
+	// Unlisted is set if the version is from a report, and the list may not have it yet.
+	Unlisted bool
 }
 
 // TargetWeightsSet reports which version of a model the operators want served. At is when
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -58,7 +58,7 @@
 		}
 		n.loop.TryPost(wasabiridge.BackendDraining{Backend: r.Backend, Until: now + r.Drain})
 		if r.Weights > 0 {
-			n.loop.TryPost(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights, Incarnation: r.Incarnation})
+			n.loop.TryPost(wasabiridge.WeightsReported{Backend: r.Backend, Model: r.Model, Weights: r.Weights, Incarnation: r.Incarnation, Unlisted: true})
 		}
 	}
 	for _, l := range update.Leaving {
--- a/internal/wasabireplica/weights.go
+++ b/internal/wasabireplica/weights.go
@@ -6,12 +6,15 @@
 // responses name.
 const claimTime = 5 * wasabiridge.Second
 
-// weightsClaim is a version that only responses of the replica have named, neither the list nor
-// a report.
+// weightsClaim is a version that only responses and reports of the replica have named, but not
+// the list.
 type weightsClaim struct {
 	version wasabiridge.WeightsVersion
-	// at is when a response first named it.
+	// at is when a response or a report first named it.
 	at wasabiridge.Millis
+	// reported is set if a report has named it. The list does not refute it then: it may be
+	// much older while the store is down.
+	reported bool
 	// refuted is set if the replica was seen to serve an earlier version afterwards. Responses
 	// that name the version are ignored then.
 	refuted bool
@@ -31,6 +34,8 @@
 	known, claim := r.weights[e.Model], r.claims[e.Model]
 	inResponse := e.RequestSentAt != 0
 	switch {
+	case e.Unlisted && e.Weights > known, e.Unlisted && e.Weights == claim.version:
+		r.claims[e.Model] = weightsClaim{version: e.Weights, at: now, reported: true}
 	case !inResponse && e.Weights >= max(known, claim.version):
 		delete(r.claims, e.Model)
 	case inResponse && claim.refuted && e.Weights >= claim.version:
@@ -59,7 +64,7 @@
 	case e.RequestSentAt != 0:
 		return e.RequestSentAt > claim.at
 	}
-	return now-claim.at >= claimTime
+	return !claim.reported && !e.Unlisted && now-claim.at >= claimTime
 }
 
 // serve records a version that a replica serves. What it holds was computed with the version
--- a/internal/wasabireplica/weights_test.go
+++ b/internal/wasabireplica/weights_test.go
@@ -174,3 +174,50 @@
 		})
 	}
 })
+
+// Guards against a replica that is not used until it restarts because one of its reports named a
+// wrong version of the weights. Requests for that version are refused.
+var _ = Describe("A version of the weights that only a report names", func() {
+	named := func(g *rig, version wasabiridge.WeightsVersion, sentAt wasabiridge.Millis) {
+		g.observe(wasabiridge.WeightsReported{Backend: "e0", Model: model, Weights: version, RequestSentAt: sentAt})
+	}
+	reported := func(g *rig, version wasabiridge.WeightsVersion) {
+		g.observe(wasabiridge.WeightsReported{Backend: "e0", Model: model, Weights: version, Unlisted: true})
+	}
+	listed := func(g *rig, version wasabiridge.WeightsVersion) {
+		g.observe(wasabiridge.WeightsReported{Backend: "e0", Model: model, Weights: version})
+	}
+	cases := map[string]struct {
+		observe func(g *rig)
+		want    wasabiridge.WeightsVersion
+		refuted uint64
+	}{
+		"is believed": {func(g *rig) {}, 2, 0},
+		"is given up once a later request is told another": {func(g *rig) { named(g, 1, g.now+1) }, 1, 1},
+		"outweighs the response to an earlier request":     {func(g *rig) { named(g, 1, g.now-6) }, 2, 0},
+		"outweighs a list, however old":                    {func(g *rig) { g.now += wasabiridge.Minute; listed(g, 1) }, 2, 0},
+		"stays once the list has it":                       {func(g *rig) { listed(g, 2); named(g, 1, g.now+1) }, 2, 0},
+		"is not believed again for a response":             {func(g *rig) { named(g, 1, g.now+1); named(g, 2, g.now+2) }, 1, 1},
+		"is believed again for a report":                   {func(g *rig) { named(g, 1, g.now+1); reported(g, 2) }, 2, 1},
+		"is believed again for the list":                   {func(g *rig) { named(g, 1, g.now+1); listed(g, 2) }, 2, 1},
+		"confirms what a response has named": {func(g *rig) {
+			named(g, 3, g.now)
+			reported(g, 3)
+			g.now += wasabiridge.Minute
+			listed(g, 1)
+		}, 3, 0},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It(name, func() {
+			g := newRig(1)
+			reported(g, 2)
+			g.now += 5
+			cases[name].observe(g)
+			g.now += wasabiridge.Second
+			pl, ok := g.placer.Place(g.now, wasabiridge.PlaceQuery{Request: short(), Pool: g.pool})
+			Expect(ok).To(BeTrue())
+			Expect(pl.Weights).To(Equal(cases[name].want))
+			Expect(g.placer.RefutedClaims()).To(Equal(cases[name].refuted))
+		})
+	}
+})
