--- a/internal/wasabiupgrade/upgrade_test.go
+++ b/internal/wasabiupgrade/upgrade_test.go
@@ -42,9 +42,16 @@
 	incarnations map[wasabiridge.BackendServerID]wasabiridge.Incarnation
 	// unresponsive holds the engines that do not respond.
 	unresponsive map[wasabiridge.BackendServerID]bool
-	orders       []wasabiupgrade.SendOrder
-	updates      []wasabiridge.BackoffUpdate
-	loading      int
+	// listed is the list of the platform while it is not that of the engines. Nil is theirs.
+	listed []wasabiridge.BackendEntry
+	// misreport changes what the response to an order states of its outcome. Nil changes
+	// nothing.
+	misreport func(r *wasabiupgrade.OrderResult)
+	// garble changes what an engine reports of its state. Nil changes nothing.
+	garble  func(id wasabiridge.BackendServerID, s wasabiridge.EngineState) wasabiridge.EngineState
+	orders  []wasabiupgrade.SendOrder
+	updates []wasabiridge.BackoffUpdate
+	loading int
 }
 
 type lateOrder struct {
@@ -74,6 +81,9 @@
 }
 
 func (f *fleet) entries() []wasabiridge.BackendEntry {
+	if f.listed != nil {
+		return f.listed
+	}
 	var out []wasabiridge.BackendEntry
 	for id, v := range f.serves {
 		out = append(out, wasabiridge.BackendEntry{
@@ -132,6 +142,9 @@
 			case f.lateBy > 0:
 				f.late = append(f.late, lateOrder{at: f.now + f.lateBy, order: x})
 			}
+			if f.misreport != nil {
+				f.misreport(&result)
+			}
 			f.handle(result)
 		case wasabiupgrade.ReadState:
 			id := x.Server.ID
@@ -140,9 +153,11 @@
 				continue
 			}
 			_, busy := f.done[id]
-			f.handle(wasabiupgrade.StateResult{Backend: id, Model: x.Model, State: wasabiridge.EngineState{
-				Weights: f.serves[id], Loading: busy, Orders: f.accepted[id], Incarnation: f.incarnations[id],
-			}})
+			state := wasabiridge.EngineState{Weights: f.serves[id], Loading: busy, Orders: f.accepted[id], Incarnation: f.incarnations[id]}
+			if f.garble != nil {
+				state = f.garble(id, state)
+			}
+			f.handle(wasabiupgrade.StateResult{Backend: id, Model: x.Model, State: state})
 		}
 	}
 }
@@ -474,6 +489,83 @@
 		})
 	}
 
+	garbled := map[string]func(s *wasabiridge.EngineState){
+		"a version far ahead": func(s *wasabiridge.EngineState) { s.Weights = 999_999 },
+		"a version far ahead of a model": func(s *wasabiridge.EngineState) {
+			s.Models = map[wasabiridge.ModelID]wasabiridge.WeightsVersion{model: 3}
+		},
+		"another model": func(s *wasabiridge.EngineState) {
+			s.Models = map[wasabiridge.ModelID]wasabiridge.WeightsVersion{"x": 2}
+		},
+		"nothing": func(s *wasabiridge.EngineState) {
+			*s = wasabiridge.EngineState{Models: map[wasabiridge.ModelID]wasabiridge.WeightsVersion{}}
+		},
+		"a load":      func(s *wasabiridge.EngineState) { s.Loading = true },
+		"many orders": func(s *wasabiridge.EngineState) { s.Orders = 999_999 },
+	}
+	reads := map[string]int{"first": 1, "second": 2, "third": 3}
+	for _, name := range slices.Sorted(maps.Keys(garbled)) {
+		for _, which := range slices.Sorted(maps.Keys(reads)) {
+			// Guards against a rollout that is complete by one wrong report, while the replica
+			// keeps its old weights and is sent requests for others.
+			It("upgrades a replica whose "+which+" report states "+name, func() {
+				f := newFleet(3)
+				f.hold(1)
+				f.wanted = 2
+				count := 0
+				f.garble = func(of wasabiridge.BackendServerID, s wasabiridge.EngineState) wasabiridge.EngineState {
+					if of == id(0) {
+						if count++; count == reads[which] {
+							garbled[name](&s)
+						}
+					}
+					return s
+				}
+				f.run(15000)
+				Expect(count).To(BeNumerically(">=", reads[which]))
+				Expect(f.left()).To(BeZero())
+				for _, u := range f.updates {
+					Expect(u.Weights).To(BeNumerically("<=", 2))
+				}
+			})
+		}
+	}
+
+	outcomes := map[string]wasabiupgrade.OrderResult{"accepted": {}, "refused": {Refused: true}, "unknown": {Unsure: true}}
+	for _, name := range slices.Sorted(maps.Keys(outcomes)) {
+		for _, lost := range []bool{false, true} {
+			// Guards against a rollout that stands still because the response to an order was none
+			// to it. The order was carried out, or it was lost.
+			It(fmt.Sprintf("upgrades a replica whose order counts as %s by a wrong response, lost %t", name, lost), func() {
+				f := newFleet(3)
+				f.hold(1)
+				f.wanted = 2
+				f.lose = func(of wasabiridge.BackendServerID) bool { return lost && of == id(0) && len(f.orders) < 3 }
+				wrong := 0
+				f.misreport = func(r *wasabiupgrade.OrderResult) {
+					if r.Backend == id(0) && wrong == 0 {
+						wrong++
+						r.Refused, r.Unsure = outcomes[name].Refused, outcomes[name].Unsure
+					}
+				}
+				f.run(12000)
+				Expect(wrong).To(Equal(1))
+				Expect(f.left()).To(BeZero())
+			})
+		}
+	}
+
+	// Guards against further orders to replicas that are upgraded, while their entries are old.
+	It("orders each replica once while the list stays as it was", func() {
+		f := newFleet(3)
+		f.hold(1)
+		f.listed = f.entries()
+		f.wanted = 2
+		f.run(40000)
+		Expect(f.left()).To(BeZero())
+		Expect(f.orders).To(HaveLen(3))
+	})
+
 	It("upgrades a new replica that has old weights", func() {
 		f := newFleet(3)
 		f.hold(1)
