Streams of engines with lines that are no field are broken

A stream of an engine with lines of text or a whole response between two events counted as complete: lines that are no field were skipped, and nobody saw that the engine sent garbage.

The events are split by wasabievent.Splitter now, and wasabievent.Data accepts comments and fields only, by the rule of wasabievent.Parse. The attempt breaks at the first other line and is taken up elsewhere if its rule allows that.

--- /dev/null
+++ b/internal/wasabibackend/malformed_test.go
@@ -0,0 +1,116 @@
+package wasabibackend_test
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabibackend"
+)
+
+const (
+	doneEvent  = "data: [DONE]\n\n"
+	usageEvent = `data: {"id":"a","choices":[],"usage":{"prompt_tokens":9,"completion_tokens":8}}` + "\n\n"
+)
+
+// tokenEvents returns the events of the tokens from first up to last.
+func tokenEvents(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, `data: {"id":"a","choices":[{"index":0,"delta":{"content":"w"},"token_ids":[%d],"finish_reason":null}]}`+"\n\n", i)
+	}
+	return b.String()
+}
+
+// runAgainst runs an attempt at an engine that answers with a stream.
+func runAgainst(stream string, change func(*wasabiridge.Attempt)) (wasabiridge.AttemptEnded, *sink) {
+	url := serve(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(wasabiridge.HeaderWeights, "7")
+		if r.Header.Get(wasabiridge.HeaderWeights) != "" {
+			w.Header().Set(wasabiridge.HeaderResumedFrom, "4")
+		}
+		_, _ = io.WriteString(w, stream)
+	})
+	a := streamOf(wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url})
+	if change != nil {
+		change(&a)
+	}
+	return run(newRunner(wasabibackend.Options{}), a)
+}
+
+// Guards against bytes of a faulty engine that are passed on as a part of an answer, or that are
+// skipped in an answer which then counts as complete.
+var _ = Describe("A stream with bytes between two events", func() {
+	cases := map[string]string{
+		"a line of text":          "garbage\n",
+		"lines of text":           "garbage\n\nmore garbage\n\n",
+		"text and an empty line":  "\x00\xff\x13 7\n\n",
+		"a response":              "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+		"a field without a colon": "datum\n\n",
+		"text before data":        "Data: x\n" + `data: {"id":"a","choices":[{"delta":{"content":"x"}}]}` + "\n\n",
+		"a byte order mark":       "\xef\xbb\xbf" + tokenEvents(5, 5),
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("is broken: "+name, func() {
+			ended, s := runAgainst(tokenEvents(1, 4)+cases[name]+tokenEvents(5, 8)+usageEvent+doneEvent, nil)
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+			Expect(ended.Delivered).To(Equal(4))
+			Expect(s.ids).To(Equal([]int64{1, 2, 3, 4}))
+			Expect(s.chunks).To(Equal(4))
+		})
+	}
+})
+
+// Guards against the loss of sound answers.
+var _ = Describe("A sound stream", func() {
+	whole := tokenEvents(1, 8) + usageEvent + doneEvent
+	lines := func(end string) string { return strings.ReplaceAll(whole, "\n", end) }
+	cases := map[string]string{
+		"as engines send it":          whole,
+		"with lines that end in CRLF": lines("\r\n"),
+		"with lines that end in CR":   lines("\r"),
+		"with a byte order mark":      "\xef\xbb\xbf" + whole,
+		"with comments":               ": a\n\n" + tokenEvents(1, 4) + ": HTTP/1.1 200 OK\n: b\n\n:\n" + tokenEvents(5, 8) + usageEvent + doneEvent,
+		"with other fields":           strings.ReplaceAll(whole, "data: ", "event: chunk\nid: 4\nretry: 100\nx-trace: 1\ndata: "),
+		"with events without data":    "event: ping\n\nid\n\ndata\n\ndata:\n\nretry: 5\n\n" + whole,
+		"with several lines of data":  strings.ReplaceAll(whole, `,"`, ",\ndata: \""),
+		"without spaces":              strings.ReplaceAll(whole, "data: ", "data:"),
+		"without usage":               tokenEvents(1, 8) + doneEvent,
+		"without an id":               strings.ReplaceAll(whole, `"id":"a",`, ""),
+		"with an id on some chunks":   strings.Replace(whole, `"id":"a",`, `"id":null,`, 2),
+		"with an empty id at first":   `data: {"id":"","choices":[],"prompt_filter_results":[]}` + "\n\n" + whole,
+		"with usage in each chunk":    strings.ReplaceAll(whole, `"choices":[{`, `"usage":{"prompt_tokens":9,"completion_tokens":1},"choices":[{`),
+		"with null fields":            strings.ReplaceAll(whole, `"choices":[{`, `"usage":null,"error":null,"choices":[{"text":null,"logprobs":null,`),
+		"with a chunk behind usage":   tokenEvents(1, 8) + usageEvent + `data: {"id":"a","choices":[],"content_filter":{}}` + "\n\n" + doneEvent,
+		"with comments at the end":    whole + ": end\n\n",
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("is complete: "+name, func() {
+			ended, s := runAgainst(cases[name], nil)
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
+			Expect(ended.Delivered).To(Equal(8))
+			Expect(s.ids).To(Equal([]int64{1, 2, 3, 4, 5, 6, 7, 8}))
+			if strings.Contains(cases[name], `"completion_tokens":8`) {
+				Expect(ended.Usage.OutputTokens).To(Equal(8))
+			}
+		})
+	}
+
+	It("goes on in a response with another id", func() {
+		ended, s := runAgainst(strings.ReplaceAll(tokenEvents(5, 10)+doneEvent, `"id":"a"`, `"id":"b"`), func(a *wasabiridge.Attempt) {
+			a.ResumeFrom, a.Weights = 4, 7
+		})
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
+		Expect(ended.Delivered).To(Equal(10))
+		Expect(s.ids).To(Equal([]int64{5, 6, 7, 8, 9, 10}))
+	})
+})
--- a/internal/wasabibackend/relay.go
+++ b/internal/wasabibackend/relay.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/tmaxmax/go-sse"
-
 	"github.com/wasabiridge/wasabiridge"
 )
 
@@ -21,54 +19,10 @@
 
 var relayBuffers = sync.Pool{New: func() any { return new([relayBufferBytes]byte) }}
 
-// relayEvents passes an event stream to the sink. The stream is complete only
-// when its end marker arrived: an engine that exits before the end marker and
-// closes its connection in an orderly way leaves an EOF that looks like the end
-// of an answer.
-func (x *exchange) relayEvents(resp *http.Response) wasabiridge.AttemptResult {
-	if !x.head(resp, false) {
-		return wasabiridge.AttemptBroken
-	}
-	// An engine that hangs keeps its connection open, and the caller would wait
-	// for ever. The timer runs while the next event is awaited; it is stopped
-	// while the sink writes, so that a slow caller does not count as a hang.
-	silence := time.AfterFunc(x.opts.StreamIdleTimeout.Duration(), x.cancel)
-	silence.Stop()
-	defer silence.Stop()
-	var buffer []byte
-	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: x.opts.MaxEventBytes}) {
-		if err != nil {
-			return wasabiridge.AttemptBroken
-		}
-		if event.Data == endMarker {
-			x.drain(resp.Body)
-			return wasabiridge.AttemptCompleted
-		}
-		if event.Data == "" {
-			continue
-		}
-		c, ok := decodeChunk(event.Data)
-		if !ok || c.failed {
-			return wasabiridge.AttemptBroken
-		}
-		x.setUsage(c)
-		if c.hasUsage && !c.choices && !x.wantsUsage {
-			continue
-		}
-		buffer = appendLine(buffer[:0], event.Data)
-		silence.Stop()
-		if !x.chunk(c.tokens, buffer) {
-			return wasabiridge.AttemptBroken
-		}
-		silence.Reset(x.opts.StreamIdleTimeout.Duration())
-	}
-	return wasabiridge.AttemptBroken
-}
-
 // appendLine appends JSON as one line. In JSON a line break is just white space,
 // but it would break the framing of the server-sent event when the payload is
 // written to the caller.
-func appendLine(to []byte, payload string) []byte {
+func appendLine(to, payload []byte) []byte {
 	start := len(to)
 	to = append(to, payload...)
 	for i := start; i < len(to); i++ {
--- /dev/null
+++ b/internal/wasabibackend/stream.go
@@ -0,0 +1,114 @@
+package wasabibackend
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabievent"
+)
+
+// eventBufferBytes is the size of the reads of a stream. Each open stream holds a buffer.
+const eventBufferBytes = 2 << 10
+
+// eventRelay relays the events of one response of an engine.
+type eventRelay struct {
+	*exchange
+	splitter wasabievent.Splitter
+	// silence ends the attempt when the next event is late.
+	silence *time.Timer
+	// line holds the payload that is passed to the sink.
+	line []byte
+	// begun is set after the first block of the response.
+	begun bool
+	// complete is set by the end marker.
+	complete bool
+}
+
+// relayEvents passes an event stream to the sink. The stream is complete only
+// when its end marker arrived: an engine that exits before the end marker and
+// closes its connection in an orderly way leaves an EOF that looks like the end
+// of an answer.
+func (x *exchange) relayEvents(resp *http.Response) wasabiridge.AttemptResult {
+	if !x.head(resp, false) {
+		return wasabiridge.AttemptBroken
+	}
+	// An engine that hangs keeps its connection open, and the caller would wait
+	// for ever. The timer runs while the next event is awaited; it is stopped
+	// while the sink writes, so that a slow caller does not count as a hang.
+	r := &eventRelay{exchange: x, silence: time.AfterFunc(x.opts.StreamIdleTimeout.Duration(), x.cancel)}
+	r.silence.Stop()
+	defer r.silence.Stop()
+	if !r.readAll(resp.Body) {
+		return wasabiridge.AttemptBroken
+	}
+	x.drain(resp.Body)
+	return wasabiridge.AttemptCompleted
+}
+
+// readAll reads events up to the end marker. It returns false if the stream ended before it, or
+// has bytes that belong to no event.
+func (r *eventRelay) readAll(body io.Reader) bool {
+	buffer := make([]byte, eventBufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		for _, block := range r.splitter.Add(buffer[:n]) {
+			if !r.take(block) {
+				return false
+			}
+			if r.complete {
+				return true
+			}
+		}
+		if err != nil || len(r.splitter.Rest()) > r.opts.MaxEventBytes {
+			return false
+		}
+	}
+}
+
+// take passes on the payload of an event. It returns false if the attempt is over.
+func (r *eventRelay) take(block wasabievent.Block) bool {
+	text := block.Text
+	if !r.begun {
+		text = wasabievent.TrimMark(text)
+		r.begun = true
+	}
+	if !block.Event {
+		return true
+	}
+	if len(text) > r.opts.MaxEventBytes {
+		return false
+	}
+	data, fault := wasabievent.Data(text)
+	if fault != "" {
+		return false
+	}
+	switch string(data) {
+	case endMarker:
+		r.complete = true
+		return true
+	case "":
+		return true
+	}
+	c, ok := decodeChunk(string(data))
+	if !ok || c.failed {
+		return false
+	}
+	r.setUsage(c)
+	if c.hasUsage && !c.choices && !r.wantsUsage {
+		return true
+	}
+	return r.pass(c, data)
+}
+
+// pass passes a payload to the sink.
+func (r *eventRelay) pass(c chunk, data []byte) bool {
+	r.line = appendLine(r.line[:0], data)
+	r.silence.Stop()
+	if !r.chunk(c.tokens, r.line) {
+		return false
+	}
+	r.silence.Reset(r.opts.StreamIdleTimeout.Duration())
+	return true
+}
--- /dev/null
+++ b/internal/wasabievent/data.go
@@ -0,0 +1,37 @@
+package wasabievent
+
+import "bytes"
+
+// Data returns the data of a whole event, without the byte order mark that may stand before a
+// stream. It is empty if the event has none. Several lines of data are joined with LF. Each line
+// of the event must be a comment or a field, as in Parse.
+func Data(event []byte) (data []byte, fault Fault) {
+	lines := 0
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
+		name, value, colon := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "data":
+			data = appendData(data, bytes.TrimPrefix(value, []byte(" ")), lines)
+			lines++
+		case "id", "event", "retry":
+		default:
+			if !colon || !isExtension(name) {
+				return nil, FaultField
+			}
+		}
+	}
+	return data, ""
+}
+
+// appendData appends a line of data behind the given number of lines. It copies nothing as long
+// as there is one line only.
+func appendData(data, line []byte, lines int) []byte {
+	switch lines {
+	case 0:
+		return line
+	case 1:
+		// data is a part of the event, which must not be overwritten.
+		data = bytes.Clone(data)
+	}
+	return append(append(data, '\n'), line...)
+}
