Objects that are no chunk of a completion break a stream

Callers got any JSON object of an engine as a part of the answer: {}, {"foo":1}, choices that are an object, choices that are numbers. A client of the API fails on them or shows them.

An event needs a list of choices, whose entries are objects; delta, text and finish_reason have the types of the API. The list may be empty, as in the event with usage.

--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -14,15 +14,27 @@
 type chunk struct {
 	// tokens counts output tokens in the payload.
 	tokens int
-	// choices is set when the payload contains at least one choice.
-	choices bool
+	// listed is set when the payload contains a list of choices, and choices when it contains
+	// at least one.
+	listed, choices bool
 	// failed is set when the engine reports an error instead of an answer.
 	failed bool
 	// hasUsage is set when the payload contains usage.
 	hasUsage bool
 	usage    wasabiridge.Usage
+	// fault is why the payload is no part of a completion. Empty means that nothing is wrong.
+	fault fault
 }
 
+// fault is why bytes of an engine are no part of an answer.
+type fault string
+
+// Faults of payloads.
+const (
+	faultChoices fault = "no list of choices"
+	faultChoice  fault = "field of a choice has a wrong type"
+)
+
 // decodeChunk parses one payload. It returns false when the payload is not a
 // JSON object.
 func decodeChunk(payload string) (chunk, bool) {
@@ -49,13 +61,39 @@
 }
 
 func (c *chunk) readChoices(list gjson.Result) {
+	if !list.IsArray() {
+		return
+	}
+	c.listed = true
 	list.ForEach(func(_, choice gjson.Result) bool {
 		c.choices = true
+		if !hasChoiceTypes(choice) {
+			c.fault = faultChoice
+		}
 		c.tokens += countTokens(choice)
 		return true
 	})
 }
 
+// hasChoiceTypes reports whether the fields of a choice that callers read have the types of the
+// API.
+func hasChoiceTypes(choice gjson.Result) bool {
+	if !choice.IsObject() {
+		return false
+	}
+	ok := true
+	choice.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "delta", "message":
+			ok = ok && (value.IsObject() || value.Type == gjson.Null)
+		case "text", "finish_reason":
+			ok = ok && (value.Type == gjson.String || value.Type == gjson.Null)
+		}
+		return ok
+	})
+	return ok
+}
+
 // countTokens returns the number of output tokens in one choice. A choice
 // without token ids counts as one token when it contains text or tool calls.
 func countTokens(choice gjson.Result) int {
@@ -73,6 +111,14 @@
 	return 0
 }
 
+// completionFault returns why a payload is no part of a completion, or "".
+func (c *chunk) completionFault() fault {
+	if !c.listed {
+		return faultChoices
+	}
+	return c.fault
+}
+
 func (c *chunk) readUsage(v gjson.Result) {
 	if !v.IsObject() {
 		return
--- a/internal/wasabibackend/malformed_test.go
+++ b/internal/wasabibackend/malformed_test.go
@@ -114,3 +114,37 @@
 		Expect(s.ids).To(Equal([]int64{5, 6, 7, 8, 9, 10}))
 	})
 })
+
+// chunkEvent returns an event with a payload.
+func chunkEvent(payload string) string { return "data: " + payload + "\n\n" }
+
+// Guards against an object of a faulty engine that is passed on as a part of an answer, although it
+// is no chunk of a completion.
+var _ = Describe("A stream with an object that is no chunk", func() {
+	cases := map[string]string{
+		"an empty object":         `{}`,
+		"another object":          `{"foo":1}`,
+		"an error of older forms": `{"object":"error","message":"x","code":500}`,
+		"choices are an object":   `{"id":"a","choices":{}}`,
+		"choices are null":        `{"id":"a","choices":null}`,
+		"choices are text":        `{"id":"a","choices":"x"}`,
+		"usage without choices":   `{"id":"a","usage":{"prompt_tokens":1,"completion_tokens":1}}`,
+		"a choice is a number":    `{"id":"a","choices":[1]}`,
+		"a choice is null":        `{"id":"a","choices":[null]}`,
+		"a delta is text":         `{"id":"a","choices":[{"delta":"x"}]}`,
+		"a text is an object":     `{"id":"a","choices":[{"text":{}}]}`,
+		"a finish reason is true": `{"id":"a","choices":[{"delta":{},"finish_reason":true}]}`,
+		"an error":                `{"error":{"message":"x"}}`,
+		"an error and a choice":   `{"id":"a","error":"x","choices":[{"delta":{"content":"x"}}]}`,
+		"an array":                `[{"id":"a","choices":[]}]`,
+		"no JSON":                 `{"id":"a","choices":[`,
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("is broken: "+name, func() {
+			ended, s := runAgainst(tokenEvents(1, 4)+chunkEvent(cases[name])+tokenEvents(5, 8)+usageEvent+doneEvent, nil)
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+			Expect(ended.Delivered).To(Equal(4))
+			Expect(s.chunks).To(Equal(4))
+		})
+	}
+})
--- a/internal/wasabibackend/stream.go
+++ b/internal/wasabibackend/stream.go
@@ -92,7 +92,7 @@
 		return true
 	}
 	c, ok := decodeChunk(string(data))
-	if !ok || c.failed {
+	if !ok || c.failed || c.completionFault() != "" {
 		return false
 	}
 	r.setUsage(c)
