Chunks of another completion break a stream

An event of another completion was passed on as a part of the answer, and its usage was taken for that of the request: nothing compared the id that each chunk of the API has.

The first id of a response that is not empty binds the rest of the response. A chunk without one is accepted as before, and so is another id in a response that resumes the stream.

--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -12,6 +12,8 @@
 // chunk holds the fields that the router evaluates in one payload of an engine:
 // a stream event or the body of an answer that is not streamed.
 type chunk struct {
+	// id identifies the completion. It may be empty.
+	id string
 	// tokens counts output tokens in the payload.
 	tokens int
 	// listed is set when the payload contains a list of choices, and choices when it contains
@@ -33,6 +35,7 @@
 const (
 	faultChoices fault = "no list of choices"
 	faultChoice  fault = "field of a choice has a wrong type"
+	faultID      fault = "id of another completion"
 )
 
 // decodeChunk parses one payload. It returns false when the payload is not a
@@ -48,6 +51,9 @@
 	var c chunk
 	root.ForEach(func(key, value gjson.Result) bool {
 		switch key.Str {
+		case "id":
+			// The text of null is empty, and that of an object its JSON.
+			c.id = value.String()
 		case "choices":
 			c.readChoices(value)
 		case "usage":
--- a/internal/wasabibackend/malformed_test.go
+++ b/internal/wasabibackend/malformed_test.go
@@ -148,3 +148,22 @@
 		})
 	}
 })
+
+// Guards against an event of another completion that is passed on as a part of the answer.
+var _ = Describe("A stream with a chunk of another completion", func() {
+	cases := map[string]string{
+		"another id":         strings.ReplaceAll(tokenEvents(5, 5), `"id":"a"`, `"id":"b"`),
+		"an id of a number":  strings.ReplaceAll(tokenEvents(5, 5), `"id":"a"`, `"id":7`),
+		"an id of an object": strings.ReplaceAll(tokenEvents(5, 5), `"id":"a"`, `"id":{}`),
+		"usage of another":   strings.ReplaceAll(usageEvent, `"id":"a"`, `"id":"b"`),
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("is broken: "+name, func() {
+			ended, s := runAgainst(tokenEvents(1, 4)+cases[name]+tokenEvents(5, 8)+usageEvent+doneEvent, nil)
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+			Expect(ended.Delivered).To(Equal(4))
+			Expect(ended.Usage.OutputTokens).To(BeZero())
+			Expect(s.chunks).To(Equal(4))
+		})
+	}
+})
--- a/internal/wasabibackend/stream.go
+++ b/internal/wasabibackend/stream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -20,6 +21,8 @@
 	silence *time.Timer
 	// line holds the payload that is passed to the sink.
 	line []byte
+	// id identifies the completion, from the first payload that names one.
+	id string
 	// begun is set after the first block of the response.
 	begun bool
 	// complete is set by the end marker.
@@ -92,7 +95,7 @@
 		return true
 	}
 	c, ok := decodeChunk(string(data))
-	if !ok || c.failed || c.completionFault() != "" {
+	if !ok || c.failed || r.check(c) != "" {
 		return false
 	}
 	r.setUsage(c)
@@ -102,6 +105,23 @@
 	return r.pass(c, data)
 }
 
+// check returns why a payload is not the next one of the completion, or "".
+func (r *eventRelay) check(c chunk) fault {
+	if found := c.completionFault(); found != "" {
+		return found
+	}
+	if c.id == "" {
+		return ""
+	}
+	if r.id == "" {
+		r.id = strings.Clone(c.id)
+	}
+	if c.id != r.id {
+		return faultID
+	}
+	return ""
+}
+
 // pass passes a payload to the sink.
 func (r *eventRelay) pass(c chunk, data []byte) bool {
 	r.line = appendLine(r.line[:0], data)
