Token ids that are no numbers, or too many, break a stream

The entries of token_ids were counted whatever they were, and without a limit: a faulty engine could make the router believe in tokens that the caller did not get. A stream that is resumed then skips them (resume_from), and the caller lacks a part of the answer.

The entries must be numbers without a fraction or sign, and all of a stream may be no more than the request allows: the larger one of max_tokens and max_completion_tokens, times n; no limit with echo or without both fields.

--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -1,6 +1,8 @@
 package wasabibackend
 
 import (
+	"math"
+
 	"github.com/tidwall/gjson"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -14,8 +16,9 @@
 type chunk struct {
 	// id identifies the completion. It may be empty.
 	id string
-	// tokens counts output tokens in the payload.
-	tokens int
+	// tokens counts output tokens in the payload, and ids those that are counted by their
+	// identifiers.
+	tokens, ids int
 	// listed is set when the payload contains a list of choices, and choices when it contains
 	// at least one.
 	listed, choices bool
@@ -36,6 +39,8 @@
 	faultChoices fault = "no list of choices"
 	faultChoice  fault = "field of a choice has a wrong type"
 	faultID      fault = "id of another completion"
+	faultTokens  fault = "token_ids are no list of numbers"
+	faultLimit   fault = "more tokens than requested"
 )
 
 // decodeChunk parses one payload. It returns false when the payload is not a
@@ -76,7 +81,7 @@
 		if !hasChoiceTypes(choice) {
 			c.fault = faultChoice
 		}
-		c.tokens += countTokens(choice)
+		c.readTokens(choice)
 		return true
 	})
 }
@@ -100,12 +105,36 @@
 	return ok
 }
 
-// countTokens returns the number of output tokens in one choice. A choice
-// without token ids counts as one token when it contains text or tool calls.
-func countTokens(choice gjson.Result) int {
-	if ids := choice.Get("token_ids"); ids.IsArray() {
-		return int(ids.Get("#").Int())
+// readTokens counts the output tokens in one choice. A choice without token ids counts as one
+// token when it contains text or tool calls.
+func (c *chunk) readTokens(choice gjson.Result) {
+	ids := choice.Get("token_ids")
+	if ids.Type == gjson.Null {
+		c.tokens += countText(choice)
+		return
+	}
+	count := 0
+	if !ids.IsArray() {
+		count = -1
+	}
+	ids.ForEach(func(_, id gjson.Result) bool {
+		if count < 0 || id.Type != gjson.Number || id.Num < 0 || id.Num != math.Trunc(id.Num) {
+			count = -1
+			return false
+		}
+		count++
+		return true
+	})
+	if count < 0 {
+		c.fault = faultTokens
+		return
 	}
+	c.tokens += count
+	c.ids += count
+}
+
+// countText returns 1 if a choice contains text or tool calls, and zero otherwise.
+func countText(choice gjson.Result) int {
 	for _, path := range [...]string{"delta.content", "text", "delta.reasoning_content"} {
 		if choice.Get(path).Str != "" {
 			return 1
--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -20,6 +20,7 @@
 	sink       wasabiridge.AttemptSink
 	ended      wasabiridge.AttemptEnded
 	wantsUsage bool
+	limit      outputLimit
 	sent       bool
 	// reused is set if the connection carried another request before.
 	reused     bool
@@ -34,7 +35,7 @@
 		// check that the resumed part was computed with the same weights.
 		return wasabiridge.AttemptNotRun
 	}
-	x.wantsUsage = body.wantsUsage
+	x.wantsUsage, x.limit = body.wantsUsage, body.limit
 	x.attempt.Body = nil
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
 		x.reused = c.Reused
--- a/internal/wasabibackend/malformed_test.go
+++ b/internal/wasabibackend/malformed_test.go
@@ -167,3 +167,54 @@
 		})
 	}
 })
+
+// Guards against a stream that is resumed at the wrong token, because the engine has counted
+// tokens that it did not send.
+var _ = Describe("A stream with a wrong number of token ids", func() {
+	ids := func(text string) string {
+		return chunkEvent(`{"id":"a","choices":[{"index":0,"delta":{"content":"x"},"token_ids":` + text + `}]}`)
+	}
+	cases := map[string]string{
+		"ids are text":               ids(`["a","b"]`),
+		"ids are negative":           ids(`[-1]`),
+		"ids are fractions":          ids(`[1.5]`),
+		"ids are objects":            ids(`[{},{}]`),
+		"ids are an object":          ids(`{"0":1}`),
+		"more than may be generated": ids(`[1,2,3,4,5,6,7]`),
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("is broken: "+name, func() {
+			ended, s := runAgainst(tokenEvents(1, 4)+cases[name]+tokenEvents(5, 8)+doneEvent, nil)
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+			Expect(ended.Delivered).To(Equal(4))
+			Expect(s.chunks).To(Equal(4))
+		})
+	}
+
+	limits := map[string]struct {
+		body string
+		want wasabiridge.AttemptResult
+	}{
+		"as many as max_tokens":                  {body: `{"max_tokens":8}`, want: wasabiridge.AttemptCompleted},
+		"as many as max_completion_tokens":       {body: `{"max_tokens":1,"max_completion_tokens":8}`, want: wasabiridge.AttemptCompleted},
+		"as many as max_tokens of two choices":   {body: `{"n":2,"max_tokens":4}`, want: wasabiridge.AttemptCompleted},
+		"no limit":                               {body: `{"max_tokens":null}`, want: wasabiridge.AttemptCompleted},
+		"no limit, as the prompt is sent, too":   {body: `{"max_tokens":1,"echo":true}`, want: wasabiridge.AttemptCompleted},
+		"more than max_tokens":                   {body: `{"max_tokens":7}`, want: wasabiridge.AttemptBroken},
+		"as many as the larger limit":            {body: `{"max_tokens":8,"max_completion_tokens":1}`, want: wasabiridge.AttemptCompleted},
+		"more than max_completion_tokens":        {body: `{"max_tokens":6,"max_completion_tokens":7}`, want: wasabiridge.AttemptBroken},
+		"more than max_tokens of two choices":    {body: `{"n":2,"max_tokens":3}`, want: wasabiridge.AttemptBroken},
+		"more than max_tokens, as it is resumed": {body: `{"max_tokens":11,"resume":4}`, want: wasabiridge.AttemptBroken},
+	}
+	for _, name := range slices.Sorted(maps.Keys(limits)) {
+		It("is broken by the limit of the request only: "+name, func() {
+			c := limits[name]
+			ended, _ := runAgainst(tokenEvents(1, 8)+doneEvent, func(a *wasabiridge.Attempt) {
+				if a.Body = []byte(c.body); strings.Contains(c.body, "resume") {
+					a.ResumeFrom, a.Weights = 4, 7
+				}
+			})
+			Expect(ended.Result).To(Equal(c.want))
+		})
+	}
+})
--- a/internal/wasabibackend/request.go
+++ b/internal/wasabibackend/request.go
@@ -102,6 +102,7 @@
 	data []byte
 	// wantsUsage is set when the caller requested the usage event of a stream.
 	wantsUsage bool
+	limit      outputLimit
 }
 
 // routerFields are the fields that only the router sets. A caller that could set
@@ -134,6 +135,7 @@
 		if name == "stream_options" {
 			b.wantsUsage = value.Get("include_usage").Bool()
 		}
+		b.limit.read(name, value)
 		if !routerFields[name] {
 			out = append(out, key.Raw...)
 			out = append(out, ':')
--- a/internal/wasabibackend/stream.go
+++ b/internal/wasabibackend/stream.go
@@ -23,6 +23,9 @@
 	line []byte
 	// id identifies the completion, from the first payload that names one.
 	id string
+	// ids counts the output tokens up to here that were counted by their identifiers, and
+	// those before the response.
+	ids int
 	// begun is set after the first block of the response.
 	begun bool
 	// complete is set by the end marker.
@@ -40,7 +43,7 @@
 	// An engine that hangs keeps its connection open, and the caller would wait
 	// for ever. The timer runs while the next event is awaited; it is stopped
 	// while the sink writes, so that a slow caller does not count as a hang.
-	r := &eventRelay{exchange: x, silence: time.AfterFunc(x.opts.StreamIdleTimeout.Duration(), x.cancel)}
+	r := &eventRelay{exchange: x, ids: x.attempt.ResumeFrom, silence: time.AfterFunc(x.opts.StreamIdleTimeout.Duration(), x.cancel)}
 	r.silence.Stop()
 	defer r.silence.Stop()
 	if !r.readAll(resp.Body) {
@@ -110,15 +113,15 @@
 	if found := c.completionFault(); found != "" {
 		return found
 	}
-	if c.id == "" {
-		return ""
-	}
 	if r.id == "" {
 		r.id = strings.Clone(c.id)
 	}
-	if c.id != r.id {
+	if c.id != "" && c.id != r.id {
 		return faultID
 	}
+	if r.ids += c.ids; c.ids > 0 && !r.limit.allows(r.ids) {
+		return faultLimit
+	}
 	return ""
 }
 
