Usage of a stream is believed and passed on at the end only

Usage that a faulty engine sent within a stream was believed at once. A caller that had asked for usage got it, and did not get that of the whole answer, because the gateway passes one on.

Payloads from the first one with usage and without choices on are kept until the end marker. Choices behind them break the stream. Usage in chunks with choices counts as before. A stream that breaks between its usage and its end marker now has no usage; the attempt that resumes it brings it.

--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -41,6 +41,8 @@
 	faultID      fault = "id of another completion"
 	faultTokens  fault = "token_ids are no list of numbers"
 	faultLimit   fault = "more tokens than requested"
+	faultUsage   fault = "choices behind the usage"
+	faultTail    fault = "too many payloads behind the usage"
 )
 
 // decodeChunk parses one payload. It returns false when the payload is not a
--- a/internal/wasabibackend/malformed_test.go
+++ b/internal/wasabibackend/malformed_test.go
@@ -218,3 +218,31 @@
 		})
 	}
 })
+
+// Guards against usage that is believed and passed on although the answer goes on behind it, so
+// that the caller does not get the usage of the whole answer.
+var _ = Describe("A stream with usage before its last token", func() {
+	for _, wanted := range []bool{false, true} {
+		It(fmt.Sprintf("is broken, usage wanted by the caller: %t", wanted), func() {
+			early := strings.ReplaceAll(usageEvent, `"completion_tokens":8`, `"completion_tokens":999`)
+			ended, s := runAgainst(tokenEvents(1, 4)+early+tokenEvents(5, 8)+usageEvent+doneEvent, func(a *wasabiridge.Attempt) {
+				if wanted {
+					a.Body = []byte(`{"stream_options":{"include_usage":true}}`)
+				}
+			})
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+			Expect(ended.Delivered).To(Equal(4))
+			Expect(ended.Usage.OutputTokens).To(BeZero())
+			Expect(s.chunks).To(Equal(4))
+		})
+	}
+
+	It("is sound if it ends then", func() {
+		ended, s := runAgainst(tokenEvents(1, 8)+usageEvent+doneEvent, func(a *wasabiridge.Attempt) {
+			a.Body = []byte(`{"stream_options":{"include_usage":true}}`)
+		})
+		Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
+		Expect(s.chunks).To(Equal(9))
+		Expect(s.data.String()).To(HaveSuffix(`"completion_tokens":8}}`))
+	})
+})
--- a/internal/wasabibackend/stream.go
+++ b/internal/wasabibackend/stream.go
@@ -1,6 +1,7 @@
 package wasabibackend
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -13,6 +14,9 @@
 // eventBufferBytes is the size of the reads of a stream. Each open stream holds a buffer.
 const eventBufferBytes = 2 << 10
 
+// maxTail is the number of payloads that are kept from the usage on.
+const maxTail = 8
+
 // eventRelay relays the events of one response of an engine.
 type eventRelay struct {
 	*exchange
@@ -26,12 +30,23 @@
 	// ids counts the output tokens up to here that were counted by their identifiers, and
 	// those before the response.
 	ids int
+	// tail holds the payloads from the usage on, until the end marker shows that the answer
+	// does not go on, and usage what it then is.
+	tail  []tailPayload
+	usage chunk
 	// begun is set after the first block of the response.
 	begun bool
 	// complete is set by the end marker.
 	complete bool
 }
 
+// tailPayload is a payload that is kept until the end of the stream.
+type tailPayload struct {
+	data []byte
+	// usage is set if it contains usage.
+	usage bool
+}
+
 // relayEvents passes an event stream to the sink. The stream is complete only
 // when its end marker arrived: an engine that exits before the end marker and
 // closes its connection in an orderly way leaves an EOF that looks like the end
@@ -93,7 +108,7 @@
 	switch string(data) {
 	case endMarker:
 		r.complete = true
-		return true
+		return r.passTail()
 	case "":
 		return true
 	}
@@ -101,11 +116,12 @@
 	if !ok || c.failed || r.check(c) != "" {
 		return false
 	}
-	r.setUsage(c)
-	if c.hasUsage && !c.choices && !r.wantsUsage {
+	if len(r.tail) > 0 || c.hasUsage && !c.choices {
+		r.keep(c, data)
 		return true
 	}
-	return r.pass(c, data)
+	r.setUsage(c)
+	return r.pass(c.tokens, data)
 }
 
 // check returns why a payload is not the next one of the completion, or "".
@@ -122,14 +138,41 @@
 	if r.ids += c.ids; c.ids > 0 && !r.limit.allows(r.ids) {
 		return faultLimit
 	}
+	switch {
+	case len(r.tail) > 0 && c.choices:
+		return faultUsage
+	case len(r.tail) >= maxTail:
+		return faultTail
+	}
 	return ""
 }
 
+// keep keeps a payload without choices until the end of the stream.
+func (r *eventRelay) keep(c chunk, data []byte) {
+	r.silence.Stop()
+	r.tail = append(r.tail, tailPayload{data: bytes.Clone(data), usage: c.hasUsage})
+	if c.hasUsage {
+		r.usage = c
+	}
+	r.silence.Reset(r.opts.StreamIdleTimeout.Duration())
+}
+
+// passTail passes on what was kept. Usage is kept back from callers that did not ask for it.
+func (r *eventRelay) passTail() bool {
+	r.setUsage(r.usage)
+	for _, p := range r.tail {
+		if (!p.usage || r.wantsUsage) && !r.pass(0, p.data) {
+			return false
+		}
+	}
+	return true
+}
+
 // pass passes a payload to the sink.
-func (r *eventRelay) pass(c chunk, data []byte) bool {
+func (r *eventRelay) pass(tokens int, data []byte) bool {
 	r.line = appendLine(r.line[:0], data)
 	r.silence.Stop()
-	if !r.chunk(c.tokens, r.line) {
+	if !r.chunk(tokens, r.line) {
 		return false
 	}
 	r.silence.Reset(r.opts.StreamIdleTimeout.Duration())
