An end marker within a stream does not make it complete

An end marker that a faulty engine sent within a stream ended it as complete, and the caller got a part of the answer as a whole one. What follows the marker was read, so that the connection can be used again, and thrown away.

If the next choices of the same completion follow the marker, within the 4 KiB and 100 ms that are read anyway, the stream is broken. Other bytes behind it, such as text, usage or another completion, leave it complete.

--- a/internal/wasabibackend/malformed_test.go
+++ b/internal/wasabibackend/malformed_test.go
@@ -246,3 +246,30 @@
 		Expect(s.data.String()).To(HaveSuffix(`"completion_tokens":8}}`))
 	})
 })
+
+// Guards against a part of an answer that counts as complete, because a faulty engine sent an end
+// marker within it.
+var _ = Describe("A stream with bytes behind an end marker", func() {
+	cases := map[string]struct {
+		behind string
+		want   wasabiridge.AttemptResult
+	}{
+		"the answer goes on":         {behind: tokenEvents(5, 8) + usageEvent + doneEvent, want: wasabiridge.AttemptBroken},
+		"the answer goes on later":   {behind: ": a\n\ngarbage\n\n" + tokenEvents(5, 8), want: wasabiridge.AttemptBroken},
+		"usage":                      {behind: usageEvent + doneEvent, want: wasabiridge.AttemptCompleted},
+		"more tokens than requested": {behind: strings.Replace(tokenEvents(5, 5), "[5]", "[5,6,7,8,9,10,11]", 1), want: wasabiridge.AttemptCompleted},
+		"bytes that are no field":    {behind: "garbage\n\n", want: wasabiridge.AttemptCompleted},
+		"text without a line end":    {behind: "garbage", want: wasabiridge.AttemptCompleted},
+		"another end marker":         {behind: doneEvent, want: wasabiridge.AttemptCompleted},
+		"an object":                  {behind: chunkEvent(`{"foo":1}`), want: wasabiridge.AttemptCompleted},
+		"another completion":         {behind: strings.ReplaceAll(tokenEvents(5, 6), `"id":"a"`, `"id":"b"`), want: wasabiridge.AttemptCompleted},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("is complete unless it goes on: "+name, func() {
+			ended, s := runAgainst(tokenEvents(1, 4)+doneEvent+cases[name].behind, nil)
+			Expect(ended.Result).To(Equal(cases[name].want))
+			Expect(ended.Delivered).To(Equal(4))
+			Expect(s.chunks).To(Equal(4))
+		})
+	}
+})
--- a/internal/wasabibackend/stream.go
+++ b/internal/wasabibackend/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,7 +65,6 @@
 	if !r.readAll(resp.Body) {
 		return wasabiridge.AttemptBroken
 	}
-	x.drain(resp.Body)
 	return wasabiridge.AttemptCompleted
 }
 
@@ -74,12 +74,13 @@
 	buffer := make([]byte, eventBufferBytes)
 	for {
 		n, err := body.Read(buffer)
-		for _, block := range r.splitter.Add(buffer[:n]) {
+		blocks := r.splitter.Add(buffer[:n])
+		for i, block := range blocks {
 			if !r.take(block) {
 				return false
 			}
 			if r.complete {
-				return true
+				return !slices.ContainsFunc(blocks[i+1:], r.isNext) && !r.goesOn(body, buffer)
 			}
 		}
 		if err != nil || len(r.splitter.Rest()) > r.opts.MaxEventBytes {
@@ -88,6 +89,33 @@
 	}
 }
 
+// goesOn reads what follows the end marker, as much as drain would, and reports whether the
+// answer goes on there, so that the marker was none.
+func (r *eventRelay) goesOn(body io.Reader, buffer []byte) bool {
+	timer := time.AfterFunc(drainTime, r.cancel)
+	defer timer.Stop()
+	body = io.LimitReader(body, drainBytes)
+	for {
+		n, err := body.Read(buffer)
+		if slices.ContainsFunc(r.splitter.Add(buffer[:n]), r.isNext) {
+			return true
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
+
+// isNext reports whether an event has choices that are the next ones of the completion.
+func (r *eventRelay) isNext(block wasabievent.Block) bool {
+	data, fault := wasabievent.Data(block.Text)
+	if fault != "" {
+		return false
+	}
+	c, ok := decodeChunk(string(data))
+	return ok && !c.failed && c.choices && r.check(c) == ""
+}
+
 // take passes on the payload of an event. It returns false if the attempt is over.
 func (r *eventRelay) take(block wasabievent.Block) bool {
 	text := block.Text
