Engines answer completions with 200 or an error, and with a stream only if asked

The caller of a completion got any status below 400 of a faulty engine, such as 299 or 302 with its Location, and a stream although it had asked for none.

Such an attempt is broken now, and so is a stream of events with another status than 200. Answers to other paths are accepted with any status as before.

--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -100,12 +100,28 @@
 	if resp.StatusCode == http.StatusOK && !x.versionsMatch(resp) {
 		return wasabiridge.AttemptBroken
 	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	if !x.isAnswer(resp.StatusCode, events) {
+		return wasabiridge.AttemptBroken
+	}
+	if events {
 		return x.relayEvents(resp)
 	}
 	return x.relayBuffered(resp)
 }
 
+// isAnswer reports whether a response with a status, which is a stream of events or not, may be
+// the answer to the request: 200 or an error of the request, and a stream only if one was asked for.
+func (x *exchange) isAnswer(status int, events bool) bool {
+	if events && status != http.StatusOK {
+		return false
+	}
+	if !isCompletion(x.attempt) {
+		return true
+	}
+	return status >= http.StatusBadRequest || status == http.StatusOK && (x.attempt.Stream || !events)
+}
+
 // isProven reports whether a refusal belongs to this attempt.
 //
 // The failure it guards against: a faulty server sends a refusal behind a complete answer. It
--- a/internal/wasabibackend/malformed_test.go
+++ b/internal/wasabibackend/malformed_test.go
@@ -273,3 +273,47 @@
 		})
 	}
 })
+
+// Guards against a whole answer of a faulty engine that is passed on, although it is none of the
+// request.
+var _ = Describe("An answer that is no stream", func() {
+	completion := `{"id":"a","choices":[{"index":0,"message":{"content":"x"},"finish_reason":"stop"}],"usage":{"completion_tokens":3}}`
+	cases := map[string]struct {
+		status            int
+		contentType, body string
+		stream            bool
+		path              string
+		want              wasabiridge.AttemptResult
+	}{
+		"a completion":                  {body: completion, want: wasabiridge.AttemptCompleted},
+		"a completion, path with query": {path: "/v1/completions?x=1", body: completion, want: wasabiridge.AttemptCompleted},
+		"an object, of other paths":     {path: "/v1/models", body: `{"object":"list","data":[]}`, want: wasabiridge.AttemptCompleted},
+		"an error of the request":       {status: 400, body: `{"error":{"message":"x"}}`, want: wasabiridge.AttemptCompleted},
+		"a stream":                      {contentType: "text/event-stream", body: tokenEvents(1, 2) + doneEvent, want: wasabiridge.AttemptBroken},
+		"a stream with an error status": {status: 400, contentType: "text/event-stream", body: tokenEvents(1, 2) + doneEvent, stream: true, want: wasabiridge.AttemptBroken},
+		"a status of 299":               {status: 299, body: completion, want: wasabiridge.AttemptBroken},
+		"a redirection":                 {status: 302, body: "{}", want: wasabiridge.AttemptBroken},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		c := cases[name]
+		It(fmt.Sprintf("is %v: %s", c.want, name), func() {
+			url := serve(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if c.contentType != "" {
+					w.Header().Set("Content-Type", c.contentType)
+				}
+				if c.status != 0 {
+					w.WriteHeader(c.status)
+				}
+				_, _ = io.WriteString(w, c.body)
+			})
+			a := streamOf(wasabiridge.BackendServer{ID: "e", Kind: wasabiridge.BackendEngine, URL: url})
+			if a.Stream = c.stream; c.path != "" {
+				a.Path = c.path
+			}
+			ended, s := run(newRunner(wasabibackend.Options{}), a)
+			Expect(ended.Result).To(Equal(c.want))
+			Expect(s.chunks > 0).To(Equal(c.want == wasabiridge.AttemptCompleted))
+		})
+	}
+})
--- a/internal/wasabibackend/request.go
+++ b/internal/wasabibackend/request.go
@@ -49,6 +49,12 @@
 	return out
 }
 
+// isCompletion reports whether an attempt asks an engine for a completion.
+func isCompletion(a wasabiridge.Attempt) bool {
+	path, _, _ := strings.Cut(a.Path, "?")
+	return path == "/v1/chat/completions" || path == "/v1/completions"
+}
+
 // newRequest builds the HTTP request of an attempt, without its body.
 func newRequest(ctx context.Context, a wasabiridge.Attempt) (*http.Request, error) {
 	url := strings.TrimSuffix(a.Backend.URL, "/") + a.Path
