Whole answers to completions need choices

The caller of a completion without a stream got any JSON object as the answer, such as {"foo":1} or one whose choices are an object.

The object needs a list of choices that is not empty, whose entries have the types of the API.

--- a/internal/wasabibackend/relay.go
+++ b/internal/wasabibackend/relay.go
@@ -60,6 +60,9 @@
 		if !ok || c.failed || x.attempt.Stream {
 			return wasabiridge.AttemptBroken
 		}
+		if isCompletion(x.attempt) && (!c.choices || c.completionFault() != "") {
+			return wasabiridge.AttemptBroken
+		}
 		x.setUsage(c)
 		tokens = c.usage.OutputTokens
 	}
