Malformed responses of engines are logged and counted

An engine with the OpenAI API that sent garbage left no trace but a broken attempt: neither the bytes nor their engine could be told from the logs.

wasabibackend.Options.Observe gets a ResponseMalformed, of an event with its cause, size and the output tokens that the caller had, and AttemptEnded.Malformed is set. The daemon logs it within the first 200 characters of a line and counts it in backends.malformed_responses. Engines that state an error, or whose stream ends early, are not reported.

--- a/event.go
+++ b/event.go
@@ -167,13 +167,15 @@
 // ResponsePart is a part of what a backend server sends.
 type ResponsePart string
 
-// Parts of a response. PartCall is a response to a call of the router itself, PartList a
-// list of cached prefix segments, and PartExtra what follows the end of a response.
+// Parts of a response. PartBody is a whole body that is no answer to the request, PartCall a
+// response to a call of the router itself, PartList a list of cached prefix segments, and
+// PartExtra what follows the end of a response.
 const (
 	PartHead    ResponsePart = "head"
 	PartRefusal ResponsePart = "refusal"
 	PartFraming ResponsePart = "framing"
 	PartEvent   ResponsePart = "event"
+	PartBody    ResponsePart = "body"
 	PartCall    ResponsePart = "call"
 	PartList    ResponsePart = "list"
 	PartExtra   ResponsePart = "extra"
@@ -200,8 +202,8 @@
 type MalformedEvent struct {
 	// Cause is what is wrong with them. Empty means that there were none.
 	Cause string
-	// Delivered is the number of events of the stream that the caller had then, and LastID
-	// the identifier of the last one.
+	// Delivered is the number of events of the stream that the caller had then, or of output
+	// tokens if its events have no identifiers, and LastID the identifier of the last one.
 	Delivered int
 	LastID    uint64
 	// Bytes is the number of bytes that were received of them.
--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -34,8 +34,13 @@
 // fault is why bytes of an engine are no part of an answer.
 type fault string
 
-// Faults of payloads.
+// Faults of events and of payloads.
 const (
+	faultObject  fault = "no JSON object"
+	faultSize    fault = "event too large"
+	faultMarker  fault = "end marker within the answer"
+	faultBehind  fault = "bytes behind the end marker"
+	faultAnswer  fault = "status or type is not that of an answer to the request"
 	faultChoices fault = "no list of choices"
 	faultChoice  fault = "field of a choice has a wrong type"
 	faultID      fault = "id of another completion"
--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -102,6 +102,7 @@
 	}
 	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 	if !x.isAnswer(resp.StatusCode, events) {
+		x.report(wasabiridge.PartHead, faultAnswer)
 		return wasabiridge.AttemptBroken
 	}
 	if events {
@@ -122,6 +123,28 @@
 	return status >= http.StatusBadRequest || status == http.StatusOK && (x.attempt.Stream || !events)
 }
 
+// report reports that a part of the response is malformed.
+func (x *exchange) report(part wasabiridge.ResponsePart, cause fault) {
+	x.observe(wasabiridge.ResponseMalformed{Part: part, Cause: string(cause)})
+}
+
+// reportEvent reports bytes of a stream that are no part of the answer.
+func (x *exchange) reportEvent(cause fault, size int) {
+	e := wasabiridge.MalformedEvent{Cause: string(cause), Delivered: x.ended.Delivered, Bytes: size}
+	if cause != faultBehind {
+		x.ended.Malformed = e
+	}
+	x.observe(wasabiridge.ResponseMalformed{Part: wasabiridge.PartEvent, Cause: string(cause), Event: e})
+}
+
+func (x *exchange) observe(e wasabiridge.ResponseMalformed) {
+	if x.opts.Observe == nil {
+		return
+	}
+	e.Backend, e.Request = x.attempt.Backend.ID, x.attempt.Request
+	x.opts.Observe(e)
+}
+
 // isProven reports whether a refusal belongs to this attempt.
 //
 // The failure it guards against: a faulty server sends a refusal behind a complete answer. It
--- a/internal/wasabibackend/malformed_test.go
+++ b/internal/wasabibackend/malformed_test.go
@@ -31,6 +31,12 @@
 
 // runAgainst runs an attempt at an engine that answers with a stream.
 func runAgainst(stream string, change func(*wasabiridge.Attempt)) (wasabiridge.AttemptEnded, *sink) {
+	ended, s, _ := observeAgainst(stream, change)
+	return ended, s
+}
+
+// observeAgainst is runAgainst that also returns the reports of malformed responses.
+func observeAgainst(stream string, change func(*wasabiridge.Attempt)) (wasabiridge.AttemptEnded, *sink, []wasabiridge.ResponseMalformed) {
 	url := serve(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -44,7 +50,12 @@
 	if change != nil {
 		change(&a)
 	}
-	return run(newRunner(wasabibackend.Options{}), a)
+	var reports []wasabiridge.ResponseMalformed
+	ended, s := run(newRunner(wasabibackend.Options{
+		MaxEventBytes: 32 << 10,
+		Observe:       func(e wasabiridge.ResponseMalformed) { reports = append(reports, e) },
+	}), a)
+	return ended, s, reports
 }
 
 // Guards against bytes of a faulty engine that are passed on as a part of an answer, or that are
@@ -95,7 +106,9 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(cases)) {
 		It("is complete: "+name, func() {
-			ended, s := runAgainst(cases[name], nil)
+			ended, s, reports := observeAgainst(cases[name], nil)
+			Expect(reports).To(BeEmpty())
+			Expect(ended.Malformed).To(BeZero())
 			Expect(ended.Result).To(Equal(wasabiridge.AttemptCompleted))
 			Expect(ended.Delivered).To(Equal(8))
 			Expect(s.ids).To(Equal([]int64{1, 2, 3, 4, 5, 6, 7, 8}))
@@ -321,3 +334,46 @@
 		})
 	}
 })
+
+// Guards against a faulty engine that nobody sees, because its garbage is not reported.
+var _ = Describe("Bytes that are no part of an answer", func() {
+	cases := map[string]struct {
+		garbage, cause string
+		bytes          int
+	}{
+		"no field":                 {garbage: "garbage\n\n", cause: "a line is no field", bytes: 9},
+		"no object":                {garbage: "data: garbage\n\n", cause: "no JSON object", bytes: 15},
+		"no chunk":                 {garbage: "data: {}\n\n", cause: "no list of choices", bytes: 10},
+		"another completion":       {garbage: `data: {"id":"b","choices":[]}` + "\n\n", cause: "id of another completion", bytes: 31},
+		"text as token ids":        {garbage: `data: {"choices":[{"token_ids":["x"]}]}` + "\n\n", cause: "token_ids are no list of numbers", bytes: 41},
+		"too many tokens":          {garbage: `data: {"choices":[{"token_ids":[1,2,3,4,5,6,7]}]}` + "\n\n", cause: "more tokens than requested", bytes: 51},
+		"usage within the answer":  {garbage: usageEvent, cause: "choices behind the usage", bytes: len(tokenEvents(5, 5))},
+		"an event too large":       {garbage: "data: " + strings.Repeat(" ", 32<<10) + "{}\n\n", cause: "event too large", bytes: 32778},
+		"an end marker":            {garbage: doneEvent, cause: "end marker within the answer", bytes: len(tokenEvents(5, 5))},
+		"a wrong type in a choice": {garbage: `data: {"choices":[{"delta":7}]}` + "\n\n", cause: "field of a choice has a wrong type", bytes: 33},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It("are reported: "+name, func() {
+			c := cases[name]
+			ended, _, reports := observeAgainst(tokenEvents(1, 4)+c.garbage+tokenEvents(5, 8)+doneEvent, nil)
+			event := wasabiridge.MalformedEvent{Cause: c.cause, Delivered: 4, Bytes: c.bytes}
+			Expect(reports).To(Equal([]wasabiridge.ResponseMalformed{{Backend: "e", Request: "r1", Part: wasabiridge.PartEvent, Cause: c.cause, Event: event}}))
+			Expect(ended.Malformed).To(Equal(event))
+		})
+	}
+
+	It("are reported behind the end of a complete answer", func() {
+		ended, _, reports := observeAgainst(tokenEvents(1, 4)+doneEvent+"garbage\n\n", nil)
+		Expect(ended.Malformed).To(BeZero())
+		Expect(reports).To(HaveLen(1))
+		Expect(reports[0].Event).To(Equal(wasabiridge.MalformedEvent{Cause: "bytes behind the end marker", Delivered: 4, Bytes: 9}))
+	})
+
+	It("are not reported if the engine states an error or its stream ends early", func() {
+		for _, end := range []string{chunkEvent(`{"error":{"message":"x"}}`), ": end\n\n", "data: {", "data: [DONE]"} {
+			ended, _, reports := observeAgainst(tokenEvents(1, 4)+end, nil)
+			Expect(ended.Result).To(Equal(wasabiridge.AttemptBroken))
+			Expect(reports).To(BeEmpty(), end)
+		}
+	})
+})
--- a/internal/wasabibackend/relay.go
+++ b/internal/wasabibackend/relay.go
@@ -57,10 +57,10 @@
 	tokens := 0
 	if resp.StatusCode == http.StatusOK {
 		c, ok := decodeChunk(string(data))
-		if !ok || c.failed || x.attempt.Stream {
-			return wasabiridge.AttemptBroken
-		}
-		if isCompletion(x.attempt) && (!c.choices || c.completionFault() != "") {
+		if found := x.bodyFault(c, ok); found != "" || c.failed {
+			if found != "" {
+				x.report(wasabiridge.PartBody, found)
+			}
 			return wasabiridge.AttemptBroken
 		}
 		x.setUsage(c)
@@ -72,6 +72,24 @@
 	return wasabiridge.AttemptCompleted
 }
 
+// bodyFault returns why a body of status 200 is no answer to the request, or "". An error of the
+// engine is none. ok is set if the body is a JSON object.
+func (x *exchange) bodyFault(c chunk, ok bool) fault {
+	switch {
+	case !ok:
+		return faultObject
+	case c.failed:
+		return ""
+	case x.attempt.Stream:
+		return faultAnswer
+	case !isCompletion(x.attempt):
+		return ""
+	case !c.choices:
+		return faultChoices
+	}
+	return c.completionFault()
+}
+
 // relayUnparsed passes the answer of a server that is not an engine to the sink
 // as its bytes arrive. An answer that ends with its connection looks complete wherever the
 // server ended, so it is never accepted as complete.
--- a/internal/wasabibackend/runner.go
+++ b/internal/wasabibackend/runner.go
@@ -62,6 +62,8 @@
 	// StreamIdleTimeout is the idle time-out of a stream: the longest time between two
 	// events, after the first event. Zero means 20 s.
 	StreamIdleTimeout wasabiridge.Millis
+	// Observe takes reports of malformed responses. It must not block. Nil ignores them.
+	Observe func(wasabiridge.ResponseMalformed)
 }
 
 // Runner implements wasabiridge.AttemptRunner over net/http. It keeps a pool
--- a/internal/wasabibackend/stream.go
+++ b/internal/wasabibackend/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -80,30 +79,51 @@
 				return false
 			}
 			if r.complete {
-				return !slices.ContainsFunc(blocks[i+1:], r.isNext) && !r.goesOn(body, buffer)
+				return !r.goesOn(blocks[i+1:], body, buffer)
 			}
 		}
-		if err != nil || len(r.splitter.Rest()) > r.opts.MaxEventBytes {
+		if size := len(r.splitter.Rest()); size > r.opts.MaxEventBytes {
+			return r.reject(faultSize, size)
+		}
+		if err != nil {
 			return false
 		}
 	}
 }
 
 // goesOn reads what follows the end marker, as much as drain would, and reports whether the
-// answer goes on there, so that the marker was none.
-func (r *eventRelay) goesOn(body io.Reader, buffer []byte) bool {
+// answer goes on there, so that the marker was none. The given blocks are the first that follow it.
+func (r *eventRelay) goesOn(blocks []wasabievent.Block, body io.Reader, buffer []byte) bool {
 	timer := time.AfterFunc(drainTime, r.cancel)
 	defer timer.Stop()
 	body = io.LimitReader(body, drainBytes)
+	behind := 0
 	for {
-		n, err := body.Read(buffer)
-		if slices.ContainsFunc(r.splitter.Add(buffer[:n]), r.isNext) {
-			return true
+		for _, block := range blocks {
+			if r.isNext(block) {
+				r.reject(faultMarker, len(block.Text))
+				return true
+			}
+			if block.Event {
+				behind += len(block.Text)
+			}
 		}
-		if err != nil {
-			return false
+		n, err := body.Read(buffer)
+		blocks = r.splitter.Add(buffer[:n])
+		if err != nil && len(blocks) == 0 {
+			break
 		}
 	}
+	if behind += r.splitter.Partial(); behind > 0 {
+		r.reportEvent(faultBehind, behind)
+	}
+	return false
+}
+
+// reject reports bytes that are no part of the answer. It returns false, as the attempt is over.
+func (r *eventRelay) reject(cause fault, size int) bool {
+	r.reportEvent(cause, size)
+	return false
 }
 
 // isNext reports whether an event has choices that are the next ones of the completion.
@@ -127,11 +147,11 @@
 		return true
 	}
 	if len(text) > r.opts.MaxEventBytes {
-		return false
+		return r.reject(faultSize, len(text))
 	}
-	data, fault := wasabievent.Data(text)
-	if fault != "" {
-		return false
+	data, line := wasabievent.Data(text)
+	if line != "" {
+		return r.reject(fault(line), len(text))
 	}
 	switch string(data) {
 	case endMarker:
@@ -141,9 +161,15 @@
 		return true
 	}
 	c, ok := decodeChunk(string(data))
-	if !ok || c.failed || r.check(c) != "" {
+	if !ok {
+		return r.reject(faultObject, len(text))
+	}
+	if c.failed {
 		return false
 	}
+	if found := r.check(c); found != "" {
+		return r.reject(found, len(text))
+	}
 	if len(r.tail) > 0 || c.hasUsage && !c.choices {
 		r.keep(c, data)
 		return true
--- a/internal/wasabidaemon/components.go
+++ b/internal/wasabidaemon/components.go
@@ -254,7 +254,7 @@
 func (d *Daemon) newGateway() *wasabigateway.Gateway {
 	runner := d.options.Runner
 	if runner == nil {
-		d.components.runner = wasabibackend.New(wasabibackend.Options{})
+		d.components.runner = wasabibackend.New(wasabibackend.Options{Observe: d.recordMalformed})
 		runner = d.components.runner
 	}
 	o := wasabigateway.Options{
--- a/internal/wasabimetrics/definition.go
+++ b/internal/wasabimetrics/definition.go
@@ -29,6 +29,7 @@
 	MembersKnown         Name = "members.known"
 	MembersSuspect       Name = "members.suspect"
 	BackendsLost         Name = "backends.lost"
+	ResponsesMalformed   Name = "backends.malformed_responses"
 	TimelineEvents       Name = "timeline.events"
 	TimelineDropped      Name = "timeline.dropped"
 	TimelineUnpublished  Name = "timeline.unpublished"
@@ -101,6 +102,7 @@
 		{MembersKnown, KindGauge, "instances", "Other instances that are known."},
 		{MembersSuspect, KindGauge, "instances", "Other instances that did not answer lately."},
 		{BackendsLost, KindGauge, "backend servers", "Backend servers that cannot be reached from here."},
+		{ResponsesMalformed, KindCounter, "responses", "Responses of engines with events, bodies or heads that are no part of an answer."},
 		{TimelineEvents, KindGauge, "events", "Time line events recorded since the start."},
 		{TimelineDropped, KindGauge, "events", "Time line events overwritten since the start. It rises for ever once the ring is full; its rate tells how far back the ring reaches."},
 		{TimelineUnpublished, KindCounter, "events", "Time line events overwritten before subscribers in the process saw them. The event counters below miss them."},
