A chunk behind bytes without a line end is not lost from a stream

Lower case letters before an event of a faulty engine make its line a field that the format does not know ("abdata: ..."). It was skipped, and the answer counted as complete without the tokens of the event.

An event that has such a field and no data breaks the stream now.

--- a/internal/wasabievent/data.go
+++ b/internal/wasabievent/data.go
@@ -4,9 +4,10 @@
 
 // Data returns the data of a whole event, without the byte order mark that may stand before a
 // stream. It is empty if the event has none. Several lines of data are joined with LF. Each line
-// of the event must be a comment or a field, as in Parse.
+// of the event must be a comment or a field, as in Parse. An event without data has no fields that
+// the format does not know: such a field may be that of the data behind other bytes.
 func Data(event []byte) (data []byte, fault Fault) {
-	lines := 0
+	lines, unknown := 0, false
 	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
 		name, value, colon := bytes.Cut(line, []byte(":"))
 		switch string(name) {
@@ -18,8 +19,12 @@
 			if !colon || !isExtension(name) {
 				return nil, FaultField
 			}
+			unknown = unknown || len(name) > 0
 		}
 	}
+	if unknown && lines == 0 {
+		return nil, FaultNoData
+	}
 	return data, ""
 }
 
--- a/internal/wasabievent/data_test.go
+++ b/internal/wasabievent/data_test.go
@@ -23,6 +23,7 @@
 		"empty":                  {event: "data\n\n"},
 		"with unknown fields":    {event: "x-trace: 1\ndata: a\n\n", data: "a"},
 		"a line of text":         {event: "data: a\ngarbage\n\n", fault: wasabievent.FaultField},
+		"text before the field":  {event: "abdata: a\n\n", fault: wasabievent.FaultNoData},
 		"a header":               {event: "Retry-After: 1\ndata: a\n\n", fault: wasabievent.FaultField},
 		"a byte order mark":      {event: "\xef\xbb\xbfdata: a\n\n", fault: wasabievent.FaultField},
 		"a field of other bytes": {event: "\x00: 1\n\n", fault: wasabievent.FaultField},
