Orders to engines follow no redirection

A faulty engine that answered an order with 307 or 308 passed it on to another server, and the answer of that one counted as its own; so did the state that was read. http.Client follows redirections.

A redirection is now a status like any other: the outcome of the order is unknown.

--- a/internal/wasabiorder/client.go
+++ b/internal/wasabiorder/client.go
@@ -26,7 +26,9 @@
 
 // NewClient returns a client that uses the transport. Nil means http.DefaultTransport.
 func NewClient(transport http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: transport}}
+	// A redirection would pass an order on to another engine.
+	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: refuse}}
 }
 
 // orderBody is the JSON body of an order.
--- a/internal/wasabiorder/client_test.go
+++ b/internal/wasabiorder/client_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -50,6 +52,26 @@
 		})
 	}
 
+	// Guards against an order that reaches another engine than the one that it is for, and counts
+	// as accepted by that one: a faulty engine answers with a redirection.
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		It(fmt.Sprintf("follows no redirection: %d", status), func(ctx SpecContext) {
+			var reached atomic.Int32
+			other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				reached.Add(1)
+				_, _ = w.Write([]byte(`{"weights":9}`))
+			}))
+			defer other.Close()
+			server := httptest.NewServer(http.RedirectHandler(other.URL+"/weights", status))
+			defer server.Close()
+			client, b := wasabiorder.NewClient(nil), wasabiridge.BackendServer{ID: "e", URL: server.URL}
+			_, err := client.ReadState(ctx, b)
+			expectType(err, wasabiridge.ErrUnavailable)
+			expectType(client.SendOrder(ctx, b, wasabiridge.EngineOrder{Weights: 3}), wasabiridge.ErrOutcomeUnknown)
+			Expect(reached.Load()).To(BeZero())
+		})
+	}
+
 	It("works with the stand-in of an engine", func(ctx SpecContext) {
 		engine := wasabiengine.New(wasabiengine.Options{Clock: wasabiclock.System(), LoadTime: 1})
 		Expect(engine.Start("127.0.0.1:0")).To(Succeed())
