Load reports and cache events of engines must be objects

"null" counted as a load report of an idle engine, and as a message of cache events: encoding/json accepts it for an object.

--- a/internal/wasabibackend/report.go
+++ b/internal/wasabibackend/report.go
@@ -1,6 +1,7 @@
 package wasabibackend
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
 
@@ -34,7 +35,7 @@
 // out of range are clamped. It returns false when the report is malformed.
 func decodeLoad(now wasabiridge.Millis, b wasabiridge.BackendServerID, data []byte) (wasabiridge.LoadReport, bool) {
 	var body loadBody
-	if err := json.Unmarshal(data, &body); err != nil {
+	if err := json.Unmarshal(data, &body); err != nil || !isObject(data) {
 		return wasabiridge.LoadReport{}, false
 	}
 	age := min(wasabiridge.Millis(clamp(body.AgeMillis)), maxReportAge)
@@ -50,6 +51,11 @@
 	}, true
 }
 
+// isObject reports whether valid JSON is an object. json.Unmarshal accepts null for one.
+func isObject(data []byte) bool {
+	return bytes.HasPrefix(bytes.TrimLeft(data, " \t\r\n"), []byte("{"))
+}
+
 // cacheEntry is one change of an engine's cache, as sent by the engine.
 type cacheEntry struct {
 	Kind  string `json:"kind"`
@@ -76,7 +82,7 @@
 // entries after it would be unreliable.
 func decodeBatch(b wasabiridge.BackendServerID, payload string) ([]wasabiridge.CacheEvent, bool) {
 	var batch cacheBatch
-	if err := json.Unmarshal([]byte(payload), &batch); err != nil {
+	if err := json.Unmarshal([]byte(payload), &batch); err != nil || !isObject([]byte(payload)) {
 		return nil, false
 	}
 	if len(batch.Events) > maxBatchEvents || batch.Sequence > maxSequence {
