--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -1,6 +1,8 @@
 package wasabibackend
 
 import (
+	"math"
+
 	"github.com/tidwall/gjson"
 
 	"github.com/wasabiridge/wasabiridge"
@@ -12,17 +14,42 @@
 // chunk holds the fields that the router evaluates in one payload of an engine:
 // a stream event or the body of an answer that is not streamed.
 type chunk struct {
-	// tokens counts output tokens in the payload.
-	tokens int
-	// choices is set when the payload contains at least one choice.
-	choices bool
+	// id identifies the completion. It may be empty.
+	id string
+	// tokens counts output tokens in the payload, and ids those that are counted by their
+	// identifiers.
+	tokens, ids int
+	// listed is set when the payload contains a list of choices, and choices when it contains
+	// at least one.
+	listed, choices bool
 	// failed is set when the engine reports an error instead of an answer.
 	failed bool
 	// hasUsage is set when the payload contains usage.
 	hasUsage bool
 	usage    wasabiridge.Usage
+	// fault is why the payload is no part of a completion. Empty means that nothing is wrong.
+	fault fault
 }
 
+// fault is why bytes of an engine are no part of an answer.
+type fault string
+
+// Faults of events and of payloads.
+const (
+	faultObject  fault = "no JSON object"
+	faultSize    fault = "event too large"
+	faultMarker  fault = "end marker within the answer"
+	faultBehind  fault = "bytes behind the end marker"
+	faultAnswer  fault = "status or type is not that of an answer to the request"
+	faultChoices fault = "no list of choices"
+	faultChoice  fault = "field of a choice has a wrong type"
+	faultID      fault = "id of another completion"
+	faultTokens  fault = "token_ids are no list of numbers"
+	faultLimit   fault = "more tokens than requested"
+	faultUsage   fault = "choices behind the usage"
+	faultTail    fault = "too many payloads behind the usage"
+)
+
 // decodeChunk parses one payload. It returns false when the payload is not a
 // JSON object.
 func decodeChunk(payload string) (chunk, bool) {
@@ -36,6 +63,9 @@
 	var c chunk
 	root.ForEach(func(key, value gjson.Result) bool {
 		switch key.Str {
+		case "id":
+			// The text of null is empty, and that of an object its JSON.
+			c.id = value.String()
 		case "choices":
 			c.readChoices(value)
 		case "usage":
@@ -49,19 +79,69 @@
 }
 
 func (c *chunk) readChoices(list gjson.Result) {
+	if !list.IsArray() {
+		return
+	}
+	c.listed = true
 	list.ForEach(func(_, choice gjson.Result) bool {
 		c.choices = true
-		c.tokens += countTokens(choice)
+		if !hasChoiceTypes(choice) {
+			c.fault = faultChoice
+		}
+		c.readTokens(choice)
 		return true
 	})
 }
 
-// countTokens returns the number of output tokens in one choice. A choice
-// without token ids counts as one token when it contains text or tool calls.
-func countTokens(choice gjson.Result) int {
-	if ids := choice.Get("token_ids"); ids.IsArray() {
-		return int(ids.Get("#").Int())
+// hasChoiceTypes reports whether the fields of a choice that callers read have the types of the
+// API.
+func hasChoiceTypes(choice gjson.Result) bool {
+	if !choice.IsObject() {
+		return false
 	}
+	ok := true
+	choice.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "delta", "message":
+			ok = ok && (value.IsObject() || value.Type == gjson.Null)
+		case "text", "finish_reason":
+			ok = ok && (value.Type == gjson.String || value.Type == gjson.Null)
+		}
+		return ok
+	})
+	return ok
+}
+
+// readTokens counts the output tokens in one choice. A choice without token ids counts as one
+// token when it contains text or tool calls.
+func (c *chunk) readTokens(choice gjson.Result) {
+	ids := choice.Get("token_ids")
+	if ids.Type == gjson.Null {
+		c.tokens += countText(choice)
+		return
+	}
+	count := 0
+	if !ids.IsArray() {
+		count = -1
+	}
+	ids.ForEach(func(_, id gjson.Result) bool {
+		if count < 0 || id.Type != gjson.Number || id.Num < 0 || id.Num != math.Trunc(id.Num) {
+			count = -1
+			return false
+		}
+		count++
+		return true
+	})
+	if count < 0 {
+		c.fault = faultTokens
+		return
+	}
+	c.tokens += count
+	c.ids += count
+}
+
+// countText returns 1 if a choice contains text or tool calls, and zero otherwise.
+func countText(choice gjson.Result) int {
 	for _, path := range [...]string{"delta.content", "text", "delta.reasoning_content"} {
 		if choice.Get(path).Str != "" {
 			return 1
@@ -73,6 +153,14 @@
 	return 0
 }
 
+// completionFault returns why a payload is no part of a completion, or "".
+func (c *chunk) completionFault() fault {
+	if !c.listed {
+		return faultChoices
+	}
+	return c.fault
+}
+
 func (c *chunk) readUsage(v gjson.Result) {
 	if !v.IsObject() {
 		return
--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -20,6 +20,7 @@
 	sink       wasabiridge.AttemptSink
 	ended      wasabiridge.AttemptEnded
 	wantsUsage bool
+	limit      outputLimit
 	sent       bool
 	// reused is set if the connection carried another request before.
 	reused     bool
@@ -34,7 +35,7 @@
 		// check that the resumed part was computed with the same weights.
 		return wasabiridge.AttemptNotRun
 	}
-	x.wantsUsage = body.wantsUsage
+	x.wantsUsage, x.limit = body.wantsUsage, body.limit
 	x.attempt.Body = nil
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
 		x.reused = c.Reused
@@ -99,12 +100,51 @@
 	if resp.StatusCode == http.StatusOK && !x.versionsMatch(resp) {
 		return wasabiridge.AttemptBroken
 	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	if !x.isAnswer(resp.StatusCode, events) {
+		x.report(wasabiridge.PartHead, faultAnswer)
+		return wasabiridge.AttemptBroken
+	}
+	if events {
 		return x.relayEvents(resp)
 	}
 	return x.relayBuffered(resp)
 }
 
+// isAnswer reports whether a response with a status, which is a stream of events or not, may be
+// the answer to the request: 200 or an error of the request, and a stream only if one was asked for.
+func (x *exchange) isAnswer(status int, events bool) bool {
+	if events && status != http.StatusOK {
+		return false
+	}
+	if !isCompletion(x.attempt) {
+		return true
+	}
+	return status >= http.StatusBadRequest || status == http.StatusOK && (x.attempt.Stream || !events)
+}
+
+// report reports that a part of the response is malformed.
+func (x *exchange) report(part wasabiridge.ResponsePart, cause fault) {
+	x.observe(wasabiridge.ResponseMalformed{Part: part, Cause: string(cause)})
+}
+
+// reportEvent reports bytes of a stream that are no part of the answer.
+func (x *exchange) reportEvent(cause fault, size int) {
+	e := wasabiridge.MalformedEvent{Cause: string(cause), Delivered: x.ended.Delivered, Bytes: size}
+	if cause != faultBehind {
+		x.ended.Malformed = e
+	}
+	x.observe(wasabiridge.ResponseMalformed{Part: wasabiridge.PartEvent, Cause: string(cause), Event: e})
+}
+
+func (x *exchange) observe(e wasabiridge.ResponseMalformed) {
+	if x.opts.Observe == nil {
+		return
+	}
+	e.Backend, e.Request = x.attempt.Backend.ID, x.attempt.Request
+	x.opts.Observe(e)
+}
+
 // isProven reports whether a refusal belongs to this attempt.
 //
 // The failure it guards against: a faulty server sends a refusal behind a complete answer. It
--- a/internal/wasabibackend/request.go
+++ b/internal/wasabibackend/request.go
@@ -49,6 +49,12 @@
 	return out
 }
 
+// isCompletion reports whether an attempt asks an engine for a completion.
+func isCompletion(a wasabiridge.Attempt) bool {
+	path, _, _ := strings.Cut(a.Path, "?")
+	return path == "/v1/chat/completions" || path == "/v1/completions"
+}
+
 // newRequest builds the HTTP request of an attempt, without its body.
 func newRequest(ctx context.Context, a wasabiridge.Attempt) (*http.Request, error) {
 	url := strings.TrimSuffix(a.Backend.URL, "/") + a.Path
@@ -102,6 +108,7 @@
 	data []byte
 	// wantsUsage is set when the caller requested the usage event of a stream.
 	wantsUsage bool
+	limit      outputLimit
 }
 
 // routerFields are the fields that only the router sets. A caller that could set
@@ -134,6 +141,7 @@
 		if name == "stream_options" {
 			b.wantsUsage = value.Get("include_usage").Bool()
 		}
+		b.limit.read(name, value)
 		if !routerFields[name] {
 			out = append(out, key.Raw...)
 			out = append(out, ':')
