Events that skip ids just after a start are kept until the stream shows whether it does

Events are kept from the skip on now until the stream goes back, which garbage does, or five have rising ids. At the end of a response those that were kept are delivered only if they are the whole stream.

--- a/internal/wasabievent/sequence.go
+++ b/internal/wasabievent/sequence.go
@@ -12,6 +12,9 @@
 	minScore = -2 * skipWeight
 	// minSteps is the number of consecutive identifiers that a stream must have to be counted.
 	minSteps = 2
+	// minRising is the number of events from a skip on, with rising identifiers, after which
+	// the skip is none of garbage.
+	minRising = 5
 	// maxSkips bounds the skips that are remembered.
 	maxSkips = 64
 )
@@ -75,11 +78,11 @@
 
 // Verdicts.
 const (
-	// Deliver means that the event, and before it the one that was kept, is the next one.
+	// Deliver means that the event, and before it those that were kept, are the next ones.
 	Deliver Verdict = iota
-	// Keep means that the next event shows whether this one belongs to the run.
+	// Keep means that later events show whether this one belongs to the run.
 	Keep
-	// Reject means that the event, or the one that was kept, does not belong to the run.
+	// Reject means that the event, or those that were kept, do not belong to the run.
 	Reject
 )
 
@@ -98,8 +101,10 @@
 	// resumed is set if the caller has events of the stream, and begun if it has some or this
 	// response brought some.
 	resumed, begun bool
-	// kept is the identifier of the event that was kept, or NoID.
-	kept int64
+	// kept is the identifier of the last event that was kept, or NoID, and rising is how many
+	// were.
+	kept   int64
+	rising int
 	// steps counts the events that followed their predecessor. skipped is set if identifiers
 	// were skipped.
 	steps   int
@@ -153,29 +158,37 @@
 		s.numbering.reject(skip{s.Request, s.last, id}, s.Server)
 		return Reject, FaultSkipped
 	}
-	s.kept = id
+	s.kept, s.rising = id, 1
 	return Keep, ""
 }
 
-// afterKept checks the event behind one that was kept because it skips identifiers. If it goes
-// on behind that one, the identifiers of this stream skip others.
+// afterKept checks an event behind one that was kept because it skips identifiers. If the stream
+// goes back, those that were kept are not of its run. If it goes on for long enough, the
+// identifiers of this stream skip others.
 func (s *Sequence) afterKept(id int64) (Verdict, Fault) {
 	if id <= s.kept {
 		return Reject, FaultSkipped
 	}
+	s.kept = id
+	if s.rising++; s.rising < minRising {
+		return Keep, ""
+	}
 	s.skipped = true
 	return s.deliver(id)
 }
 
-// End checks the end of a complete response. If an event was kept, it is the last one.
+// End checks the end of a complete response. Events that were kept are the last ones.
 func (s *Sequence) End() (Verdict, Fault) {
+	if s.kept != NoID {
+		if s.resumed || s.steps > 0 {
+			s.numbering.reject(skip{s.Request, s.last, s.kept}, s.Server)
+			return Reject, FaultSkipped
+		}
+		// They are the whole stream.
+		s.skipped = s.rising > 1
+		_, _ = s.deliver(s.kept)
+	}
 	switch {
-	case s.kept != NoID && (s.resumed || s.steps > 0):
-		s.numbering.reject(skip{s.Request, s.last, s.kept}, s.Server)
-		return Reject, FaultSkipped
-	case s.kept != NoID:
-		// It is the only event, and nothing shows how its server numbers events.
-		return s.deliver(s.kept)
 	case s.skipped:
 		s.numbering.add(-skipWeight)
 	case s.steps >= minSteps:
