--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -85,37 +85,36 @@
 	c.listed = true
 	list.ForEach(func(_, choice gjson.Result) bool {
 		c.choices = true
-		if !hasChoiceTypes(choice) {
-			c.fault = faultChoice
-		}
-		c.readTokens(choice)
+		c.readChoice(choice)
 		return true
 	})
 }
 
-// hasChoiceTypes reports whether the fields of a choice that callers read have the types of the
-// API.
-func hasChoiceTypes(choice gjson.Result) bool {
-	if !choice.IsObject() {
-		return false
-	}
-	ok := true
+// readChoice counts the output tokens in one choice, and checks that the fields that callers read
+// have the types of the API.
+func (c *chunk) readChoice(choice gjson.Result) {
+	ok := choice.IsObject()
+	var ids gjson.Result
 	choice.ForEach(func(key, value gjson.Result) bool {
 		switch key.Str {
 		case "delta", "message":
 			ok = ok && (value.IsObject() || value.Type == gjson.Null)
 		case "text", "finish_reason":
 			ok = ok && (value.Type == gjson.String || value.Type == gjson.Null)
+		case "token_ids":
+			ids = value
 		}
-		return ok
+		return true
 	})
-	return ok
+	if !ok {
+		c.fault = faultChoice
+	}
+	c.readTokens(choice, ids)
 }
 
-// readTokens counts the output tokens in one choice. A choice without token ids counts as one
-// token when it contains text or tool calls.
-func (c *chunk) readTokens(choice gjson.Result) {
-	ids := choice.Get("token_ids")
+// readTokens counts the output tokens in one choice with the given token ids. A choice without
+// them counts as one token when it contains text or tool calls.
+func (c *chunk) readTokens(choice, ids gjson.Result) {
 	if ids.Type == gjson.Null {
 		c.tokens += countText(choice)
 		return
--- a/internal/wasabibackend/stream.go
+++ b/internal/wasabibackend/stream.go
@@ -12,7 +12,7 @@
 )
 
 // eventBufferBytes is the size of the reads of a stream. Each open stream holds a buffer.
-const eventBufferBytes = 2 << 10
+const eventBufferBytes = 4 << 10
 
 // maxTail is the number of payloads that are kept from the usage on.
 const maxTail = 8
--- a/internal/wasabievent/data.go
+++ b/internal/wasabievent/data.go
@@ -8,7 +8,11 @@
 // the format does not know: such a field may be that of the data behind other bytes.
 func Data(event []byte) (data []byte, fault Fault) {
 	lines, unknown := 0, false
-	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
+	for len(event) > 0 {
+		var line []byte
+		if line, event = cutLine(event); len(line) == 0 {
+			continue
+		}
 		name, value, colon := bytes.Cut(line, []byte(":"))
 		switch string(name) {
 		case "data":
@@ -28,6 +32,15 @@
 	return data, ""
 }
 
+// cutLine returns the first line of a text, and the text behind the first byte of its line end.
+func cutLine(text []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(text, []byte("\n"))
+	if cr := bytes.IndexByte(line, '\r'); cr >= 0 {
+		return text[:cr], text[cr+1:]
+	}
+	return line, rest
+}
+
 // appendData appends a line of data behind the given number of lines. It copies nothing as long
 // as there is one line only.
 func appendData(data, line []byte, lines int) []byte {
