A stream does not begin with another id than those of other servers

A stream may begin with another id than 1 until another server of the pool began one with 1. The new case of the spec failed before.

--- a/internal/wasabievent/sequence.go
+++ b/internal/wasabievent/sequence.go
@@ -1,6 +1,9 @@
 package wasabievent
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 const (
 	// certain is the score of a Numbering from which on a skipped identifier is a fault. A
@@ -26,6 +29,8 @@
 	mu sync.Mutex
 	// score is negative if identifiers skip others, and certain if they do not.
 	score int
+	// firsts holds one or two servers that began a stream with the first identifier.
+	firsts []string
 	// rejected holds the skips that were taken for faults, and the server of each.
 	rejected map[skip]string
 }
@@ -50,6 +55,22 @@
 	n.score = min(max(n.score+change, minScore), certain)
 }
 
+// addFirst notes that a server began a stream with the first identifier.
+func (n *Numbering) addFirst(server string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.firsts) < 2 && !slices.Contains(n.firsts, server) {
+		n.firsts = append(n.firsts, server)
+	}
+}
+
+// othersBeginFirst reports whether another server began a stream with the first identifier.
+func (n *Numbering) othersBeginFirst(server string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.firsts, func(other string) bool { return other != server })
+}
+
 // reject remembers a skip that was taken for a fault. If another server skipped the same
 // identifiers at the same place of the same stream, identifiers may skip others after all.
 func (n *Numbering) reject(s skip, server string) {
@@ -137,6 +158,9 @@
 	case id <= s.last && s.begun:
 		return Reject, FaultRepeated
 	case id == s.last+1:
+		if !s.begun {
+			s.numbering.addFirst(s.Server)
+		}
 		s.steps++
 		return s.deliver(id)
 	}
@@ -173,14 +197,23 @@
 	if s.rising++; s.rising < minRising {
 		return Keep, ""
 	}
+	if s.beginsElsewhere() {
+		return Reject, FaultSkipped
+	}
 	s.skipped = true
 	return s.deliver(id)
 }
 
+// beginsElsewhere reports whether the stream begins with another identifier than those of
+// another server.
+func (s *Sequence) beginsElsewhere() bool {
+	return !s.begun && s.numbering.othersBeginFirst(s.Server)
+}
+
 // End checks the end of a complete response. Events that were kept are the last ones.
 func (s *Sequence) End() (Verdict, Fault) {
 	if s.kept != NoID {
-		if s.resumed || s.steps > 0 {
+		if s.resumed || s.steps > 0 || s.beginsElsewhere() {
 			s.numbering.reject(skip{s.Request, s.last, s.kept}, s.Server)
 			return Reject, FaultSkipped
 		}
--- a/internal/wasabievent/sequence_test.go
+++ b/internal/wasabievent/sequence_test.go
@@ -149,6 +149,23 @@
 		})
 	}
 
+	// Guards against an event before the first one that seems to be it, while nothing else is known.
+	It("do not begin with zero if those of another server begin with one", func() {
+		for _, other := range []string{"e1", "e2"} {
+			n := &wasabievent.Numbering{}
+			first := wasabievent.NewSequence(n, "")
+			first.Server = "e1"
+			Expect(check(first, 1, 2)).To(Equal("dd"))
+			s := wasabievent.NewSequence(n, "")
+			s.Server = other
+			want := "kkkkd"
+			if other != "e1" {
+				want = "kkkkr"
+			}
+			Expect(check(s, 0, 1, 2, 3, 4)).To(Equal(want), other)
+		}
+	})
+
 	// Guards against a faulty server whose streams open the check for all others for good.
 	It("are checked again after streams of garbage that seemed whole", func() {
 		n := learned(9, 50, 51)
