--- a/internal/wasabievent/data.go
+++ b/internal/wasabievent/data.go
@@ -2,10 +2,10 @@
 
 import "bytes"
 
-// Data returns the data of a whole event, without the byte order mark that may stand before a
-// stream. It is empty if the event has none. Several lines of data are joined with LF. Each line
-// of the event must be a comment or a field, as in Parse. An event without data has no fields that
-// the format does not know: such a field may be that of the data behind other bytes.
+// Data returns the data of a complete event. It is empty if the event has none. Several lines of
+// data are joined with LF. Each line of the event must be a comment or a field, as in Parse. An
+// event without data has no fields that the format does not know: such a field may be that of the
+// data behind other bytes.
 func Data(event []byte) (data []byte, fault Fault) {
 	lines, unknown := 0, false
 	for len(event) > 0 {
--- a/internal/wasabievent/parse.go
+++ b/internal/wasabievent/parse.go
@@ -25,7 +25,7 @@
 // isLineEnd reports whether a character is one of those that end lines.
 func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
 
-// Parse returns the identifier of a whole event, or NoID with what is wrong with the event.
+// Parse returns the identifier of a complete event, or NoID with what is wrong with the event.
 //
 // An event of a run has one identifier, which is a decimal number, and data. Each of
 // its lines is a comment or a field. Fields that the format does not know are ignored by its
--- a/internal/wasabievent/sequence.go
+++ b/internal/wasabievent/sequence.go
@@ -145,7 +145,7 @@
 // Last returns the identifier of the last event that was delivered, or zero.
 func (s *Sequence) Last() int64 { return max(0, s.last) }
 
-// Next checks a whole event.
+// Next checks a complete event.
 func (s *Sequence) Next(event []byte) (Verdict, Fault) {
 	id, fault := Parse(event)
 	switch {
@@ -217,7 +217,7 @@
 			s.numbering.reject(skip{s.Request, s.last, s.kept}, s.Server)
 			return Reject, FaultSkipped
 		}
-		// They are the whole stream.
+		// The stream has no other events.
 		s.skipped = s.rising > 1
 		_, _ = s.deliver(s.kept)
 	}
