--- a/cmd/wasabirouter/hosted.go
+++ b/cmd/wasabirouter/hosted.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,9 +18,6 @@
 // serveHosted serves on the users' platform. The first SIGTERM or SIGINT starts the
 // drain; further ones have no effect. SIGHUP reloads the settings.
 func serveHosted(s wasabisettings.Settings, file string) error {
-	if target := s.MemoryTarget(); target > 0 {
-		debug.SetMemoryLimit(target)
-	}
 	clock := wasabiclock.Boot()
 	log := wasabilog.NewRing(os.Stdout)
 	defer func() { _ = log.Close() }()
--- a/cmd/wasabirouter/main.go
+++ b/cmd/wasabirouter/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -87,6 +88,9 @@
 // have no effect, so that a supervisor that repeats the signal does not break off
 // streams.
 func serve(s wasabisettings.Settings, file string) error {
+	if target := s.MemoryTarget(); target > 0 {
+		debug.SetMemoryLimit(target)
+	}
 	if s.Hosted != nil {
 		return serveHosted(s, file)
 	}
