The connections of each listener have a share of the descriptors and of the memory

What callers saw: clients that sent heads over the limit or without end, empty lines without end, or nothing at all, ended the process or took all its descriptors, so that it could connect to no backend server and not to the store. One set of descriptors served all listeners: a crowd at the directory or at the metrics closed the callers' port.

Cause: nothing bounded what connections hold before their requests are read: heads, what the kernel receives for them (its buffers grow by themselves where the process is slow to read), the backlog, goroutines. Connections between instances had no bound on header lists, 16 MB each by default.

Change: wasabilistener.Guard. Each listener of both ways is a Port with a share, from memory_mb and the new setting max_descriptors (at most what the system allows). Beyond it connections are closed, first those that have sent least, never one with a complete request; a request of a connection that was closed does not run. The receive buffers and the backlog are fixed. Connections yield after each part of a long request, so that a new caller has its turn. Responses of the listeners beside the callers' have 10 s.

--- a/internal/wasabidaemon/daemon.go
+++ b/internal/wasabidaemon/daemon.go
@@ -35,6 +35,7 @@
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiclock"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiheld"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 	"github.com/wasabiridge/wasabiridge/internal/wasabitimeline"
@@ -46,6 +47,10 @@
 	// endTimeout limits the last writes to the platform after the last request
 	// was answered, and the closing of the peer server.
 	endTimeout = 10 * time.Second
+	// maxStreams bounds the open requests of a connection with HTTP/2, and http2WindowBytes
+	// what such a connection may send before it is read.
+	maxStreams       = 100
+	http2WindowBytes = 64 << 10
 )
 
 // Options configure a daemon. Settings is required. A zero value elsewhere
@@ -74,12 +79,15 @@
 	components  components
 	backends    backendStates
 	config      atomic.Pointer[adoptedConfig]
+	// guard bounds what the connections of all listeners take.
+	guard *wasabilistener.Guard
+	ports wasabilistener.Shares
 	// held is nil if the settings name no memory.
-	held        *wasabiheld.Keeper
-	caller      *listener
-	operator    *listener
-	leaving     atomic.Bool
-	drainOnce   sync.Once
+	held      *wasabiheld.Keeper
+	caller    *listener
+	operator  *listener
+	leaving   atomic.Bool
+	drainOnce sync.Once
 	// drained is closed when the last address answer that contained this
 	// instance has expired.
 	drained chan struct{}
@@ -110,6 +118,8 @@
 		d.seed = rand.Uint64()
 	}
 	d.log = wasabilog.New(o.Log, o.Settings.LogLevel).With().Str(wasabilog.InstanceField, string(o.Settings.Instance)).Logger()
+	d.guard = wasabilistener.NewGuard(wasabilistener.Options{Clock: o.Clock, Log: wasabilog.Part(d.log, "listener")})
+	d.ports = wasabilistener.Divide(wasabilistener.Descriptors(o.Settings.Descriptors), o.Settings.ConnectionBytes())
 	d.held = wasabiheld.New(wasabiheld.Options{Limit: o.Settings.HeldBytes(), Clock: o.Clock, Log: wasabilog.Part(d.log, "held")})
 	d.config.Store(&adoptedConfig{})
 	if err := d.listen(); err != nil {
@@ -125,10 +135,10 @@
 func (d *Daemon) listen() error {
 	s := d.options.Settings
 	var err error
-	if d.caller, err = d.newListener("caller", s.Caller); err != nil {
+	if d.caller, err = d.newListener("caller", d.ports.Caller, s.Caller); err != nil {
 		return err
 	}
-	if d.operator, err = d.newListener("operator", s.Operator.Listener); err != nil {
+	if d.operator, err = d.newListener("operator", d.ports.Directory, s.Operator.Listener); err != nil {
 		d.close()
 	}
 	return err
@@ -182,7 +192,7 @@
 	var ctx context.Context
 	ctx, d.stopTasks = context.WithCancel(context.Background())
 	d.startTasks(ctx)
-	server := d.newServer("caller", d.components.gateway)
+	server := d.newServer("caller", d.caller.port, d.components.gateway)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(d.caller.socket) }()
 	operator := d.serveOperators()
@@ -199,18 +209,21 @@
 	return err
 }
 
-func (d *Daemon) newServer(part string, h http.Handler) *http.Server {
+func (d *Daemon) newServer(part string, port *wasabilistener.Port, h http.Handler) *http.Server {
 	limits := d.options.Settings.Limits.WithDefaults()
-	return &http.Server{
+	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: limits.HeaderTimeout.Duration(),
 		IdleTimeout:       limits.IdleTimeout.Duration(),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: http2WindowBytes, MaxReceiveBufferPerStream: http2WindowBytes},
 		// The gateway rejects headers beyond HeaderBytes itself, with an error
 		// response of the API. This limit only stops headers far larger than
 		// that.
 		MaxHeaderBytes: 2 * limits.HeaderBytes,
 		ErrorLog:       wasabilog.ServerErrors(wasabilog.Part(d.log, part)),
 	}
+	port.Attach(server)
+	return server
 }
 
 // Drain starts to drain the daemon. It returns at once; Run returns when the last
--- a/internal/wasabidaemon/listener.go
+++ b/internal/wasabidaemon/listener.go
@@ -1,7 +1,6 @@
 package wasabidaemon
 
 import (
-	"context"
 	"crypto/tls"
 	"net"
 	"strings"
@@ -17,21 +16,35 @@
 type listener struct {
 	socket net.Listener
 	url    string
+	port   *wasabilistener.Port
+}
+
+// tlsBytes is what the state and the buffers of a connection with TLS take.
+const tlsBytes = 40 << 10
+
+// callerLimits returns the time limits on callers. The servers limit the size of heads.
+func (d *Daemon) callerLimits() wasabilistener.Limits {
+	limits := d.options.Settings.Limits.WithDefaults()
+	return wasabilistener.Limits{HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
 // newListener opens a listener, with TLS if the settings name certificate files.
 // It returns nil when no address to listen on is set.
-func (d *Daemon) newListener(part string, s wasabisettings.Listener) (*listener, error) {
+func (d *Daemon) newListener(part string, share wasabilistener.Share, s wasabisettings.Listener) (*listener, error) {
 	if s.Listen == "" {
 		return nil, nil
 	}
+	o := wasabilistener.PortOptions{Name: part, Share: share, Limits: d.callerLimits, Secure: s.TLS != nil}
+	if o.Secure {
+		o.Overhead = tlsBytes
+	}
+	port := d.guard.Port(o)
 	var socket net.Listener
 	var err error
-	if socket, err = new(net.ListenConfig).Listen(context.Background(), "tcp", s.Listen); err != nil {
+	if socket, err = port.Listen(s.Listen); err != nil {
 		return nil, wasabiridge.ErrUnavailable.Wrap(err, "daemon: listen on %s", s.Listen)
 	}
-	socket = wasabilistener.New(socket)
-	l := &listener{socket: socket, url: s.URL}
+	l := &listener{socket: socket, url: s.URL, port: port}
 	if l.url == "" || strings.HasSuffix(l.url, ":0") {
 		l.url = "http://" + socket.Addr().String()
 	}
--- a/internal/wasabidaemon/operator.go
+++ b/internal/wasabidaemon/operator.go
@@ -42,7 +42,7 @@
 			Targets: func() []wasabiridge.Target { return d.current().Targets },
 		}
 	}
-	server := d.newServer("operator", wasabioperator.New(o))
+	server := d.newServer("operator", d.operator.port, wasabioperator.New(o))
 	go func() { _ = server.Serve(d.operator.socket) }()
 	d.log.Info().Str("url", d.operator.url).Msg("Serving operators.")
 	return server
@@ -93,6 +93,11 @@
 		wasabimetrics.RequestsOpen:      func() int64 { return int64(d.components.gateway.OpenRequests()) },
 		wasabimetrics.ConfigVersion:     func() int64 { return int64(d.current().Version) },
 		wasabimetrics.MembersKnown:      func() int64 { return int64(len(d.members())) },
+		wasabimetrics.ConnectionsOpen:   func() int64 { open, _, _ := d.guard.Totals(); return int64(open) },
+		wasabimetrics.ConnectionsBytes:  func() int64 { _, bytes, _ := d.guard.Totals(); return bytes },
+		wasabimetrics.ConnectionsClosed: func() int64 { _, _, closed := d.guard.Totals(); return int64(closed) },
+		wasabimetrics.HeldBytes:         func() int64 { return d.held.Counts().Held },
+		wasabimetrics.HeldRefused:       func() int64 { return int64(d.held.Counts().Refused) },
 		wasabimetrics.ProcessGoroutines: func() int64 { return int64(runtime.NumGoroutine()) },
 	}
 	for name, f := range gauges {
--- a/internal/wasabidaemon/peers.go
+++ b/internal/wasabidaemon/peers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabimember"
 	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
@@ -44,6 +45,7 @@
 	if p.client, err = wasabipeer.NewClient(o); err != nil {
 		return err
 	}
+	o.Listen = d.guard.Port(wasabilistener.PortOptions{Name: "peer", Share: d.ports.Peer, Limits: d.callerLimits, Overhead: wasabipeer.ConnectionBytes, Opaque: true}).Listen
 	if p.server, err = wasabipeer.Listen(s.Peer.Listen, peerHandler{daemon: d}, o); err != nil {
 		return err
 	}
--- a/internal/wasabidaemon/tasks.go
+++ b/internal/wasabidaemon/tasks.go
@@ -15,6 +15,7 @@
 		d.startTask(ctx, d.components.peers.members.Run)
 	}
 	d.startTask(ctx, d.pollInstanceCount)
+	d.startTask(ctx, d.guard.Run)
 	d.startTask(ctx, d.held.Run)
 	d.startTask(ctx, d.components.quarantine.Run)
 	d.startTask(ctx, d.components.quota.Run)
--- a/internal/wasabimetrics/definition.go
+++ b/internal/wasabimetrics/definition.go
@@ -41,6 +41,11 @@
 	OutcomeWriteFailures Name = "outcomes.write_failures"
 	OutcomeUnwrittenAge  Name = "outcomes.unwritten_age"
 	OutcomeDropped       Name = "outcomes.dropped_days"
+	ConnectionsOpen      Name = "connections.open"
+	ConnectionsBytes     Name = "connections.bytes"
+	ConnectionsClosed    Name = "connections.closed"
+	HeldBytes            Name = "held.bytes"
+	HeldRefused          Name = "held.refused"
 	ProcessGoroutines    Name = "process.goroutines"
 	ProcessHeap          Name = "process.heap"
 )
@@ -114,6 +119,11 @@
 		{OutcomeWriteFailures, KindGauge, "objects", "Outcome writes that failed or whose end is unknown."},
 		{OutcomeUnwrittenAge, KindGauge, "ms", "Age of the oldest outcome that is not in the store: what would be lost if this process died now."},
 		{OutcomeDropped, KindGauge, "days", "Days of outcomes given up because the store was away for too long."},
+		{ConnectionsOpen, KindGauge, "connections", "Connections of callers, operators and other instances that are open here."},
+		{ConnectionsBytes, KindGauge, "bytes", "What these connections are assumed to take, with the heads of their requests."},
+		{ConnectionsClosed, KindGauge, "connections", "Connections closed since the start to make room for others, or because a head was too large or not complete in time. The log tells which."},
+		{HeldBytes, KindGauge, "bytes", "What requests hold, if the settings name the memory."},
+		{HeldRefused, KindGauge, "requests", "Requests refused since the start because too much was held for others."},
 		{ProcessGoroutines, KindGauge, "goroutines", "Goroutines of the process."},
 		{ProcessHeap, KindGauge, "bytes", "Heap in use."},
 	}
--- a/internal/wasabinode/background.go
+++ b/internal/wasabinode/background.go
@@ -43,6 +43,7 @@
 	go n.migrateRequests(ctx)
 	go n.restore(ctx)
 	go n.held.Run(ctx)
+	go n.guard.Run(ctx)
 	if n.options.Settings.Hosted.Headroom {
 		go n.watchHeadroom(ctx)
 	}
--- a/internal/wasabinode/lifecycle.go
+++ b/internal/wasabinode/lifecycle.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"math"
 	"net/http"
 	"time"
 
@@ -20,36 +20,50 @@
 // directory of addresses.
 func (n *Node) listen() error {
 	h := n.options.Settings.Hosted
-	if err := n.serve("caller", n.options.Settings.Caller.Listen, n.relay); err != nil {
+	caller := wasabilistener.PortOptions{Name: "caller", Share: n.ports.Caller}
+	if err := n.serve(caller, n.options.Settings.Caller.Listen, n.relay); err != nil {
 		return err
 	}
-	if err := n.serve("ready", h.Ready, n.options.Platform.Ready(n.ready)); err != nil {
+	ready := wasabilistener.PortOptions{Name: "ready", Share: n.ports.Auxiliary, Disposable: true}
+	if err := n.serve(ready, h.Ready, n.options.Platform.Ready(n.ready)); err != nil {
 		return err
 	}
-	if err := n.serve("metrics", h.Metrics, n.metricsHandler()); err != nil {
+	metrics := wasabilistener.PortOptions{Name: "metrics", Share: n.ports.Auxiliary, Disposable: true}
+	if err := n.serve(metrics, h.Metrics, n.metricsHandler()); err != nil {
 		return err
 	}
-	return n.serve("directory", h.Directory, n.options.Platform.Directory(n.nearest))
+	directory := wasabilistener.PortOptions{Name: "directory", Share: n.ports.Directory, Disposable: true}
+	return n.serve(directory, h.Directory, n.options.Platform.Directory(n.nearest))
 }
 
 // serve opens a listener for a handler, unless the address is empty. Run starts
 // serving on it.
-func (n *Node) serve(part, address string, h http.Handler) error {
+func (n *Node) serve(o wasabilistener.PortOptions, address string, h http.Handler) error {
 	if address == "" {
 		return nil
 	}
-	socket, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	o.Limits = n.callerLimits
+	port := n.guard.Port(o)
+	socket, err := port.Listen(address)
 	if err != nil {
 		return wasabiridge.ErrUnavailable.Wrap(err, "node: listen on %s", address)
 	}
-	n.sockets = append(n.sockets, wasabilistener.New(socket))
-	n.servers = append(n.servers, &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: wasabilog.ServerErrors(wasabilog.Part(n.log, part)),
-	})
+	// The port limits heads and times as the configuration in force says.
+	server := &http.Server{Handler: h, MaxHeaderBytes: math.MaxInt32, ErrorLog: wasabilog.ServerErrors(wasabilog.Part(n.log, o.Name))}
+	if o.Disposable {
+		server.WriteTimeout = writeTimeout
+	}
+	port.Attach(server)
+	n.sockets = append(n.sockets, socket)
+	n.servers = append(n.servers, server)
 	return nil
 }
 
+// callerLimits returns the limits on callers.
+func (n *Node) callerLimits() wasabilistener.Limits {
+	return wasabilistener.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // ready reports whether this instance accepts requests: it has a configuration
 // and is not draining.
 func (n *Node) ready() bool {
--- a/internal/wasabinode/metrics.go
+++ b/internal/wasabinode/metrics.go
@@ -70,6 +70,7 @@
 	lines = append(lines, n.shares.lines()...)
 	lines = append(lines, n.rollouts.lines()...)
 	lines = append(lines, n.heldLines()...)
+	lines = append(lines, n.connectionLines()...)
 	if n.strained.Load() {
 		lines = append(lines, line("strained", 1))
 	}
@@ -224,6 +225,23 @@
 	}
 }
 
+// connectionLines returns what the connections of each listener take, and for which reasons
+// they were closed.
+func (n *Node) connectionLines() []string {
+	var lines []string
+	for _, c := range n.guard.Counts() {
+		labels := "{port=\"" + c.Port + "\"}"
+		lines = append(lines,
+			line("connections_open"+labels, int64(c.Open)), line("connections_peak"+labels, int64(c.Peak)), line("connections_max"+labels, int64(c.MaxOpen)),
+			line("connections_bytes"+labels, c.Bytes), line("connections_max_bytes"+labels, c.MaxBytes),
+		)
+		for reason, count := range c.Closed {
+			lines = append(lines, line("connections_closed_total{port=\""+c.Port+"\",reason=\""+reason+"\"}", int64(count)))
+		}
+	}
+	return lines
+}
+
 func line(name string, value int64) string {
 	return fmt.Sprintf("wasabiridge_%s %d\n", name, value)
 }
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -40,6 +40,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabifanout"
 	"github.com/wasabiridge/wasabiridge/internal/wasabifingerprint"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiheld"
+	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiloop"
 	"github.com/wasabiridge/wasabiridge/internal/wasabimember"
@@ -90,14 +91,17 @@
 	// openPeerKey takes the place of the shared secret where no other process can
 	// reach the peer listener.
 	openPeerKey = "wasabiridge: open peer network"
-	// idleTimeout is how long a caller's connection may be idle. It is longer than
-	// callers keep connections: a request that is sent while the server closes its
-	// connection is lost.
-	idleTimeout = 2 * time.Minute
-	// headerTimeout bounds the time to read a request's header, and maxHeader the
-	// header's size in bytes.
-	headerTimeout = 5 * time.Second
-	maxHeader     = 64 << 10
+	// idleTimeout is how long a caller's connection may be idle if the configuration names
+	// no time. It is longer than callers keep connections: a request that is sent while the
+	// server closes its connection is lost.
+	idleTimeout = 2 * wasabiridge.Minute
+	// headerTimeout bounds the time to read a request's header, and headerBytes the size of
+	// its names and values, if the configuration names no limits.
+	headerTimeout = 5 * wasabiridge.Second
+	headerBytes   = 32 << 10
+	// writeTimeout bounds the time to write a response of a listener that is not for
+	// requests to backend servers.
+	writeTimeout = 10 * time.Second
 )
 
 // Platform holds the adapters to the platform: its protocol, store and engines.
@@ -178,11 +182,14 @@
 	adopted  adoption
 	// upgradable belongs to the goroutine of upgrade.
 	upgradable upgradeInput
-	sockets    []net.Listener
-	servers    []*http.Server
-	leaving    atomic.Bool
-	once       sync.Once
-	drained    chan struct{}
+	// guard bounds what the connections of all listeners take.
+	guard   *wasabilistener.Guard
+	ports   wasabilistener.Shares
+	sockets []net.Listener
+	servers []*http.Server
+	leaving atomic.Bool
+	once    sync.Once
+	drained chan struct{}
 }
 
 // New opens the listeners and assembles the node; Run serves. It returns
@@ -232,6 +239,8 @@
 		BoundWaits: s.Hosted.SharesPools(o.Platform.Features),
 	})
 	n.rollouts = newRollouts(n)
+	n.guard = wasabilistener.NewGuard(wasabilistener.Options{Clock: o.Clock, Log: wasabilog.Part(n.log, "listener")})
+	n.ports = wasabilistener.Divide(wasabilistener.Descriptors(s.Descriptors), s.ConnectionBytes())
 	limiter := n.assembleShares(seed)
 	n.reach = &reach{
 		log: wasabilog.Part(n.log, "reach"), clock: o.Clock, runner: o.Platform.Runner, seed: seed,
@@ -324,6 +333,7 @@
 		Clock: n.options.Clock, Active: n.otherActive, Members: n.others, Listed: n.listed, Registry: n.registry, Finder: n.client, Send: n.sendUpdate,
 		Ended: new(wasabiending.Checker).HasEnded, Log: wasabilog.Part(n.log, "stream"),
 	})
+	o.Listen = n.guard.Port(wasabilistener.PortOptions{Name: "peer", Share: n.ports.Peer, Limits: n.callerLimits, Overhead: wasabipeer.ConnectionBytes, Opaque: true}).Listen
 	if n.server, err = wasabipeer.Listen(s.Listen, peerHandler{node: n}, o); err != nil {
 		return err
 	}
--- a/internal/wasabipeer/options.go
+++ b/internal/wasabipeer/options.go
@@ -40,6 +40,13 @@
 	// the bandwidth estimator of grpc-go, whose pings would cost more bytes
 	// than the heartbeats.
 	windowBytes = 1 << 20
+	// maxHeaderBytes bounds the header of a call, whose fields are few and short.
+	maxHeaderBytes = 16 << 10
+	// handshakeTimeout bounds the handshakes of a new connection.
+	handshakeTimeout = 5 * time.Second
+	// ConnectionBytes is what an idle connection takes beside its socket: two goroutines,
+	// the buffers of HTTP/2, and its tables of header fields.
+	ConnectionBytes = 16 << 10
 	// ForwardWindow is the StreamWindow for forwarded requests, many of which may have
 	// callers that read slowly.
 	ForwardWindow = 128 << 10
@@ -64,6 +71,8 @@
 	// StreamWindow bounds the bytes of one answer that a client has received and not yet
 	// read. Zero means windowBytes.
 	StreamWindow int32
+	// Listen opens the listener of a server. Nil means that of the system, without bounds.
+	Listen func(address string) (net.Listener, error)
 	// AckTimeout is how long bytes that a client sent may stay unacknowledged before the
 	// connection is closed. Zero leaves that to the system, which waits for minutes.
 	AckTimeout wasabiridge.Millis
@@ -91,6 +100,13 @@
 	return wasabiclock.System()
 }
 
+func (o Options) listen(address string) (net.Listener, error) {
+	if o.Listen == nil {
+		return net.Listen("tcp", address)
+	}
+	return o.Listen(address)
+}
+
 func (o Options) wrap(c net.Conn) net.Conn {
 	if o.WrapConn == nil {
 		return c
--- a/internal/wasabipeer/server.go
+++ b/internal/wasabipeer/server.go
@@ -51,7 +51,7 @@
 	}
 	var listener net.Listener
 	var err error
-	if listener, err = net.Listen("tcp", address); err != nil {
+	if listener, err = o.listen(address); err != nil {
 		return nil, wasabiridge.ErrUnavailable.Wrap(err, "peer: listen on %s", address)
 	}
 	bus := newSubscriber()
@@ -65,6 +65,8 @@
 		grpc.MaxRecvMsgSize(MaxRequestBytes),
 		grpc.MaxSendMsgSize(MaxResponseBytes),
 		grpc.MaxConcurrentStreams(maxConcurrentCalls),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(socketBufferBytes),
 		grpc.WriteBufferSize(socketBufferBytes),
 		grpc.InitialWindowSize(windowBytes),
--- a/internal/wasabisettings/check.go
+++ b/internal/wasabisettings/check.go
@@ -26,6 +26,7 @@
 	if s.Memory < 0 {
 		c.report("/memory_mb", "must not be negative")
 	}
+	c.nonNegative("/max_descriptors", int64(s.Descriptors))
 	c.required("/caller/listen", s.Caller.Listen)
 	c.listener("/caller", s.Caller)
 	c.listener("/operator", s.Operator.Listener)
--- a/internal/wasabisettings/settings.go
+++ b/internal/wasabisettings/settings.go
@@ -34,8 +34,11 @@
 	// are many instances, callers are directed to those with the largest capacity.
 	Capacity float64 `json:"capacity,omitempty"`
 	// Memory is the memory in MB at which the process is killed. Zero means that it is
-	// not known: then what the process holds for requests is not bounded.
+	// not known: then what the process holds for requests and connections is not bounded.
 	Memory float64 `json:"memory_mb,omitempty"`
+	// Descriptors is the number of descriptors that the process may open. Zero, or more than
+	// the system allows, means as many as the system allows.
+	Descriptors int `json:"max_descriptors,omitempty"`
 	// Caller is the listener of callers.
 	Caller Listener `json:"caller"`
 	// Operator is the listener of operators. It is off when Listen is empty.
