The limits on callers of the configuration in force hold at the listeners

What callers saw: a client that took longer for a head, or kept a connection idle for longer, than 5 s and 2 min was closed although the operators allowed more, and one beyond a shorter limit was kept. Heads above 64 KiB were refused whatever maxHeaderBytes said.

Cause: net/http takes its limits when a server starts, and they were constants; of the configuration only the size of heads was checked, after they had been read.

Until there is a configuration, which may allow more, only the share of the port bounds a head.

Evidence: "The limits on callers in the configuration hold at the listener" sends a head of 150 KiB under a limit of 200 and is closed when idle by the configured 500 ms. With the constants the head was refused with 431; the guard's own spec changes limits while connections are open.

--- a/internal/wasabinode/lifecycle.go
+++ b/internal/wasabinode/lifecycle.go
@@ -1,6 +1,7 @@
 package wasabinode
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/http"
@@ -59,9 +60,17 @@
 	return nil
 }
 
-// callerLimits returns the limits on callers.
+// callerLimits returns the limits on callers that are in force. Until there is a
+// configuration, which may allow more, the size of heads is bounded by the share of the port
+// only.
 func (n *Node) callerLimits() wasabilistener.Limits {
-	return wasabilistener.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	config := n.activeConfig.Load().config
+	c := config.CallerLimits
+	limits := wasabilistener.Limits{HeaderTimeout: cmp.Or(c.HeaderTimeout, headerTimeout), IdleTimeout: cmp.Or(c.IdleTimeout, idleTimeout)}
+	if config.Version > 0 {
+		limits.HeaderBytes = cmp.Or(c.HeaderBytes, headerBytes)
+	}
+	return limits
 }
 
 // ready reports whether this instance accepts requests: it has a configuration
