A shutdown does not wait for requests that never become complete

What callers saw: nothing; operators saw processes that ended as failed at the end of their grace time, beside clients that send bodies a byte at a time.

Cause: http.Server.Shutdown waits for connections with a part of a request; only those that had sent nothing for 5 s count as idle.

Change: half of the time that a shutdown has left after its last address answer expired (with the OpenAI API at most the time limits on heads and bodies), connections without a complete request are closed. Complete requests, and responses that are being written, are waited for as before.

Evidence: platform/crowd, "bodies a byte at a time, shuts down in order": exit with an error before, in order after; the three other kinds of clients ended in order both times. wasabilistener, "closes connections without a complete request when it ends, and no others", in virtual time.

--- a/internal/wasabidaemon/daemon.go
+++ b/internal/wasabidaemon/daemon.go
@@ -251,6 +251,9 @@
 	drain := d.options.Settings.Drain.WithDefaults()
 	ctx, cancel := context.WithTimeout(context.Background(), (drain.Limit - drain.AnswerLifetime).Duration())
 	defer cancel()
+	// A caller that does not complete its request must not hold the drain back.
+	limits := d.options.Settings.Limits.WithDefaults()
+	d.guard.End(min((drain.Limit-drain.AnswerLifetime)/2, max(limits.HeaderTimeout, limits.BodyTimeout)))
 	err := server.Shutdown(ctx)
 	if err != nil {
 		d.log.Error().Int("open", d.components.gateway.OpenRequests()).Msg("Drain limit expired; aborting the open requests.")
--- a/internal/wasabinode/lifecycle.go
+++ b/internal/wasabinode/lifecycle.go
@@ -145,6 +145,8 @@
 	remaining := n.bounds.ShutdownGrace - acceptFor(n.bounds.ShutdownGrace) - endMargin
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
+	// A caller that does not complete its request must not hold the shutdown back.
+	n.guard.End(remaining / 2)
 	var err error
 	failed := n.servers[0].Shutdown(ctx)
 	if failed == nil {
