Lines of the listener are written without its lock

What callers could see: with the OpenAI API the log is written to standard error directly; a reader of it that stands still would have stopped a port whose line was being written. Read, not seen.

Change: what is to be logged is taken under the lock and written after it.

--- a/internal/wasabilistener/guard.go
+++ b/internal/wasabilistener/guard.go
@@ -443,18 +443,28 @@
 }
 
 // report logs the reasons for which connections were closed since the last call, but for
-// those that were idle.
+// those that were idle. It holds no lock while it logs.
 func (p *Port) report() {
+	for _, line := range p.unreported() {
+		line()
+	}
+}
+
+// unreported returns functions that each write a log line, and counts what they log as
+// logged.
+func (p *Port) unreported() []func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var lines []func()
 	for reason, n := range p.reasons {
 		if n.total == n.logged || reason == reasonIdle {
 			continue
 		}
-		p.guard.options.Log.Warn().Str("port", p.options.Name).Str("reason", reason).Uint64("closed", n.total-n.logged).
+		event := p.guard.options.Log.Warn().Str("port", p.options.Name).Str("reason", reason).Uint64("closed", n.total-n.logged).
 			Str("last_address", n.address).Int64("last_head_bytes", n.bytes).Int("open", p.ledger.open).Int("max_open", p.options.Share.Connections).
-			Int64("bytes", p.ledger.bytes).Int64("max_bytes", p.options.Share.Bytes).
-			Msg("Connections closed.")
+			Int64("bytes", p.ledger.bytes).Int64("max_bytes", p.options.Share.Bytes)
+		lines = append(lines, func() { event.Msg("Connections closed.") })
 		n.logged = n.total
 	}
+	return lines
 }
