A single head is served in calm, however large the operators allow heads to be

What callers would have seen: a head of a megabyte with short fields, within a configured maxHeaderBytes, was assumed to take more than the share of the port on a machine of 134 MB and was closed though nobody else was there. Found by calculation; the spec fails without the change.

Change: a connection that alone is receiving a request is not closed for its bytes.

--- a/internal/wasabilistener/ledger.go
+++ b/internal/wasabilistener/ledger.go
@@ -233,9 +233,11 @@
 	if e := l.first(stageEnding, 0); e != nil && now-e.since >= unreadTime {
 		return e
 	}
-	for _, s := range []stage{stageBody, stageHead, stageSilent} {
-		if e := l.first(s, 0); e != nil {
-			return e
+	if !l.isSoleCaller() {
+		for _, s := range []stage{stageBody, stageHead, stageSilent} {
+			if e := l.first(s, 0); e != nil {
+				return e
+			}
 		}
 	}
 	if l.disposable {
@@ -244,6 +246,13 @@
 	return nil
 }
 
+// isSoleCaller reports whether one connection alone is receiving a request and exceeds the
+// bytes: its head is within the limits of the configuration, however large these are.
+func (l *ledger) isSoleCaller() bool {
+	receiving := l.queues[stageBody].Len() + l.queues[stageHead].Len() + l.queues[stageSilent].Len()
+	return receiving == 1 && (l.share.Connections == 0 || l.open-l.closing <= l.soft())
+}
+
 // first returns the first connection of a stage that has more connections than a reserve,
 // or nil.
 func (l *ledger) first(s stage, reserve int) *entry {
--- a/internal/wasabilistener/ledger_test.go
+++ b/internal/wasabilistener/ledger_test.go
@@ -89,6 +89,19 @@
 		Expect(l.open).To(BeNumerically(">", 1))
 	})
 
+	// Guards against a caller that is refused in calm, because the operators allow larger heads
+	// than the share of the port was made for.
+	It("leaves a single head alone, however large it is", func() {
+		l := newLedger(Share{Connections: 100, Bytes: 1 << 20}, false)
+		arrive(l, stageIdle, 0, 3)
+		large := arrive(l, stageHead, 100, 1)[0]
+		l.receive(large, 4<<20, 1<<16)
+		Expect(shedAll(l)).To(HaveLen(3))
+		Expect(large.node).NotTo(BeNil())
+		arrive(l, stageHead, 200, 1)
+		Expect(shedAll(l)).To(Equal([]*entry{large}))
+	})
+
 	It("extends the time of a connection in its stage once", func() {
 		l := newLedger(Share{}, false)
 		e := arrive(l, stageHead, 0, 2)[0]
