--- a/internal/wasabilistener/handler.go
+++ b/internal/wasabilistener/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -103,10 +102,9 @@
 // restTime is how long the rest of a body is waited for that its handler did not read.
 const restTime = 5 * time.Second
 
-// errClosing is the end of a body whose connection is closed to make room.
-var errClosing = errors.New("listener: connection closed to make room for others")
-
-// body is the body of a request. At its end the request is complete.
+// body is the body of a request. At its end the request is complete. If its connection is being
+// closed then, Read panics with http.ErrAbortHandler: after an error the handler could still
+// send a response, and the caller would take it for the answer.
 type body struct {
 	io.ReadCloser
 	port  *Port
@@ -118,7 +116,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && b.ended.CompareAndSwap(false, true) && !b.port.begin(b.conn, stageRunning) {
-		return n, errClosing
+		panic(http.ErrAbortHandler)
 	}
 	return n, err
 }
