A single large head does not get room while requests that run take all bytes

What callers would have seen: callers that come one after the other, each alone with a head of 30 KB, while the requests of those before run for long, were each served for themselves, and together exceeded the share of the port. Found by reading; the spec fails without the change.

Change: a head that is received alone is left alone only if the other connections are within the share.

--- a/internal/wasabilistener/ledger.go
+++ b/internal/wasabilistener/ledger.go
@@ -246,11 +246,17 @@
 	return nil
 }
 
-// isSoleCaller reports whether one connection alone is receiving a request and exceeds the
-// bytes: its head is within the limits of the configuration, however large these are.
+// isSoleCaller reports whether one connection alone is receiving a request, and exceeds the
+// bytes by itself: its head is within the limits of the configuration, however large these are.
 func (l *ledger) isSoleCaller() bool {
-	receiving := l.queues[stageBody].Len() + l.queues[stageHead].Len() + l.queues[stageSilent].Len()
-	return receiving == 1 && (l.share.Connections == 0 || l.open-l.closing <= l.soft())
+	receiving, others := 0, l.bytes
+	for _, s := range []stage{stageBody, stageHead, stageSilent} {
+		receiving += l.queues[s].Len()
+		if e := l.first(s, 0); e != nil {
+			others -= e.counted
+		}
+	}
+	return receiving == 1 && others <= l.share.Bytes && (l.share.Connections == 0 || l.open-l.closing <= l.soft())
 }
 
 // first returns the first connection of a stage that has more connections than a reserve,
--- a/internal/wasabilistener/ledger_test.go
+++ b/internal/wasabilistener/ledger_test.go
@@ -102,6 +102,19 @@
 		Expect(shedAll(l)).To(Equal([]*entry{large}))
 	})
 
+	// Guards against callers that exceed the memory one after the other: each alone sends a
+	// large head, and all their requests run.
+	It("closes a single head while requests that run take all bytes", func() {
+		l := newLedger(Share{Connections: 100, Bytes: 1 << 20}, false)
+		for _, e := range arrive(l, stageRunning, 0, 3) {
+			l.receive(e, 100<<10, 10)
+		}
+		Expect(shedAll(l)).To(BeEmpty())
+		Expect(shedAll(l)).To(BeEmpty())
+		head := arrive(l, stageHead, 100, 1)
+		Expect(shedAll(l)).To(Equal(head))
+	})
+
 	It("extends the time of a connection in its stage once", func() {
 		l := newLedger(Share{}, false)
 		e := arrive(l, stageHead, 0, 2)[0]
