Show a SIGTERM that is lost behind two SIGHUPs

The process handles the first SIGHUP while the second one takes the only room for signals, and the SIGTERM is dropped. It serves until it is killed after graceS, which cuts off requests that were sent later than 3 s after the SIGTERM.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -49,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD FOLDER")
 		os.Exit(notPlayed)
 	}
-	cases := map[string]func(dir string) int{"reborn": reborn, "numbers": numbers}
+	cases := map[string]func(dir string) int{"reborn": reborn, "numbers": numbers, "signals": signals}
 	play := cases[os.Args[1]]
 	var err error
 	if out, err = os.Create(os.Args[2]); err != nil || play == nil {
@@ -62,10 +62,10 @@
 		endAll()
 		os.Exit(notPlayed)
 	})
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	go func() {
-		<-signals
+		<-stops
 		endAll()
 		os.Exit(notPlayed)
 	}()
