Take a response with a status outside the protocol for none

What callers saw: a backend server in trouble sent an answer with status 000. The attempt counted as completed, the server of net/http panicked when it was to write that status, and the caller's connection was closed without an answer. No other server was tried, and nothing said whether the request ran.

Cause: the parser of net/http accepts any three characters that are a number as a status, also +20, -00 and 600 to 999, any version of HTTP and any number of blanks before the status. A 101, which no request asks for, was skipped as an interim response, and the caller waited until its deadline.

Change: wasabihead checks the first line as it arrives, before a parser sees it: HTTP/1.x, one blank, a status of 102 to 599 or 100, one blank and a reason without control bytes. A connection whose head fails the check has no response: the attempt is broken after it was sent, so the request is repeated where its rule allows that and is answered with 502 otherwise. Its fields, such as a refusal, a load or that the server leaves, are not read.

--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -192,9 +192,7 @@
 
 func (c *Conn) readOwn(ctx context.Context, r *http.Request, isOwn func(http.Header) bool) (*http.Response, error) {
 	for range maxForeign {
-		c.head.begin()
-		response, err := http.ReadResponse(c.reader, r)
-		c.head.end()
+		response, err := c.readResponse(r)
 		if err != nil {
 			return nil, err
 		}
@@ -214,6 +212,19 @@
 	return nil, errForeign
 }
 
+// readResponse reads the head of a response, which may be an interim one.
+func (c *Conn) readResponse(r *http.Request) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err = c.head.begin(buffered); err != nil {
+		return nil, err
+	}
+	defer c.head.end()
+	return http.ReadResponse(c.reader, r)
+}
+
 // Drain reads the rest of a response that is not needed, so that the connection can be used
 // again. It reports whether the response ended before it had the given size, and soon. The
 // context is that of the request.
--- a/internal/wasabiconn/head.go
+++ b/internal/wasabiconn/head.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 const (
@@ -20,7 +21,7 @@
 
 var errHeadTooLarge = ErrMalformed.New("conn: head of a response exceeds %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 
-// headReader reads from a connection and bounds what is read while a head is expected.
+// headReader reads from a connection. While a head is expected, it bounds and checks what is read.
 //
 // The failure it guards against: a server sends a first line, or lines of a header, that never
 // end. The reader of a response keeps all of a head, so the process exceeds its memory.
@@ -28,10 +29,15 @@
 	net.Conn
 	inHead       bool
 	bytes, lines int
+	checker      wasabihead.Checker
 }
 
-// begin starts the head of a response.
-func (r *headReader) begin() { r.inHead, r.bytes, r.lines = true, 0, 0 }
+// begin starts the head of a response. Buffered are the bytes that were read before it. The error
+// is of type wasabihead.ErrMalformed.
+func (r *headReader) begin(buffered []byte) error {
+	r.inHead, r.bytes, r.lines, r.checker = true, 0, 0, wasabihead.Checker{}
+	return r.checker.Add(buffered)
+}
 
 // end ends it. What follows is bounded by its framing.
 func (r *headReader) end() { r.inHead = false }
@@ -47,5 +53,8 @@
 	n, err := r.Conn.Read(p)
 	r.bytes += n
 	r.lines += bytes.Count(p[:n], []byte{'\n'})
+	if failed := r.checker.Add(p[:n]); failed != nil {
+		return 0, failed
+	}
 	return n, err
 }
--- /dev/null
+++ b/internal/wasabihead/head.go
@@ -0,0 +1,132 @@
+// Package wasabihead decides whether the head of a response is one of HTTP/1.1. Everything that
+// reads responses asks it before it uses a status or a field.
+//
+// The parser of net/http accepts more than the protocol allows: any three characters that are a
+// number as a status. A server of net/http cannot write such a status, so it closes the connection
+// of its caller without an answer.
+//
+// # Usage
+//
+//	var c wasabihead.Checker
+//	n, err := conn.Read(buffer)
+//	if failed := c.Add(buffer[:n]); failed != nil {
+//		return failed
+//	}
+package wasabihead
+
+import (
+	"net/http"
+
+	"github.com/wasabiridge/wasabiridge"
+)
+
+// ErrMalformed means that bytes are no head of a response. It is a subtype of
+// wasabiridge.ErrOutcomeUnknown, since a server that sent them may have run the request.
+var ErrMalformed = wasabiridge.ErrOutcomeUnknown.NewSubtype("malformed_head")
+
+const (
+	// versionPrefix begins a first line. A digit and a blank follow.
+	versionPrefix = "HTTP/1."
+	// statusStart is the index of the status in a first line, and statusEnd that behind it.
+	statusStart = len(versionPrefix) + 2
+	statusEnd   = statusStart + 3
+	// minStatus and maxStatus are the bounds of final statuses.
+	minStatus, maxStatus = 200, 599
+)
+
+// Checker checks the head of one response. Its zero value expects the first line.
+type Checker struct {
+	// line and column are the indexes of the next byte.
+	line, column int
+	status       int
+	// returned is set behind a carriage return.
+	returned bool
+	done     bool
+	failed   error
+}
+
+// Add checks the next bytes of a head, and ignores those behind it. Its error is of type
+// ErrMalformed, and so are those of all further calls.
+func (c *Checker) Add(data []byte) error {
+	for _, b := range data {
+		if c.done || c.failed != nil {
+			break
+		}
+		if cause := c.next(b); cause != "" {
+			c.failed = ErrMalformed.New("head: line %d, byte %d (%q): %s", c.line+1, c.column+1, b, cause)
+		}
+	}
+	return c.failed
+}
+
+// next checks a byte. It returns why the byte cannot stand there, or an empty text.
+func (c *Checker) next(b byte) string {
+	switch {
+	case b == '\n':
+		return c.endLine()
+	case c.returned:
+		return "carriage return within a line"
+	case b == '\r':
+		c.returned = true
+		return ""
+	}
+	if cause := c.checkByte(b); cause != "" {
+		return cause
+	}
+	c.column++
+	return ""
+}
+
+// endLine checks a line as a whole and begins the next one.
+func (c *Checker) endLine() string {
+	switch {
+	case c.line == 0 && c.column < statusEnd:
+		return "first line without a version and a status"
+	case c.line > 0 && c.column == 0:
+		c.done = true
+	}
+	c.line++
+	c.column, c.returned = 0, false
+	return ""
+}
+
+// checkByte checks a byte that does not end a line.
+func (c *Checker) checkByte(b byte) string {
+	if c.line > 0 {
+		return ""
+	}
+	switch i := c.column; {
+	case i < len(versionPrefix) && b != versionPrefix[i], i == len(versionPrefix) && !isDigit(b):
+		return "version is not HTTP/1"
+	case i < statusStart-1:
+	case i == statusStart-1, i == statusEnd:
+		if b != ' ' {
+			return "no single blank before or behind the status"
+		}
+	case i < statusEnd:
+		if !isDigit(b) {
+			return "status is not a number of three digits"
+		}
+		c.status = 10*c.status + int(b-'0')
+		if i == statusEnd-1 && !isInterim(c.status) && !isFinal(c.status) {
+			return "status is outside the protocol"
+		}
+	case isControl(b):
+		return "control byte in a reason"
+	}
+	return ""
+}
+
+// isInterim reports whether another response follows one with the status. 101 is none, as no
+// request asks for another protocol.
+func isInterim(status int) bool {
+	return status >= 100 && status < minStatus && status != http.StatusSwitchingProtocols
+}
+
+// isFinal reports whether a status is one of final responses.
+func isFinal(status int) bool { return status >= minStatus && status <= maxStatus }
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isControl reports whether a byte is a control character other than a tab.
+func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
