Refuse responses and trailers with malformed names of fields

What callers saw: a backend server in trouble sent a 200 in which the name of a field held a blank. It was passed on as an answer, with a body that was not the server's.

Cause: the parser of net/http lets a blank in the name of a field through, and the server of net/http drops such a field without a word. So "Content-Length : 3" did not frame the body for this router, although other readers let it (RFC 9112, section 5.1). A line that begins with a blank was appended to the value of the field before it, also to a seal or an identifier.

Change: wasabihead.Checker checks the lines of a head as they arrive: a name is a token that a colon follows, a value has no control byte, no line is folded. The names and values of a trailer, which is not forwarded, are checked when the parser has read them. The attempt is broken as with other malformed heads.

Folded lines of trailers have no spec: they are read as the parser joins them. TestFields sends each byte in each place of a name and in a value.

--- a/internal/wasabiconn/conn.go
+++ b/internal/wasabiconn/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 const (
@@ -157,7 +158,7 @@
 		stop()
 		return nil, wrapReadError(err, c.address)
 	}
-	response.Body = &body{ReadCloser: response.Body, conn: c, stop: stop}
+	response.Body = &body{ReadCloser: response.Body, conn: c, response: response, stop: stop}
 	return response, nil
 }
 
@@ -243,11 +244,25 @@
 	return err == io.EOF
 }
 
-// body is a response body whose Close ends the monitoring of the context.
+// body is a response body that checks its trailer, and whose Close ends the monitoring of the
+// context.
 type body struct {
 	io.ReadCloser
-	conn *Conn
-	stop func() bool
+	conn     *Conn
+	response *http.Response
+	stop     func() bool
+}
+
+// Read implements io.Reader. It returns ErrMalformed for a trailer with malformed fields.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if failed := wasabihead.CheckFields(b.response.Trailer); failed != nil {
+		return n, ErrMalformed.Wrap(failed, "conn: trailer of a response from %s", b.conn.address)
+	}
+	return n, err
 }
 
 // Close ends the use of the body. It does not read the remaining bytes.
--- a/internal/wasabihead/head.go
+++ b/internal/wasabihead/head.go
@@ -2,8 +2,11 @@
 // reads responses asks it before it uses a status or a field.
 //
 // The parser of net/http accepts more than the protocol allows: any three characters that are a
-// number as a status. A server of net/http cannot write such a status, so it closes the connection
-// of its caller without an answer.
+// number as a status, and blanks in the names of fields. A server of net/http cannot write such a
+// status, so it closes the connection of its caller without an answer, and it drops such a field.
+// A length whose name ends in a blank frames a body for some readers and not for others, which
+// allows response smuggling (RFC 9112, section 5.1). A line that begins with a blank changes the
+// value of the field before it (section 5.2).
 //
 // # Usage
 //
@@ -16,6 +19,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/wasabiridge/wasabiridge"
 )
@@ -39,10 +43,10 @@
 	// line and column are the indexes of the next byte.
 	line, column int
 	status       int
-	// returned is set behind a carriage return.
-	returned bool
-	done     bool
-	failed   error
+	// named is set behind the name of a field, and returned behind a carriage return.
+	named, returned bool
+	done            bool
+	failed          error
 }
 
 // Add checks the next bytes of a head, and ignores those behind it. Its error is of type
@@ -84,17 +88,40 @@
 		return "first line without a version and a status"
 	case c.line > 0 && c.column == 0:
 		c.done = true
+	case c.line > 0 && !c.named:
+		return "line without a colon"
 	}
 	c.line++
-	c.column, c.returned = 0, false
+	c.column, c.named, c.returned = 0, false, false
 	return ""
 }
 
 // checkByte checks a byte that does not end a line.
 func (c *Checker) checkByte(b byte) string {
-	if c.line > 0 {
-		return ""
+	if c.line == 0 {
+		return c.checkFirst(b)
+	}
+	return c.checkField(b)
+}
+
+// checkField checks a byte of a field.
+func (c *Checker) checkField(b byte) string {
+	switch {
+	case c.named && isControl(b):
+		return "control byte in the value of a field"
+	case c.named || isToken(b):
+	case c.column == 0 && (b == ' ' || b == '\t'):
+		return "line folding"
+	case c.column == 0 || b != ':':
+		return "byte in the name of a field, or no name"
+	default:
+		c.named = true
 	}
+	return ""
+}
+
+// checkFirst checks a byte of the first line.
+func (c *Checker) checkFirst(b byte) string {
 	switch i := c.column; {
 	case i < len(versionPrefix) && b != versionPrefix[i], i == len(versionPrefix) && !isDigit(b):
 		return "version is not HTTP/1"
@@ -117,6 +144,22 @@
 	return ""
 }
 
+// CheckFields checks the names and values of fields that were parsed, such as those of a trailer.
+// Its error is of type ErrMalformed.
+func CheckFields(h http.Header) error {
+	for name, values := range h {
+		if name == "" || strings.ContainsFunc(name, func(r rune) bool { return r > 0x7f || !isToken(byte(r)) }) {
+			return ErrMalformed.New("head: %q is no name of a field", name)
+		}
+		for _, value := range values {
+			if strings.ContainsFunc(value, func(r rune) bool { return r <= 0x7f && isControl(byte(r)) }) {
+				return ErrMalformed.New("head: control byte in the value %q of field %s", value, name)
+			}
+		}
+	}
+	return nil
+}
+
 // isInterim reports whether another response follows one with the status. 101 is none, as no
 // request asks for another protocol.
 func isInterim(status int) bool {
@@ -128,5 +171,16 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+// tokens holds which bytes may stand in the name of a field.
+var tokens = func() (out [256]bool) {
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		out[b] = true
+	}
+	return out
+}()
+
+// isToken reports whether a byte may stand in the name of a field.
+func isToken(b byte) bool { return tokens[b] }
+
 // isControl reports whether a byte is a control character other than a tab.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
--- a/internal/wasabihead/head_test.go
+++ b/internal/wasabihead/head_test.go
@@ -63,7 +63,38 @@
 	}
 }
 
-// Guards against a head that passes the check and that the parser reads as another status.
+// Guards against names and values of fields that some readers take for others.
+func TestFields(t *testing.T) {
+	for b := range 256 {
+		g := NewWithT(t)
+		token := strings.ContainsRune("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ", rune(b)) && b < 128
+		text := string([]byte{byte(b)})
+		for place, form := range map[string]string{"first": "%sX: 1", "middle": "X%sY: 1", "last": "X%s: 1"} {
+			for _, lines := range []string{"HTTP/1.1 200 OK\r\n%s\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n%s\r\nC: d\r\n\r\n"} {
+				head := fmt.Sprintf(lines, fmt.Sprintf(form, text))
+				// A line feed at the start of a line ends the head.
+				if err := check(head, 1+b%5); token || b == ':' && place != "first" || b == '\n' && place == "first" {
+					g.Expect(err).NotTo(HaveOccurred(), "%q", head)
+				} else {
+					g.Expect(errorx.IsOfType(err, wasabihead.ErrMalformed)).To(BeTrue(), "%q", head)
+				}
+			}
+		}
+		err := check("HTTP/1.1 200 OK\r\nX: a"+text+"b\r\n\r\n", 1+b%5)
+		failed := wasabihead.CheckFields(http.Header{"X": {"a" + text + "b"}})
+		if control := b < ' ' && b != '\t' || b == 0x7f; control {
+			g.Expect(failed).To(HaveOccurred(), "%q", text)
+			// A line feed begins another line, which has no colon.
+			g.Expect(errorx.IsOfType(err, wasabihead.ErrMalformed)).To(BeTrue(), "%q", text)
+		} else {
+			g.Expect(err).NotTo(HaveOccurred(), "%q", text)
+			g.Expect(failed).NotTo(HaveOccurred(), "%q", text)
+		}
+		g.Expect(wasabihead.CheckFields(http.Header{"X" + text: {"a"}}) == nil).To(Equal(token), "%q", text)
+	}
+}
+
+// Guards against a head that passes the check and that the parser reads as another one.
 func FuzzChecker(f *testing.F) {
 	for _, text := range sound {
 		f.Add(text)
@@ -79,5 +110,8 @@
 		if line := response.Proto + " " + response.Status; !strings.HasPrefix(text, strings.TrimRight(line, " \t")) || response.StatusCode < 100 || response.StatusCode > 599 {
 			t.Errorf("%q passes and is read as %q", text, line)
 		}
+		if err = wasabihead.CheckFields(response.Header); err != nil {
+			t.Errorf("%q passes and is read with: %v", text, err)
+		}
 	})
 }
