--- a/internal/wasabihead/head.go
+++ b/internal/wasabihead/head.go
@@ -152,7 +152,7 @@
 			return ErrMalformed.New("head: %q is no name of a field", name)
 		}
 		for _, value := range values {
-			if strings.ContainsFunc(value, func(r rune) bool { return r <= 0x7f && isControl(byte(r)) }) {
+			if hasControl(value) {
 				return ErrMalformed.New("head: control byte in the value %q of field %s", value, name)
 			}
 		}
@@ -160,6 +160,11 @@
 	return nil
 }
 
+// hasControl reports whether a value, or a status with its reason, has a control byte.
+func hasControl(text string) bool {
+	return strings.ContainsFunc(text, func(r rune) bool { return r <= 0x7f && isControl(byte(r)) })
+}
+
 // isInterim reports whether another response follows one with the status. 101 is none, as no
 // request asks for another protocol.
 func isInterim(status int) bool {
