Check the heads of responses on the OpenAI way and of all other clients

What callers saw: with engines and services of the OpenAI way, an answer with status 000, a blank in the name of a field or a length behind a blank counted as completed, for requests that may be repeated and others. An order to an engine that got status 000, 099, 101 or +20 counted as accepted. Rows, objects, the list of instances and commands of operators were read from such responses, too.

Cause: these clients use transports of net/http, whose parser accepts them.

Change: wasabihead.Transport is between each of these clients and its transport; that of the object store checks the responses of the AWS library's default client. A malformed head on the OpenAI way is reported as on the platform's.

Responses of gRPC between instances have no such heads: names, statuses and framing are checked by its HTTP/2 library.

--- a/internal/wasabibackend/chunk.go
+++ b/internal/wasabibackend/chunk.go
@@ -40,6 +40,7 @@
 	faultSize    fault = "event too large"
 	faultMarker  fault = "end marker within the answer"
 	faultBehind  fault = "bytes behind the end marker"
+	faultHead    fault = "head is none of a response"
 	faultAnswer  fault = "status or type is not that of an answer to the request"
 	faultChoices fault = "no list of choices"
 	faultChoice  fault = "field of a choice has a wrong type"
--- a/internal/wasabibackend/exchange.go
+++ b/internal/wasabibackend/exchange.go
@@ -7,7 +7,10 @@
 	"strconv"
 	"strings"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 	"github.com/wasabiridge/wasabiridge/internal/wasabinotice"
 )
 
@@ -49,6 +52,9 @@
 	sent := setBody(req, body.data, x.attempt.NonIdempotent)
 	var resp *http.Response
 	if resp, err = transport.RoundTrip(req); err != nil {
+		if errorx.IsOfType(err, wasabihead.ErrMalformed) {
+			x.report(wasabiridge.PartHead, faultHead)
+		}
 		return x.resultWithoutResponse()
 	}
 	defer resp.Body.Close()
--- a/internal/wasabibackend/monitor.go
+++ b/internal/wasabibackend/monitor.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 const (
@@ -191,7 +192,7 @@
 		req.Header.Set("Last-Event-ID", lastEvent)
 	}
 	var resp *http.Response
-	if resp, err = i.transport.RoundTrip(req); err != nil {
+	if resp, err = wasabihead.Transport(i.transport).RoundTrip(req); err != nil {
 		return nil, wasabiridge.ErrUnavailable.Wrap(err, "backend: GET %s from %s failed", path, b.ID)
 	}
 	switch resp.StatusCode {
--- a/internal/wasabibackend/runner.go
+++ b/internal/wasabibackend/runner.go
@@ -24,6 +24,7 @@
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabiending"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 // Defaults of Options.
@@ -172,7 +173,7 @@
 
 func (r *Runner) transport(a wasabiridge.Attempt) http.RoundTripper {
 	if a.NonIdempotent {
-		return r.singleUse
+		return wasabihead.Transport(r.singleUse)
 	}
-	return r.pooled
+	return wasabihead.Transport(r.pooled)
 }
--- a/internal/wasabiclient/client.go
+++ b/internal/wasabiclient/client.go
@@ -26,6 +26,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 	"github.com/wasabiridge/wasabiridge/internal/wasabioperator"
 )
 
@@ -96,7 +97,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &Client{options: o, http: &http.Client{
 		Timeout:   o.Timeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, TLSClientConfig: o.TLS, ForceAttemptHTTP2: true},
+		Transport: wasabihead.Transport(&http.Transport{DialContext: dialer.DialContext, TLSClientConfig: o.TLS, ForceAttemptHTTP2: true}),
 	}}
 }
 
--- a/internal/wasabiinstances/http.go
+++ b/internal/wasabiinstances/http.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 // Labels of a target group that describe an instance. Prometheus reserves meta
@@ -60,7 +61,7 @@
 	if o.Timeout == 0 {
 		o.Timeout = DefaultTimeout
 	}
-	return &Client{options: o, http: &http.Client{Timeout: o.Timeout.Duration()}}
+	return &Client{options: o, http: &http.Client{Timeout: o.Timeout.Duration(), Transport: wasabihead.Transport(nil)}}
 }
 
 // Instances returns the platform's list, ordered by name.
--- a/internal/wasabiobject/client.go
+++ b/internal/wasabiobject/client.go
@@ -6,13 +6,16 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
+	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/smithy-go"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 // ClientOptions configures a Client.
@@ -62,12 +65,29 @@
 		Region:                     o.Region,
 		Credentials:                credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
 		Retryer:                    aws.NopRetryer{},
+		HTTPClient:                 checkedClient{awshttp.NewBuildableClient()},
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
 	})
 	return &Client{api: api, options: o}
 }
 
+// checkedClient is the default client of the AWS library with a check of the heads of responses.
+type checkedClient struct{ *awshttp.BuildableClient }
+
+// Do implements s3.HTTPClient.
+func (c checkedClient) Do(r *http.Request) (*http.Response, error) {
+	response, err := c.BuildableClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if err = wasabihead.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
 func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, c.options.Timeout.Duration())
 }
--- a/internal/wasabiorder/client.go
+++ b/internal/wasabiorder/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 const (
@@ -28,7 +29,7 @@
 func NewClient(transport http.RoundTripper) *Client {
 	// A redirection would pass an order on to another engine.
 	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: refuse}}
+	return &Client{http: &http.Client{Transport: wasabihead.Transport(transport), CheckRedirect: refuse}}
 }
 
 // orderBody is the JSON body of an order.
--- a/internal/wasabitable/client.go
+++ b/internal/wasabitable/client.go
@@ -16,6 +16,7 @@
 	"github.com/aws/smithy-go"
 
 	"github.com/wasabiridge/wasabiridge"
+	"github.com/wasabiridge/wasabiridge/internal/wasabihead"
 )
 
 // ClientOptions configures a Client.
@@ -60,7 +61,7 @@
 		Region:       o.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   &http.Client{Transport: o.Transport},
+		HTTPClient:   &http.Client{Transport: wasabihead.Transport(o.Transport)},
 	})
 	return &Client{api: api, options: o}
 }
