Refuse what a shutdown would cut off

What callers saw: in a planned stop, requests whose upload ended late in the grace period were passed on, and cut off without an answer at its end, among them requests that may not be repeated.

Cause: only the arrival of a request's head decided. A head that arrived while the instance accepted requests was served whenever its body was complete, also when less of the grace period was left than the work takes.

Change: it is decided when a request is about to be passed on: behind its body, before each attempt and right before the first byte. If the longest of the last 32 requests of its rule would not end before the instance, it is refused as not run at once, with a connection that closes, so that its caller takes it to another instance. Of a rule of which nothing is known, requests are refused once the instance accepts no others. A request whose deadline is before the end is served, and so is a stream of which the caller has a part. What another instance passes on is declined. A further attempt of a request that may have run is not begun either; its caller gets a 502 at once.

Why it works: what is left of the grace period is compared with what the work took, at the latest moment at which the request can be refused as not run.

--- a/internal/wasabinode/lifecycle.go
+++ b/internal/wasabinode/lifecycle.go
@@ -11,6 +11,7 @@
 	"github.com/wasabiridge/wasabiridge/internal/wasabilistener"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilog"
 	"github.com/wasabiridge/wasabiridge/internal/wasabipeer"
+	"github.com/wasabiridge/wasabiridge/internal/wasabirelay"
 	"github.com/wasabiridge/wasabiridge/internal/wasabisettings"
 )
 
@@ -121,6 +122,8 @@
 // effect.
 func (n *Node) Drain() {
 	n.once.Do(func() {
+		now := n.options.Clock.Now()
+		n.shutdown.Store(&wasabirelay.Shutdown{AcceptUntil: now + acceptFor(n.bounds.ShutdownGrace), End: now + n.bounds.ShutdownGrace - endMargin})
 		n.leaving.Store(true)
 		n.book.Drain()
 		n.members.Leave(context.Background())
@@ -130,6 +133,14 @@
 	})
 }
 
+// shutdownTimes returns when the node stops accepting requests and ends, if it is shutting down.
+func (n *Node) shutdownTimes() wasabirelay.Shutdown {
+	if s := n.shutdown.Load(); s != nil {
+		return *s
+	}
+	return wasabirelay.Shutdown{}
+}
+
 // acceptFor returns how long a draining node keeps accepting requests, given the
 // grace period in which the process must end.
 //
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -188,8 +188,10 @@
 	sockets []net.Listener
 	servers []*http.Server
 	leaving atomic.Bool
-	once    sync.Once
-	drained chan struct{}
+	// shutdown is set before leaving is.
+	shutdown atomic.Pointer[wasabirelay.Shutdown]
+	once     sync.Once
+	drained  chan struct{}
 }
 
 // New opens the listeners and assembles the node; Run serves. It returns
@@ -292,7 +294,7 @@
 		MaxKeyAge:  func() wasabiridge.Millis { return n.terms.Load().RevokedKeyLifetime - keyMargin },
 		MaxDenyAge: func() wasabiridge.Millis { return n.terms.Load().ConfigPropagationTime * denyPercent / 100 },
 		Accepts:    n.accepts, Streams: n.streams, Detour: &detour{Forwarder: n.forwards, node: n},
-		Held: n.held, Leaving: n.leaving.Load, Mover: o.Platform.Migrator, Hasher: wasabifingerprint.New([]byte(openPeerKey)),
+		Held: n.held, Leaving: n.leaving.Load, Shutdown: n.shutdownTimes, Mover: o.Platform.Migrator, Hasher: wasabifingerprint.New([]byte(openPeerKey)),
 	})
 	n.book = wasabiaddress.New(wasabiaddress.Options{
 		Self: n.self(), Members: n.members.Members, SnapshotMembers: true, Detached: n.reach.detached, Strained: n.strained.Load, Lifetime: wasabiridge.Millis(addressShare * float64(n.bounds.AddressLifetime)),
--- a/internal/wasabirelay/attempt.go
+++ b/internal/wasabirelay/attempt.go
@@ -14,8 +14,11 @@
 // the request has ended.
 func (x *exchange) runAttempt(d wasabiridge.Dispatch) bool {
 	if x.mayForward(d) && (x.forward() || x.refuseIsolated()) {
-		x.relay.options.Loop.Post(wasabiridge.RequestForwarded{Request: d.Request})
-		x.relay.options.Loop.Post(wasabiridge.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Backend: d.Backend.ID, Result: wasabiridge.AttemptNotRun, Unsent: true})
+		x.withdraw(d)
+		return true
+	}
+	if x.refuseLate() {
+		x.withdraw(d)
 		return true
 	}
 	x.attempts++
@@ -51,6 +54,7 @@
 	completed := end.Result == wasabiridge.AttemptCompleted
 	if completed {
 		x.disposition = wasabiridge.Ran
+		x.relay.durations.add(x.rule.ID, x.relay.options.Clock.Now()-started)
 	}
 	end.ServerError = completed && x.status >= http.StatusInternalServerError
 	if completed && x.mayImprove(d) {
@@ -74,6 +78,12 @@
 	return false
 }
 
+// withdraw ends a request at the decider that was answered without the attempt of a dispatch.
+func (x *exchange) withdraw(d wasabiridge.Dispatch) {
+	x.relay.options.Loop.Post(wasabiridge.RequestForwarded{Request: d.Request})
+	x.relay.options.Loop.Post(wasabiridge.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Backend: d.Backend.ID, Result: wasabiridge.AttemptNotRun, Unsent: true})
+}
+
 // refuseIsolated refuses a request that no instance has a path for. It reports whether it did.
 func (x *exchange) refuseIsolated() bool {
 	switch {
@@ -112,12 +122,16 @@
 }
 
 // maySend reports whether an attempt may still be sent. Since it was placed, the key may
-// have been revoked, or the server may have stated that it wants no requests. An answer
+// have been revoked, the server may have stated that it wants no requests, or too little may be
+// left of a shutdown. An answer
 // whose KV cache was moved to the server continues there all the same.
 func (x *exchange) maySend(d wasabiridge.Dispatch) bool {
 	if x.account.ID != "" && !x.keyInForce() {
 		return false
 	}
+	if !x.headSent && x.endsTooLate() {
+		return false
+	}
 	accepts := x.relay.options.Accepts
 	return accepts == nil || d.Why == wasabiridge.WhyMoved || accepts(d.Backend)
 }
--- a/internal/wasabirelay/call.go
+++ b/internal/wasabirelay/call.go
@@ -33,7 +33,7 @@
 
 // filters are called in order. The first refusal ends the request.
 var filters = []func(*call) *wasabiridge.Refusal{
-	(*call).read, (*call).checkConfig, (*call).checkVersion, (*call).checkSize, (*call).match, (*call).authenticate, (*call).checkKeyFreshness, (*call).hold, (*call).readBody,
+	(*call).read, (*call).checkConfig, (*call).checkVersion, (*call).checkSize, (*call).match, (*call).authenticate, (*call).checkKeyFreshness, (*call).hold, (*call).readBody, (*call).checkShutdown,
 }
 
 func (c *call) prepare() *wasabiridge.Refusal {
--- a/internal/wasabirelay/relay.go
+++ b/internal/wasabirelay/relay.go
@@ -21,6 +21,13 @@
 // instance, which decides and answers as if the caller had sent the request there. A
 // request is passed on once at most. See Detour.
 //
+// # Shutdown
+//
+// An instance that is shutting down passes a request on only if it will probably end before the
+// instance does, as far as the last requests of its rule show. Others are refused as not run at
+// once, so that their callers use another instance. This is decided when a request is about to be
+// passed on, since its body may arrive slowly and it may wait for a server.
+//
 // # Revoked keys
 //
 // A request with a key is accepted only if the configuration with the account's keys
@@ -123,6 +130,9 @@
 	Held *wasabiheld.Keeper
 	// Leaving reports whether the instance is shutting down. Nil means never.
 	Leaving func() bool
+	// Shutdown returns when it stops accepting requests and ends. It must be safe for
+	// concurrent use. Nil means that requests are passed on until the end.
+	Shutdown func() Shutdown
 }
 
 // Relay is an http.Handler. It is safe for concurrent use.
@@ -133,6 +143,8 @@
 	open    atomic.Int64
 	counts  *Counts
 	running *activeRuns
+	// durations are those of the requests that were answered.
+	durations durations
 	// started is the time at which the relay was created.
 	started wasabiridge.Millis
 }
--- a/internal/wasabirelay/relay_test.go
+++ b/internal/wasabirelay/relay_test.go
@@ -111,6 +111,8 @@
 	check  *fixedVerdict
 	loop   *wasabiloop.Loop
 	detour *detour
+	// shutdown is that of the relay.
+	shutdown wasabirelay.Shutdown
 	// timeout is the time limit of callers. Zero means 2 s.
 	timeout wasabiridge.Millis
 	// stated are the servers that have stated that they accept no requests.
@@ -169,7 +171,7 @@
 		Clock: g.clock, Loop: loop, Runner: g.runner, Protocol: protocol{}, View: g.seen, Mover: &g.mover,
 		MaxKeyAge:  func() wasabiridge.Millis { return 4000 },
 		MaxDenyAge: func() wasabiridge.Millis { return 1500 },
-		Accepts:    g.accepts, Detour: g.detour,
+		Accepts:    g.accepts, Detour: g.detour, Shutdown: g.shutdownTimes,
 	})
 	g.server = httptest.NewServer(g.relay)
 	DeferCleanup(g.server.Close)
@@ -183,6 +185,12 @@
 	return !g.stated[b.ID]
 }
 
+func (g *rig) shutdownTimes() wasabirelay.Shutdown {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shutdown
+}
+
 func (g *rig) seen() wasabirelay.View {
 	g.mu.Lock()
 	defer g.mu.Unlock()
