--- a/internal/wasabinode/shutdown_test.go
+++ b/internal/wasabinode/shutdown_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wasabiridge/wasabiridge/internal/wasabitest"
 	"github.com/wasabiridge/wasabiridge/platform/standin"
 )
 
@@ -42,7 +43,9 @@
 // an answer. The grace period of these nodes is 3 s, and they end 2.6 s after Drain.
 var _ = Describe("A shutdown while callers upload slowly", func() {
 	const work, upload = 950 * time.Millisecond, 900 * time.Millisecond
-	for name, learned := range map[string]bool{"a rule whose requests it has served": true, "a rule that it has not served": false} {
+	rules := map[string]bool{"a rule whose requests it has served": true, "a rule that it has not served": false}
+	for _, name := range wasabitest.SortedKeys(rules) {
+		learned := rules[name]
 		It("cuts off no request that was passed on, of "+name, func() {
 			g := newRig()
 			n := g.start()
--- a/internal/wasabirelay/shutdown_test.go
+++ b/internal/wasabirelay/shutdown_test.go
@@ -62,9 +62,10 @@
 		"that takes long, with a deadline just behind it":   {took: 9000, since: 5000, timeout: 2601, refused: true},
 		"of unknown length, with a deadline just behind it": {since: 5000, timeout: 2601, refused: true},
 	}
+	kinds := map[string]wasabiridge.Action{"once": once, "safe": safe, "stream": stream}
 	for _, name := range slices.Sorted(maps.Keys(cases)) {
-		for kind, then := range map[string]wasabiridge.Action{"once": once, "safe": safe, "stream": stream} {
-			c := cases[name]
+		for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+			c, then := cases[name], kinds[kind]
 
 			// Guards against requests that are passed on and cut off at the end of the instance,
 			// and against the refusal of those that would have ended.
@@ -128,7 +129,7 @@
 	})
 
 	// Guards against further attempts that are cut off, and against refusals that are not true.
-	for name, c := range map[string]struct {
+	again := map[string]struct {
 		then  wasabiridge.Action
 		first scriptedAttempt
 		kind  wasabiridge.RefusalKind
@@ -137,7 +138,9 @@
 		"once, that did not run":   {once, sentAnd(wasabiridge.AttemptNotRun), wasabiridge.RefusalNotRun},
 		"safe, that broke":         {safe, sentAnd(wasabiridge.AttemptBroken), wasabiridge.RefusalBroken},
 		"a stream without a piece": {stream, sentAnd(wasabiridge.AttemptBroken), wasabiridge.RefusalBroken},
-	} {
+	}
+	for _, name := range slices.Sorted(maps.Keys(again)) {
+		c := again[name]
 		It("is not attempted again too late: "+name, func() {
 			var g *rig
 			g = newRig(c.then, after(&g, 5000, c.first), answers(http.StatusOK, "second"))
