Let callers go on at once after the refusal of a shutdown

What callers saw: a request that a shutdown would cut off was refused with a Retry-After of up to 0.08 of the time that its caller had left, as if this instance would serve it later, although another instance can serve it at once.

Change: the Retry-After of these refusals is the shortest one, 40 ms.

Evidence: the specs of wasabirelay expect 40 ms; the rest of the package and the specs of slow uploads pass.

--- a/internal/wasabirelay/shutdown.go
+++ b/internal/wasabirelay/shutdown.go
@@ -93,8 +93,14 @@
 	if !c.endsTooLate() {
 		return nil
 	}
+	return c.refuseForShutdown()
+}
+
+// refuseForShutdown returns a refusal of a request that has not run. Its caller may use another
+// instance at once.
+func (c *call) refuseForShutdown() *wasabiridge.Refusal {
 	c.w.Header().Set("Connection", "close")
-	return c.notRun(reasonShutdown)
+	return &wasabiridge.Refusal{Kind: wasabiridge.RefusalNotRun, Reason: reasonShutdown, RetryAfter: minRetryAfter}
 }
 
 // refuseLate refuses a request of which no attempt is in flight, if it would be cut off by the end
@@ -103,11 +109,10 @@
 	if x.headSent || !x.endsTooLate() {
 		return false
 	}
-	x.w.Header().Set("Connection", "close")
-	if x.disposition == wasabiridge.NotRun {
-		x.refuse(*x.notRun(reasonShutdown))
-	} else {
-		x.refuse(wasabiridge.Refusal{Kind: wasabiridge.RefusalBroken, Reason: reasonShutdown})
+	refusal := x.refuseForShutdown()
+	if x.disposition != wasabiridge.NotRun {
+		refusal = &wasabiridge.Refusal{Kind: wasabiridge.RefusalBroken, Reason: reasonShutdown}
 	}
+	x.refuse(*refusal)
 	return true
 }
--- a/internal/wasabirelay/shutdown_test.go
+++ b/internal/wasabirelay/shutdown_test.go
@@ -94,7 +94,7 @@
 					return
 				}
 				Expect(a.kind).To(BeEquivalentTo(wasabiridge.RefusalNotRun))
-				Expect(a.back).NotTo(BeEmpty())
+				Expect(a.back).To(Equal("40ms"))
 				Expect(g.attempts()).To(Equal(before))
 			})
 		}
