Take back that events are numbered without gaps once streams show otherwise

Cause: eight whole streams of consecutive identifiers made Numbering certain, and from then on a skipped identifier was rejected at once. What could refute it was a whole stream with a skip, and none could become whole. The same belief in other places: a stream was rejected for good that began with another identifier than those of one other server did, and one whose last event skipped some, although nothing was known.

Now an event that skips identifiers is kept until its stream shows whether it belongs to it: it goes back (rejected), or goes on rising (passed on). Streams that end before that are counted by server; once more than three quarters of the servers that are trusted have them, at least four streams in all, they are taken for whole. A server that sent an event of no run is distrusted for 16 streams, so that garbage behind the last event counts for nothing. One server changes what is known of itself only. Servers that are gone do not count. Callers that leave while events are kept count too. A stream that the router's own check cuts has a log line and a counter of its own, with the counts that decided it.

--- a/event.go
+++ b/event.go
@@ -210,6 +210,41 @@
 	ID int64
 	// Bytes is the number of bytes that were received of them.
 	Bytes int
+	// Doubt is set if the bytes may belong to the run, and too little is known of how the server
+	// numbers events.
+	Doubt Doubt
+}
+
+// Doubt is why the router did not pass on events whose identifiers skip others, although the bytes
+// of the server are sound.
+type Doubt struct {
+	// Set reports that the router did not pass on events for this reason.
+	Set bool
+	NumberingEvidence
+}
+
+// NumberingEvidence is what streams have shown this instance of how the servers of a pool number
+// events.
+type NumberingEvidence struct {
+	// Score is negative if identifiers skip others, and 8 if they are consecutive.
+	Score int
+	// Servers is the number of servers that ended streams lately, Skipping that of those whose
+	// identifiers skipped others, and Doubted that of the streams of these that were cut.
+	Servers, Skipping, Doubted int
+	// Distrusted reports that the server sent an event that belongs to no run in one of its last
+	// streams.
+	Distrusted bool
+}
+
+// NumberingChanged reports that the servers of a pool with one version of software have begun to
+// skip identifiers of events, or do so no more, as far as their streams have shown it.
+type NumberingChanged struct {
+	Pool     PoolID
+	Software SoftwareVersion
+	// Request is that of the stream which showed it.
+	Request  RequestID
+	Skips    bool
+	Evidence NumberingEvidence
 }
 
 // ExtraResponse describes what was received behind the last response of a connection.
@@ -331,6 +366,7 @@
 func (BackendLeaving) isEvent()      {}
 func (UnknownAnnouncement) isEvent() {}
 func (ResponseMalformed) isEvent()   {}
+func (NumberingChanged) isEvent()    {}
 func (PauseRequested) isEvent()      {}
 func (BrittleAnnounced) isEvent()    {}
 func (WeightsReported) isEvent()     {}
--- a/internal/wasabievent/parse.go
+++ b/internal/wasabievent/parse.go
@@ -17,6 +17,9 @@
 	FaultNoData   Fault = "no data"
 	FaultRepeated Fault = "id not above the last one"
 	FaultSkipped  Fault = "id skips others"
+	// FaultDoubted is that of events that the router rejects although their bytes are sound,
+	// because they may be those of another run.
+	FaultDoubted Fault = "id skips others near the end, as too few streams do"
 )
 
 // NoID stands for an identifier that is missing or no number.
--- a/internal/wasabievent/sequence.go
+++ b/internal/wasabievent/sequence.go
@@ -1,98 +1,6 @@
 package wasabievent
 
-import (
-	"slices"
-	"sync"
-)
-
-const (
-	// certain is the score of a Numbering from which on a skipped identifier is a fault. A
-	// complete stream of consecutive identifiers adds one. One that skips some takes off
-	// skipWeight, so that streams that skip are recognized although most of them do not.
-	certain    = 8
-	skipWeight = 8
-	// minScore bounds the score, so that a faulty server is forgotten.
-	minScore = -2 * skipWeight
-	// minSteps is the number of consecutive identifiers that a stream must have to be counted.
-	minSteps = 2
-	// minRising is the number of events from a skip on, with rising identifiers, after which
-	// the skip is none of garbage.
-	minRising = 5
-	// maxSkips bounds the skips that are remembered.
-	maxSkips = 64
-)
-
-// Numbering is what streams have shown of how their servers number events: with consecutive
-// identifiers, or with increasing ones that skip others. It is safe for concurrent use. The
-// zero value knows nothing.
-type Numbering struct {
-	mu sync.Mutex
-	// score is negative if identifiers skip others, and certain if they do not.
-	score int
-	// firsts holds one or two servers that began a stream with the first identifier.
-	firsts []string
-	// rejected holds the skips that were taken for faults, and the server of each.
-	rejected map[skip]string
-}
-
-// skip is a skipped identifier in the stream of a request.
-type skip struct {
-	request  string
-	last, id int64
-}
-
-// state reports whether identifiers are known to skip others, or known not to.
-func (n *Numbering) state() (skips, consecutive bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.score < 0, n.score == certain
-}
-
-// add changes the score.
-func (n *Numbering) add(change int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.score = min(max(n.score+change, minScore), certain)
-}
-
-// addFirst notes that a server began a stream with the first identifier.
-func (n *Numbering) addFirst(server string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if len(n.firsts) < 2 && !slices.Contains(n.firsts, server) {
-		n.firsts = append(n.firsts, server)
-	}
-}
-
-// othersBeginFirst reports whether another server began a stream with the first identifier.
-func (n *Numbering) othersBeginFirst(server string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.ContainsFunc(n.firsts, func(other string) bool { return other != server })
-}
-
-// reject remembers a skip that was taken for a fault. If another server skipped the same
-// identifiers at the same place of the same stream, identifiers may skip others after all.
-func (n *Numbering) reject(s skip, server string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if before, ok := n.rejected[s]; ok {
-		if before != server {
-			n.score = max(n.score-skipWeight, minScore)
-		}
-		return
-	}
-	if n.rejected == nil {
-		n.rejected = map[skip]string{}
-	}
-	for old := range n.rejected {
-		if len(n.rejected) < maxSkips {
-			break
-		}
-		delete(n.rejected, old)
-	}
-	n.rejected[s] = server
-}
+import "github.com/wasabiridge/wasabiridge"
 
 // Verdict is what is to be done with an event.
 type Verdict uint8
@@ -122,20 +30,63 @@
 	// resumed is set if the caller has events of the stream, and begun if it has some or this
 	// response brought some.
 	resumed, begun bool
-	// kept is the identifier of the last event that was kept, or NoID, and rising is how many
-	// were.
-	kept   int64
+	// kept describes the events that are kept. It is empty if none is.
+	kept keptEvents
+	// consecutive counts the events that followed their predecessor before any skip. skipped is
+	// set if identifiers were skipped, and stream counts the steps then.
+	consecutive int
+	skipped     bool
+	stream      streamSteps
+}
+
+// keptEvents are events that are kept: the first one skips identifiers, and those of the others
+// rise.
+type keptEvents struct {
+	// id is the identifier of the first one, step is how far it is from the last identifier
+	// before it, last, and highest is that of the last one.
+	id, step, last, highest int64
+	// rising is the number of the events.
 	rising int
-	// steps counts the events that followed their predecessor. skipped is set if identifiers
-	// were skipped.
-	steps   int
-	skipped bool
+	// first is set if they begin the stream, and alone if nothing of the stream came before them,
+	// in any response.
+	first, alone bool
+}
+
+// streamSteps counts the steps between the identifiers of a stream that skips some.
+type streamSteps struct {
+	begins, steps stepCount
+	// largest is the largest step, and known that of the events that were delivered.
+	largest, known int64
+	// sinceSkip is the number of events from the first skip on.
+	sinceSkip int
+	// beganElsewhere is set if the stream did not begin with the first identifier, and
+	// beganBefore if it began before it.
+	beganElsewhere, beganBefore bool
+}
+
+// add counts a step.
+func (s *streamSteps) add(step int64, first bool) {
+	count := &s.steps
+	if first {
+		count = &s.begins
+	}
+	count.all++
+	if s.sinceSkip > 0 {
+		s.sinceSkip++
+	}
+	if step != 1 {
+		count.skips++
+		s.sinceSkip = max(s.sinceSkip, 1)
+		s.beganElsewhere = s.beganElsewhere || first
+		s.beganBefore = s.beganBefore || first && step == 0
+	}
+	s.largest = max(s.largest, step)
 }
 
 // NewSequence returns the check of a response that continues a stream behind an identifier.
 // Empty text means that it begins the stream.
 func NewSequence(numbering *Numbering, after string) *Sequence {
-	s := &Sequence{numbering: numbering, kept: NoID, resumed: after != "", begun: after != ""}
+	s := &Sequence{numbering: numbering, resumed: after != "", begun: after != ""}
 	if s.resumed {
 		s.last = parseID([]byte(after))
 	}
@@ -145,87 +96,119 @@
 // Last returns the identifier of the last event that was delivered, or zero.
 func (s *Sequence) Last() int64 { return max(0, s.last) }
 
+// Evidence returns what is known of how the server numbers events.
+func (s *Sequence) Evidence() wasabiridge.NumberingEvidence { return s.numbering.evidence(s.Server) }
+
+// TakeChange reports whether it became known that identifiers of the pool skip others, or that
+// they do not any more, since the last time that it was reported.
+func (s *Sequence) TakeChange() (skips, changed bool) { return s.numbering.takeChange() }
+
 // Next checks a complete event.
 func (s *Sequence) Next(event []byte) (Verdict, Fault) {
+	verdict, fault := s.next(event)
+	if fault != "" && fault != FaultDoubted {
+		s.numbering.distrust(s.Server)
+	}
+	return verdict, fault
+}
+
+func (s *Sequence) next(event []byte) (Verdict, Fault) {
 	id, fault := Parse(event)
 	switch {
 	case fault != "":
 		return Reject, fault
-	case s.kept != NoID:
+	case s.kept.rising > 0:
 		return s.afterKept(id)
 	case s.last == NoID:
 		return s.deliver(id)
 	case id <= s.last && s.begun:
 		return Reject, FaultRepeated
 	case id == s.last+1:
-		if !s.begun {
-			s.numbering.addFirst(s.Server)
-		}
-		s.steps++
-		return s.deliver(id)
+		return s.step(id)
 	}
 	return s.skip(id)
 }
 
 func (s *Sequence) deliver(id int64) (Verdict, Fault) {
-	s.last, s.kept, s.begun = id, NoID, true
+	s.last, s.kept, s.begun = id, keptEvents{}, true
 	return Deliver, ""
 }
 
+// step delivers an event that follows its predecessor.
+func (s *Sequence) step(id int64) (Verdict, Fault) {
+	if !s.begun {
+		s.numbering.begin(s.Server)
+	}
+	s.consecutive++
+	s.stream.add(1, !s.begun)
+	return s.deliver(id)
+}
+
 // skip checks an event that skips identifiers.
 func (s *Sequence) skip(id int64) (Verdict, Fault) {
-	switch skips, consecutive := s.numbering.state(); {
-	case skips || s.skipped:
-		s.skipped = true
-		return s.deliver(id)
-	case consecutive:
-		s.numbering.reject(skip{s.Request, s.last, id}, s.Server)
-		return Reject, FaultSkipped
+	k := keptEvents{id: id, step: id - s.last, last: s.last, highest: id, rising: 1, first: !s.begun}
+	k.alone = k.first && !s.resumed
+	s.stream.add(k.step, k.first)
+	if s.skipped && k.step <= stepMargin*s.stream.known || s.numbering.risingFor(s.Server, k) == 1 {
+		return s.deliverSkip(id)
 	}
-	s.kept, s.rising = id, 1
+	s.kept = k
 	return Keep, ""
 }
 
-// afterKept checks an event behind one that was kept because it skips identifiers. If the stream
-// goes back, those that were kept are not of its run. If it goes on for long enough, the
-// identifiers of this stream skip others.
+// deliverSkip delivers an event of a stream whose identifiers skip others.
+func (s *Sequence) deliverSkip(id int64) (Verdict, Fault) {
+	s.skipped, s.stream.known = true, s.stream.largest
+	return s.deliver(id)
+}
+
+// afterKept checks an event behind those that are kept. If the stream goes back, they are not of
+// its run. If it goes on for long enough, the identifiers of this stream skip others.
 func (s *Sequence) afterKept(id int64) (Verdict, Fault) {
-	if id <= s.kept {
+	if id <= s.kept.highest {
 		return Reject, FaultSkipped
 	}
-	s.kept = id
-	if s.rising++; s.rising < minRising {
+	s.stream.add(id-s.kept.highest, false)
+	s.kept.highest = id
+	s.kept.rising++
+	switch {
+	case s.kept.rising < s.numbering.risingFor(s.Server, s.kept):
+		return Keep, ""
+	case s.numbering.acceptsRising(s.Server, s.kept):
+		return s.deliverSkip(id)
+	case s.kept.rising < maxRising:
 		return Keep, ""
 	}
-	if s.beginsElsewhere() {
-		return Reject, FaultSkipped
-	}
-	s.skipped = true
-	return s.deliver(id)
+	return s.doubt()
 }
 
-// beginsElsewhere reports whether the stream begins with another identifier than those of
-// another server.
-func (s *Sequence) beginsElsewhere() bool {
-	return !s.begun && s.numbering.othersBeginFirst(s.Server)
+// doubt rejects the events that are kept, because too little is known to take them for those of
+// the run.
+func (s *Sequence) doubt() (Verdict, Fault) {
+	s.numbering.endDoubted(s.Request, s.Server, s.kept)
+	return Reject, FaultDoubted
+}
+
+// Abandon notes that the caller left before the end. Events that were kept may be why, so that they
+// count although their stream cannot show any more that they belong to it.
+func (s *Sequence) Abandon() {
+	if s.kept.rising > 1 {
+		s.numbering.endDoubted(s.Request, s.Server, s.kept)
+	}
 }
 
 // End checks the end of a complete response. Events that were kept are the last ones.
 func (s *Sequence) End() (Verdict, Fault) {
-	if s.kept != NoID {
-		if s.resumed || s.steps > 0 || s.beginsElsewhere() {
-			s.numbering.reject(skip{s.Request, s.last, s.kept}, s.Server)
-			return Reject, FaultSkipped
+	if s.kept.rising > 0 {
+		if !s.numbering.acceptsEnd(s.Server, s.kept) {
+			return s.doubt()
 		}
-		// The stream has no other events.
-		s.skipped = s.rising > 1
-		_, _ = s.deliver(s.kept)
+		_, _ = s.deliverSkip(s.kept.highest)
 	}
-	switch {
-	case s.skipped:
-		s.numbering.add(-skipWeight)
-	case s.steps >= minSteps:
-		s.numbering.add(1)
+	if s.skipped {
+		s.numbering.endSkipping(s.Server, s.stream)
+	} else {
+		s.numbering.endConsecutive(s.Server, s.consecutive)
 	}
 	return Deliver, ""
 }
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -260,6 +260,9 @@
 	case wasabiridge.ResponseMalformed:
 		n.notices.recordMalformed(e)
 		return
+	case wasabiridge.NumberingChanged:
+		n.notices.recordNumbering(e)
+		return
 	case wasabiridge.BrittleAnnounced:
 		n.notices.recordBrittle(e, "", n.options.Clock.Now())
 	case wasabiridge.PauseRequested:
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -63,6 +63,9 @@
 	unknown map[string]int
 	// malformed counts the malformed responses by part.
 	malformed map[wasabiridge.ResponsePart]int
+	// doubted counts the streams that the check of event identifiers has cut, and numberings the
+	// changes of what is known of them.
+	doubted, numberings int
 	// pauses counts the pauses that servers have requested.
 	pauses int
 	// brittle holds what brittle servers have announced last.
@@ -193,6 +196,10 @@
 func (n *notices) recordMalformed(e wasabiridge.ResponseMalformed) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if e.Event.Doubt.Set {
+		n.recordDoubt(e)
+		return
+	}
 	if n.malformed == nil {
 		n.malformed = map[wasabiridge.ResponsePart]int{}
 	}
@@ -210,6 +217,30 @@
 	line.Str("cause", e.Cause).Str("address", e.Address).Msg(malformedMessage)
 }
 
+// recordDoubt counts and logs a stream that the check of event identifiers has cut although the
+// bytes of its server are sound.
+func (n *notices) recordDoubt(e wasabiridge.ResponseMalformed) {
+	n.doubted++
+	line := n.log.Warn().Str(wasabilog.RequestField, string(e.Request)).Str(wasabilog.BackendField, string(e.Backend)).
+		Int64("last_id", e.Event.LastID).Int64("id", e.Event.ID)
+	addEvidence(line, e.Event.Doubt.NumberingEvidence).Int("events", e.Event.Delivered).Str("cause", e.Cause).
+		Msg("Stream was cut by the router's own check of event identifiers.")
+}
+
+// recordNumbering counts and logs that the servers of a pool have begun to number events otherwise.
+func (n *notices) recordNumbering(e wasabiridge.NumberingChanged) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.numberings++
+	line := n.log.Info().Str(wasabilog.RequestField, string(e.Request)).Str("pool", string(e.Pool)).Str("software", string(e.Software)).Bool("skips", e.Skips)
+	addEvidence(line, e.Evidence).Msg("Numbering of events has changed.")
+}
+
+// addEvidence adds what is known of how servers number events.
+func addEvidence(line *zerolog.Event, e wasabiridge.NumberingEvidence) *zerolog.Event {
+	return line.Int("score", e.Score).Int("servers", e.Servers).Int("skipping", e.Skipping).Int("doubted", e.Doubted).Bool("distrusted", e.Distrusted)
+}
+
 // logFault logs an unusable announcement, at most once per faultLogInterval.
 func (n *notices) logFault(b wasabiridge.BackendServerID, fault string, now wasabiridge.Millis) {
 	if n.faultLoggedAt != 0 && now-n.faultLoggedAt < faultLogInterval {
@@ -262,7 +293,7 @@
 			brittle++
 		}
 	}
-	out := []string{line("server_pauses_total", int64(n.pauses)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(brittle))}
+	out := []string{line("server_pauses_total", int64(n.pauses)), line("streams_doubted_total", int64(n.doubted)), line("event_numbering_changes_total", int64(n.numberings)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(brittle))}
 	for part, count := range n.malformed {
 		out = append(out, line("server_responses_malformed_total{part=\""+string(part)+"\"}", int64(count)))
 	}
--- a/internal/wasabinode/notice_test.go
+++ b/internal/wasabinode/notice_test.go
@@ -72,3 +72,21 @@
 	g.Expect(n.lines(0)).To(ContainElement("wasabiridge_server_responses_malformed_total{part=\"event\"} 1\n"))
 	g.Expect(strings.Count(out.String(), `"request_id":"r1","backend":"e1"`)).To(Equal(3))
 }
+
+// Guards against streams cut by the router's own check that look like malformed ones of a server.
+func TestDoubtedStreamsAreShownApart(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	n := notices{log: zerolog.New(&out)}
+	evidence := wasabiridge.NumberingEvidence{Score: 8, Servers: 6, Skipping: 2, Doubted: 3}
+	n.recordMalformed(wasabiridge.ResponseMalformed{
+		Request: "q1", Backend: "e1", Part: wasabiridge.PartEvent, Cause: "id skips others near the end",
+		Event: wasabiridge.MalformedEvent{Delivered: 9, LastID: 9, ID: 12, Doubt: wasabiridge.Doubt{Set: true, NumberingEvidence: evidence}},
+	})
+	g.Expect(out.String()).To(And(ContainSubstring("router's own check"), ContainSubstring(`"request_id":"q1","backend":"e1","last_id":9,"id":12,"score":8,"servers":6,"skipping":2,"doubted":3,"distrusted":false`)))
+	out.Reset()
+	n.recordNumbering(wasabiridge.NumberingChanged{Pool: "lm", Request: "q2", Skips: true, Evidence: evidence})
+	g.Expect(out.String()).To(And(ContainSubstring("Numbering of events has changed."), ContainSubstring(`"pool":"lm"`), ContainSubstring(`"skips":true`)))
+	lines := strings.Join(n.lines(1000), "")
+	g.Expect(lines).To(And(ContainSubstring("streams_doubted_total 1"), ContainSubstring("event_numbering_changes_total 1"), Not(ContainSubstring("responses_malformed_total"))))
+}
--- a/internal/wasabirelay/log.go
+++ b/internal/wasabirelay/log.go
@@ -171,6 +171,10 @@
 		outcome = OutcomeRefused
 	}
 	x.relay.counts.addMalformed(m.Cause, outcome)
+	message := "Stream had an event that belongs to no run."
+	if m.Doubt.Set {
+		message = "Stream had an event that the router's own check of identifiers rejected."
+	}
 	x.relay.options.Log.Warn().
 		Str(wasabilog.RequestField, string(x.request.ID)).
 		Str("outcome", outcome).
@@ -184,7 +188,7 @@
 		Int("bytes", m.Bytes).
 		Int("attempts", x.attempts).
 		Str("rule", string(x.request.Rule)).
-		Msg("Stream had an event that belongs to no run.")
+		Msg(message)
 }
 
 // logShare logs what the refusal of a request for the share of its account was based on.
