Let failures and slow answers of a replica lose their effect with age

A replica that had failed or delayed requests for a while got none any more, also long after its trouble was over, as long as the others had room: callers waited behind the others, and what it had cached was read again elsewhere.

Cause: the moving averages of failures and delay of a replica change with its answers only. Now both have their whole effect for 5 s after the last observation and half of it after each 10 s more. Replicas that are used are observed all the time, so that nothing changes for them.

The two specs of recovery_test.go failed before: a replica of three got 0 requests in the 20 s that begin two minutes after its trouble, of some 290 that were placed (at least half of what it got before was expected).

--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -18,7 +18,7 @@
 			if p.options.UnevenServers {
 				pl.updateSpeeds(now)
 			}
-			pl.updateMedians()
+			pl.updateMedians(now)
 		}
 		p.updateUsesMemory(now)
 		p.detectSilence(now)
@@ -74,7 +74,7 @@
 		if pl := p.pools[e.Pool]; pl != nil {
 			for _, r := range pl.replicas {
 				r.clearFailures()
-				r.failures = pl.failures
+				r.failures, r.failedAt = pl.failures, now
 			}
 		}
 	case wasabiridge.BackendLost:
@@ -164,7 +164,7 @@
 		return
 	}
 	a.replica.lastReceived = now
-	a.replica.observeDelay(max(0, float64(now-a.sent)-a.work*a.slowness))
+	a.replica.observeDelay(now, max(0, float64(now-a.sent)-a.work*a.slowness))
 	a.observeCosts(now, p.pools[a.pool])
 	a.observeFetch(now)
 	if pl := p.pools[a.pool]; pl != nil {
@@ -260,22 +260,22 @@
 		// Another replica now has this address, or the response was wrong.
 		r.gone, r.misdirectedAt = true, now
 	case e.Failed:
-		r.observeFailure(true)
+		r.observeFailure(now, true)
 		r.clearFailures()
 	case e.Unreachable || e.FirstByteTimeout:
 		r.recordFailure(now)
-		r.observeFailure(true)
+		r.observeFailure(now, true)
 	case e.OtherWeights, e.Overloaded:
 		// The replica is full, or serves other weights than last reported. Its next
 		// answer or report shows which.
 		r.backoffUntil = max(r.backoffUntil, now+overloadBackoff)
 	case e.Result == wasabiridge.AttemptBroken:
-		r.observeFailure(true)
+		r.observeFailure(now, true)
 		if !firstByteSeen {
 			r.recordFailure(now)
 		}
 	case e.Result == wasabiridge.AttemptCompleted:
-		r.observeFailure(false)
+		r.observeFailure(now, false)
 		r.clearFailures()
 	}
 }
--- a/internal/wasabireplica/placer.go
+++ b/internal/wasabireplica/placer.go
@@ -276,7 +276,7 @@
 func (p *Placer) evaluate(now wasabiridge.Millis, pl *pool, r *replica, pr *prompt, target wasabiridge.Millis) candidate {
 	c := candidate{replica: r}
 	c.slowness = r.slowness(now)
-	wait := r.expectedWait(now, pr, pl.meanDuration, c.slowness) + r.penalty(pl)
+	wait := r.expectedWait(now, pr, pl.meanDuration, c.slowness) + r.penalty(now, pl)
 	if !pr.engine {
 		c.score = lateLoss(wait+pl.delay*c.slowness, target)
 	} else {
--- a/internal/wasabireplica/pool.go
+++ b/internal/wasabireplica/pool.go
@@ -236,10 +236,10 @@
 
 // updateMedians updates the medians of failures, and of delays at average speed, over the
 // replicas.
-func (pl *pool) updateMedians() {
+func (pl *pool) updateMedians(now wasabiridge.Millis) {
 	var failures, delays []float64
 	for _, r := range pl.replicas {
-		failures = append(failures, r.failures)
+		failures = append(failures, r.failureRate(now))
 		if r.samples > 0 {
 			delays = append(delays, r.delay/r.learnedSlowness())
 		}
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"github.com/wasabiridge/wasabiridge"
 	"github.com/wasabiridge/wasabiridge/internal/wasabilife"
@@ -25,6 +26,10 @@
 	// toleratedFailures is the failure rate that costs nothing: some requests fail at
 	// every replica.
 	toleratedFailures = 0.2
+	// observedTime is how long failures and slow answers have their whole effect, and
+	// penaltyHalfLife the time after which half of that is left then.
+	observedTime    = 5 * wasabiridge.Second
+	penaltyHalfLife = 10 * wasabiridge.Second
 	// A replica counts as slow once it has more than minSamples answers and its delay
 	// exceeds slowFactor times that of the pool.
 	minSamples = 8
@@ -130,8 +135,10 @@
 	// failures is the moving average of the rate of failed attempts, and delay that of
 	// the time to the first byte in excess of the work, in milliseconds.
 	failures float64
-	delay    float64
-	samples  int
+	// failedAt and delayedAt are the times of the last observations of failures and delay.
+	failedAt, delayedAt wasabiridge.Millis
+	delay               float64
+	samples             int
 	// limit is the rate limit that the replica reports. lastLimit is the last report to this
 	// instance. limitUnsent is set while it was not sent to the other instances, and
 	// limitSentAt is when a report was last sent.
@@ -306,29 +313,42 @@
 
 // penalty returns the surcharge for failures and slow answers relative to the pool, in
 // milliseconds. What the slowness of the replica explains costs nothing.
-func (r *replica) penalty(pl *pool) float64 {
-	cost := max(0, r.failures-toleratedFailures-pl.failures) * failurePenalty
+func (r *replica) penalty(now wasabiridge.Millis, pl *pool) float64 {
+	cost := max(0, r.failureRate(now)-toleratedFailures-pl.failures) * failurePenalty
 	if usual := pl.delay * r.learnedSlowness(); r.samples > minSamples && r.delay > slowFactor*usual {
-		cost += r.delay - usual
+		cost += (r.delay - usual) * faded(now-r.delayedAt)
 	}
 	return cost
 }
 
-func (r *replica) observeFailure(failed bool) {
+// faded returns what is left of the effect of an observation of the given age. Without it a
+// replica that is avoided would get no request by which it could show that its trouble is over.
+func faded(age wasabiridge.Millis) float64 {
+	return math.Exp2(-float64(max(0, age-observedTime)) / float64(penaltyHalfLife))
+}
+
+// failureRate returns the part of its requests that the replica fails, as far as it is known.
+func (r *replica) failureRate(now wasabiridge.Millis) float64 {
+	return r.failures * faded(now-r.failedAt)
+}
+
+func (r *replica) observeFailure(now wasabiridge.Millis, failed bool) {
 	sample := 0.0
 	if failed {
 		sample = 1
 	}
-	r.failures += smoothing * (sample - r.failures)
+	before := r.failureRate(now)
+	r.failures, r.failedAt = before+smoothing*(sample-before), now
 }
 
-func (r *replica) observeDelay(ms float64) {
+func (r *replica) observeDelay(now wasabiridge.Millis, ms float64) {
 	r.samples++
 	if r.samples == 1 {
-		r.delay = ms
+		r.delay, r.delayedAt = ms, now
 		return
 	}
-	r.delay += smoothing * (ms - r.delay)
+	before := r.delay * faded(now-r.delayedAt)
+	r.delay, r.delayedAt = before+smoothing*(ms-before), now
 }
 
 // silenceTimeout returns how long a replica may send nothing before the request is sent
