Pass on whole responses of which every event skips identifiers

Cause: acceptsEnd passed a response whose events were all kept only while the pool was not known to be consecutive and no other server began with the first identifier. Ten streams made that known; from then on each instance needed the cut streams of all servers to take it back, and an instance that sees few never got there.

Change: such a response is passed on, whatever is known. The check looks for garbage that is sent into a run: an event that the others of the response contradict, or one behind events of the run. A response of kept events alone has neither. Identifier 0 before 1 stays the exception (beginsBeforeFirst).

--- a/internal/wasabievent/numbering.go
+++ b/internal/wasabievent/numbering.go
@@ -259,10 +259,10 @@
 	switch {
 	case n.beginsBeforeFirst(server, k):
 		return false
-	case k.rising >= minRising && k.step <= smallStep && (s.distrusted == 0 || n.isSettled(s)):
+	case k.alone:
+		// Garbage is sent into a run. Here no event contradicts those that are kept.
 		return true
-	case k.alone && n.score < certain && !n.othersBeginFirst(server):
-		// Nothing else is known.
+	case k.rising >= minRising && k.step <= smallStep && (s.distrusted == 0 || n.isSettled(s)):
 		return true
 	case usual && n.skipsCommonly():
 		return true
