Share with all instances how servers number events

What callers saw: after a restart, or when load begins, streams whose events skip identifiers near their end were cut until each instance had learned by itself that this is sound.

Cause: what streams have shown was kept by one process only, and two rules needed most servers of the pool in its own streams. At n instances each change cost n times as many streams, and a restart began anew.

Change: an instance sends the others its record of a server when a stream of it has shown more than is known (proven, or how often doubted), with the updates that are sent anyway, three times a second apart; a server that nobody has named is named once. An instance that starts, or has sent a record, asks three others for theirs. A record only states evidence: that streams were taken for whole here is no proof for another instance. Applying it again changes nothing. What a server sends here goes first, and the last ends are those of this instance.

Now that one instance sees the doubts of all, the first streams that it hears of may all be those of the faulty servers. More doubts are needed (12 of one server, 8 of two) while fewer than three servers of a larger pool have ended streams.

Specs: fleets in virtual time (1, 9 and 40 instances, 1 to 12 servers): all together lose at most 24 streams for a change however many instances there are, none while each server ends ten a second, and garbage of one or two faulty servers behind the last event reaches nobody, also right after a start with 0 or 1 stream before. A spec with three nodes fails without the exchange ("Numbering of events received" is never logged, and the second node cuts the stream).

--- a/catalog.go
+++ b/catalog.go
@@ -238,6 +238,10 @@
 	Demands []DemandUpdate
 	// Answers are what the sender has counted under rollouts of software versions.
 	Answers []SoftwareAnswers
+	// Numberings are what the sender knows of how servers number events. AsksNumberings asks the
+	// receiver to send the same.
+	Numberings     []NumberingUpdate
+	AsksNumberings bool
 	// PassOn asks the receiver to pass what concerns placements and demand on to the other
 	// instances of its zone. PassedOn reports that it was, so that the message says nothing
 	// about the path to the sender.
--- a/cmd/wasabirouter/hosted.go
+++ b/cmd/wasabirouter/hosted.go
@@ -26,13 +26,13 @@
 	var err error
 	parts.ObserveWith(func(e wasabiridge.Event) { node.Observe(e) })
 	node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: log, DroppedLogLines: log.Dropped, Platform: wasabinode.Platform{
-		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches, Migrator: parts.Moves,
+		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches, Migrator: parts.Moves, Numberings: parts.Replicas,
 		Directory: platform.Directory, Ready: platform.Ready, Features: platform.FeaturesOf(s.Hosted.Rules),
 	}})
 	if err != nil {
 		return err
 	}
-	parts.Replicas.Limit = node.ConnectionLimit
+	parts.Replicas.Limit, parts.Replicas.Servers = node.ConnectionLimit, node.SoftwareServers
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	go watch(node, file, signals)
--- a/internal/wasabievent/numbering.go
+++ b/internal/wasabievent/numbering.go
@@ -30,6 +30,8 @@
 	distrustedEnds = 16
 	// minDoubted is the number of doubtful ends that show that a pool skips identifiers.
 	minDoubted = 4
+	// enoughDoubted is the number of doubtful ends of one server that others need not know more of.
+	enoughDoubted = (maxFaulty + 1) * minDoubted
 	// recentEnds is the number of ends that show what a pool does now, and currentEnds the
 	// number of ends after which a server that ended none does not count.
 	recentEnds  = 16
@@ -39,8 +41,10 @@
 	// or others had shown that they might skip some.
 	forgottenAfter = 24
 	provenAfter    = 256
-	// manyServers is the number of servers that are not all faulty if they skip identifiers.
+	// manyServers is the number of servers that are not all faulty if they skip identifiers, and
+	// maxFaulty that of the faulty ones of a pool before most others have ended a stream.
 	manyServers = 8
+	maxFaulty   = 2
 	// maxSkips bounds the skips that are remembered, and maxServers the servers.
 	maxSkips   = 64
 	maxServers = 2048
@@ -62,6 +66,8 @@
 	score int
 	// reported is set if it was reported last that identifiers skip others.
 	reported bool
+	// listed is the number of servers of the pool, or zero if it is not known.
+	listed int
 	// ends is the number of streams that ended regularly.
 	ends    uint64
 	servers map[string]*serverNumbering
@@ -73,6 +79,10 @@
 	begins, steps stepCount
 	// rejected holds the skips that were taken for faults, and the server of each.
 	rejected map[skip]string
+	// sendings holds the servers whose records the other instances are still sent.
+	sendings map[string]sending
+	// changed is closed when more is known. It is nil while nobody waits.
+	changed chan struct{}
 }
 
 // stepCount counts steps between identifiers, and those that skip some.
@@ -109,6 +119,30 @@
 
 func (s *serverNumbering) settled() bool { return s.proven || s.accepted }
 
+// skips reports whether streams of the server skipped identifiers.
+func (s *serverNumbering) skips() bool { return s.settled() || s.doubted > 0 }
+
+// doubtful returns how many of its streams skipped identifiers without a proof that they were whole.
+// That some were taken for whole follows from what this instance knows of the others, which is no
+// evidence for another instance.
+func (s *serverNumbering) doubtful() int {
+	if s.accepted && !s.proven {
+		return max(s.doubted, minDoubted)
+	}
+	return s.doubted
+}
+
+// settle notes that a stream which skips identifiers was whole. It is forgotten after a number of
+// consecutive streams at the earliest.
+func (s *serverNumbering) settle(proven bool, forgotten int) {
+	if proven {
+		forgotten = provenAfter
+	}
+	s.proven, s.accepted = s.proven || proven, true
+	s.forgotten = max(s.forgotten, forgotten)
+	s.consecutive, s.doubted = 0, 0
+}
+
 // streamEnd is the regular end of a stream that skipped identifiers or not, or began before the
 // first one.
 type streamEnd struct {
@@ -123,6 +157,13 @@
 	last, id int64
 }
 
+// SetServers sets the number of servers that the pool has.
+func (n *Numbering) SetServers(count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listed = count
+}
+
 // evidence returns what is known of a server and its pool.
 func (n *Numbering) evidence(server string) wasabiridge.NumberingEvidence {
 	n.mu.Lock()
@@ -274,6 +315,9 @@
 
 // end counts the regular end of a stream.
 func (n *Numbering) end(server string, s *serverNumbering, e streamEnd) {
+	if s.endedAt == 0 {
+		n.introduce(server)
+	}
 	s.distrusted = max(s.distrusted-1, 0)
 	if s.distrusted == 0 {
 		e.server = server
@@ -307,12 +351,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.server(server)
-	s.forgotten = max(s.forgotten, forgottenAfter)
-	if stream.sinceSkip >= minRising || n.isDoubtedCommonly() {
-		s.forgotten = provenAfter
+	known, before := n.skipsCommonly(), *s
+	if n.isDoubtedCommonly() {
+		n.settleDoubted()
+		s.settle(false, provenAfter)
+	}
+	s.settle(stream.sinceSkip >= minRising, forgottenAfter)
+	if !known && (!before.settled() || s.proven && !before.proven) {
+		n.send(server)
 	}
-	s.proven = s.proven || stream.sinceSkip >= minRising
-	s.consecutive, s.doubted, s.accepted = 0, 0, true
 	s.first = s.first && !stream.beganElsewhere
 	for i, end := range n.recent {
 		if end.server == server {
@@ -323,12 +370,27 @@
 	n.largest = max(n.largest, stream.largest)
 	n.begins.add(stream.begins)
 	n.steps.add(stream.steps)
-	// One faulty server does not change what is known of the others.
+	n.takeBack()
+	n.notify()
+}
+
+// takeBack lowers the score, unless one server alone skips identifiers: a faulty one does not change
+// what is known of the others.
+func (n *Numbering) takeBack() {
 	if t := n.count(); t.settled > 1 || t.servers == 1 {
 		n.score = max(n.score-skipWeight, minScore)
 	}
 }
 
+// settleDoubted notes of all servers whose streams were rejected that these were sound.
+func (n *Numbering) settleDoubted() {
+	for _, s := range n.servers {
+		if n.counts(s) && s.doubted > 0 {
+			s.settle(false, provenAfter)
+		}
+	}
+}
+
 // endDoubted counts a stream that was rejected because it ended so close behind a skip, or that its
 // caller left while events were kept.
 func (n *Numbering) endDoubted(request, server string, k keptEvents) {
@@ -340,9 +402,12 @@
 	trusted := s.distrusted == 0
 	if trusted {
 		s.consecutive = 0
-		s.doubted++
+		if s.doubted++; s.doubted <= enoughDoubted {
+			n.send(server)
+		}
 	}
 	n.end(server, s, streamEnd{counted: true, skips: trusted, doubted: trusted, fromBefore: k.first && k.id == 0})
+	n.notify()
 }
 
 // distrust notes that a server sent an event that belongs to no run.
@@ -351,6 +416,7 @@
 	defer n.mu.Unlock()
 	s := n.server(server)
 	s.distrusted, s.doubted = distrustedEnds, 0
+	delete(n.sendings, server)
 	for i, end := range n.recent {
 		if end.server == server {
 			n.recent[i] = streamEnd{}
--- a/internal/wasabievent/sequence.go
+++ b/internal/wasabievent/sequence.go
@@ -197,6 +197,20 @@
 	}
 }
 
+// Reconsider reports whether a stream whose end was doubted is whole by what is known now. Its kept
+// events are to be delivered then.
+func (s *Sequence) Reconsider() bool {
+	if !s.numbering.acceptsEnd(s.Server, s.kept) {
+		return false
+	}
+	_, _ = s.deliverSkip(s.kept.highest)
+	s.numbering.endSkipping(s.Server, s.stream)
+	return true
+}
+
+// Changed returns a channel that is closed when more is known of how the servers number events.
+func (s *Sequence) Changed() <-chan struct{} { return s.numbering.change() }
+
 // End checks the end of a complete response. Events that were kept are the last ones.
 func (s *Sequence) End() (Verdict, Fault) {
 	if s.kept.rising > 0 {
--- a/internal/wasabievent/tally.go
+++ b/internal/wasabievent/tally.go
@@ -4,6 +4,8 @@
 // others, those of which such streams were taken for whole, and the streams that were not.
 type tally struct {
 	servers, skipping, settled, doubted int
+	// least is the number of servers that are not just the faulty ones of the pool.
+	least int
 	// fromBefore counts the servers with streams that began before the first identifier, and
 	// beforeEnds these streams.
 	fromBefore, beforeEnds int
@@ -16,16 +18,23 @@
 }
 
 // isDoubtedCommonly reports whether the servers skip identifiers by the streams that were
-// rejected for that.
-func (t tally) isDoubtedCommonly() bool { return t.isCommon(t.skipping) && t.doubted >= minDoubted }
+// rejected for that. It takes more of them while so few servers have ended streams that all may be
+// faulty.
+func (t tally) isDoubtedCommonly() bool {
+	return t.isCommon(t.skipping) && t.doubted >= minDoubted*(1+max(0, t.least-t.skipping))
+}
 
 // counts reports whether a server is trusted and ended a stream lately.
 func (n *Numbering) counts(s *serverNumbering) bool {
 	return s.endedAt > 0 && n.ends-s.endedAt <= currentEnds && s.distrusted == 0
 }
 
+// least returns how many servers are not just the faulty ones. While others of the pool have ended
+// no stream, those that were seen first may be.
+func (n *Numbering) least() int { return min(maxFaulty+1, n.listed) }
+
 func (n *Numbering) count() tally {
-	var t tally
+	t := tally{least: n.least()}
 	for _, s := range n.servers {
 		if !n.counts(s) {
 			continue
@@ -35,7 +44,7 @@
 		if s.settled() {
 			t.settled++
 		}
-		if s.settled() || s.doubted > 0 {
+		if s.skips() {
 			t.skipping++
 		}
 	}
@@ -45,7 +54,7 @@
 // countRecent counts the last ends only. It sees a change at many servers before all of them have
 // shown it.
 func (n *Numbering) countRecent() tally {
-	var t tally
+	t := tally{least: n.least()}
 	all, skipping, before := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, end := range n.recent {
 		if !end.counted {
--- a/internal/wasabinode/background.go
+++ b/internal/wasabinode/background.go
@@ -42,6 +42,7 @@
 	go n.streams.Run(ctx)
 	go n.migrateRequests(ctx)
 	go n.restore(ctx)
+	go n.restoreNumberings(ctx)
 	go n.held.Run(ctx)
 	go n.guard.Run(ctx)
 	if n.options.Settings.Hosted.Headroom {
--- a/internal/wasabinode/node.go
+++ b/internal/wasabinode/node.go
@@ -105,7 +105,7 @@
 )
 
 // Platform holds the adapters to the platform: its protocol, store and engines.
-// All fields but Migrator and Features are required.
+// All fields but Migrator, Numberings and Features are required.
 type Platform struct {
 	Protocol wasabiridge.CallerProtocol
 	Runner   wasabiridge.AttemptRunner
@@ -120,6 +120,9 @@
 	// Ready returns the handler of the platform's readiness check.
 	Directory func(nearest func(wasabiridge.AvailabilityZone) ([]string, wasabiridge.Millis)) http.Handler
 	Ready     func(ready func() bool) http.Handler
+	// Numberings shares with the other instances how servers number events. With nil each
+	// instance learns it by itself.
+	Numberings wasabiridge.NumberingExchange
 	// Features are the optional parts that the platform asks for.
 	Features wasabiridge.Features
 }
--- a/internal/wasabinode/node_test.go
+++ b/internal/wasabinode/node_test.go
@@ -170,13 +170,13 @@
 	parts := platform.Connect(o)
 	parts.ObserveWith(func(e wasabiridge.Event) { r.node.Observe(e) })
 	r.node, err = wasabinode.New(wasabinode.Options{Settings: s, Clock: clock, Log: r.log, Platform: wasabinode.Platform{
-		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches,
+		Protocol: parts.Callers, Runner: parts.Replicas, Source: parts.Store, Table: parts.Store, Engines: parts.Orders, Caches: parts.Caches, Numberings: parts.Replicas,
 		Directory: platform.Directory, Ready: platform.Ready,
 	}})
 	if err != nil {
 		return nil, err
 	}
-	parts.Replicas.Limit = r.node.ConnectionLimit
+	parts.Replicas.Limit, parts.Replicas.Servers = r.node.ConnectionLimit, r.node.SoftwareServers
 	return r, nil
 }
 
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -66,6 +66,8 @@
 	// doubted counts the streams that the check of event identifiers has cut, and numberings the
 	// changes of what is known of them.
 	doubted, numberings int
+	// numberingsReceived counts the updates of other instances that told more of them.
+	numberingsReceived int
 	// pauses counts the pauses that servers have requested.
 	pauses int
 	// brittle holds what brittle servers have announced last.
@@ -236,6 +238,16 @@
 	addEvidence(line, e.Evidence).Msg("Numbering of events has changed.")
 }
 
+// recordNumberingReceived counts and logs that another instance knew more of how the servers of a
+// pool number events.
+func (n *notices) recordNumberingReceived(from wasabiridge.InstanceID, u wasabiridge.NumberingUpdate, e wasabiridge.NumberingEvidence) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.numberingsReceived++
+	line := n.log.Info().Str("from", string(from)).Str("pool", string(u.Pool)).Str("software", string(u.Software)).Int("records", len(u.Servers))
+	addEvidence(line, e).Msg("Numbering of events received.")
+}
+
 // addEvidence adds what is known of how servers number events.
 func addEvidence(line *zerolog.Event, e wasabiridge.NumberingEvidence) *zerolog.Event {
 	return line.Int("score", e.Score).Int("servers", e.Servers).Int("skipping", e.Skipping).Int("doubted", e.Doubted).Bool("distrusted", e.Distrusted)
@@ -293,7 +305,7 @@
 			brittle++
 		}
 	}
-	out := []string{line("server_pauses_total", int64(n.pauses)), line("streams_doubted_total", int64(n.doubted)), line("event_numbering_changes_total", int64(n.numberings)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(brittle))}
+	out := []string{line("server_pauses_total", int64(n.pauses)), line("streams_doubted_total", int64(n.doubted)), line("event_numbering_changes_total", int64(n.numberings)), line("event_numberings_received_total", int64(n.numberingsReceived)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(brittle))}
 	for part, count := range n.malformed {
 		out = append(out, line("server_responses_malformed_total{part=\""+string(part)+"\"}", int64(count)))
 	}
--- a/internal/wasabinode/peers.go
+++ b/internal/wasabinode/peers.go
@@ -64,6 +64,9 @@
 	for _, l := range update.Leaving {
 		n.observeLeaving(wasabiridge.BackendLeaving{Backend: l.Backend, Incarnation: l.Incarnation}, update.From)
 	}
+	if update.AsksNumberings {
+		go n.answerNumberings(update.From)
+	}
 	n.streams.Receive(update)
 	n.quarantine.Receive(update)
 	n.quota.Receive(update)
@@ -76,6 +79,7 @@
 	if len(update.Demands) > 0 {
 		n.loop.TryPost(wasabiridge.DemandReceived{From: update.From, Demands: update.Demands})
 	}
+	n.receiveNumberings(update)
 	now := n.options.Clock.Now()
 	for _, l := range update.Loads {
 		if b := l.Brittle; b.Known {
--- a/internal/wasabinode/publish.go
+++ b/internal/wasabinode/publish.go
@@ -54,8 +54,8 @@
 }
 
 // publishPlacements sends the other instances what this one placed on which backend
-// server, with the use of quotas, the demand for pools that are short of capacity, and the
-// servers that announced that they are leaving.
+// server, with the use of quotas, the demand for pools that are short of capacity, the servers
+// that announced that they are leaving, and how servers number events.
 func (n *Node) publishPlacements(ctx context.Context) {
 	ticker := wasabipulse.New(publishInterval)
 	defer ticker.Stop()
@@ -90,6 +90,7 @@
 			n.catalog.SendUpdate(ctx, n.inactive(), outside)
 		}
 		update.Leaving = n.notices.takeLeaving(n.options.Clock.Now())
+		update.Numberings = n.takeNumberings(ctx)
 		if isEmpty(update) {
 			continue
 		}
@@ -175,7 +176,7 @@
 // zone that callers are sent to.
 func (n *Node) passOn(update wasabiridge.StateUpdate) {
 	part := wasabiridge.StateUpdate{
-		From: update.From, Loads: update.Loads, Segments: update.Segments, Demands: update.Demands, PassedOn: true,
+		From: update.From, Loads: update.Loads, Segments: update.Segments, Demands: update.Demands, Numberings: update.Numberings, PassedOn: true,
 	}
 	for _, e := range n.fanout.Neighbors(n.activeEntries(), update.From) {
 		go func() {
@@ -207,7 +208,7 @@
 
 // isEmpty reports whether an update contains nothing that publishPlacements sends.
 func isEmpty(u wasabiridge.StateUpdate) bool {
-	return len(u.Loads) == 0 && len(u.Segments) == 0 && len(u.Usage) == 0 && len(u.Leaving) == 0 && len(u.Demands) == 0
+	return len(u.Loads) == 0 && len(u.Segments) == 0 && len(u.Usage) == 0 && len(u.Leaving) == 0 && len(u.Demands) == 0 && len(u.Numberings) == 0
 }
 
 // publishWait returns how long an update waits that should be sent after wait, given the
--- a/internal/wasabipeer/catalog.go
+++ b/internal/wasabipeer/catalog.go
@@ -141,6 +141,7 @@
 		out.Crashes = append(out.Crashes, encodeCrash(c))
 	}
 	out.Streams = encodeStreams(n.Streams)
+	encodeNumberings(out, n)
 	encodeUses(out, n)
 	encodeDemands(out, n)
 	encodeAnswers(out, n)
@@ -190,6 +191,9 @@
 		return wasabiridge.StateUpdate{}, err
 	}
 	decodeUses(&n, in)
+	if err = decodeNumberings(&n, in); err != nil {
+		return wasabiridge.StateUpdate{}, err
+	}
 	if err = decodeAnswers(&n, in); err != nil {
 		return wasabiridge.StateUpdate{}, err
 	}
--- a/internal/wasabiquota/controller.go
+++ b/internal/wasabiquota/controller.go
@@ -249,7 +249,7 @@
 	if len(update.Usage) == 0 {
 		return
 	}
-	update.Loads, update.Segments, update.Leaving, update.Demands = nil, nil, nil, nil
+	update.Loads, update.Segments, update.Leaving, update.Demands, update.Numberings = nil, nil, nil, nil, nil
 	var others []wasabiridge.InstanceID
 	k.loop.Inspect(func() { others = k.table.Peers() })
 	others = slices.DeleteFunc(others, func(id wasabiridge.InstanceID) bool { return sent[id] })
