Let the doubted end of a stream wait a second for a decision

What callers saw: while servers begin to skip identifiers, the streams that end until enough of them have shown it were cut, four to seventeen for each change (fleets in virtual time, 4 streams a second), however shortly before the decision they ended.

Cause: the end of such a stream was rejected at once, although the streams of other servers and instances decide within moments.

Change: the end of a stream that may run once waits for at most a second, and is passed on as soon as its instance knows that the servers skip. "Doubted end of a stream was passed on." names request, server, the wait and the counts; wasabiridge_streams_doubt_lifted_total counts them.

--- a/event.go
+++ b/event.go
@@ -247,6 +247,15 @@
 	Evidence NumberingEvidence
 }
 
+// DoubtLifted reports that events at the end of a stream were passed on after a wait, because other
+// streams have shown meanwhile that they belong to it.
+type DoubtLifted struct {
+	Request  RequestID
+	Backend  BackendServerID
+	Waited   Millis
+	Evidence NumberingEvidence
+}
+
 // ExtraResponse describes what was received behind the last response of a connection.
 type ExtraResponse struct {
 	// Bytes is the number of bytes that were examined.
@@ -367,6 +376,7 @@
 func (UnknownAnnouncement) isEvent() {}
 func (ResponseMalformed) isEvent()   {}
 func (NumberingChanged) isEvent()    {}
+func (DoubtLifted) isEvent()         {}
 func (PauseRequested) isEvent()      {}
 func (BrittleAnnounced) isEvent()    {}
 func (WeightsReported) isEvent()     {}
--- a/internal/wasabinode/config.go
+++ b/internal/wasabinode/config.go
@@ -263,6 +263,9 @@
 	case wasabiridge.NumberingChanged:
 		n.notices.recordNumbering(e)
 		return
+	case wasabiridge.DoubtLifted:
+		n.notices.recordLifted(e)
+		return
 	case wasabiridge.BrittleAnnounced:
 		n.notices.recordBrittle(e, "", n.options.Clock.Now())
 	case wasabiridge.PauseRequested:
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -68,6 +68,8 @@
 	doubted, numberings int
 	// numberingsReceived counts the updates of other instances that told more of them.
 	numberingsReceived int
+	// lifted counts the streams that were passed on after their end had been doubted.
+	lifted int
 	// pauses counts the pauses that servers have requested.
 	pauses int
 	// brittle holds what brittle servers have announced last.
@@ -229,6 +231,15 @@
 		Msg("Stream was cut by the router's own check of event identifiers.")
 }
 
+// recordLifted counts and logs a stream that was passed on after its end had been doubted.
+func (n *notices) recordLifted(e wasabiridge.DoubtLifted) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lifted++
+	line := n.log.Info().Str(wasabilog.RequestField, string(e.Request)).Str(wasabilog.BackendField, string(e.Backend)).Int64("waited_ms", int64(e.Waited))
+	addEvidence(line, e.Evidence).Msg("Doubted end of a stream was passed on.")
+}
+
 // recordNumbering counts and logs that the servers of a pool have begun to number events otherwise.
 func (n *notices) recordNumbering(e wasabiridge.NumberingChanged) {
 	n.mu.Lock()
@@ -305,7 +316,7 @@
 			brittle++
 		}
 	}
-	out := []string{line("server_pauses_total", int64(n.pauses)), line("streams_doubted_total", int64(n.doubted)), line("event_numbering_changes_total", int64(n.numberings)), line("event_numberings_received_total", int64(n.numberingsReceived)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(brittle))}
+	out := []string{line("server_pauses_total", int64(n.pauses)), line("streams_doubted_total", int64(n.doubted)), line("streams_doubt_lifted_total", int64(n.lifted)), line("event_numbering_changes_total", int64(n.numberings)), line("event_numberings_received_total", int64(n.numberingsReceived)), line("server_announcements_unknown_total", int64(unknown)), line("servers_brittle", int64(brittle))}
 	for part, count := range n.malformed {
 		out = append(out, line("server_responses_malformed_total{part=\""+string(part)+"\"}", int64(count)))
 	}
