--- a/internal/wasabievent/exchange.go
+++ b/internal/wasabievent/exchange.go
@@ -9,7 +9,8 @@
 
 const (
 	// sendings is how often the record of a server is sent to the other instances, with
-	// sendingInterval in between, since an update may be lost.
+	// sendingInterval in between, since an update may be lost. It is not repeated once it is known
+	// that the servers skip identifiers.
 	sendings        = 3
 	sendingInterval = wasabiridge.Second
 	// maxConsecutive bounds the servers of an update whose streams do not skip identifiers, and
@@ -49,11 +50,14 @@
 func (n *Numbering) TakeUpdate(now wasabiridge.Millis) (wasabiridge.NumberingUpdate, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if len(n.sendings) == 0 {
+		return wasabiridge.NumberingUpdate{}, false
+	}
 	var names []string
-	consecutive := 0
+	consecutive, known := 0, n.skipsCommonly()
 	for name, s := range n.sendings {
 		record := n.servers[name]
-		if record == nil || s.left == 0 {
+		if record == nil || s.left == 0 || known && s.left < sendings {
 			delete(n.sendings, name)
 			continue
 		}
