Ask other instances only when streams were doubted

An instance asked three others with each server that it named for the first time, which is most of them after a start, although nothing was to be decided.

--- a/internal/wasabinode/numbering.go
+++ b/internal/wasabinode/numbering.go
@@ -26,20 +26,25 @@
 	return count
 }
 
-// takeNumberings returns what the other instances are to be sent of how servers number events. With
-// it some are asked what they know, since too few servers may be known here.
+// takeNumberings returns what the other instances are to be sent of how servers number events. If
+// streams were doubted, some are asked what they know, since too few servers may be known here.
 func (n *Node) takeNumberings(ctx context.Context) []wasabiridge.NumberingUpdate {
 	exchange := n.options.Platform.Numberings
 	if exchange == nil {
 		return nil
 	}
 	updates := exchange.TakeNumberings(n.options.Clock.Now())
-	if len(updates) > 0 {
+	if slices.ContainsFunc(updates, hasDoubt) {
 		n.askNumberings(ctx)
 	}
 	return updates
 }
 
+// hasDoubt reports whether an update names a server of which streams were doubted.
+func hasDoubt(u wasabiridge.NumberingUpdate) bool {
+	return slices.ContainsFunc(u.Servers, func(s wasabiridge.ServerNumbering) bool { return s.Doubted > 0 })
+}
+
 // restoreNumberings asks other instances after the start how servers number events.
 //
 // The failure it guards against: an instance that starts has to see streams cut before it knows
