Take a pool to skip identifiers only once three of its servers have shown it

All streams went to the faulty engine, which had the prompts cached, so that nothing was known of the others; twelve doubts of it were taken for a proof, and the streams that waited were all passed on.

Change: fewer than three servers of a pool that has more show nothing about it, however often they were doubted.

--- a/event.go
+++ b/event.go
@@ -247,6 +247,10 @@
 	Evidence NumberingEvidence
 }
 
+// StreamDoubted reports that a stream of a backend server ended so that its bytes do not show
+// whether its last events belong to it. The streams of other servers do.
+type StreamDoubted struct{ Backend BackendServerID }
+
 // DoubtLifted reports that events at the end of a stream were passed on after a wait, because other
 // streams have shown meanwhile that they belong to it.
 type DoubtLifted struct {
@@ -376,6 +380,7 @@
 func (UnknownAnnouncement) isEvent() {}
 func (ResponseMalformed) isEvent()   {}
 func (NumberingChanged) isEvent()    {}
+func (StreamDoubted) isEvent()       {}
 func (DoubtLifted) isEvent()         {}
 func (PauseRequested) isEvent()      {}
 func (BrittleAnnounced) isEvent()    {}
--- a/internal/wasabievent/exchange.go
+++ b/internal/wasabievent/exchange.go
@@ -153,7 +153,7 @@
 		n.takeBack()
 		return true
 	case r.Doubted > s.doubted && !s.settled():
-		s.doubted, s.consecutive = min(r.Doubted, enoughDoubted), 0
+		s.doubted, s.consecutive = min(r.Doubted, minDoubted), 0
 		n.touch(s)
 		return true
 	case !n.counts(s):
--- a/internal/wasabievent/numbering.go
+++ b/internal/wasabievent/numbering.go
@@ -30,8 +30,6 @@
 	distrustedEnds = 16
 	// minDoubted is the number of doubtful ends that show that a pool skips identifiers.
 	minDoubted = 4
-	// enoughDoubted is the number of doubtful ends of one server that others need not know more of.
-	enoughDoubted = (maxFaulty + 1) * minDoubted
 	// recentEnds is the number of ends that show what a pool does now, and currentEnds the
 	// number of ends after which a server that ended none does not count.
 	recentEnds  = 16
@@ -42,7 +40,7 @@
 	forgottenAfter = 24
 	provenAfter    = 256
 	// manyServers is the number of servers that are not all faulty if they skip identifiers, and
-	// maxFaulty that of the faulty ones of a pool before most others have ended a stream.
+	// maxFaulty the number of those that may be.
 	manyServers = 8
 	maxFaulty   = 2
 	// maxSkips bounds the skips that are remembered, and maxServers the servers.
@@ -402,7 +400,7 @@
 	trusted := s.distrusted == 0
 	if trusted {
 		s.consecutive = 0
-		if s.doubted++; s.doubted <= enoughDoubted {
+		if s.doubted++; s.doubted <= minDoubted {
 			n.send(server)
 		}
 	}
--- a/internal/wasabievent/tally.go
+++ b/internal/wasabievent/tally.go
@@ -4,7 +4,7 @@
 // others, those of which such streams were taken for whole, and the streams that were not.
 type tally struct {
 	servers, skipping, settled, doubted int
-	// least is the number of servers that are not just the faulty ones of the pool.
+	// least is the number of servers of the pool that are not just the faulty ones.
 	least int
 	// fromBefore counts the servers with streams that began before the first identifier, and
 	// beforeEnds these streams.
@@ -14,23 +14,20 @@
 // isCommon reports whether a number of servers is so large a part of all that they are not just
 // the faulty ones: more than three quarters, or many of them and more than a quarter.
 func (t tally) isCommon(servers int) bool {
-	return 4*servers > 3*t.servers || servers >= manyServers && 4*servers > t.servers
+	return servers >= t.least && 4*servers > 3*t.servers || servers >= manyServers && 4*servers > t.servers
 }
 
 // isDoubtedCommonly reports whether the servers skip identifiers by the streams that were
-// rejected for that. It takes more of them while so few servers have ended streams that all may be
-// faulty.
-func (t tally) isDoubtedCommonly() bool {
-	return t.isCommon(t.skipping) && t.doubted >= minDoubted*(1+max(0, t.least-t.skipping))
-}
+// rejected for that.
+func (t tally) isDoubtedCommonly() bool { return t.isCommon(t.skipping) && t.doubted >= minDoubted }
 
 // counts reports whether a server is trusted and ended a stream lately.
 func (n *Numbering) counts(s *serverNumbering) bool {
 	return s.endedAt > 0 && n.ends-s.endedAt <= currentEnds && s.distrusted == 0
 }
 
-// least returns how many servers are not just the faulty ones. While others of the pool have ended
-// no stream, those that were seen first may be.
+// least returns how many servers are not just the faulty ones. Those that were seen first may be,
+// while others of the pool have ended no stream.
 func (n *Numbering) least() int { return min(maxFaulty+1, n.listed) }
 
 func (n *Numbering) count() tally {
--- a/internal/wasabinode/numbering.go
+++ b/internal/wasabinode/numbering.go
@@ -10,8 +10,12 @@
 	"github.com/wasabiridge/wasabiridge"
 )
 
-// numberingSources is how many instances are asked what they know of how servers number events.
-const numberingSources = 3
+const (
+	// numberingSources is how many instances are asked what they know of how servers number events.
+	numberingSources = 3
+	// numberingSourcesWait is how long an instance that starts waits for one that it can ask.
+	numberingSourcesWait = 10 * wasabiridge.Second
+)
 
 // SoftwareServers returns how many servers of a backend server's pool have its software, or zero if
 // its pool is not known.
@@ -54,6 +58,7 @@
 		return
 	}
 	n.waitForMembers(ctx)
+	n.waitFor(ctx, numberingSourcesWait, func() bool { return len(n.otherActive()) > 0 })
 	n.askNumberings(ctx)
 }
 
@@ -102,6 +107,11 @@
 		return
 	}
 	for _, u := range update.Numberings {
+		for _, s := range u.Servers {
+			if s.Doubted > 0 {
+				n.loop.TryPost(wasabiridge.StreamDoubted{Backend: s.Backend})
+			}
+		}
 		if evidence, news := n.options.Platform.Numberings.ReceiveNumbering(u); news {
 			n.notices.recordNumberingReceived(update.From, u, evidence)
 		}
--- a/internal/wasabireplica/observe.go
+++ b/internal/wasabireplica/observe.go
@@ -45,6 +45,10 @@
 		if r := p.replicas[e.Backend]; r != nil {
 			r.backoffUntil = e.Until
 		}
+	case wasabiridge.StreamDoubted:
+		if r := p.replicas[e.Backend]; r != nil {
+			r.doubted, r.doubtedAt = true, now
+		}
 	case wasabiridge.BackendDraining:
 		if r := p.replicas[e.Backend]; r != nil {
 			r.drainUntil = e.Until
--- a/internal/wasabireplica/recovery_test.go
+++ b/internal/wasabireplica/recovery_test.go
@@ -56,3 +56,38 @@
 		})
 	}
 })
+
+var _ = Describe("A replica of which a stream was doubted", func() {
+	// Guards against streams that are cut for good because all of them go to the replica that has their
+	// prompts cached, and nothing shows whether others number events alike.
+	It("gets no further ones for a while if another one has room", func() {
+		g := newRig(3)
+		var served []wasabiridge.BackendServerID
+		serve := func() wasabiridge.BackendServerID {
+			pl, id := g.place(long(7))
+			g.now += 20
+			g.answer(id)
+			g.now += 300
+			g.observe(wasabiridge.Ticked{})
+			return pl.Backend.ID
+		}
+		first := serve()
+		for range 5 {
+			Expect(serve()).To(Equal(first))
+		}
+		for range 3 {
+			id := serve()
+			Expect(served).NotTo(ContainElement(id))
+			served = append(served, id)
+			g.observe(wasabiridge.StreamDoubted{Backend: id})
+		}
+		Expect(served).To(HaveLen(3))
+	})
+
+	It("is used if there is no other one", func() {
+		g := newRig(1)
+		g.observe(wasabiridge.StreamDoubted{Backend: "e0"})
+		pl, _ := g.place(short())
+		Expect(pl.Backend.ID).To(BeEquivalentTo("e0"))
+	})
+})
--- a/internal/wasabireplica/replica.go
+++ b/internal/wasabireplica/replica.go
@@ -137,8 +137,11 @@
 	failures float64
 	// failedAt and delayedAt are the times of the last observations of failures and delay.
 	failedAt, delayedAt wasabiridge.Millis
-	delay               float64
-	samples             int
+	// doubted is set if the end of a stream was doubted, the last time at doubtedAt.
+	doubted   bool
+	doubtedAt wasabiridge.Millis
+	delay     float64
+	samples   int
 	// limit is the rate limit that the replica reports. lastLimit is the last report to this
 	// instance. limitUnsent is set while it was not sent to the other instances, and
 	// limitSentAt is when a report was last sent.
@@ -191,7 +194,7 @@
 	r.backoffUntil, r.drainUntil = 0, 0
 	r.leaving, r.pausedUntil, r.resuming = false, 0, false
 	r.clearFailures()
-	r.failures, r.delay, r.samples = 0, 0, 0
+	r.failures, r.delay, r.samples, r.doubted = 0, 0, 0, false
 	r.limit, r.lastLimit, r.limitUnsent, r.limitSentAt = wasabirate.Limit{}, wasabiridge.LimitAnnounced{}, false, 0
 	r.abandoned = nil
 	if r.unconfirmed == r.incarnation.Current() {
@@ -311,10 +314,16 @@
 	return min(limit, r.speed.room)
 }
 
-// penalty returns the surcharge for failures and slow answers relative to the pool, in
-// milliseconds. What the slowness of the replica explains costs nothing.
+// penalty returns the surcharge for failures, doubted streams and slow answers relative to the pool,
+// in milliseconds. What the slowness of the replica explains costs nothing.
+//
+// A failure that it guards against: all streams of a pool go to the replicas that have their prompts
+// cached, and nothing shows whether doubted streams of these are sound, since the others have none.
 func (r *replica) penalty(now wasabiridge.Millis, pl *pool) float64 {
 	cost := max(0, r.failureRate(now)-toleratedFailures-pl.failures) * failurePenalty
+	if r.doubted && now-r.doubtedAt < observedTime {
+		cost += failurePenalty
+	}
 	if usual := pl.delay * r.learnedSlowness(); r.samples > minSamples && r.delay > slowFactor*usual {
 		cost += (r.delay - usual) * faded(now-r.delayedAt)
 	}
