Count servers that are known to be faulty when a pool is believed to skip identifiers

A server that sent an event of no run lately is one of those that may be faulty, so that fewer others are needed. The new spec fails without that.

--- a/internal/wasabievent/fleet_test.go
+++ b/internal/wasabievent/fleet_test.go
@@ -227,6 +227,23 @@
 		}
 	}
 
+	// Guards against sound servers that are too few to be believed beside one that is known to be faulty.
+	It("is enough in a pool of three, one of which sends garbage that its streams contradict", func() {
+		p := newPool(fleetServers)
+		p.numbering.SetServers(fleetServers)
+		lost := 0
+		for range 200 {
+			server, ids := p.random.IntN(fleetServers), []int{1, 2, 3, 4, 6}
+			if server == 0 {
+				ids = []int{1, 40, 2, 3, 4, 6}
+			}
+			if _, whole := p.read(server, ids); !whole && server > 0 {
+				lost++
+			}
+		}
+		Expect(lost).To(BeNumerically("<=", 16))
+	})
+
 	// Guards against garbage of few faulty servers that is passed on because several instances have seen it.
 	for _, few := range []int{0, 1, fewStreams} {
 		for _, instances := range []int{1, 9, 40} {
--- a/internal/wasabievent/numbering.go
+++ b/internal/wasabievent/numbering.go
@@ -414,6 +414,7 @@
 	defer n.mu.Unlock()
 	s := n.server(server)
 	s.distrusted, s.doubted = distrustedEnds, 0
+	n.touch(s)
 	delete(n.sendings, server)
 	for i, end := range n.recent {
 		if end.server == server {
--- a/internal/wasabievent/tally.go
+++ b/internal/wasabievent/tally.go
@@ -22,13 +22,23 @@
 func (t tally) isDoubtedCommonly() bool { return t.isCommon(t.skipping) && t.doubted >= minDoubted }
 
 // counts reports whether a server is trusted and ended a stream lately.
-func (n *Numbering) counts(s *serverNumbering) bool {
-	return s.endedAt > 0 && n.ends-s.endedAt <= currentEnds && s.distrusted == 0
+func (n *Numbering) counts(s *serverNumbering) bool { return n.isRecent(s) && s.distrusted == 0 }
+
+func (n *Numbering) isRecent(s *serverNumbering) bool {
+	return s.endedAt > 0 && n.ends-s.endedAt <= currentEnds
 }
 
-// least returns how many servers are not just the faulty ones. Those that were seen first may be,
-// while others of the pool have ended no stream.
-func (n *Numbering) least() int { return min(maxFaulty+1, n.listed) }
+// least returns how many trusted servers are not just the faulty ones. Those that were seen first may
+// be, while others of the pool have ended no stream.
+func (n *Numbering) least() int {
+	least := min(maxFaulty+1, n.listed)
+	for _, s := range n.servers {
+		if s.distrusted > 0 && n.isRecent(s) {
+			least--
+		}
+	}
+	return least
+}
 
 func (n *Numbering) count() tally {
 	t := tally{least: n.least()}
