--- a/internal/wasabievent/exchange.go
+++ b/internal/wasabievent/exchange.go
@@ -33,7 +33,7 @@
 	n.sendings[server] = sending{left: sendings}
 }
 
-// introduce has the other instances told once of a server that is not known here.
+// introduce has the other instances informed once of a server that is not known here.
 //
 // The failure it guards against: the first streams that all instances read after their start are
 // those of faulty servers, and these are taken for all.
--- a/internal/wasabievent/fleet_test.go
+++ b/internal/wasabievent/fleet_test.go
@@ -54,7 +54,7 @@
 	now       wasabiridge.Millis
 	instances []*fleetInstance
 	// streams, lost and wrong count the streams without garbage, those of them that were not
-	// whole, and the streams of which garbage was passed on.
+	// complete, and the streams of which garbage was passed on.
 	streams, lost, wrong int
 	// spoiled is the number of streams with garbage. If anywhere is set, faulty servers spoil every
 	// second stream, at any place.
@@ -264,7 +264,7 @@
 }
 
 var _ = Describe("The first streams at an instance that has seen few", func() {
-	// Guards against whole responses that are cut after a restart because each of their events skips identifiers.
+	// Guards against complete responses that are cut after a restart because each of their events skips identifiers.
 	responses := map[string][]int{
 		"one event of two tokens":             {2},
 		"one event of twelve tokens":          {12},
--- a/internal/wasabievent/numbering.go
+++ b/internal/wasabievent/numbering.go
@@ -120,8 +120,8 @@
 // skips reports whether streams of the server skipped identifiers.
 func (s *serverNumbering) skips() bool { return s.settled() || s.doubted > 0 }
 
-// doubtful returns how many of its streams skipped identifiers without a proof that they were whole.
-// That some were taken for whole follows from what this instance knows of the others, which is no
+// doubtful returns how many of its streams skipped identifiers without a proof that they were complete.
+// That some were taken for complete follows from what this instance knows of the others, which is no
 // evidence for another instance.
 func (s *serverNumbering) doubtful() int {
 	if s.accepted && !s.proven {
@@ -130,7 +130,7 @@
 	return s.doubted
 }
 
-// settle notes that a stream which skips identifiers was whole. It is forgotten after a number of
+// settle notes that a stream which skips identifiers was complete. It is forgotten after a number of
 // consecutive streams at the earliest.
 func (s *serverNumbering) settle(proven bool, forgotten int) {
 	if proven {
--- a/internal/wasabievent/sequence.go
+++ b/internal/wasabievent/sequence.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// Reconsider reports whether a stream whose end was doubted is whole by what is known now. Its kept
+// Reconsider reports whether a stream whose end was doubted is complete by what is known now. Its kept
 // events are to be delivered then.
 func (s *Sequence) Reconsider() bool {
 	if !s.numbering.acceptsEnd(s.Server, s.kept) {
--- a/internal/wasabinode/notice.go
+++ b/internal/wasabinode/notice.go
@@ -66,7 +66,7 @@
 	// doubted counts the streams that the check of event identifiers has cut, and numberings the
 	// changes of what is known of them.
 	doubted, numberings int
-	// numberingsReceived counts the updates of other instances that told more of them.
+	// numberingsReceived counts the updates of other instances that contained more of them.
 	numberingsReceived int
 	// lifted counts the streams that were passed on after their end had been doubted.
 	lifted int
--- a/internal/wasabinode/numbering_test.go
+++ b/internal/wasabinode/numbering_test.go
@@ -17,7 +17,7 @@
 var _ = Describe("How engines number events", func() {
 	const path = "/note/x"
 
-	// Guards against instances that have to see streams cut although another one knows that they are whole.
+	// Guards against instances that have to see streams cut although another one knows that they are complete.
 	It("is known to all instances once the streams of one have shown it", func() {
 		g := newRig()
 		g.store.PutConfig(standin.Config{
--- a/numbering.go
+++ b/numbering.go
@@ -4,11 +4,11 @@
 // streams.
 type ServerNumbering struct {
 	Backend BackendServerID
-	// Proven reports that a stream of the server was whole beyond doubt although its identifiers
+	// Proven reports that a stream of the server was complete beyond doubt although its identifiers
 	// skipped others.
 	Proven bool
 	// Doubted is the number of its streams that skipped identifiers so close to the end that their
-	// own bytes do not show whether they were whole.
+	// own bytes do not show whether they were complete.
 	Doubted int
 }
 
@@ -20,7 +20,7 @@
 type NumberingUpdate struct {
 	Pool     PoolID
 	Software SoftwareVersion
-	// Largest is the largest step between two identifiers of a whole stream that skips some.
+	// Largest is the largest step between two identifiers of a complete stream that skips some.
 	Largest int64
 	// Begins counts the first steps of such streams, and Steps all others.
 	Begins, Steps StepCounts
