--- a/internal/wasabievent/numbering_test.go
+++ b/internal/wasabievent/numbering_test.go
@@ -232,6 +232,22 @@
 		}
 	})
 
+	// Guards against garbage at the end that is believed because its pool skips others, although its
+	// server has sent an event of no run in one of its last streams.
+	It("behind the last event of a server that sent garbage lately is not passed on", func() {
+		p := newPool(6)
+		p.lose(100, loaded)
+		for range 50 {
+			got, whole := p.read(0, []int{1, 900, 2, 3})
+			Expect(whole).To(BeFalse())
+			Expect(got).To(Equal([]int{1}))
+			got, whole = p.read(0, append(upTo(tokens), tokens+2))
+			Expect(whole).To(BeFalse())
+			Expect(got).To(Equal(upTo(tokens)))
+			p.lose(20, loaded)
+		}
+	})
+
 	// Guards against one faulty server that changes what is taken for sound of all others.
 	It("of one server does not change what is known of the others", func() {
 		p := newPool(6)
